--- /dev/null
+++ b/internal/base/frame/frame.go
@@ -0,0 +1,67 @@
+// Package frame writes and reads length-prefixed msgpack values on a byte
+// stream.
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxBytes is the greatest length of one frame's payload, in bytes.
+const MaxBytes = 4 << 20
+
+// headerBytes is the length of the prefix: four bytes of payload length, big
+// endian, and one byte of type tag.
+const headerBytes = 5
+
+// TooLongError reports a frame that is longer than MaxBytes.
+type TooLongError struct {
+	Bytes int
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("frame of %d bytes is longer than %d: check that the peer address is an entry VM's peer address", e.Bytes, MaxBytes)
+}
+
+// Append appends the frame of value with its type tag to buf.
+func Append(buf []byte, tag byte, value any) ([]byte, error) {
+	payload, err := msgpack.Marshal(value)
+	if err != nil {
+		return buf, errors.Wrap(err, "encode frame")
+	}
+	if len(payload) > MaxBytes {
+		return buf, &TooLongError{Bytes: len(payload)}
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(payload)))
+	buf = append(buf, tag)
+	return append(buf, payload...), nil
+}
+
+// Read reads one frame and returns its type tag and payload. It returns io.EOF
+// only between frames.
+func Read(r *bufio.Reader) (tag byte, payload []byte, err error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, nil, err
+	}
+	length := binary.BigEndian.Uint32(header[:4])
+	if length > MaxBytes {
+		return 0, nil, &TooLongError{Bytes: int(length)}
+	}
+	payload = make([]byte, length)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return 0, nil, errors.Wrap(err, "read frame payload")
+	}
+	return header[4], payload, nil
+}
+
+// Decode decodes a payload into value.
+func Decode(payload []byte, value any) error {
+	return errors.Wrap(msgpack.Unmarshal(payload, value), "decode frame")
+}
--- /dev/null
+++ b/internal/base/proof/check.go
@@ -0,0 +1,35 @@
+// Package proof runs property tests the same way on every run.
+package proof
+
+import (
+	"flag"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Seed is the seed of all property tests, unless the command line sets
+// -rapid.seed.
+const Seed = "20261204"
+
+var fixSeed = sync.OnceFunc(func() {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": Seed, "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic("proof: the property test library has no flag " + name + ": " + err.Error())
+		}
+	}
+})
+
+// Check checks a property with a fixed seed. The count of cases is that of the
+// library's flag -rapid.checks.
+func Check(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	fixSeed()
+	rapid.Check(t, property)
+}
--- /dev/null
+++ b/internal/core/entry/core.go
@@ -0,0 +1,213 @@
+// Package entry is the core of one entry VM: it takes events, keeps all state
+// and returns effects. It does no input or output and reads no clock.
+package entry
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/member"
+	"mangostile/internal/core/once"
+	"mangostile/internal/core/owner"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/route"
+	"mangostile/internal/core/table"
+)
+
+// Config is what the core knows from its settings.
+type Config struct {
+	// Self is the own entry VM.
+	Self        event.VM
+	Incarnation units.Incarnation
+	// VMs are those known from the settings. The platform's list is added.
+	VMs []event.VM
+	// Services are the plain services by name.
+	Services map[units.ServiceName]Service
+}
+
+// Service is what the settings say of a plain service.
+type Service struct {
+	// Deadline is the default time for a whole answer.
+	Deadline clock.Millis
+}
+
+// Core is the state of one entry VM. Make it with New; all calls must come from
+// one goroutine.
+type Core struct {
+	cfg     Config
+	now     clock.Millis
+	Table   table.Table
+	Members member.View
+	Owner   owner.Owner
+	Router  route.Router
+	Ledger  once.Ledger
+	// requests holds all requests that have not ended.
+	requests map[units.RequestID]*request
+	// edits holds edits that an operator waits for.
+	edits map[units.RecordID]*pendingEdit
+	// listed is the platform's last list.
+	listed  []event.VM
+	vms     map[string]event.VM
+	beatAt  clock.Millis
+	started bool
+	// configSeen is set once the config stream was read to its end.
+	configSeen bool
+	leaving    bool
+	left       bool
+}
+
+// New returns a core that has seen no event.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg, requests: map[units.RequestID]*request{}, edits: map[units.RecordID]*pendingEdit{}}
+	c.Members.Self = cfg.Self
+	c.Owner.Self = units.EntryVMID(cfg.Self.ID)
+	c.Owner.Incarnation = cfg.Incarnation
+	return c
+}
+
+// Ready reports whether the entry VM may be sent requests.
+func (c *Core) Ready() bool { return c.configSeen && !c.leaving }
+
+// Step handles one event at an instant, which must not fall between calls, and
+// adds the effects to out.
+func (c *Core) Step(now clock.Millis, ev event.Event, out *event.Effects) {
+	c.now = max(c.now, now)
+	if !c.started {
+		c.start(out)
+	}
+	first := len(out.List)
+	c.handle(ev, out)
+	c.loopBack(first, out)
+	c.leaveIfDone(out)
+}
+
+func (c *Core) start(out *event.Effects) {
+	c.started = true
+	c.learnVMs(out)
+	out.Add(event.TailStream{Stream: event.ConfigStream, From: c.Table.Next()})
+}
+
+func (c *Core) handle(ev event.Event, out *event.Effects) {
+	switch ev := ev.(type) {
+	case event.Tick:
+		c.tick(out)
+	case event.RequestArrived:
+		c.arrive(ev.Request, out)
+	case event.RequestCanceled:
+		c.cancel(ev.Request, out)
+	case event.DispatchStarted:
+	case event.DispatchDone:
+		c.dispatchDone(ev, out)
+	case event.PeerReceived:
+		c.received(ev.From, ev.Message, out)
+	case event.AppendDone:
+		c.appendDone(ev, out)
+	case event.RecordsRead:
+		c.recordsRead(ev, out)
+	case event.StreamGap:
+		c.Ledger.Skip(ev)
+	case event.StreamUnreachable:
+	case event.OrderDone:
+		c.Owner.OrderDone(c.now, ev, out)
+	case event.ReportReceived:
+		c.Owner.Reported(c.now, ev, out)
+	case event.ReportFailed:
+		c.Owner.ReportFailed(ev, out)
+	case event.VMsListed:
+		c.listed = ev.VMs
+		c.learnVMs(out)
+	case event.EditProposed:
+		c.propose(ev.Edit, out)
+	case event.QuarantineLifted:
+	case event.LeaveRequested:
+		c.leave(out)
+	}
+}
+
+// loopBack handles messages to the own entry VM at once and fills in the
+// addresses of the others.
+func (c *Core) loopBack(first int, out *event.Effects) {
+	kept := first
+	for i := first; i < len(out.List); i++ {
+		effect := out.List[i]
+		if send, ok := effect.(event.SendPeer); ok {
+			if send.To == c.Members.SelfID() {
+				c.received(send.To, send.Message, out)
+				continue
+			}
+			effect = c.addressed(send)
+		}
+		out.List[kept] = effect
+		kept++
+	}
+	clear(out.List[kept:])
+	out.List = out.List[:kept]
+}
+
+func (c *Core) addressed(send event.SendPeer) event.SendPeer {
+	if p := c.Members.Peer(send.To); p != nil {
+		send.Address = p.Address
+	}
+	return send
+}
+
+func (c *Core) received(from units.EntryVMID, m peer.Message, out *event.Effects) {
+	switch m := m.(type) {
+	case *peer.Heartbeat:
+		c.heartbeat(from, m, out)
+	case *peer.GrantAsk:
+		c.Owner.Ask(c.now, from, m, out)
+	case *peer.GrantReply:
+		c.granted(from, m, out)
+	case *peer.GrantRelease:
+		c.Owner.Release(c.now, from, m, out)
+	case *peer.ConfigRecords, *peer.ConfigAsk, *peer.ConfigSnapshot, *peer.PoisonMark, *peer.DomainSummary:
+	}
+}
+
+func (c *Core) tick(out *event.Effects) {
+	if c.Members.Tick(c.now) {
+		c.assignServers(out)
+	}
+	c.Owner.Tick(c.now, out)
+	if c.now-c.beatAt >= member.HeartbeatPeriod {
+		c.beatAt = c.now
+		c.beat(out)
+	}
+	c.tickRequests(out)
+	c.tickEdits(out)
+}
+
+func (c *Core) recordsRead(ev event.RecordsRead, out *event.Effects) {
+	if ev.Stream != event.ConfigStream {
+		if c.Ledger.Fold(ev) {
+			c.retryActions(out)
+		}
+		return
+	}
+	for i := range ev.Records {
+		if c.Table.Fold(ev.Records[i]) {
+			c.answerEdit(ev.Records[i].ID, out)
+		}
+	}
+	c.configSeen = c.configSeen || c.Table.Next() >= ev.End
+	c.learnVMs(out)
+}
+
+func (c *Core) leave(out *event.Effects) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.Members.Leave(c.now)
+	c.beat(out)
+	out.Add(event.Decision{Area: "member", Choice: c.cfg.Self.ID, Reason: "leaving"})
+}
+
+func (c *Core) leaveIfDone(out *event.Effects) {
+	if !c.leaving || c.left || len(c.requests) > 0 || len(c.edits) > 0 {
+		return
+	}
+	c.left = true
+	out.Add(event.Left{})
+}
--- /dev/null
+++ b/internal/core/entry/edit.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"strings"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// editTimeout is how long an operator waits for an edit's outcome.
+const editTimeout = 10 * clock.Second
+
+// maxEditCells bounds the cells of one record of an edit.
+const maxEditCells = 2000
+
+// pendingEdit is an edit that an operator waits for.
+type pendingEdit struct {
+	deadline clock.Millis
+	// refused is set once the log surely did not take the edit.
+	refused bool
+}
+
+// propose checks an edit against the table in force and appends it.
+func (c *Core) propose(edit event.Edit, out *event.Effects) {
+	if outcome := c.Table.Try(&edit); outcome.Kind != event.EditAccepted {
+		out.Add(event.AnswerEdit{Edit: edit.ID, Outcome: outcome})
+		return
+	}
+	c.edits[edit.ID] = &pendingEdit{deadline: c.now + editTimeout}
+	for _, part := range splitEdit(edit) {
+		body, err := msgpack.Marshal(part)
+		if err != nil {
+			panic("entry: edit can't be encoded: " + err.Error())
+		}
+		out.Add(event.AppendRecord{Stream: event.ConfigStream, ID: edit.ID, Body: body})
+	}
+}
+
+func splitEdit(edit event.Edit) []event.Edit {
+	if len(edit.Cells) <= maxEditCells {
+		return []event.Edit{edit}
+	}
+	parts := (len(edit.Cells) + maxEditCells - 1) / maxEditCells
+	edits := make([]event.Edit, parts)
+	for i := range edits {
+		part := edit
+		part.Part, part.Parts = int32(i), int32(parts)
+		part.Cells = edit.Cells[i*maxEditCells : min((i+1)*maxEditCells, len(edit.Cells))]
+		edits[i] = part
+	}
+	return edits
+}
+
+func (c *Core) appendDone(ev event.AppendDone, out *event.Effects) {
+	if ev.Stream == event.ConfigStream {
+		c.editAppended(ev, out)
+		return
+	}
+	id, ok := strings.CutPrefix(string(ev.ID), "intent-")
+	if r := c.requests[units.RequestID(id)]; ok && r != nil && r.state == stateIntent {
+		c.intentAppended(r, ev, out)
+	}
+}
+
+func (c *Core) editAppended(ev event.AppendDone, out *event.Effects) {
+	pending := c.edits[ev.ID]
+	if pending == nil || ev.Result != event.AppendRefused || pending.refused {
+		return
+	}
+	pending.refused = true
+	delete(c.edits, ev.ID)
+	out.Add(event.AnswerEdit{Edit: ev.ID, Outcome: event.EditOutcome{
+		Kind: event.EditNotTaken, Message: "the log service took no record; nothing changed: try again once it is back",
+	}})
+}
+
+// answerEdit tells the outcome of an edit that was just folded.
+func (c *Core) answerEdit(id units.RecordID, out *event.Effects) {
+	if c.edits[id] == nil {
+		return
+	}
+	outcome, ok := c.Table.Outcome(id)
+	if !ok {
+		return
+	}
+	delete(c.edits, id)
+	out.Add(event.Decision{Area: "table", Choice: string(id), Reason: string(outcome.Kind), Pairs: []any{"offset", outcome.Offset}})
+	out.Add(event.AnswerEdit{Edit: id, Outcome: outcome})
+}
+
+func (c *Core) tickEdits(out *event.Effects) {
+	for id, pending := range c.edits {
+		if c.now < pending.deadline {
+			continue
+		}
+		delete(c.edits, id)
+		out.Add(event.AnswerEdit{Edit: id, Outcome: event.EditOutcome{
+			Kind: event.EditUnknown, Message: "the log service has not confirmed the edit; it may still come in force: look at the table's history for edit " + string(id),
+		}})
+	}
+}
--- /dev/null
+++ b/internal/core/owner/server.go
@@ -0,0 +1,170 @@
+// Package owner holds what the owner of a backend server decides: fencing,
+// grants, adapter loads and evictions.
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+)
+
+// Terms of rights.
+const (
+	// OwnerTerm is how long an owner may grant after the start of its last
+	// successful renewal.
+	OwnerTerm = 4 * clock.Second
+	// GrantTerm is how long a grant holds unless it is renewed.
+	GrantTerm = 10 * clock.Second
+	// PollPeriod is the time between two reports of a backend server.
+	PollPeriod = clock.Second
+	// RetryPeriod is the time after which a failed claim or order is tried
+	// again.
+	RetryPeriod = clock.Second
+)
+
+// phase is how far the ownership of a backend server has come.
+type phase uint8
+
+// Phases.
+const (
+	// phaseUnknown: no report of the server yet.
+	phaseUnknown phase = iota
+	// phaseClaiming: an order to raise the fencing number is on its way.
+	phaseClaiming
+	// phaseOwned: the fencing number is ours.
+	phaseOwned
+)
+
+// grant is the right of one request to run on an adapter.
+type grant struct {
+	number  units.GrantNumber
+	holder  units.EntryVMID
+	request units.RequestID
+	attempt int32
+	adapter units.AdapterVersion
+	// until is the instant at which the grant lapses.
+	until clock.Millis
+}
+
+// copyState is one adapter on a server.
+type copyState struct {
+	// loading is set while an order to load is on its way or its result is
+	// unknown.
+	loading bool
+	// unloading is set from the decision to evict on, so that nothing is granted
+	// in between.
+	unloading bool
+	// grants counts live grants. An adapter with grants is never evicted.
+	grants int
+	// lapsedAt is the instant at which a grant last lapsed without a release, or
+	// 0. Eviction then needs a report asked for later that shows nothing running.
+	lapsedAt clock.Millis
+	usedAt   clock.Millis
+	// idleReportAt is the instant at which the last report that shows nothing
+	// running on the adapter was asked for.
+	idleReportAt clock.Millis
+}
+
+// ask is a request that waits for a grant.
+type ask struct {
+	peer.GrantAsk
+	from     units.EntryVMID
+	deadline clock.Millis
+	askedAt  clock.Millis
+}
+
+// server is one owned backend server.
+type server struct {
+	spec  event.VM
+	phase phase
+	fence units.Fence
+	// renewedAt is the instant at which the last successful renewal was sent.
+	renewedAt clock.Millis
+	// quietUntil is the instant before which nothing may be evicted, since an
+	// earlier owner's grants may still hold.
+	quietUntil clock.Millis
+	polledAt   clock.Millis
+	claimAt    clock.Millis
+	report     event.ServerReport
+	reported   bool
+	copies     map[units.AdapterVersion]*copyState
+	grants     map[units.GrantNumber]*grant
+	asks       []*ask
+}
+
+func (s *server) id() units.BackendServerID { return units.BackendServerID(s.spec.ID) }
+
+// mayGrant reports whether the right to grant holds at now.
+func (s *server) mayGrant(now clock.Millis) bool {
+	return s.phase == phaseOwned && now < s.renewedAt+OwnerTerm && s.report.Ready && !s.report.Leaving
+}
+
+func (s *server) slots() int {
+	if s.report.Slots > 0 {
+		return int(s.report.Slots)
+	}
+	return int(s.spec.Slots)
+}
+
+func (s *server) batchMax() int {
+	if s.report.BatchMax > 0 {
+		return int(s.report.BatchMax)
+	}
+	return int(s.spec.BatchMax)
+}
+
+// evictable reports whether c may be evicted at now. It is the one place that
+// decides so.
+func (s *server) evictable(now clock.Millis, c *copyState) bool {
+	if c.loading || c.unloading || c.grants > 0 {
+		return false
+	}
+	if !s.mayGrant(now) || now < s.quietUntil {
+		return false
+	}
+	return c.lapsedAt == 0 || c.idleReportAt > c.lapsedAt
+}
+
+// victim returns the evictable copy that was used the longest ago.
+func (s *server) victim(now clock.Millis) (units.AdapterVersion, bool) {
+	var best units.AdapterVersion
+	var found bool
+	for av, c := range s.copies {
+		if !s.evictable(now, c) {
+			continue
+		}
+		if !found || c.usedAt < s.copies[best].usedAt || (c.usedAt == s.copies[best].usedAt && av.String() < best.String()) {
+			best, found = av, true
+		}
+	}
+	return best, found
+}
+
+// summary describes s for the heartbeat.
+func (s *server) summary(now clock.Millis) peer.ServerSummary {
+	summary := peer.ServerSummary{
+		Server: s.id(), Fence: s.fence, Running: int32(len(s.grants)), Waiting: int32(len(s.asks)),
+		BatchMax: int32(s.batchMax()), Slots: int32(s.slots()), Usable: s.mayGrant(now),
+	}
+	for av, c := range s.copies {
+		switch {
+		case c.loading:
+			summary.Loading = append(summary.Loading, av)
+		case !c.unloading:
+			summary.Resident = append(summary.Resident, av)
+		}
+	}
+	sortVersions(summary.Resident)
+	sortVersions(summary.Loading)
+	return summary
+}
+
+func sortVersions(versions []units.AdapterVersion) {
+	slices.SortFunc(versions, func(a, b units.AdapterVersion) int {
+		return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+	})
+}
--- /dev/null
+++ b/internal/core/owner/sync.go
@@ -0,0 +1,81 @@
+package owner
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+)
+
+// copy returns the state of av on s, adding it if needed.
+func (s *server) copy(av units.AdapterVersion) *copyState {
+	c := s.copies[av]
+	if c == nil {
+		c = &copyState{}
+		s.copies[av] = c
+	}
+	return c
+}
+
+// forget drops what was true of the server before it restarted.
+func (s *server) forget() {
+	s.copies = map[units.AdapterVersion]*copyState{}
+	s.grants = map[units.GrantNumber]*grant{}
+	s.phase = phaseUnknown
+}
+
+// syncCopies takes over which adapters the report shows as loaded. Copies with
+// an order on its way keep their state.
+func (s *server) syncCopies(sentAt clock.Millis) {
+	resident := map[units.AdapterVersion]bool{}
+	for _, r := range s.report.Resident {
+		resident[r.AdapterVersion] = true
+		c := s.copy(r.AdapterVersion)
+		if r.Running == 0 {
+			c.idleReportAt = max(c.idleReportAt, sentAt)
+		}
+	}
+	for av, c := range s.copies {
+		if !resident[av] && !c.loading && !c.unloading && c.grants == 0 && c.usedAt < sentAt {
+			delete(s.copies, av)
+		}
+	}
+}
+
+func (s *server) loadsInFlight() int {
+	n := 0
+	for _, c := range s.copies {
+		if c.loading {
+			n++
+		}
+	}
+	return n
+}
+
+// lapse ends grants that were not renewed.
+func (s *server) lapse(now clock.Millis) {
+	for number, g := range s.grants {
+		if now < g.until {
+			continue
+		}
+		delete(s.grants, number)
+		if c := s.copies[g.adapter]; c != nil {
+			c.grants--
+			c.lapsedAt = now
+		}
+	}
+}
+
+// unloadDone takes the result of an order to unload. A lost or refused order
+// leaves the copy as it was until a report tells.
+func (s *server) unloadDone(now clock.Millis, ev event.OrderDone) {
+	c := s.copies[ev.Order.Adapter]
+	if c == nil || !c.unloading {
+		return
+	}
+	if ev.Result.Kind == event.OrderTaken {
+		delete(s.copies, ev.Order.Adapter)
+		return
+	}
+	c.unloading = false
+	c.usedAt = now
+}
--- /dev/null
+++ b/internal/core/peer/message.go
@@ -0,0 +1,172 @@
+// Package peer holds the messages that entry VMs send each other.
+package peer
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+)
+
+// Message is a message between entry VMs. The set of implementations is sealed.
+type Message interface {
+	peerMessage()
+	// Check reports whether a decoded message keeps the invariants of its type.
+	Check() error
+}
+
+// Heartbeat tells the members of the same failure domain that the sender is
+// alive and what it knows first hand.
+type Heartbeat struct {
+	Incarnation units.Incarnation `msgpack:"i"`
+	Leaving     bool              `msgpack:"l,omitempty"`
+	// ConfigOffset is the first offset of the config stream that the sender has
+	// not applied.
+	ConfigOffset units.Offset `msgpack:"o"`
+	// Servers describes backend servers that the sender owns and whose state
+	// changed, or all of them if Full.
+	Servers []ServerSummary `msgpack:"s,omitempty"`
+	Full    bool            `msgpack:"f,omitempty"`
+	// GrantsHeld renews the grants that the sender uses on backend servers that
+	// it believes the receiver to own. The receiver takes over those that an
+	// earlier owner gave.
+	GrantsHeld []HeldGrant `msgpack:"g,omitempty"`
+	// Demand tells the sender's recent use of limits that are shared.
+	Demand []Demand `msgpack:"d,omitempty"`
+}
+
+// ServerSummary is what an owner tells of one backend server.
+type ServerSummary struct {
+	Server   units.BackendServerID  `msgpack:"s"`
+	Fence    units.Fence            `msgpack:"f"`
+	Running  int32                  `msgpack:"r"`
+	Waiting  int32                  `msgpack:"w"`
+	BatchMax int32                  `msgpack:"b"`
+	Slots    int32                  `msgpack:"n"`
+	Resident []units.AdapterVersion `msgpack:"a,omitempty"`
+	Loading  []units.AdapterVersion `msgpack:"l,omitempty"`
+	// Usable is false while the server is down, leaving or without a valid right
+	// to grant.
+	Usable bool `msgpack:"u"`
+}
+
+// HeldGrant is a grant in use.
+type HeldGrant struct {
+	Request units.RequestID       `msgpack:"r"`
+	Attempt int32                 `msgpack:"n"`
+	Server  units.BackendServerID `msgpack:"s"`
+	Adapter units.AdapterVersion  `msgpack:"a"`
+	Grant   units.GrantNumber     `msgpack:"g"`
+}
+
+// Demand is the recent use of one shared limit at the sender.
+type Demand struct {
+	Key  string  `msgpack:"k"`
+	Rate float32 `msgpack:"r"` // units of the limit per second
+}
+
+// GrantAsk asks the owner of a backend server for the right to run a request.
+type GrantAsk struct {
+	Request  units.RequestID       `msgpack:"r"`
+	Attempt  int32                 `msgpack:"n"`
+	Server   units.BackendServerID `msgpack:"s"`
+	Adapter  units.AdapterVersion  `msgpack:"a"`
+	Priority units.Priority        `msgpack:"p,omitempty"`
+	// Within is the time left to the request's deadline.
+	Within clock.Millis `msgpack:"d"`
+	// Fingerprint identifies the content, so that the owner can name suspects
+	// if the server dies.
+	Fingerprint units.Fingerprint `msgpack:"c,omitempty"`
+	// Prefix identifies the beginning of the prompt.
+	Prefix units.Fingerprint `msgpack:"b,omitempty"`
+	// Tokens estimates prompt and answer together.
+	Tokens units.Tokens `msgpack:"t,omitempty"`
+	// Isolated asks that no other request runs beside this one.
+	Isolated bool `msgpack:"x,omitempty"`
+}
+
+// GrantReply answers a GrantAsk.
+type GrantReply struct {
+	Request units.RequestID       `msgpack:"r"`
+	Attempt int32                 `msgpack:"n"`
+	Server  units.BackendServerID `msgpack:"s"`
+	// Grant is 0 if the grant was refused.
+	Grant units.GrantNumber `msgpack:"g"`
+	// Term is the time for which the grant holds unless it is renewed.
+	Term    clock.Millis  `msgpack:"t"`
+	Refusal *errs.Refusal `msgpack:"e,omitempty"`
+}
+
+// GrantRelease gives back a grant, or withdraws an ask that is still waiting.
+type GrantRelease struct {
+	Request units.RequestID       `msgpack:"r"`
+	Attempt int32                 `msgpack:"n"`
+	Server  units.BackendServerID `msgpack:"s"`
+	Grant   units.GrantNumber     `msgpack:"g"`
+	// ServerDied is set if the backend server broke the connection.
+	ServerDied bool `msgpack:"x,omitempty"`
+}
+
+// ConfigRecords passes records of the config stream on.
+type ConfigRecords struct {
+	From    units.Offset `msgpack:"f"`
+	Records []Record     `msgpack:"r"`
+}
+
+// ConfigAsk asks for the records of the config stream from an offset on, or for
+// a snapshot if those are no longer at hand.
+type ConfigAsk struct {
+	From units.Offset `msgpack:"f"`
+}
+
+// ConfigSnapshot passes the folded table at an offset on, in parts.
+type ConfigSnapshot struct {
+	Offset units.Offset `msgpack:"o"`
+	Part   int32        `msgpack:"p"`
+	Parts  int32        `msgpack:"n"`
+	Body   []byte       `msgpack:"b"`
+}
+
+// Record is one record of a stream.
+type Record struct {
+	Offset units.Offset   `msgpack:"o" json:"offset"`
+	ID     units.RecordID `msgpack:"i" json:"id"`
+	// At is the log service's wall clock in milliseconds since the Unix epoch.
+	At   clock.Millis `msgpack:"t" json:"at"`
+	Body []byte       `msgpack:"b" json:"body"`
+}
+
+// PoisonMark tells that a request was running on a backend server that died.
+type PoisonMark struct {
+	Fingerprint units.Fingerprint     `msgpack:"f"`
+	Server      units.BackendServerID `msgpack:"s"`
+	// Crash names the crash, so that two marks of the same one count once.
+	Crash string `msgpack:"c"`
+	// Alone is set if nothing else ran on the server.
+	Alone bool `msgpack:"a,omitempty"`
+	// Quarantined tells that the sender refuses the request from now on.
+	Quarantined bool `msgpack:"q,omitempty"`
+	// Lifted ends a quarantine by order of an operator.
+	Lifted bool `msgpack:"l,omitempty"`
+}
+
+// DomainSummary tells another failure domain what the sender's has to spare.
+type DomainSummary struct {
+	Domain      units.FailureDomain `msgpack:"d"`
+	Incarnation units.Incarnation   `msgpack:"i"`
+	Sequence    uint64              `msgpack:"n"`
+	// FreeSeats counts the requests that could run at once without waiting.
+	FreeSeats int32 `msgpack:"f"`
+	// LoadsInFlight counts adapter loads against the shared bound.
+	LoadsInFlight int32             `msgpack:"l"`
+	Entries       []units.EntryVMID `msgpack:"e"`
+}
+
+func (*Heartbeat) peerMessage()      {}
+func (*GrantAsk) peerMessage()       {}
+func (*GrantReply) peerMessage()     {}
+func (*GrantRelease) peerMessage()   {}
+func (*ConfigRecords) peerMessage()  {}
+func (*ConfigAsk) peerMessage()      {}
+func (*ConfigSnapshot) peerMessage() {}
+func (*PoisonMark) peerMessage()     {}
+func (*DomainSummary) peerMessage()  {}
--- /dev/null
+++ b/internal/core/table/table.go
@@ -0,0 +1,314 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Table is the fold of the config stream up to an offset. The zero value is the
+// fold of no records. A Table is not safe for concurrent use; rows that it has
+// returned are never changed and may be read from anywhere.
+type Table struct {
+	// next is the offset of the first record that is not folded. It never falls.
+	next units.Offset
+	rows map[units.AdapterName]*Row
+	// deleted holds the offset after the record that deleted a row.
+	deleted map[units.AdapterName]units.Offset
+	// drains holds backend servers that operators have taken out of use.
+	drains map[units.BackendServerID]drain
+	// parts holds the cells of edits whose last part has not come.
+	parts map[units.RecordID]*partialEdit
+	// outcomes holds the newest outcomes, for those who wait for an edit.
+	outcomes outcomeLog
+}
+
+type drain struct {
+	Leaving bool         `msgpack:"l"`
+	Changed units.Offset `msgpack:"o"`
+}
+
+type partialEdit struct {
+	Cells []event.Cell `msgpack:"c"`
+	// Seen counts the parts that came, in order; First is the offset of the
+	// first.
+	Seen  int32        `msgpack:"s"`
+	Parts int32        `msgpack:"n"`
+	First units.Offset `msgpack:"f"`
+}
+
+// maxPartialEdits bounds edits whose parts have not all come. The oldest gives
+// way.
+const maxPartialEdits = 8
+
+// ServerRowPrefix begins the name of a row that stands for a backend server. Its
+// one column is StateColumn.
+const ServerRowPrefix = "backend_server:"
+
+// StateColumn is the column of a backend server's row: live or leaving.
+const StateColumn = "state"
+
+// Next returns the offset of the first record that is not folded, which is also
+// the table's revision.
+func (t *Table) Next() units.Offset { return t.next }
+
+// Len returns the number of rows.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Row returns the row of adapter, or nil.
+func (t *Table) Row(adapter units.AdapterName) *Row { return t.rows[adapter] }
+
+// Rows returns all rows sorted by adapter.
+func (t *Table) Rows() []*Row {
+	rows := make([]*Row, 0, len(t.rows))
+	for _, row := range t.rows {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b *Row) int { return strings.Compare(string(a.Adapter), string(b.Adapter)) })
+	return rows
+}
+
+// ServerLeaving reports whether operators have taken server out of use.
+func (t *Table) ServerLeaving(server units.BackendServerID) bool {
+	return t.drains[server].Leaving
+}
+
+// Outcome returns the outcome of a recent edit.
+func (t *Table) Outcome(id units.RecordID) (event.EditOutcome, bool) {
+	return t.outcomes.find(id)
+}
+
+// Fold applies the record at the table's next offset. It reports false and
+// changes nothing if the record has another offset.
+func (t *Table) Fold(record peer.Record) bool {
+	if record.Offset != t.next {
+		return false
+	}
+	t.next++
+	var edit event.Edit
+	if err := msgpack.Unmarshal(record.Body, &edit); err != nil {
+		return true
+	}
+	if edit.Parts > 1 && !t.gather(&edit, record.Offset) {
+		return true
+	}
+	outcome := t.Try(&edit)
+	if outcome.Kind == event.EditAccepted {
+		outcome.Offset = record.Offset
+		t.apply(&edit)
+	}
+	t.outcomes.add(edit.ID, outcome)
+	return true
+}
+
+// gather collects the parts of an edit in order. It reports whether edit is the
+// last one and now holds all cells.
+func (t *Table) gather(edit *event.Edit, offset units.Offset) bool {
+	if t.parts == nil {
+		t.parts = map[units.RecordID]*partialEdit{}
+	}
+	partial := t.parts[edit.ID]
+	if partial == nil {
+		t.dropOldestPartial()
+		partial = &partialEdit{Parts: edit.Parts, First: offset}
+		t.parts[edit.ID] = partial
+	}
+	if edit.Part != partial.Seen || edit.Parts != partial.Parts {
+		return false
+	}
+	partial.Seen++
+	partial.Cells = append(partial.Cells, edit.Cells...)
+	if partial.Seen < partial.Parts {
+		return false
+	}
+	delete(t.parts, edit.ID)
+	edit.Cells = partial.Cells
+	return true
+}
+
+func (t *Table) dropOldestPartial() {
+	if len(t.parts) < maxPartialEdits {
+		return
+	}
+	var oldest units.RecordID
+	for id, partial := range t.parts {
+		if oldest == "" || partial.First < t.parts[oldest].First {
+			oldest = id
+		}
+	}
+	delete(t.parts, oldest)
+}
+
+// Try returns the outcome that edit would have if it were the next record.
+func (t *Table) Try(edit *event.Edit) event.EditOutcome {
+	outcome := event.EditOutcome{Kind: event.EditAccepted}
+	if len(edit.Cells) == 0 {
+		outcome.Kind = event.EditInvalid
+		outcome.Message = "the edit has no cells: name at least one"
+		return outcome
+	}
+	changed := map[units.AdapterName]*Row{}
+	for i := range edit.Cells {
+		cell := &edit.Cells[i]
+		fault, kind := t.tryCell(cell, changed)
+		if kind == event.EditAccepted {
+			continue
+		}
+		outcome.Faults = append(outcome.Faults, fault)
+		if outcome.Kind != event.EditInvalid {
+			outcome.Kind = kind
+		}
+	}
+	for _, fault := range checkRows(changed) {
+		outcome.Faults = append(outcome.Faults, fault)
+		outcome.Kind = event.EditInvalid
+	}
+	return outcome
+}
+
+// tryCell sets cell in the copy of its row in changed and reports what is wrong
+// with it. A deleted row stands as nil in changed.
+func (t *Table) tryCell(cell *event.Cell, changed map[units.AdapterName]*Row) (event.CellFault, event.EditKind) {
+	fault := event.CellFault{Adapter: cell.Adapter, Column: cell.Column, Value: cell.Value}
+	if server, ok := strings.CutPrefix(string(cell.Adapter), ServerRowPrefix); ok {
+		return t.tryServerCell(cell, units.BackendServerID(server), fault)
+	}
+	if err := checkName(string(cell.Adapter), "an adapter's name"); err != nil {
+		fault.Remedy = err.Error()
+		return fault, event.EditInvalid
+	}
+	if since, value := t.cellChanged(cell); since > cell.ReadAt {
+		fault.Current = value
+		fault.Remedy = fmt.Sprintf("another edit changed this cell at offset %d: read the table again and decide", since-1)
+		return fault, event.EditConflict
+	}
+	if cell.Column == DeletedColumn {
+		if cell.Value != "true" {
+			fault.Remedy = "write true to delete the row"
+			return fault, event.EditInvalid
+		}
+		changed[cell.Adapter] = nil
+		return fault, event.EditAccepted
+	}
+	column, ok := columnByName(cell.Column)
+	if !ok {
+		fault.Remedy = "use one of the columns " + strings.Join(Columns(), ", ")
+		return fault, event.EditInvalid
+	}
+	row := changed[cell.Adapter]
+	if row == nil {
+		row = newRow(cell.Adapter)
+		if old := t.rows[cell.Adapter]; old != nil {
+			row = old.clone()
+		}
+		changed[cell.Adapter] = row
+	}
+	if err := columnSpecs[column].set(row, cell.Value); err != nil {
+		fault.Remedy = err.Error()
+		return fault, event.EditInvalid
+	}
+	return fault, event.EditAccepted
+}
+
+func (t *Table) tryServerCell(cell *event.Cell, server units.BackendServerID, fault event.CellFault) (event.CellFault, event.EditKind) {
+	if cell.Column != StateColumn || (cell.Value != string(event.VMLive) && cell.Value != string(event.VMLeaving)) {
+		fault.Remedy = "set column state of a backend server to live or leaving"
+		return fault, event.EditInvalid
+	}
+	if since := t.drains[server].Changed; since > cell.ReadAt {
+		fault.Current = serverState(t.drains[server].Leaving)
+		fault.Remedy = "another edit changed this cell: read the table again and decide"
+		return fault, event.EditConflict
+	}
+	return fault, event.EditAccepted
+}
+
+func serverState(leaving bool) string {
+	if leaving {
+		return string(event.VMLeaving)
+	}
+	return string(event.VMLive)
+}
+
+// cellChanged returns the offset after the record that last changed what cell
+// changes, with the value in force.
+func (t *Table) cellChanged(cell *event.Cell) (units.Offset, string) {
+	row := t.rows[cell.Adapter]
+	if row == nil {
+		return t.deleted[cell.Adapter], "(row deleted)"
+	}
+	if cell.Column == DeletedColumn {
+		return slices.Max(row.Changed[:]), "false"
+	}
+	column, ok := columnByName(cell.Column)
+	if !ok {
+		return 0, ""
+	}
+	return row.Changed[column], columnSpecs[column].get(row)
+}
+
+// checkRows checks the rules that join several columns of a row.
+func checkRows(changed map[units.AdapterName]*Row) []event.CellFault {
+	var faults []event.CellFault
+	for adapter, row := range changed {
+		if row == nil || !row.Enabled {
+			continue
+		}
+		if row.Base == "" {
+			faults = append(faults, event.CellFault{Adapter: adapter, Column: "base", Remedy: "name the base model, or set enabled to false"})
+		}
+		if _, ok := row.PickVersion(0); !ok {
+			faults = append(faults, event.CellFault{Adapter: adapter, Column: "versions", Value: formatVersions(row.Versions), Remedy: "give at least one version a weight above 0, or set enabled to false"})
+		}
+	}
+	slices.SortFunc(faults, func(a, b event.CellFault) int {
+		return strings.Compare(string(a.Adapter)+"\x00"+a.Column, string(b.Adapter)+"\x00"+b.Column)
+	})
+	return faults
+}
+
+// apply puts the cells of an edit that Try accepts in force. t.next is the
+// offset after the edit's record.
+func (t *Table) apply(edit *event.Edit) {
+	if t.rows == nil {
+		t.rows = map[units.AdapterName]*Row{}
+		t.deleted = map[units.AdapterName]units.Offset{}
+		t.drains = map[units.BackendServerID]drain{}
+	}
+	fresh := map[units.AdapterName]bool{}
+	for i := range edit.Cells {
+		t.applyCell(&edit.Cells[i], fresh)
+	}
+}
+
+// applyCell sets one cell. Rows in fresh were copied for this edit and may be
+// changed in place.
+func (t *Table) applyCell(cell *event.Cell, fresh map[units.AdapterName]bool) {
+	if server, ok := strings.CutPrefix(string(cell.Adapter), ServerRowPrefix); ok {
+		t.drains[units.BackendServerID(server)] = drain{Leaving: cell.Value == string(event.VMLeaving), Changed: t.next}
+		return
+	}
+	if cell.Column == DeletedColumn {
+		delete(t.rows, cell.Adapter)
+		delete(fresh, cell.Adapter)
+		t.deleted[cell.Adapter] = t.next
+		return
+	}
+	row := t.rows[cell.Adapter]
+	if row == nil {
+		row = newRow(cell.Adapter)
+	} else if !fresh[cell.Adapter] {
+		row = row.clone()
+	}
+	fresh[cell.Adapter] = true
+	t.rows[cell.Adapter] = row
+	column, _ := columnByName(cell.Column)
+	_ = columnSpecs[column].set(row, cell.Value)
+	row.Changed[column] = t.next
+}
--- /dev/null
+++ b/internal/fake/vmlist/vm_list.go
@@ -0,0 +1,82 @@
+// Package vmlist is a stand-in for the platform's lagging list of VMs.
+package vmlist
+
+import (
+	"sync"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/core/event"
+	"mangostile/internal/fake/reply"
+
+	"github.com/valyala/fasthttp"
+)
+
+// VMList is the list. The zero value is empty and does not lag.
+type VMList struct {
+	// Lag is the time after which a change shows.
+	Lag clock.Millis
+
+	mu sync.Mutex
+	// versions holds the list after each change, oldest first.
+	versions []version
+	down     bool
+}
+
+type version struct {
+	at  time.Time
+	vms []event.VM
+}
+
+// Set replaces the list.
+func (l *VMList) Set(vms []event.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, version{at: time.Now(), vms: vms})
+}
+
+// Update changes the newest list by change, which may alter the slice it gets.
+func (l *VMList) Update(change func(vms []event.VM) []event.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var newest []event.VM
+	if n := len(l.versions); n > 0 {
+		newest = append(newest, l.versions[n-1].vms...)
+	}
+	l.versions = append(l.versions, version{at: time.Now(), vms: change(newest)})
+}
+
+// SetDown makes the list answer nothing, or answer again.
+func (l *VMList) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Visible returns the list as it shows now.
+func (l *VMList) Visible() []event.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := time.Now().Add(-l.Lag.Duration())
+	for len(l.versions) > 1 && !l.versions[1].at.After(since) {
+		l.versions = l.versions[1:]
+	}
+	if len(l.versions) == 0 {
+		return nil
+	}
+	return l.versions[0].vms
+}
+
+// Handle answers GET /v1/vms.
+func (l *VMList) Handle(ctx *fasthttp.RequestCtx) {
+	l.mu.Lock()
+	down := l.down
+	l.mu.Unlock()
+	if down {
+		reply.Refuse(ctx, fasthttp.StatusServiceUnavailable, "unavailable", "the list is down")
+		return
+	}
+	reply.JSON(ctx, fasthttp.StatusOK, struct {
+		VMs []event.VM `json:"vms"`
+	}{l.Visible()})
+}
--- /dev/null
+++ b/internal/node/edge/edge.go
@@ -0,0 +1,303 @@
+package edge
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderRequestID     = "X-Request-Id"
+	HeaderDeadline      = "X-Deadline-Ms"
+	HeaderPriority      = "X-Priority"
+	HeaderAdapter       = "X-Adapter"
+	HeaderBackendServer = "X-Backend-Server"
+	HeaderEntryVM       = "X-Entry-Vm"
+	HeaderKey           = "Idempotency-Key"
+)
+
+// Options are what the edge knows from the settings.
+type Options struct {
+	EntryVM units.EntryVMID
+	// Callers holds the callers' names by the SHA-256 of their tokens in
+	// hexadecimal digits. If it is empty, no token is asked for and the caller
+	// is named by AnonymousCaller.
+	Callers map[string]units.Caller
+	// NotRepeatable holds, for each service, methods with path prefixes.
+	NotRepeatable map[units.ServiceName][]string
+	Clock         clock.Clock
+	// Submit hands an event to the core. It reports false if there is no room.
+	Submit func(event.Event) bool
+	// Ready reports whether the entry VM may be sent requests.
+	Ready func() bool
+	// Models lists the adapters that a caller may reach.
+	Models func(units.Caller) []units.AdapterVersion
+}
+
+// AnonymousCaller is the caller's name where the settings name no callers.
+const AnonymousCaller units.Caller = "anonymous"
+
+// Edge answers callers. Make it with New.
+type Edge struct {
+	options   Options
+	exchanges exchanges
+	client    fasthttp.Client
+}
+
+// Bounds of the connections to one backend server.
+const (
+	maxConnsPerServer = 2048
+	maxIdleConn       = 30 * time.Second
+	dialTimeout       = time.Second
+)
+
+// MaxBodyBytes is the greatest length of a request's body.
+const MaxBodyBytes units.Bytes = 8 << 20
+
+// New returns an edge. Its HTTP client never repeats a call by itself.
+func New(options Options) *Edge {
+	return &Edge{options: options, client: fasthttp.Client{
+		Name:                      "mangostile",
+		MaxConnsPerHost:           maxConnsPerServer,
+		MaxIdleConnDuration:       maxIdleConn,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		StreamResponseBody:        true,
+		Dial: func(addr string) (net.Conn, error) {
+			return fasthttp.DialTimeout(addr, dialTimeout)
+		},
+	}}
+}
+
+// Open returns the number of requests that have not ended.
+func (e *Edge) Open() int { return e.exchanges.count() }
+
+// Do carries out an effect that concerns one request: Dispatch, Refuse, Replay
+// or CancelDispatch. It never blocks.
+func (e *Edge) Do(id units.RequestID, effect event.Effect) {
+	x := e.exchanges.find(id)
+	if x == nil {
+		return
+	}
+	if _, ok := effect.(event.CancelDispatch); ok {
+		x.cancel()
+		return
+	}
+	select {
+	case x.commands <- effect:
+	default:
+	}
+}
+
+// Handle answers one request of a caller.
+func (e *Edge) Handle(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(HeaderEntryVM, string(e.options.EntryVM))
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		e.handleReady(ctx)
+	default:
+		e.handleCaller(ctx, path)
+	}
+}
+
+func (e *Edge) handleReady(ctx *fasthttp.RequestCtx) {
+	if !e.options.Ready() {
+		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (e *Edge) handleCaller(ctx *fasthttp.RequestCtx, path string) {
+	caller, refusal := e.caller(ctx)
+	if refusal != nil {
+		writeRefusal(ctx, "", refusal)
+		return
+	}
+	x := newExchange()
+	x.request.Caller = caller
+	x.method = string(ctx.Method())
+	switch {
+	case path == "/v1/models":
+		e.handleModels(ctx, caller)
+		return
+	case path == "/v1/completions" || path == "/v1/chat/completions":
+		x.path = path
+		refusal = readCompletion(ctx, x)
+	case strings.HasPrefix(path, "/services/"):
+		refusal = e.readServiceCall(ctx, x, path)
+	default:
+		refusal = errs.Refuse(errs.CodeBadRequest, "path %s is not served: use /v1/completions, /v1/chat/completions, /v1/models or /services/NAME/", path)
+	}
+	if refusal == nil {
+		refusal = e.readHeaders(ctx, x)
+	}
+	if refusal != nil {
+		writeRefusal(ctx, x.request.ID, refusal)
+		return
+	}
+	e.run(ctx, x)
+}
+
+func (e *Edge) caller(ctx *fasthttp.RequestCtx) (units.Caller, *errs.Refusal) {
+	if len(e.options.Callers) == 0 {
+		return AnonymousCaller, nil
+	}
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	caller, known := e.options.Callers[hex.EncodeToString(sum[:])]
+	if !ok || !known {
+		return "", errs.Refuse(errs.CodeUnauthorized, "send Authorization: Bearer with a token of the settings' callers")
+	}
+	return caller, nil
+}
+
+func (e *Edge) readHeaders(ctx *fasthttp.RequestCtx, x *exchange) *errs.Refusal {
+	header := &ctx.Request.Header
+	x.request.ID = units.RequestID(header.Peek(HeaderRequestID))
+	if x.request.ID == "" {
+		x.request.ID = units.RequestID(uuid.NewString())
+	}
+	if len(x.request.ID) > 128 {
+		return errs.Refuse(errs.CodeBadRequest, "%s is longer than 128 characters", HeaderRequestID)
+	}
+	if text := string(header.Peek(HeaderDeadline)); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 1 || n > int64(clock.Hour) {
+			return errs.Refuse(errs.CodeBadRequest, "%s must be milliseconds from 1 to %d", HeaderDeadline, clock.Hour)
+		}
+		x.request.Deadline = e.options.Clock.Now() + clock.Millis(n)
+	}
+	if text := string(header.Peek(HeaderPriority)); text != "" {
+		n, err := strconv.ParseInt(text, 10, 8)
+		if err != nil || n < -10 || n > 0 {
+			return errs.Refuse(errs.CodeBadRequest, "%s must be a whole number from -10 to 0", HeaderPriority)
+		}
+		x.request.Priority = units.Priority(n)
+	}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(x.method + "\x00" + x.path + "\x00")
+	_, _ = digest.Write(x.body)
+	x.request.Digest = units.Fingerprint(digest.Sum64())
+	return nil
+}
+
+// completionBody is the part of a completion's body that the edge reads.
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens units.Tokens    `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// prefixBytes is the length of the prompt's beginning that tells requests apart
+// for prefix caches.
+const prefixBytes = 256
+
+// bytesPerToken estimates the tokens of a prompt from its length.
+const bytesPerToken = 4
+
+func readCompletion(ctx *fasthttp.RequestCtx, x *exchange) *errs.Refusal {
+	if !ctx.IsPost() {
+		return errs.Refuse(errs.CodeBadRequest, "use POST")
+	}
+	var body completionBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		return errs.Refuse(errs.CodeBadRequest, "the body is not a JSON object of the completions API: %v", err)
+	}
+	if body.Model == "" {
+		return errs.Refuse(errs.CodeBadRequest, "name an adapter in model, as adapter or adapter@version")
+	}
+	prompt := []byte(body.Prompt)
+	if len(prompt) == 0 {
+		prompt = body.Messages
+	}
+	x.body = append([]byte(nil), ctx.PostBody()...)
+	x.request.Adapter = units.ParseAdapterVersion(body.Model)
+	x.request.Idempotent = true
+	x.request.Streamed = body.Stream
+	x.request.MaxTokens = body.MaxTokens
+	x.request.PromptTokens = units.Tokens(len(prompt) / bytesPerToken)
+	x.request.Prefix = units.Fingerprint(xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]))
+	return nil
+}
+
+func (e *Edge) readServiceCall(ctx *fasthttp.RequestCtx, x *exchange, path string) *errs.Refusal {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/services/"), "/")
+	x.request.Service = units.ServiceName(name)
+	x.path = "/" + rest
+	x.body = append([]byte(nil), ctx.PostBody()...)
+	x.request.Key = string(ctx.Request.Header.Peek(HeaderKey))
+	x.request.Idempotent = true
+	for _, call := range e.options.NotRepeatable[x.request.Service] {
+		method, prefix, _ := strings.Cut(call, " ")
+		if method == x.method && strings.HasPrefix(x.path, prefix) {
+			x.request.Idempotent = false
+		}
+	}
+	if query := string(ctx.QueryArgs().QueryString()); query != "" {
+		x.path += "?" + query
+	}
+	return nil
+}
+
+func (e *Edge) handleModels(ctx *fasthttp.RequestCtx, caller units.Caller) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	answer := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, av := range e.options.Models(caller) {
+		answer.Data = append(answer.Data, model{ID: av.String(), Object: "model"})
+	}
+	writeJSON(ctx, fasthttp.StatusOK, answer)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Error     *errs.Refusal   `json:"error"`
+	RequestID units.RequestID `json:"request_id,omitempty"`
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, id units.RequestID, refusal *errs.Refusal) {
+	writeJSON(ctx, refusal.Status(), refusalBody{Error: refusal, RequestID: id})
+	if id != "" {
+		ctx.Response.Header.Set(HeaderRequestID, string(id))
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + clock.Second - 1) / clock.Second
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+}
--- /dev/null
+++ b/internal/plat/system/real_system.go
@@ -0,0 +1,178 @@
+package system
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// RealSystem is the System that talks HTTP to the platform and to backend
+// servers.
+type RealSystem struct {
+	// LogAddress is the host and port of the log service.
+	LogAddress string
+	// VMListAddress is the host and port of the list of VMs; "" is an empty list.
+	VMListAddress string
+	client        fasthttp.Client
+}
+
+var _ System = (*RealSystem)(nil)
+
+// Timeouts of calls.
+const (
+	appendTimeout = 3 * clock.Second
+	orderTimeout  = 60 * clock.Second
+	reportTimeout = clock.Second
+	listTimeout   = 2 * clock.Second
+)
+
+// NewRealSystem returns a system whose HTTP client never repeats a call.
+func NewRealSystem(logAddress, vmListAddress string) *RealSystem {
+	return &RealSystem{
+		LogAddress: logAddress, VMListAddress: vmListAddress,
+		client: fasthttp.Client{
+			Name:                      "mangostile",
+			MaxConnsPerHost:           256,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+			Dial: func(addr string) (net.Conn, error) {
+				return fasthttp.DialTimeout(addr, time.Second)
+			},
+		},
+	}
+}
+
+func neverRetry(_ *fasthttp.Request, _ int, _ error) (resetTimeout, retry bool) { return false, false }
+
+// AppendRecords implements System.
+func (s *RealSystem) AppendRecords(ctx context.Context, stream units.StreamName, records []NewRecord) (units.Offset, error) {
+	request := struct {
+		Records []NewRecord `json:"records"`
+	}{records}
+	var reply struct {
+		First units.Offset `json:"first_offset"`
+	}
+	err := s.call(ctx, fasthttp.MethodPost, s.LogAddress, "/v1/streams/"+string(stream)+"/records", request, &reply, appendTimeout)
+	return reply.First, err
+}
+
+// ReadRecords implements System.
+func (s *RealSystem) ReadRecords(ctx context.Context, stream units.StreamName, from units.Offset, wait clock.Millis) (RecordBatch, error) {
+	path := "/v1/streams/" + string(stream) + "/records?from=" + strconv.FormatInt(int64(from), 10) + "&wait_ms=" + strconv.FormatInt(int64(wait), 10)
+	var batch RecordBatch
+	err := s.call(ctx, fasthttp.MethodGet, s.LogAddress, path, nil, &batch, wait+appendTimeout)
+	return batch, err
+}
+
+// ListVMs implements System.
+func (s *RealSystem) ListVMs(ctx context.Context) ([]event.VM, error) {
+	if s.VMListAddress == "" {
+		return nil, nil
+	}
+	var reply struct {
+		VMs []event.VM `json:"vms"`
+	}
+	err := s.call(ctx, fasthttp.MethodGet, s.VMListAddress, "/v1/vms", nil, &reply, listTimeout)
+	return reply.VMs, err
+}
+
+// OrderServer implements System.
+func (s *RealSystem) OrderServer(ctx context.Context, address string, order event.Order) event.OrderResult {
+	var reply struct {
+		Fence units.Fence `json:"fence"`
+	}
+	err := s.call(ctx, fasthttp.MethodPost, address, "/v1/orders", order, &reply, orderTimeout)
+	if err == nil {
+		return event.OrderResult{Kind: event.OrderTaken, Fence: reply.Fence}
+	}
+	var notTaken *NotTakenError
+	if errors.As(err, &notTaken) {
+		return event.OrderResult{Kind: event.OrderNotSent, Reason: err.Error()}
+	}
+	var status *StatusError
+	if !errors.As(err, &status) {
+		return event.OrderResult{Kind: event.OrderLost, Reason: err.Error()}
+	}
+	result := event.OrderResult{Kind: event.OrderRefused, Reason: status.Text}
+	if status.Status == fasthttp.StatusConflict {
+		result.Kind = event.OrderFenced
+		if json.Unmarshal([]byte(status.Text), &reply) == nil {
+			result.Fence = reply.Fence
+		}
+	}
+	return result
+}
+
+// ReportServer implements System.
+func (s *RealSystem) ReportServer(ctx context.Context, address string) (event.ServerReport, error) {
+	var report event.ServerReport
+	err := s.call(ctx, fasthttp.MethodGet, address, "/v1/report", nil, &report, reportTimeout)
+	return report, err
+}
+
+// StatusError is an HTTP answer that is not a success.
+type StatusError struct {
+	Status int
+	Text   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Text)
+}
+
+// call does one HTTP exchange with JSON bodies. It is never repeated. If ctx
+// ends first, the exchange is left to its deadline.
+func (s *RealSystem) call(ctx context.Context, method, address, path string, body, reply any, timeout clock.Millis) error {
+	req, resp := new(fasthttp.Request), new(fasthttp.Response)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode call")
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBody(encoded)
+	}
+	deadline := time.Now().Add(timeout.Duration())
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.client.DoDeadline(req, resp, deadline) }()
+	select {
+	case err := <-done:
+		if err != nil {
+			return wrapCallError(method+" "+path, err)
+		}
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), method+" "+path)
+	}
+	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		return &NotTakenError{What: method + " " + path, Err: &StatusError{Status: resp.StatusCode(), Text: string(resp.Body())}}
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return &StatusError{Status: resp.StatusCode(), Text: string(resp.Body())}
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), reply), "decode answer to %s %s", method, path)
+}
+
+// wrapCallError tells calls that surely were not sent from all others.
+func wrapCallError(what string, err error) error {
+	var opError *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &opError) && opError.Op == "dial" || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return &NotTakenError{What: what, Err: err}
+	}
+	return errors.Wrap(err, what)
+}
