--- /dev/null
+++ b/internal/core/entry/dispatch.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+)
+
+func (c *Core) dispatchDone(ev event.DispatchDone, out *event.Effects) {
+	r := c.requests[ev.Request]
+	if r == nil || r.state != stateRunning || r.attempt != ev.Attempt {
+		return
+	}
+	kind := ev.Result.Kind
+	if r.grant != 0 {
+		c.release(r.owner, r.ID, r.attempt, r.server, r.grant, kind == event.ResultBroken, out)
+		r.grant = 0
+	}
+	out.Add(event.Decision{Area: "serve", Request: r.ID, Choice: string(r.server), Reason: kind.String(), Pairs: []any{"attempt", r.attempt}})
+	if kind == event.ResultBroken || kind == event.ResultNotSent {
+		c.Router.Avoid(r.server, c.now+avoidPeriod)
+	}
+	if kind.Ran() == errs.RanUnknown {
+		r.ran = errs.RanUnknown
+	}
+	if !r.Idempotent {
+		c.actionDone(r, ev.Result, out)
+		return
+	}
+	c.attemptDone(r, ev.Result, out)
+}
+
+func (c *Core) attemptDone(r *request, result event.DispatchResult, out *event.Effects) {
+	switch {
+	case result.Kind == event.ResultServed || result.Kind == event.ResultCanceled:
+		delete(c.requests, r.ID)
+	case result.Kind == event.ResultTimeout:
+		c.refuse(r, errs.Refuse(errs.CodeDeadline, "the deadline passed while the request ran: allow more time"), out)
+	case result.CallerGotBytes:
+		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "backend server %s broke off the answer: send the request again", r.server), out)
+	default:
+		r.tried = append(r.tried, r.server)
+		c.advance(r, out)
+	}
+}
+
+func (c *Core) cancel(id units.RequestID, out *event.Effects) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	switch r.state {
+	case stateRunning:
+		if r.Idempotent {
+			out.Add(event.CancelDispatch{Request: id, Attempt: r.attempt})
+		}
+	case stateAsking:
+		c.release(r.owner, id, r.attempt, r.server, 0, false, out)
+		c.refuse(r, errs.Refuse(errs.CodeCanceled, "the caller closed the connection"), out)
+	case stateQueued:
+		c.refuse(r, errs.Refuse(errs.CodeCanceled, "the caller closed the connection"), out)
+	case stateIntent:
+	}
+}
--- /dev/null
+++ b/internal/core/entry/granting.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+)
+
+func (c *Core) askGrant(r *request, out *event.Effects) {
+	choice := c.Router.Engine(c.now, r.row.Base, r.adapter, r.tried)
+	if choice.Server == nil {
+		if r.state != stateQueued || r.attempt == 0 && c.now == r.arrivedAt {
+			out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "wait", Reason: "no_backend_server", Pairs: []any{"refused", choice.Refused}})
+		}
+		r.state = stateQueued
+		r.tried = nil
+		return
+	}
+	r.attempt++
+	r.state = stateAsking
+	r.server = choice.Server.ID()
+	r.owner = c.Members.OwnerOf(r.server)
+	r.askedAt = c.now
+	c.Router.Sent(r.server)
+	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
+		"adapter", r.adapter.String(), "attempt", r.attempt, "owner", r.owner, "refused", choice.Refused,
+	}})
+	out.Add(event.SendPeer{To: r.owner, Message: &peer.GrantAsk{
+		Request: r.ID, Attempt: r.attempt, Server: r.server, Adapter: r.adapter, Priority: r.Priority, Within: r.Deadline - c.now,
+		Fingerprint: r.Digest, Prefix: r.Prefix, Tokens: r.PromptTokens + r.MaxTokens,
+	}})
+}
+
+func (c *Core) granted(from units.EntryVMID, m *peer.GrantReply, out *event.Effects) {
+	r := c.requests[m.Request]
+	if r == nil || r.state != stateAsking || r.attempt != m.Attempt || r.server != m.Server {
+		if m.Grant != 0 && !c.holds(r, m) {
+			c.release(from, m.Request, m.Attempt, m.Server, m.Grant, false, out)
+		}
+		return
+	}
+	if m.Grant == 0 {
+		c.grantRefused(r, m, out)
+		return
+	}
+	r.grant = m.Grant
+	r.owner = from
+	r.state = stateRunning
+	out.Add(event.Dispatch{
+		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: c.Router.Server(r.server).Spec.Address, Adapter: r.adapter,
+		Deadline: r.Deadline, NotAfter: r.askedAt + m.Term, Priority: r.Priority,
+	})
+}
+
+func (c *Core) holds(r *request, m *peer.GrantReply) bool {
+	return r != nil && r.state == stateRunning && r.grant == m.Grant && r.server == m.Server
+}
+
+func (c *Core) grantRefused(r *request, m *peer.GrantReply, out *event.Effects) {
+	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "refused_by_owner", Reason: string(m.Refusal.Code), Pairs: []any{"backend_server", m.Server}})
+	switch m.Refusal.Code {
+	case errs.CodeLoadFailed, errs.CodeDeadline:
+		c.refuse(r, m.Refusal, out)
+	default:
+		r.tried = append(r.tried, r.server)
+		c.advance(r, out)
+	}
+}
+
+func (c *Core) release(to units.EntryVMID, id units.RequestID, attempt int32, server units.BackendServerID, grant units.GrantNumber, died bool, out *event.Effects) {
+	out.Add(event.SendPeer{To: to, Message: &peer.GrantRelease{
+		Request: id, Attempt: attempt, Server: server, Grant: grant, ServerDied: died,
+	}})
+}
+
+func (c *Core) tickAsking(r *request, out *event.Effects) {
+	if c.now >= r.Deadline {
+		c.release(r.owner, r.ID, r.attempt, r.server, 0, false, out)
+		c.advance(r, out)
+		return
+	}
+	if c.now-r.askedAt < askTimeout || c.Members.OwnerOf(r.server) == r.owner && c.Members.Alive(c.now, r.owner) {
+		return
+	}
+	c.release(r.owner, r.ID, r.attempt, r.server, 0, false, out)
+	c.advance(r, out)
+}
