--- a/internal/core/entry/admission.go
+++ b/internal/core/entry/admission.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// arrive handles a new request of a caller.
 func (c *Core) arrive(req event.Request, out *event.Effects) {
 	if c.requests[req.ID] != nil {
 		out.Add(event.Refuse{Request: req.ID, Refusal: errs.Refuse(errs.CodeBadRequest, "request id %s is in use: leave the header out or choose another", req.ID)})
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"mangostile/internal/core/event"
 )
 
+// dispatchDone takes the end of an attempt.
 func (c *Core) dispatchDone(ev event.DispatchDone, out *event.Effects) {
 	r := c.requests[ev.Request]
 	if r == nil || r.state != stateRunning || r.attempt != ev.Attempt {
@@ -44,6 +45,8 @@
 	}
 }
 
+// cancel handles a caller that has gone away. A running action goes on, so that
+// its outcome is known.
 func (c *Core) cancel(id units.RequestID, out *event.Effects) {
 	r := c.requests[id]
 	if r == nil {
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -32,6 +32,7 @@
 	}})
 }
 
+// granted takes an owner's answer.
 func (c *Core) granted(from units.EntryVMID, m *peer.GrantReply, out *event.Effects) {
 	r := c.requests[m.Request]
 	if r == nil || r.state != stateAsking || r.attempt != m.Attempt || r.server != m.Server {
@@ -53,6 +54,7 @@
 	})
 }
 
+// holds reports whether m repeats the grant that r runs on.
 func (c *Core) holds(r *request, m *peer.GrantReply) bool {
 	return r != nil && r.state == stateRunning && r.grant == m.Grant && r.server == m.Server
 }
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -57,7 +57,6 @@
 	arrivedAt clock.Millis
 }
 
-// arrive handles a new request of a caller.
 // advance takes the next step of a request that has no attempt on its way.
 func (c *Core) advance(r *request, out *event.Effects) {
 	switch {
@@ -72,9 +71,6 @@
 	}
 }
 
-// granted takes an owner's answer.
-// holds reports whether m repeats the grant that r runs on.
-// dispatchDone takes the end of an attempt.
 // refuse ends a request. An attempt that may have run makes the refusal say so.
 func (c *Core) refuse(r *request, refusal *errs.Refusal, out *event.Effects) {
 	if r.ran == errs.RanUnknown && refusal.Ran == errs.RanNo {
@@ -87,8 +83,6 @@
 	out.Add(event.Refuse{Request: r.ID, Refusal: refusal})
 }
 
-// cancel handles a caller that has gone away. A running action goes on, so that
-// its outcome is known.
 // tickRequests moves on requests that wait.
 func (c *Core) tickRequests(out *event.Effects) {
 	for _, r := range c.sortedRequests() {
--- a/internal/core/owner/claim.go
+++ b/internal/core/owner/claim.go
@@ -5,6 +5,7 @@
 	"mangostile/internal/core/event"
 )
 
+// claim raises the server's fencing number above the one that it reported.
 func (o *Owner) claim(now clock.Millis, s *server, out *event.Effects) {
 	if s.phase != phaseUnknown || !s.reported || now < s.claimAt {
 		return
--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -10,6 +10,7 @@
 	"mangostile/internal/core/peer"
 )
 
+// Ask handles a request for a grant.
 func (o *Owner) Ask(now clock.Millis, from units.EntryVMID, m *peer.GrantAsk, out *event.Effects) {
 	s := o.servers[m.Server]
 	if s == nil || !s.mayGrant(now) || len(s.asks) >= MaxAsks {
@@ -20,6 +21,7 @@
 	o.serve(now, s, out)
 }
 
+// Release gives a grant back or withdraws an ask.
 func (o *Owner) Release(now clock.Millis, from units.EntryVMID, m *peer.GrantRelease, out *event.Effects) {
 	s := o.servers[m.Server]
 	if s == nil {
@@ -34,6 +36,8 @@
 	o.serve(now, s, out)
 }
 
+// Renew prolongs the grants that from still uses and takes over those that an
+// earlier owner gave.
 func (o *Owner) Renew(now clock.Millis, from units.EntryVMID, held []peer.HeldGrant) {
 	for i := range held {
 		h := &held[i]
@@ -64,6 +68,7 @@
 	s.asks = nil
 }
 
+// serve grants what can be granted and starts the loads that asks wait for.
 func (o *Owner) serve(now clock.Millis, s *server, out *event.Effects) {
 	if !s.mayGrant(now) {
 		return
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -25,6 +25,8 @@
 	o.loadFailed(s, ev, out)
 }
 
+// loadFailed refuses the asks that waited for the adapter and removes its copy.
+// A later report adds the copy again if a lost order was carried out after all.
 func (o *Owner) loadFailed(s *server, ev event.OrderDone, out *event.Effects) {
 	delete(s.copies, ev.Order.Adapter)
 	s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -79,10 +79,6 @@
 	return summaries
 }
 
-// Ask handles a request for a grant.
-// Release gives a grant back or withdraws an ask.
-// Renew prolongs the grants that from still uses and takes over those that an
-// earlier owner gave.
 // Reported takes a server's report.
 func (o *Owner) Reported(now clock.Millis, ev event.ReportReceived, out *event.Effects) {
 	s := o.servers[ev.Server]
@@ -155,8 +151,3 @@
 	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
 	return servers
 }
-
-// claim raises the server's fencing number above the one that it reported.
-// loadFailed refuses the asks that waited for the adapter and removes its copy.
-// A later report adds the copy again if a lost order was carried out after all.
-// serve grants what can be granted and starts the loads that asks wait for.
