Make request ids unique and survive a server leaving before its grant

Cause: the edge took X-Request-Id as the system-wide id. The same id sent to two entry VMs with one idempotency key made both intents the first, so the action could run twice; and a grant for a backend server that had left the list dereferenced nil.

Change: the edge appends a random part to a caller's id and refuses unprintable ones; a grant whose server has gone is given back.

Conclusion: intents are told apart by an id that no caller can choose.

--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -45,11 +45,17 @@
 		c.grantRefused(r, m, out)
 		return
 	}
+	server := c.Router.Server(r.server)
+	if server == nil {
+		c.release(from, m.Request, m.Attempt, m.Server, m.Grant, false, out)
+		c.advance(r, out)
+		return
+	}
 	r.grant = m.Grant
 	r.owner = from
 	r.state = stateRunning
 	out.Add(event.Dispatch{
-		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: c.Router.Server(r.server).Spec.Address, Adapter: r.adapter,
+		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: server.Spec.Address, Adapter: r.adapter,
 		Deadline: r.Deadline, NotAfter: r.askedAt + m.Term, Priority: r.Priority,
 	})
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -171,13 +171,11 @@
 
 func (e *Edge) readHeaders(ctx *fasthttp.RequestCtx, x *exchange) *errs.Refusal {
 	header := &ctx.Request.Header
-	x.request.ID = units.RequestID(header.Peek(HeaderRequestID))
-	if x.request.ID == "" {
-		x.request.ID = units.RequestID(uuid.NewString())
-	}
-	if len(x.request.ID) > 128 {
-		return errs.Refuse(errs.CodeBadRequest, "%s is longer than 128 characters", HeaderRequestID)
+	id, refusal := uniqueRequestID(string(header.Peek(HeaderRequestID)))
+	if refusal != nil {
+		return refusal
 	}
+	x.request.ID = id
 	if text := string(header.Peek(HeaderDeadline)); text != "" {
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || n < 1 || n > int64(clock.Hour) {
@@ -199,6 +197,22 @@
 	return nil
 }
 
+// maxCallerRequestID is the greatest length of an id that a caller chooses.
+const maxCallerRequestID = 128
+
+// uniqueRequestID returns an id that no other request has, anywhere. It begins
+// with the caller's own id if there is one: two requests may bring the same.
+func uniqueRequestID(given string) (units.RequestID, *errs.Refusal) {
+	unique := uuid.NewString()
+	if given == "" {
+		return units.RequestID(unique), nil
+	}
+	if len(given) > maxCallerRequestID || strings.ContainsFunc(given, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", errs.Refuse(errs.CodeBadRequest, "%s must be at most %d printable characters without blanks", HeaderRequestID, maxCallerRequestID)
+	}
+	return units.RequestID(given + "." + unique), nil
+}
+
 // completionBody is the part of a completion's body that the edge reads.
 type completionBody struct {
 	Model     string          `json:"model"`
