--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -186,10 +186,9 @@
 		return
 	}
 	for i := range ev.Records {
-		if c.Table.Fold(ev.Records[i]) {
-			c.answerEdit(ev.Records[i].ID, out)
-		}
+		c.Table.Fold(ev.Records[i])
 	}
+	c.answerEdits(out)
 	c.configSeen = c.configSeen || c.Table.Next() >= ev.End
 	c.learnVMs(out)
 }
--- a/internal/core/entry/edit.go
+++ b/internal/core/entry/edit.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"mangostile/internal/base/clock"
@@ -77,15 +79,16 @@
 	}})
 }
 
-// answerEdit tells the outcome of an edit that was just folded.
-func (c *Core) answerEdit(id units.RecordID, out *event.Effects) {
-	if c.edits[id] == nil {
-		return
-	}
-	outcome, ok := c.Table.Outcome(id)
-	if !ok {
-		return
+// answerEdits tells the outcomes of edits that the table has folded.
+func (c *Core) answerEdits(out *event.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(c.edits)) {
+		if outcome, ok := c.Table.Outcome(id); ok {
+			c.answerEdit(id, outcome, out)
+		}
 	}
+}
+
+func (c *Core) answerEdit(id units.RecordID, outcome event.EditOutcome, out *event.Effects) {
 	delete(c.edits, id)
 	out.Add(event.Decision{Area: "table", Choice: string(id), Reason: string(outcome.Kind), Pairs: []any{"offset", outcome.Offset}})
 	out.Add(event.AnswerEdit{Edit: id, Outcome: outcome})
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -27,6 +27,7 @@
 	parts map[units.RecordID]*partialEdit
 	// outcomes holds the newest outcomes, for those who wait for an edit.
 	outcomes outcomeLog
+	history  editHistory
 }
 
 type drain struct {
@@ -98,7 +99,11 @@
 	if edit.Parts > 1 && !t.gather(&edit, record.Offset) {
 		return true
 	}
+	if _, repeated := t.outcomes.find(edit.ID); repeated {
+		return true
+	}
 	outcome := t.Try(&edit)
+	t.history.add(t.historyEntry(&edit, record.Offset, outcome.Kind))
 	if outcome.Kind == event.EditAccepted {
 		outcome.Offset = record.Offset
 		t.apply(&edit)
@@ -143,6 +148,9 @@
 		}
 	}
 	delete(t.parts, oldest)
+	t.outcomes.add(oldest, event.EditOutcome{
+		Kind: event.EditNotTaken, Message: "too many edits of several records at the same time: try again",
+	})
 }
 
 // Try returns the outcome that edit would have if it were the next record.
@@ -176,8 +184,8 @@
 // with it. A deleted row stands as nil in changed.
 func (t *Table) tryCell(cell *event.Cell, changed map[units.AdapterName]*Row) (event.CellFault, event.EditKind) {
 	fault := event.CellFault{Adapter: cell.Adapter, Column: cell.Column, Value: cell.Value}
-	if server, ok := strings.CutPrefix(string(cell.Adapter), ServerRowPrefix); ok {
-		return t.tryServerCell(cell, units.BackendServerID(server), fault)
+	if server, ok := serverOfRow(cell.Adapter); ok {
+		return t.tryServerCell(cell, server, fault)
 	}
 	if err := checkName(string(cell.Adapter), "an adapter's name"); err != nil {
 		fault.Remedy = err.Error()
@@ -229,6 +237,12 @@
 	return fault, event.EditAccepted
 }
 
+// serverOfRow returns the backend server that a row called name stands for.
+func serverOfRow(name units.AdapterName) (units.BackendServerID, bool) {
+	server, ok := strings.CutPrefix(string(name), ServerRowPrefix)
+	return units.BackendServerID(server), ok
+}
+
 func serverState(leaving bool) string {
 	if leaving {
 		return string(event.VMLeaving)
@@ -290,8 +304,8 @@
 // applyCell sets one cell. Rows in fresh were copied for this edit and may be
 // changed in place.
 func (t *Table) applyCell(cell *event.Cell, fresh map[units.AdapterName]bool) {
-	if server, ok := strings.CutPrefix(string(cell.Adapter), ServerRowPrefix); ok {
-		t.drains[units.BackendServerID(server)] = drain{Leaving: cell.Value == string(event.VMLeaving), Changed: t.next}
+	if server, ok := serverOfRow(cell.Adapter); ok {
+		t.drains[server] = drain{Leaving: cell.Value == string(event.VMLeaving), Changed: t.next}
 		return
 	}
 	if cell.Column == DeletedColumn {
