Check settings strictly and give the stand-ins a control address

Cause: settings took unknown keys in silence and stopped at the first fault; figures of the stand-ins were fixed, and a separate process could not read their counters or stop a backend server. Change: settings of entry VMs and stand-ins are checked key by key; all faults are named in one run with file, line, key and remedy. New commands are settings check, settings example and settings token. Wrong use exits 2 and failures 1. The stand-ins take their figures from settings and answer GET /counters and POST /fault/... on one control address; a stopped backend server refuses connections and drops the open ones.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -18,6 +18,22 @@
 	Load(ctx context.Context, av units.AdapterVersion) error
 }
 
+// Options say how an engine behaves in time. The zero value of each works.
+type Options struct {
+	// StepTime is the time between two tokens of a request that runs alone; 0 is
+	// 10 ms. StepPerRequest is added for each other request in the batch; 0 is
+	// 0.5 ms.
+	StepTime       time.Duration
+	StepPerRequest time.Duration
+	// PrefillTime is the time of a token of the prompt that is not in the prefix
+	// cache.
+	PrefillTime time.Duration
+	// ColdStart is the time that the engine is not ready after it started.
+	ColdStart clock.Millis
+	// ReportLag is how old the load figures in a report are.
+	ReportLag clock.Millis
+}
+
 // Engine is one model engine. Set the exported fields before use; the zero
 // value of each but Loader works.
 type Engine struct {
@@ -30,13 +46,7 @@
 	BatchMax int
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
-	// StepTime is the time between two tokens of a request that runs alone; 0 is
-	// 10 ms. StepPerRequest is added for each other request in the batch; 0 is
-	// 0.5 ms.
-	StepTime       time.Duration
-	StepPerRequest time.Duration
-	// ReportLag is how old the load figures in a report are.
-	ReportLag clock.Millis
+	Options
 
 	mu       sync.Mutex
 	start    string
@@ -71,6 +81,9 @@
 	Crashes        int `json:"crashes"`
 }
 
+// NeverEvents sums what must never happen.
+func (c *Counters) NeverEvents() int { return c.WrongAdapter + c.EvictedRunning + c.OldOrdersTaken }
+
 type run struct {
 	id      units.RequestID
 	adapter units.AdapterVersion
--- a/internal/fake/logs/log_service.go
+++ b/internal/fake/logs/log_service.go
@@ -27,12 +27,17 @@
 	DelayMillis clock.Millis `json:"delay_ms"`
 }
 
-// LogService holds streams of records. The zero value is empty and works.
-type LogService struct {
+// Options say how a LogService behaves.
+type Options struct {
 	// AppendsPerSecond bounds the appends of all streams; 0 is 500.
 	AppendsPerSecond float64
 	// Retention is how long a record is kept; 0 keeps all.
 	Retention clock.Millis
+}
+
+// LogService holds streams of records. The zero value is empty and works.
+type LogService struct {
+	Options
 
 	mu      sync.Mutex
 	streams map[units.StreamName]*stream
--- a/internal/fake/plain/service.go
+++ b/internal/fake/plain/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -17,13 +18,16 @@
 type Faults struct {
 	// LoseAnswers runs calls and then breaks the connection.
 	LoseAnswers bool `json:"lose_answers"`
+	// Leaving makes the one instance that is told so refuse calls.
+	Leaving bool `json:"leaving"`
 	// Refuse answers that the call was not run.
 	Refuse bool `json:"refuse"`
 	// DelayMillis delays each run.
 	DelayMillis clock.Millis `json:"delay_ms"`
 }
 
-// Service counts the runs of each key. Several instances may share one.
+// Service counts the runs of each key. Its instances share one count. The zero
+// value works.
 type Service struct {
 	mu     sync.Mutex
 	runs   map[string]int
@@ -37,6 +41,13 @@
 	s.faults = faults
 }
 
+// InForce returns the failures in force.
+func (s *Service) InForce() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Runs returns the number of runs of each key.
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
@@ -72,30 +83,57 @@
 	return s.runs[key], s.faults
 }
 
-// Handle answers calls, GET /runs and POST /fault. A call is counted by its
-// Idempotency-Key header.
-func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+// Instance is one backend server that runs a service.
+type Instance struct {
+	service *Service
+	leaving atomic.Bool
+}
+
+// NewInstance returns another backend server of the service.
+func (s *Service) NewInstance() *Instance { return &Instance{service: s} }
+
+// SetLeaving makes the instance report that it is leaving and refuse calls, or
+// take them again.
+func (i *Instance) SetLeaving(leaving bool) { i.leaving.Store(leaving) }
+
+// Handle answers calls, GET /v1/report, GET /runs and POST /fault. A call is
+// counted by its Idempotency-Key header. Faults other than leaving are those of
+// all instances.
+func (i *Instance) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/v1/report":
 		reply.JSON(ctx, fasthttp.StatusOK, struct {
-			Ready bool `json:"ready"`
-		}{true})
-		return
+			Ready   bool `json:"ready"`
+			Leaving bool `json:"leaving"`
+		}{true, i.leaving.Load()})
 	case "/runs":
-		reply.JSON(ctx, fasthttp.StatusOK, s.Runs())
-		return
+		reply.JSON(ctx, fasthttp.StatusOK, i.service.Runs())
 	case "/fault":
-		var faults Faults
-		if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
-			reply.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
-			return
-		}
-		s.SetFaults(faults)
-		reply.JSON(ctx, fasthttp.StatusOK, faults)
+		i.handleFault(ctx)
+	default:
+		i.handleCall(ctx)
+	}
+}
+
+func (i *Instance) handleFault(ctx *fasthttp.RequestCtx) {
+	var faults Faults
+	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+		reply.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	i.SetLeaving(faults.Leaving)
+	i.service.SetFaults(faults)
+	reply.JSON(ctx, fasthttp.StatusOK, faults)
+}
+
+func (i *Instance) handleCall(ctx *fasthttp.RequestCtx) {
+	if i.leaving.Load() {
+		reply.Refuse(ctx, fasthttp.StatusServiceUnavailable, "leaving", "the instance is leaving")
 		return
 	}
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
-	count, faults := s.run(key)
+	ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
+	count, faults := i.service.run(key)
 	if faults.DelayMillis > 0 {
 		time.Sleep(faults.DelayMillis.Duration())
 	}
--- a/internal/fake/reply/reply.go
+++ b/internal/fake/reply/reply.go
@@ -3,9 +3,7 @@
 
 import (
 	"encoding/json"
-	"net"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -36,33 +34,12 @@
 	}{Error{Code: code, Message: message, Ran: "no"}})
 }
 
-// Server is one HTTP server on a listener of its own.
-type Server struct {
-	server   fasthttp.Server
-	listener net.Listener
-	done     chan struct{}
-}
-
-// Listen starts to answer on address, which may end in ":0".
-func Listen(address string, handler fasthttp.RequestHandler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "stand-in listen: choose a free address")
+// Decode reads the JSON body of a request. It answers a wrong one and reports
+// false.
+func Decode(ctx *fasthttp.RequestCtx, value any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), value); err != nil {
+		Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return false
 	}
-	s := &Server{listener: listener, done: make(chan struct{})}
-	s.server = fasthttp.Server{Handler: handler, Name: "standin", NoDefaultDate: true, MaxRequestBodySize: 64 << 20}
-	go func() {
-		defer close(s.done)
-		_ = s.server.Serve(listener)
-	}()
-	return s, nil
-}
-
-// Address returns the host and port that s listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Close stops listening and waits for the accept loop.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	<-s.done
+	return true
 }
--- a/internal/fake/stand/standin.go
+++ b/internal/fake/stand/standin.go
@@ -2,8 +2,6 @@
 package stand
 
 import (
-	"fmt"
-
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/fake/engine"
@@ -13,6 +11,7 @@
 	"mangostile/internal/fake/store"
 	"mangostile/internal/fake/vmlist"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -24,24 +23,36 @@
 	Engines []*engine.Engine
 	// Services holds one counter of runs for each service name.
 	Services map[units.ServiceName]*plain.Service
-	// LogAddress and VMListAddress are where the platform listens.
-	LogAddress    string
-	VMListAddress string
+	// ControlAddress, LogAddress and VMListAddress are in use.
+	ControlAddress string
+	LogAddress     string
+	VMListAddress  string
 	// Backends describes the backend servers with the addresses in use.
 	Backends []event.VM
 	servers  []*reply.Server
+	// backends and handlers hold the HTTP side of the backend servers by id.
+	backends map[string]*reply.Server
+	handlers map[string]fasthttp.RequestHandler
 }
 
 // Options say what to start.
 type Options struct {
-	// LogAddress and VMListAddress may end in ":0".
-	LogAddress    string
-	VMListAddress string
+	// ControlAddress, LogAddress and VMListAddress may end in ":0"; an empty one
+	// is a free one on loopback.
+	ControlAddress string
+	LogAddress     string
+	VMListAddress  string
 	// Backends are the engines and services; an empty address is a free one on
 	// loopback.
 	Backends []event.VM
 	// EntryVMs are added to the list of VMs.
 	EntryVMs []event.VM
+	// Engine, Log, Store and VMList say how the stand-ins behave. The zero value
+	// of each works.
+	Engine engine.Options
+	Log    logs.Options
+	Store  store.Options
+	VMList vmlist.Options
 }
 
 const anyLoopback = "127.0.0.1:0"
@@ -49,7 +60,12 @@
 // Start starts the stand-ins. Close ends them.
 func Start(options Options) (*Set, error) {
 	s := &Set{
-		Log: &logs.LogService{}, Store: &store.WeightStore{}, VMs: &vmlist.VMList{}, Services: map[units.ServiceName]*plain.Service{},
+		Log:      &logs.LogService{Options: options.Log},
+		Store:    &store.WeightStore{Options: options.Store},
+		VMs:      &vmlist.VMList{Options: options.VMList},
+		Services: map[units.ServiceName]*plain.Service{},
+		backends: map[string]*reply.Server{},
+		handlers: map[string]fasthttp.RequestHandler{},
 	}
 	if err := s.start(options); err != nil {
 		s.Close()
@@ -67,32 +83,41 @@
 		return err
 	}
 	for _, vm := range options.Backends {
-		if err := s.startBackend(vm); err != nil {
+		if err := s.startBackend(vm, options.Engine); err != nil {
 			return err
 		}
 	}
-	return nil
+	s.ControlAddress, err = s.listen(options.ControlAddress, s.handleControl)
+	return err
 }
 
-func (s *Set) startBackend(vm event.VM) (err error) {
+func (s *Set) startBackend(vm event.VM, options engine.Options) (err error) {
+	var handler fasthttp.RequestHandler
 	switch vm.Kind {
 	case event.KindEngine:
-		e := &engine.Engine{ID: vm.ID, Loader: s.Store, Slots: int(vm.Slots), BatchMax: int(vm.BatchMax), ChecksFence: vm.ChecksFence}
+		e := &engine.Engine{
+			ID: vm.ID, Loader: s.Store, Slots: int(vm.Slots), BatchMax: int(vm.BatchMax), ChecksFence: vm.ChecksFence, Options: options,
+		}
 		s.Engines = append(s.Engines, e)
-		vm.Address, err = s.listen(vm.Address, e.Handle)
+		handler = e.Handle
 	case event.KindService:
 		if s.Services[vm.Service] == nil {
 			s.Services[vm.Service] = &plain.Service{}
 		}
-		vm.Address, err = s.listen(vm.Address, s.Services[vm.Service].Handle)
+		handler = s.Services[vm.Service].NewInstance().Handle
 	default:
-		return fmt.Errorf("backend server %s: kind %q: use engine or service", vm.ID, vm.Kind)
+		return errors.Errorf("backend server %s: kind %q: use engine or service", vm.ID, vm.Kind)
 	}
+	if vm.Address, err = s.listen(vm.Address, handler); err != nil {
+		return err
+	}
+	s.handlers[vm.ID] = handler
+	s.backends[vm.ID] = s.servers[len(s.servers)-1]
 	if vm.State == "" {
 		vm.State = event.VMLive
 	}
 	s.Backends = append(s.Backends, vm)
-	return err
+	return nil
 }
 
 func (s *Set) listen(address string, handler fasthttp.RequestHandler) (string, error) {
@@ -107,7 +132,32 @@
 	return server.Address(), nil
 }
 
-// Close ends all stand-ins.
+// Stop makes a backend server look dead: its address refuses connections and
+// those that were open are closed. What ran on an engine is lost.
+func (s *Set) Stop(id string) error {
+	server := s.backends[id]
+	if server == nil {
+		return errors.Errorf("no backend server %q: name one of the settings", id)
+	}
+	server.Stop()
+	for _, e := range s.Engines {
+		if e.ID == id {
+			e.Crash()
+		}
+	}
+	return nil
+}
+
+// Restart ends a Stop. An engine starts cold.
+func (s *Set) Restart(id string) error {
+	server := s.backends[id]
+	if server == nil {
+		return errors.Errorf("no backend server %q: name one of the settings", id)
+	}
+	return server.Restart()
+}
+
+// Close ends all stand-ins and closes their connections.
 func (s *Set) Close() {
 	for _, server := range s.servers {
 		server.Close()
--- a/internal/fake/store/weight_store.go
+++ b/internal/fake/store/weight_store.go
@@ -12,9 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-// WeightStore hands out adapters. The zero value has the rates of the brief's
-// larger deployment and holds every version but those set to fail.
-type WeightStore struct {
+// Options say how a WeightStore behaves.
+type Options struct {
 	// LoadsPerSecond bounds the loads that start; 0 is 4.
 	LoadsPerSecond float64
 	// FullSpeed is the number of loads in flight up to which one takes LoadTime;
@@ -22,6 +21,12 @@
 	FullSpeed int
 	// LoadTime is the time of one load at full speed; 0 is 250 ms.
 	LoadTime clock.Millis
+}
+
+// WeightStore hands out adapters. The zero value has the rates of the brief's
+// larger deployment and holds every version but those set to fail.
+type WeightStore struct {
+	Options
 
 	mu       sync.Mutex
 	inFlight int
@@ -60,6 +65,25 @@
 	s.failed[av] = fail
 }
 
+// Faults are the failures that a WeightStore shows. The zero value shows none.
+type Faults struct {
+	// Slow makes every load so many times slower.
+	Slow float64 `json:"slow"`
+	// Fail lists the versions whose loads fail.
+	Fail []units.AdapterVersion `json:"fail"`
+}
+
+// SetFaults replaces the failures in force.
+func (s *WeightStore) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = faults.Slow
+	s.failed = map[units.AdapterVersion]bool{}
+	for _, av := range faults.Fail {
+		s.failed[av] = true
+	}
+}
+
 // Loads returns how many loads have started and the most that were in flight at
 // once.
 func (s *WeightStore) Loads() (started, most int) {
--- a/internal/fake/vmlist/vm_list.go
+++ b/internal/fake/vmlist/vm_list.go
@@ -12,10 +12,15 @@
 	"github.com/valyala/fasthttp"
 )
 
-// VMList is the list. The zero value is empty and does not lag.
-type VMList struct {
+// Options say how a VMList behaves.
+type Options struct {
 	// Lag is the time after which a change shows.
 	Lag clock.Millis
+}
+
+// VMList is the list. The zero value is empty and does not lag.
+type VMList struct {
+	Options
 
 	mu sync.Mutex
 	// versions holds the list after each change, oldest first.
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -25,32 +27,77 @@
 
 // Main runs the command that args name and returns the exit code.
 func Main(args []string) int {
-	err := newRootCmd().Run(context.Background(), args)
+	return run(context.Background(), args, os.Stdin, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	root := newRootCmd()
+	root.Reader, root.Writer, root.ErrWriter = stdin, stdout, stderr
+	err := root.Run(ctx, args)
 	if err == nil {
 		return exitDone
 	}
-	fmt.Fprintln(os.Stderr, "mangostile: "+err.Error())
-	var usage *usageError
-	if errors.As(err, &usage) {
+	fmt.Fprintln(stderr, "mangostile: "+err.Error())
+	if isUsageError(err) {
 		return exitUsage
 	}
 	return exitFailed
 }
 
+// isUsageError reports whether err is a wrong use of the command line, found by
+// a command or by the command line library.
+func isUsageError(err error) bool {
+	var usage *usageError
+	var exit cli.ExitCoder
+	switch {
+	case errors.As(err, &usage):
+		return true
+	case errors.As(err, &exit):
+		return true
+	default:
+		return strings.HasPrefix(err.Error(), "Required flag")
+	}
+}
+
 func newRootCmd() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "mangostile",
 		Usage:                 "serve very many LoRA adapters through many entry VMs",
+		UsageText:             examples("mangostile demo", "mangostile serve --settings entry-1.toml"),
 		EnableShellCompletion: true,
 		Suggest:               true,
 		Commands: []*cli.Command{
 			newDemoCmd(),
 			newServeCmd(),
+			newSettingsCmd(),
 			newStandinCmd(),
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &usageError{err.Error() + ": see --help"}
-		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
+	refuseWrongUse(root)
+	return root
 }
+
+// refuseWrongUse makes cmd and all commands below it answer wrong flags and
+// unknown commands as a usageError.
+func refuseWrongUse(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{err.Error() + ": see --help"}
+	}
+	if cmd.Action == nil && len(cmd.Commands) > 0 {
+		cmd.Action = refuseUnknownCommand
+	}
+	for _, sub := range cmd.Commands {
+		refuseWrongUse(sub)
+	}
+}
+
+func refuseUnknownCommand(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return &usageError{fmt.Sprintf("%s has no command %q: see --help", cmd.Name, name)}
+	}
+	return cli.ShowSubcommandHelp(cmd)
+}
+
+// examples joins the lines of a command's usage.
+func examples(lines ...string) string { return strings.Join(lines, "\n") }
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -26,7 +26,7 @@
 	return &cli.Command{
 		Name:      "serve",
 		Usage:     "run one entry VM",
-		UsageText: "mangostile serve --settings entry-1.toml",
+		UsageText: examples("mangostile settings example > entry-1.toml", "mangostile serve --settings entry-1.toml"),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true},
 		},
--- /dev/null
+++ b/internal/oper/cmds/settingscmd.go
@@ -0,0 +1,122 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+
+	"mangostile/internal/oper/config"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func newSettingsCmd() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "check settings files, print an example, make tokens",
+		Commands: []*cli.Command{
+			newSettingsCheckCmd(),
+			newSettingsExampleCmd(),
+			newSettingsTokenCmd(),
+		},
+	}
+}
+
+// standinFlag chooses the settings of the stand-ins.
+func standinFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "standin", Usage: "the settings are those of the stand-ins"}
+}
+
+func newSettingsCheckCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "name every fault of a settings file with line, key and remedy",
+		ArgsUsage: "FILE",
+		UsageText: examples("mangostile settings check entry-1.toml", "mangostile settings check --standin standin.toml"),
+		Flags:     []cli.Flag{standinFlag()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return &usageError{"settings check: name one file: see --help"}
+			}
+			return checkSettingsFile(cmd.Root().Writer, cmd.Args().First(), cmd.Bool("standin"))
+		},
+	}
+}
+
+func checkSettingsFile(w io.Writer, path string, standin bool) error {
+	var err error
+	if standin {
+		_, err = config.ReadStandin(path)
+	} else {
+		_, err = config.Read(path)
+	}
+	var faults *config.FaultsError
+	if errors.As(err, &faults) {
+		fmt.Fprintln(w, faults)
+		return errors.Errorf("%s has %d faults: mend them", path, len(faults.Faults))
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%s: no fault\n", path)
+	return nil
+}
+
+func newSettingsExampleCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "example",
+		Usage:     "print a commented settings file with every key",
+		UsageText: examples("mangostile settings example > entry-1.toml", "mangostile settings example --standin > standin.toml"),
+		Flags:     []cli.Flag{standinFlag()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			text := config.Example
+			if cmd.Bool("standin") {
+				text = config.ExampleStandin
+			}
+			_, err := io.WriteString(cmd.Root().Writer, text)
+			return errors.Wrap(err, "print example")
+		},
+	}
+}
+
+func newSettingsTokenCmd() *cli.Command {
+	return &cli.Command{
+		Name:  "token",
+		Usage: "make a token and its SHA-256, or hash the token on standard input",
+		UsageText: examples(
+			"mangostile settings token",
+			"mangostile settings token --stdin < token.txt",
+		),
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "stdin", Usage: "hash the token read from standard input"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Bool("stdin") {
+				return hashToken(cmd.Root().Writer, cmd.Root().Reader)
+			}
+			token := rand.Text()
+			fmt.Fprintf(cmd.Root().Writer, "token = %q\n", token)
+			return hashToken(cmd.Root().Writer, strings.NewReader(token))
+		},
+	}
+}
+
+// maxTokenBytes bounds a token read from standard input.
+const maxTokenBytes = 4096
+
+func hashToken(w io.Writer, r io.Reader) error {
+	text, err := io.ReadAll(io.LimitReader(r, maxTokenBytes))
+	if err != nil {
+		return errors.Wrap(err, "read token")
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		return &usageError{"settings token: the token is empty: give one on standard input"}
+	}
+	digest := sha256.Sum256([]byte(token))
+	fmt.Fprintf(w, "token_sha256 = %q\n", hex.EncodeToString(digest[:]))
+	return nil
+}
--- /dev/null
+++ b/internal/oper/config/check_settings.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/core/event"
+)
+
+// Bounds of settings.
+const (
+	maxTimeout        = 10 * clock.Minute
+	minBodyBytes      = 1 << 10
+	maxBodyBytes      = 256 << 20
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 1 << 20
+	maxBackendSlots   = 1 << 16
+	errorOutOfRange   = "%d is out of range: give %d to %d, or 0 for the default"
+	notRepeatableHelp = "%q is not a call: write a method and the beginning of a path, as \"POST /release\""
+)
+
+func checkSettings(s *Settings, c *checker) {
+	checkEntryVM(&s.EntryVM, c)
+	c.address("platform.log_address", s.Platform.LogAddress)
+	c.optionalAddress("platform.vm_list_address", s.Platform.VMListAddress)
+	if s.Log.Level != "" {
+		c.oneOf("log.level", s.Log.Level, "trace", "debug", "info", "warn", "error")
+	}
+	checkLimits(&s.Limits, c)
+	checkPrincipals("callers", s.Callers, c)
+	checkPrincipals("operators", s.Operators, c)
+	checkServices(s.Services, c)
+	checkVMs(s.VMs, true, c)
+	c.certificate("tls.serve_certificate_file", s.TLS.ServeCertificateFile, "tls.serve_key_file", s.TLS.ServeKeyFile)
+	c.certificate("tls.admin_certificate_file", s.TLS.AdminCertificateFile, "tls.admin_key_file", s.TLS.AdminKeyFile)
+}
+
+func checkEntryVM(own *EntryVM, c *checker) {
+	c.required("entry_vm.id", string(own.ID), "give a name that no other entry VM has")
+	c.required("entry_vm.failure_domain", string(own.FailureDomain), "name the failure domain that the VM is in")
+	c.required("entry_vm.region", string(own.Region), "name the region that the failure domain is in")
+	c.address("entry_vm.serve_address", own.ServeAddress)
+	c.address("entry_vm.admin_address", own.AdminAddress)
+	c.address("entry_vm.peer_address", own.PeerAddress)
+}
+
+func checkLimits(l *Limits, c *checker) {
+	if l.MaxBodyBytes != 0 && (l.MaxBodyBytes < minBodyBytes || l.MaxBodyBytes > maxBodyBytes) {
+		c.fault("limits.max_body_bytes", errorOutOfRange, l.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	}
+	if l.MaxHeaderBytes != 0 && (l.MaxHeaderBytes < minHeaderBytes || l.MaxHeaderBytes > maxHeaderBytes) {
+		c.fault("limits.max_header_bytes", errorOutOfRange, l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	}
+	c.duration("limits.read_timeout_ms", l.ReadTimeoutMS, maxTimeout)
+	c.duration("limits.write_timeout_ms", l.WriteTimeoutMS, maxTimeout)
+}
+
+func checkPrincipals(array string, principals []Principal, c *checker) {
+	var names []string
+	hashes := map[string]bool{}
+	for i, p := range principals {
+		key := fmt.Sprintf("%s[%d].token_sha256", array, i)
+		c.tokenHash(key, p.TokenSHA256)
+		hash := strings.ToLower(p.TokenSHA256)
+		if hash != "" && hashes[hash] {
+			c.fault(key, "is there twice: give each a token of its own")
+		}
+		hashes[hash] = true
+		names = append(names, p.Name)
+	}
+	c.names(array, "name", names)
+}
+
+func checkServices(services []Service, c *checker) {
+	var names []string
+	for i, s := range services {
+		at := fmt.Sprintf("services[%d]", i)
+		c.duration(at+".deadline_ms", s.DeadlineMS, maxTimeout)
+		for _, call := range s.NotRepeatable {
+			method, path, ok := strings.Cut(call, " ")
+			if !ok || method == "" || method != strings.ToUpper(method) || !strings.HasPrefix(path, "/") {
+				c.fault(at+".not_repeatable", notRepeatableHelp, call)
+			}
+		}
+		names = append(names, string(s.Name))
+	}
+	c.names("services", "name", names)
+}
+
+// checkVMs checks VMs. Addresses may be left out unless addressed is set.
+func checkVMs(vms []event.VM, addressed bool, c *checker) {
+	var ids []string
+	for i := range vms {
+		at := fmt.Sprintf("vms[%d]", i)
+		ids = append(ids, vms[i].ID)
+		checkVM(&vms[i], at, c)
+		if addressed || vms[i].Entry {
+			c.address(at+".address", vms[i].Address)
+		} else {
+			c.optionalAddress(at+".address", vms[i].Address)
+		}
+	}
+	c.names("vms", "id", ids)
+}
+
+func checkVM(vm *event.VM, at string, c *checker) {
+	c.required(at+".failure_domain", string(vm.FailureDomain), "name the failure domain that the VM is in")
+	c.required(at+".region", string(vm.Region), "name the region that the failure domain is in")
+	if vm.State != "" {
+		c.oneOf(at+".state", string(vm.State), string(event.VMLive), string(event.VMLeaving))
+	}
+	if vm.Entry {
+		c.optionalAddress(at+".serve_address", vm.ServeAddress)
+		return
+	}
+	c.oneOf(at+".kind", string(vm.Kind), string(event.KindEngine), string(event.KindService))
+	switch vm.Kind {
+	case event.KindEngine:
+		c.required(at+".base", string(vm.Base), "name the base model that the engine serves")
+	case event.KindService:
+		c.required(at+".service", string(vm.Service), "name the service that the VM runs")
+	}
+	for key, n := range map[string]int32{".slots": vm.Slots, ".batch_max": vm.BatchMax} {
+		if n < 0 || n > maxBackendSlots {
+			c.fault(at+key, "%d is out of range: give 0 to %d", n, maxBackendSlots)
+		}
+	}
+}
--- /dev/null
+++ b/internal/oper/config/config_test.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// keysOf returns each key that a settings struct can hold.
+func keysOf(t reflect.Type) []string {
+	var keys []string
+	for key, field := range fieldsByKey(t) {
+		keys = append(keys, key)
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(inner)...)
+		}
+	}
+	return keys
+}
+
+func TestExamplesNameEveryKeyAndHoldNoFault(t *testing.T) {
+	_, err := Parse("example.toml", []byte(Example))
+	must.NoError(t, err)
+	_, err = ParseStandin("example_standin.toml", []byte(ExampleStandin))
+	must.NoError(t, err)
+	examples := map[string]reflect.Type{Example: reflect.TypeFor[Settings](), ExampleStandin: reflect.TypeFor[Standin]()}
+	for text, settings := range examples {
+		for _, key := range keysOf(settings) {
+			named := regexp.MustCompile(`(?m)^(# )?(` + key + ` = |\[\[?` + key + `\]?\])`)
+			must.True(t, named.MatchString(text), must.Sprintf("%s of %s", key, settings))
+		}
+	}
+}
+
+func TestParseNamesEveryFault(t *testing.T) {
+	const sound = `
+[entry_vm]
+id = "entry-1"
+failure_domain = "galle"
+region = "south"
+serve_address = "127.0.0.1:8080"
+admin_address = "127.0.0.1:8081"
+peer_address = "127.0.0.1:8082"
+[platform]
+log_address = "127.0.0.1:7001"
+`
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"sound", sound, nil},
+		{"syntax", "a = \n", []string{"f.toml:1: this is not TOML"}},
+		{"three faults", strings.NewReplacer(`"127.0.0.1:8081"`, `"localhost"`, `id = "entry-1"`, `idd = "entry-1"`, `region = "south"`, "region = 7").Replace(sound), []string{
+			"f.toml:2: entry_vm.id: is missing",
+			"f.toml:3: entry_vm.idd: is not known: remove it, or use one of admin_address",
+			"f.toml:5: entry_vm.region: does not fit: give a text in quotes",
+			`f.toml:7: entry_vm.admin_address: "localhost" is not an address`,
+		}},
+		{"missing table", "", []string{
+			"f.toml:1: entry_vm.id: is missing", "f.toml:1: entry_vm.failure_domain", "f.toml:1: entry_vm.region", "f.toml:1: entry_vm.serve_address",
+			"f.toml:1: entry_vm.admin_address", "f.toml:1: entry_vm.peer_address", "f.toml:1: platform.log_address",
+		}},
+		{"arrays", sound + `[[callers]]
+name = "a"
+token_sha256 = "secret"
+[[callers]]
+name = "a"
+token_sha256 = "1a84ca71b85a6f8b58e9dc31bfa3c4eb0c2a3d9df9d3bc2ca0bb0e2cb7b3f7a1"
+[[services]]
+name = "ledger"
+not_repeatable = ["release"]
+[[vms]]
+id = "engine-1"
+address = "127.0.0.1:9001"
+failure_domain = "galle"
+region = "south"
+kind = "engin"
+slots = 99999999999
+`, []string{
+			"f.toml:13: callers[0].token_sha256: is not a SHA-256",
+			`f.toml:15: callers[1].name: "a" is there twice`,
+			`f.toml:19: services[0].not_repeatable: "release" is not a call`,
+			`f.toml:25: vms[0].kind: "engin" is not known: use engine, service`,
+			"f.toml:26: vms[0].slots: does not fit: give a whole number of 32 bits",
+		}},
+		{"log and limits", sound + `[log]
+level = "loud"
+[limits]
+max_body_bytes = 1
+write_timeout_ms = -5
+[tls]
+serve_certificate_file = "missing.crt"
+`, []string{
+			`f.toml:12: log.level: "loud" is not known: use trace`, "f.toml:14: limits.max_body_bytes: 1 is out of range",
+			"f.toml:15: limits.write_timeout_ms: -5 is out of range", "f.toml:17: tls.serve_certificate_file: needs tls.serve_key_file",
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse("f.toml", []byte(tc.text))
+			if tc.want == nil {
+				must.NoError(t, err)
+				return
+			}
+			var faults *FaultsError
+			must.True(t, errors.As(err, &faults))
+			must.Len(t, len(tc.want), faults.Faults, must.Sprint(err))
+			for i, want := range tc.want {
+				must.StrHasPrefix(t, want, faults.Faults[i].String())
+			}
+		})
+	}
+}
+
+func TestFaultsNeverShowSecrets(t *testing.T) {
+	_, err := Parse("f.toml", []byte("[[callers]]\nname = \"a\"\ntoken_sha256 = \"plain-secret\"\n"))
+	must.ErrorContains(t, err, "token_sha256")
+	must.StrNotContains(t, err.Error(), "plain-secret")
+}
--- a/internal/oper/config/read.go
+++ b/internal/oper/config/read.go
@@ -3,11 +3,10 @@
 import (
 	"os"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 )
 
-// Read reads and checks the settings file at path.
+// Read reads and checks the settings file of an entry VM at path.
 func Read(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -16,11 +15,22 @@
 	return Parse(path, text)
 }
 
-// Parse reads settings from text. Path is only named in errors.
+// Parse reads and checks settings from text. Path is only named in errors. An
+// error is a FaultsError with all faults.
 func Parse(path string, text []byte) (*Settings, error) {
-	var settings Settings
-	if err := toml.Unmarshal(text, &settings); err != nil {
-		return nil, errors.Wrapf(err, "settings %s", path)
+	return decode(path, text, checkSettings)
+}
+
+// ReadStandin reads and checks the settings file of the stand-ins at path.
+func ReadStandin(path string) (*Standin, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings: name an existing file")
 	}
-	return &settings, nil
+	return ParseStandin(path, text)
+}
+
+// ParseStandin is Parse for the settings of the stand-ins.
+func ParseStandin(path string, text []byte) (*Standin, error) {
+	return decode(path, text, checkStandin)
 }
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -1,4 +1,4 @@
-// Package config reads settings files.
+// Package config reads and checks settings files.
 package config
 
 import (
@@ -9,18 +9,20 @@
 
 // Settings is one entry VM's settings file.
 type Settings struct {
+	// Callers may send requests.
+	Callers []Principal `toml:"callers"`
 	// EntryVM is the own entry VM.
 	EntryVM EntryVM `toml:"entry_vm"`
+	Limits  Limits  `toml:"limits"`
+	Log     Log     `toml:"log"`
+	// Operators may use the admin address.
+	Operators []Principal `toml:"operators"`
 	// Platform is where the platform's services are.
-	Platform Platform `toml:"platform"`
+	Platform Platform  `toml:"platform"`
+	Services []Service `toml:"services"`
+	TLS      TLS       `toml:"tls"`
 	// VMs are other VMs known without the platform's list.
 	VMs []event.VM `toml:"vms"`
-	// Callers may send requests.
-	Callers []Principal `toml:"callers"`
-	// Operators may use the admin address.
-	Operators []Principal `toml:"operators"`
-	Services  []Service   `toml:"services"`
-	Log       Log         `toml:"log"`
 }
 
 // EntryVM describes the own entry VM.
@@ -35,6 +37,24 @@
 	PeerAddress  string `toml:"peer_address"`
 }
 
+// Limits bound what one caller can take of an entry VM. 0 is the default.
+type Limits struct {
+	// MaxBodyBytes is the greatest length of a request's body.
+	MaxBodyBytes units.Bytes `toml:"max_body_bytes"`
+	// MaxHeaderBytes is the greatest length of a request's headers.
+	MaxHeaderBytes units.Bytes `toml:"max_header_bytes"`
+	// ReadTimeoutMS is the time for a whole request to arrive.
+	ReadTimeoutMS clock.Millis `toml:"read_timeout_ms"`
+	// WriteTimeoutMS is the time for a caller to take a part of its answer.
+	WriteTimeoutMS clock.Millis `toml:"write_timeout_ms"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is trace, debug, info, warn or error; "" is info.
+	Level string `toml:"level"`
+}
+
 // Platform is where the platform's services are, as hosts and ports.
 type Platform struct {
 	LogAddress    string `toml:"log_address"`
@@ -57,8 +77,11 @@
 	NotRepeatable []string `toml:"not_repeatable"`
 }
 
-// Log says what is logged.
-type Log struct {
-	// Level is trace, debug, info, warn or error.
-	Level string `toml:"level"`
+// TLS names PEM files. An address without a certificate is plain HTTP. Changed
+// files are taken up without a restart.
+type TLS struct {
+	ServeCertificateFile string `toml:"serve_certificate_file"`
+	ServeKeyFile         string `toml:"serve_key_file"`
+	AdminCertificateFile string `toml:"admin_certificate_file"`
+	AdminKeyFile         string `toml:"admin_key_file"`
 }
