Measure policies in virtual time

Cause: routing, placement and loads can't be judged without figures on one trace for all ways. Change: mangostile experiment plays a seeded trace (Zipf popularity, shifts, restarts, failing loads, slow store) for least-loaded with LRU, hash affinity with LRU, the core itself (several entry VMs with lagging views) and a bound that knows the future; it writes a table, JSON and a PNG plot. Settings gain a policy table with objective and the bounds of the weight store.

--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -10,6 +10,7 @@
 	"mangostile/internal/core/once"
 	"mangostile/internal/core/owner"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/core/place"
 	"mangostile/internal/core/route"
 	"mangostile/internal/core/table"
 )
@@ -21,6 +22,8 @@
 	Incarnation units.Incarnation
 	// VMs are those known from the settings. The platform's list is added.
 	VMs []event.VM
+	// Policy weighs the decisions on routing, placement and loads.
+	Policy place.Policy
 	// Services are the plain services by name.
 	Services map[units.ServiceName]Service
 }
--- /dev/null
+++ b/internal/oper/cmds/experimentcmd.go
@@ -0,0 +1,88 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/oper/trial"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func newExperimentCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "compare policies for routing, placement and loads in virtual time",
+		UsageText: "mangostile experiment --size guild --seed 1 --output results",
+		Flags: []cli.Flag{
+			&cli.FloatFlag{Name: "load", Usage: "multiply the request rate by `FACTOR`", Value: 1},
+			&cli.StringFlag{Name: "output", Usage: "write NAME.json and NAME.png into `DIRECTORY`"},
+			&cli.IntFlag{Name: "seconds", Usage: "virtual `SECONDS` to play"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the trace", Value: 1},
+			&cli.StringFlag{Name: "size", Usage: "`SIZE` to play: guild or kanoride; both if not given"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			scenarios, err := experimentScenarios(cmd)
+			if err != nil {
+				return err
+			}
+			for _, s := range scenarios {
+				if err := runExperiment(cmd, s); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func experimentScenarios(cmd *cli.Command) ([]trial.Scenario, error) {
+	seed := cmd.Uint64("seed")
+	var scenarios []trial.Scenario
+	switch size := cmd.String("size"); size {
+	case "":
+		scenarios = []trial.Scenario{trial.Guild(seed), trial.Kanoride(seed)}
+	case "guild":
+		scenarios = []trial.Scenario{trial.Guild(seed)}
+	case "kanoride":
+		scenarios = []trial.Scenario{trial.Kanoride(seed)}
+	default:
+		return nil, &usageError{"unknown size " + size + ": use guild or kanoride"}
+	}
+	if cmd.Float("load") <= 0 || cmd.Int("seconds") < 0 {
+		return nil, &usageError{"--load must be greater than 0 and --seconds not negative"}
+	}
+	for i := range scenarios {
+		scenarios[i].Rate *= cmd.Float("load")
+		if seconds := cmd.Int("seconds"); seconds > 0 {
+			scenarios[i].Duration = clock.Millis(seconds) * clock.Second
+		}
+	}
+	return scenarios, nil
+}
+
+func runExperiment(cmd *cli.Command, s trial.Scenario) error {
+	report := trial.Run(s)
+	if err := report.WriteTable(cmd.Root().Writer); err != nil {
+		return err
+	}
+	directory := cmd.String("output")
+	if directory == "" {
+		return nil
+	}
+	body, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode results")
+	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return errors.Wrap(err, "choose a directory that can be written")
+	}
+	if err := os.WriteFile(filepath.Join(directory, s.Name+".json"), append(body, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "choose a directory that can be written")
+	}
+	return report.SavePlot(filepath.Join(directory, s.Name+".png"))
+}
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -68,6 +68,7 @@
 		Suggest:               true,
 		Commands: []*cli.Command{
 			newDemoCmd(),
+			newExperimentCmd(),
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/place"
 	"mangostile/internal/node/admin"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/server"
@@ -90,7 +91,11 @@
 		},
 		Incarnation: units.Incarnation(clock.WallNow()),
 		VMs:         settings.VMs,
-		Services:    map[units.ServiceName]entry.Service{},
+		Policy: place.Policy{
+			Objective: settings.Policy.Objective, LoadsPerSecond: settings.Policy.LoadsPerSecond,
+			LoadsInFlight: settings.Policy.LoadsInFlight, Shares: settings.Policy.FailureDomains,
+		},
+		Services: map[units.ServiceName]entry.Service{},
 	}
 	for _, s := range settings.Services {
 		cfg.Services[s.Name] = entry.Service{Deadline: s.DeadlineMS}
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"mangostile/internal/base/clock"
@@ -16,7 +17,7 @@
 	minHeaderBytes    = 1 << 10
 	maxHeaderBytes    = 1 << 20
 	maxBackendSlots   = 1 << 16
-	errorOutOfRange   = "%d is out of range: give %d to %d, or 0 for the default"
+	errorOutOfRange   = "%v is out of range: give %d to %d, or 0 for the default"
 	notRepeatableHelp = "%q is not a call: write a method and the beginning of a path, as \"POST /release\""
 )
 
@@ -28,6 +29,7 @@
 		c.oneOf("log.level", s.Log.Level, "trace", "debug", "info", "warn", "error")
 	}
 	checkLimits(&s.Limits, c)
+	checkPolicy(&s.Policy, c)
 	checkPrincipals("callers", s.Callers, c)
 	checkPrincipals("operators", s.Operators, c)
 	checkServices(s.Services, c)
@@ -56,6 +58,28 @@
 	c.duration("limits.write_timeout_ms", l.WriteTimeoutMS, maxTimeout)
 }
 
+func checkPolicy(p *Policy, c *checker) {
+	if math.IsNaN(p.Objective) || p.Objective < 0 || p.Objective > 1 {
+		c.fault("policy.objective", errorOutOfRange, p.Objective, 0, 1)
+	}
+	if math.IsNaN(p.LoadsPerSecond) || p.LoadsPerSecond < 0 || p.LoadsPerSecond > maxLoadsPerSecond {
+		c.fault("policy.loads_per_second", errorOutOfRange, p.LoadsPerSecond, 0, maxLoadsPerSecond)
+	}
+	if p.LoadsInFlight < 0 || p.LoadsInFlight > maxLoadsInFlight {
+		c.fault("policy.loads_in_flight", errorOutOfRange, p.LoadsInFlight, 0, maxLoadsInFlight)
+	}
+	if p.FailureDomains < 0 || p.FailureDomains > maxFailureDomains {
+		c.fault("policy.failure_domains", errorOutOfRange, p.FailureDomains, 0, maxFailureDomains)
+	}
+}
+
+// Bounds of the policy.
+const (
+	maxLoadsPerSecond = 10000
+	maxLoadsInFlight  = 10000
+	maxFailureDomains = 1000
+)
+
 func checkPrincipals(array string, principals []Principal, c *checker) {
 	var names []string
 	hashes := map[string]bool{}
--- a/internal/oper/config/config_test.go
+++ b/internal/oper/config/config_test.go
@@ -92,6 +92,15 @@
 			`f.toml:25: vms[0].kind: "engin" is not known: use engine, service`,
 			"f.toml:26: vms[0].slots: does not fit: give a whole number of 32 bits",
 		}},
+		{"policy", sound + `[policy]
+objective = 1.5
+loads_per_second = -1.0
+loads_in_flight = -1
+failure_domains = 5000
+`, []string{
+			"f.toml:12: policy.objective: 1.5 is out of range", "f.toml:13: policy.loads_per_second: -1 is out of range",
+			"f.toml:14: policy.loads_in_flight: -1 is out of range", "f.toml:15: policy.failure_domains: 5000 is out of range",
+		}},
 		{"log and limits", sound + `[log]
 level = "loud"
 [limits]
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -18,13 +18,29 @@
 	// Operators may use the admin address.
 	Operators []Principal `toml:"operators"`
 	// Platform is where the platform's services are.
-	Platform Platform  `toml:"platform"`
+	Platform Platform `toml:"platform"`
+	// Policy weighs the decisions on routing, placement and loads.
+	Policy   Policy    `toml:"policy"`
 	Services []Service `toml:"services"`
 	TLS      TLS       `toml:"tls"`
 	// VMs are other VMs known without the platform's list.
 	VMs []event.VM `toml:"vms"`
 }
 
+// Policy is what an operator sets of routing, placement and loads.
+type Policy struct {
+	// Objective is 0 to keep load stalls short, 1 to keep batches full, or
+	// between.
+	Objective float64 `toml:"objective"`
+	// LoadsPerSecond is what the weight store allows in all; 0 is no bound.
+	LoadsPerSecond float64 `toml:"loads_per_second"`
+	// LoadsInFlight bounds the loads on their way in all; 0 is 8.
+	LoadsInFlight int32 `toml:"loads_in_flight"`
+	// FailureDomains is the number of failure domains that share the store, each
+	// with an equal part; 0 is 1.
+	FailureDomains int32 `toml:"failure_domains"`
+}
+
 // EntryVM describes the own entry VM.
 type EntryVM struct {
 	ID            units.EntryVMID     `toml:"id"`
--- /dev/null
+++ b/internal/oper/trial/loads.go
@@ -0,0 +1,43 @@
+package trial
+
+import (
+	"cmp"
+	"slices"
+
+	"mangostile/internal/base/units"
+)
+
+// loadWaiters holds who waits for the loads of one engine.
+type loadWaiters struct {
+	waiters map[units.AdapterVersion]func(ok bool)
+}
+
+// whenLoaded calls f once the load of av ends.
+func (l *loadWaiters) whenLoaded(av units.AdapterVersion, f func(ok bool)) {
+	if l.waiters == nil {
+		l.waiters = map[units.AdapterVersion]func(ok bool){}
+	}
+	l.waiters[av] = f
+}
+
+func (l *loadWaiters) toldLoaded(av units.AdapterVersion, ok bool) {
+	f := l.waiters[av]
+	delete(l.waiters, av)
+	if f != nil {
+		f(ok)
+	}
+}
+
+// loadWaits returns the adapters that are waited for, sorted.
+func (l *loadWaiters) loadWaits() []units.AdapterVersion {
+	var versions []units.AdapterVersion
+	for av := range l.waiters {
+		versions = append(versions, av)
+	}
+	slices.SortFunc(versions, compareVersions)
+	return versions
+}
+
+func compareVersions(a, b units.AdapterVersion) int {
+	return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+}
--- /dev/null
+++ b/internal/oper/trial/trace.go
@@ -0,0 +1,171 @@
+// Package trial measures policies for routing, placement and loads: it drives
+// the core in virtual time before fake engines and one fake weight store, with
+// the same seeded trace of requests for each policy.
+package trial
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+)
+
+// Scenario is one size with its faults. Equal scenarios give equal traces.
+type Scenario struct {
+	Name     string       `json:"name"`
+	Seed     uint64       `json:"seed"`
+	Duration clock.Millis `json:"duration_ms"`
+	// Entries is the number of entry VMs in front of the replicas.
+	Entries  int `json:"entry_vms"`
+	Replicas int `json:"replicas"`
+	Adapters int `json:"adapters"`
+	// Slots and BatchMax are those of each replica.
+	Slots    int `json:"slots"`
+	BatchMax int `json:"batch_max"`
+	// Rate is the mean number of requests a second; Zipf is the exponent of the
+	// popularity of adapters.
+	Rate float64 `json:"requests_per_second"`
+	Zipf float64 `json:"zipf"`
+	// Shifts is the number of instants at which a fifth of the popular adapters
+	// change places with unpopular ones.
+	Shifts int `json:"shifts"`
+	// Restarts is the number of engines that restart cold.
+	Restarts int `json:"restarts"`
+	// LoadsPerSecond and LoadsInFlight bound the weight store at full speed.
+	LoadsPerSecond float64 `json:"loads_per_second"`
+	LoadsInFlight  int     `json:"loads_in_flight"`
+	// FailingLoads is the share of loads that fail.
+	FailingLoads float64 `json:"failing_loads"`
+	// SlowStore is the length of a time in the middle of the trial in which the
+	// store runs at a quarter of its speed.
+	SlowStore clock.Millis `json:"slow_store_ms"`
+	// Deadline is the time for a whole answer.
+	Deadline clock.Millis `json:"deadline_ms"`
+	// MeanTokens is the mean length of an answer.
+	MeanTokens float64 `json:"mean_tokens"`
+}
+
+// Guild returns the Guild's size of today.
+func Guild(seed uint64) Scenario {
+	return Scenario{
+		Name: "guild", Seed: seed, Duration: 10 * clock.Minute, Entries: 7, Replicas: 18, Adapters: 3000,
+		Slots: 16, BatchMax: 16, Rate: 14, Zipf: 1.1, Shifts: 2, Restarts: 3, LoadsPerSecond: 4, LoadsInFlight: 8,
+		FailingLoads: 0.02, SlowStore: 10 * clock.Second, Deadline: 30 * clock.Second, MeanTokens: 100,
+	}
+}
+
+// Kanoride returns Kanoride's size of today.
+func Kanoride(seed uint64) Scenario {
+	s := Guild(seed)
+	s.Name = "kanoride"
+	s.Replicas = 9
+	s.Rate = 5
+	s.LoadsPerSecond = 2
+	s.Deadline = 20 * clock.Second
+	return s
+}
+
+// call is one request of a trace and what became of it.
+type call struct {
+	id       units.RequestID
+	adapter  units.AdapterVersion
+	at       clock.Millis
+	deadline clock.Millis
+	tokens   int
+	priority units.Priority
+
+	engine  *engine
+	started bool
+	left    int
+	ended   bool
+	served  bool
+	endedAt clock.Millis
+	// stall is the time from the arrival until the adapter was there.
+	stall clock.Millis
+}
+
+// trace is a list of requests by time, with the faults.
+type trace struct {
+	calls    []call
+	adapters []units.AdapterVersion
+	restarts []restart
+}
+
+type restart struct {
+	at     clock.Millis
+	engine int
+}
+
+// shiftedShare is the share of the popular adapters that a shift replaces.
+const shiftedShare = 0.2
+
+// popularShare is the share of the adapters that counts as popular in a shift.
+const popularShare = 0.05
+
+// newTrace returns the trace of s.
+func newTrace(s Scenario) *trace {
+	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	t := &trace{adapters: make([]units.AdapterVersion, s.Adapters)}
+	for i := range t.adapters {
+		t.adapters[i] = units.AdapterVersion{Adapter: units.AdapterName(fmt.Sprintf("adapter-%04d", i)), Version: "v1"}
+	}
+	order := rng.Perm(s.Adapters)
+	sums := zipfSums(s.Adapters, s.Zipf)
+	shift := 1
+	at := 0.0
+	for {
+		at += rng.ExpFloat64() / s.Rate * float64(clock.Second)
+		now := clock.Millis(at) + 1
+		if now >= s.Duration {
+			break
+		}
+		if shift <= s.Shifts && now >= s.Duration*clock.Millis(shift)/clock.Millis(s.Shifts+1) {
+			shiftPopularity(rng, order)
+			shift++
+		}
+		rank := sort.SearchFloat64s(sums, rng.Float64()*sums[len(sums)-1])
+		t.calls = append(t.calls, call{
+			id: units.RequestID(fmt.Sprintf("r%06d", len(t.calls))), adapter: t.adapters[order[min(rank, s.Adapters-1)]],
+			at: now, deadline: now + s.Deadline, tokens: 10 + int(rng.ExpFloat64()*(s.MeanTokens-10)), priority: drawPriority(rng),
+		})
+	}
+	for range s.Restarts {
+		t.restarts = append(t.restarts, restart{at: clock.Millis(rng.Int64N(int64(s.Duration))), engine: rng.IntN(s.Replicas)})
+	}
+	return t
+}
+
+func zipfSums(n int, exponent float64) []float64 {
+	sums := make([]float64, n)
+	sum := 0.0
+	for i := range sums {
+		sum += 1 / math.Pow(float64(i+1), exponent)
+		sums[i] = sum
+	}
+	return sums
+}
+
+// shiftPopularity lets popular ranks change places with any others.
+func shiftPopularity(rng *rand.Rand, order []int) {
+	popular := max(1, int(float64(len(order))*popularShare))
+	for rank := range popular {
+		if rng.Float64() < shiftedShare {
+			other := rng.IntN(len(order))
+			order[rank], order[other] = order[other], order[rank]
+		}
+	}
+}
+
+func drawPriority(rng *rand.Rand) units.Priority {
+	switch draw := rng.IntN(10); {
+	case draw == 0:
+		return 2
+	case draw <= 2:
+		return -2
+	default:
+		return 0
+	}
+}
