Show and change the table from the command line

Cause: operators had no way to see the table or to change it but raw HTTP.

Change: table show, set, import, export and lint over an admin client. Sheets are read and written as CSV (each row carries the revision it was read at), TOML (a table for each adapter) and JSON. Conflicts show both values, bad values name row, column and remedy. After an edit the command waits until it is in force, says on how many entry VMs and names those not heard from. GET /admin/members tells what an entry VM knows of the others. One append now ends at 1 MiB.

--- /dev/null
+++ b/internal/core/entry/look.go
@@ -0,0 +1,36 @@
+package entry
+
+import "mangostile/internal/base/clock"
+
+// Now returns the instant of the last event.
+func (c *Core) Now() clock.Millis { return c.now }
+
+// RequestCounts counts the requests that have not ended.
+type RequestCounts struct {
+	// Queued requests wait for a backend server that can be used.
+	Queued int `json:"queued"`
+	// Asking requests wait for the word of an owner.
+	Asking int `json:"asking"`
+	// Running requests are on their way to a backend server or run there.
+	Running int `json:"running"`
+	// Intent requests wait for the log service.
+	Intent int `json:"intent"`
+}
+
+// CountRequests counts the open requests by how far they have come.
+func (c *Core) CountRequests() RequestCounts {
+	var counts RequestCounts
+	for _, r := range c.requests {
+		switch r.state {
+		case stateQueued:
+			counts.Queued++
+		case stateAsking:
+			counts.Asking++
+		case stateRunning:
+			counts.Running++
+		case stateIntent:
+			counts.Intent++
+		}
+	}
+	return counts
+}
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -9,14 +9,9 @@
 	"strings"
 	"time"
 
-	"mangostile/internal/base/clock"
-	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
-	"mangostile/internal/core/event"
-	"mangostile/internal/core/table"
 	"mangostile/internal/node/server"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 )
 
@@ -45,6 +40,18 @@
 
 const lookTimeout = 5 * time.Second
 
+// look runs f on the core's duty. It answers the operator and reports false if
+// the core found no time.
+func (a *api) look(ctx *fasthttp.RequestCtx, f func(*entry.Core)) bool {
+	limit, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	if a.server.Look(limit, f) {
+		return true
+	}
+	fail(ctx, fasthttp.StatusServiceUnavailable, "the entry VM is busy: try again")
+	return false
+}
+
 func (a *api) handle(ctx *fasthttp.RequestCtx) {
 	operator, ok := a.operator(ctx)
 	if !ok {
@@ -56,10 +63,12 @@
 		a.showTable(ctx)
 	case "/admin/edits":
 		a.edit(ctx, operator)
+	case "/admin/members":
+		a.members(ctx)
 	case "/admin/status":
 		a.status(ctx)
 	default:
-		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits or /admin/status")
+		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/members or /admin/status")
 	}
 }
 
@@ -73,10 +82,14 @@
 	return name, ok && known
 }
 
+// Failure is the body of an answer that is not a success.
+type Failure struct {
+	// Message names the remedy.
+	Message string `json:"error"`
+}
+
 func fail(ctx *fasthttp.RequestCtx, status int, message string) {
-	write(ctx, status, struct {
-		Error string `json:"error"`
-	}{message})
+	write(ctx, status, Failure{message})
 }
 
 func write(ctx *fasthttp.RequestCtx, status int, value any) {
@@ -89,90 +102,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
-
-// Table is the answer to GET /admin/table.
-type Table struct {
-	// Revision is the number of records folded.
-	Revision units.Offset `json:"revision"`
-	Columns  []string     `json:"columns"`
-	// Rows hold the key column first and then one text for each column.
-	Rows [][]string `json:"rows"`
-}
-
-func (a *api) showTable(ctx *fasthttp.RequestCtx) {
-	limit, cancel := context.WithTimeout(context.Background(), lookTimeout)
-	defer cancel()
-	answer := Table{Columns: table.Columns(), Rows: [][]string{}}
-	var rows []*table.Row
-	if !a.server.Look(limit, func(c *entry.Core) { answer.Revision, rows = c.Table.Next(), c.Table.Rows() }) {
-		fail(ctx, fasthttp.StatusServiceUnavailable, "the entry VM is busy: try again")
-		return
-	}
-	for _, row := range rows {
-		cells := []string{string(row.Adapter)}
-		for _, column := range answer.Columns {
-			cells = append(cells, row.Cell(column))
-		}
-		answer.Rows = append(answer.Rows, cells)
-	}
-	write(ctx, fasthttp.StatusOK, answer)
-}
-
-func (a *api) edit(ctx *fasthttp.RequestCtx, operator string) {
-	var edit event.Edit
-	if err := json.Unmarshal(ctx.PostBody(), &edit); err != nil || !ctx.IsPost() {
-		fail(ctx, fasthttp.StatusBadRequest, "POST a JSON object with cells")
-		return
-	}
-	edit.ID = units.RecordID("edit-" + uuid.NewString())
-	edit.Author = operator
-	edit.AtMillis = int64(clock.WallNow())
-	limit, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	write(ctx, fasthttp.StatusOK, a.server.Edit(limit, edit))
-}
-
-// Status is the answer to GET /admin/status.
-type Status struct {
-	EntryVM  string            `json:"entry_vm"`
-	Ready    bool              `json:"ready"`
-	Revision units.Offset      `json:"revision"`
-	Members  []units.EntryVMID `json:"members"`
-	Servers  []ServerStatus    `json:"backend_servers"`
-}
-
-// ServerStatus describes one backend server of the own failure domain.
-type ServerStatus struct {
-	ID       units.BackendServerID  `json:"id"`
-	Owner    units.EntryVMID        `json:"owner,omitempty"`
-	Usable   bool                   `json:"usable"`
-	Leaving  bool                   `json:"leaving"`
-	Running  int32                  `json:"running"`
-	Waiting  int32                  `json:"waiting"`
-	Resident []units.AdapterVersion `json:"resident"`
-	Loading  []units.AdapterVersion `json:"loading"`
-}
-
-func (a *api) status(ctx *fasthttp.RequestCtx) {
-	limit, cancel := context.WithTimeout(context.Background(), lookTimeout)
-	defer cancel()
-	var status Status
-	if !a.server.Look(limit, func(c *entry.Core) { status = describe(c) }) {
-		fail(ctx, fasthttp.StatusServiceUnavailable, "the entry VM is busy: try again")
-		return
-	}
-	write(ctx, fasthttp.StatusOK, status)
-}
-
-func describe(c *entry.Core) Status {
-	status := Status{
-		EntryVM: string(c.Members.SelfID()), Ready: c.Ready(), Revision: c.Table.Next(), Members: c.Members.Members(),
-	}
-	for _, s := range c.Router.Servers() {
-		status.Servers = append(status.Servers, ServerStatus{
-			ID: s.ID(), Owner: c.Members.OwnerOf(s.ID()), Usable: s.Summary.Usable, Leaving: s.Leaving, Running: s.Summary.Running,
-			Waiting: s.Summary.Waiting, Resident: s.Summary.Resident, Loading: s.Summary.Loading,
-		})
-	}
-	return status
-}
--- /dev/null
+++ b/internal/node/admin/status.go
@@ -0,0 +1,75 @@
+package admin
+
+import (
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/event"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Status is the answer to GET /admin/status.
+type Status struct {
+	EntryVM       units.EntryVMID     `json:"entry_vm"`
+	FailureDomain units.FailureDomain `json:"failure_domain"`
+	Ready         bool                `json:"ready"`
+	Revision      units.Offset        `json:"revision"`
+	Adapters      int                 `json:"adapters"`
+	// Requests counts the requests that this entry VM has open.
+	Requests entry.RequestCounts `json:"requests"`
+	EntryVMs []Member            `json:"entry_vms"`
+	// Servers are the backend servers of the own failure domain.
+	Servers []ServerStatus `json:"backend_servers"`
+}
+
+// ServerStatus describes one backend server of the own failure domain.
+type ServerStatus struct {
+	ID      units.BackendServerID `json:"id"`
+	Kind    event.ServerKind      `json:"kind"`
+	Service units.ServiceName     `json:"service,omitempty"`
+	Base    units.ModelName       `json:"base,omitempty"`
+	// Owner is the entry VM that orders an engine about, in the view of the one
+	// asked.
+	Owner   units.EntryVMID `json:"owner,omitempty"`
+	Fence   units.Fence     `json:"fence,omitempty"`
+	Usable  bool            `json:"usable"`
+	Leaving bool            `json:"leaving"`
+	// Drained is set if the operators' table takes the server out of use.
+	Drained  bool                   `json:"drained"`
+	Running  int32                  `json:"running"`
+	Waiting  int32                  `json:"waiting"`
+	BatchMax int32                  `json:"batch_max,omitempty"`
+	Slots    int32                  `json:"slots,omitempty"`
+	Resident []units.AdapterVersion `json:"resident"`
+	Loading  []units.AdapterVersion `json:"loading"`
+}
+
+func (a *api) status(ctx *fasthttp.RequestCtx) {
+	var status Status
+	if a.look(ctx, func(c *entry.Core) { status = describe(c) }) {
+		write(ctx, fasthttp.StatusOK, status)
+	}
+}
+
+func describe(c *entry.Core) Status {
+	status := Status{
+		EntryVM: c.Members.SelfID(), FailureDomain: c.Members.Self.FailureDomain, Ready: c.Ready(), Revision: c.Table.Next(),
+		Adapters: c.Table.Len(), Requests: c.CountRequests(), EntryVMs: describeMembers(c), Servers: []ServerStatus{},
+	}
+	for _, s := range c.Router.Servers() {
+		server := ServerStatus{
+			ID: s.ID(), Kind: s.Spec.Kind, Service: s.Spec.Service, Base: s.Spec.Base, Leaving: s.Leaving, Drained: c.Table.ServerLeaving(s.ID()),
+		}
+		if s.Spec.Kind == event.KindEngine {
+			server.Owner = c.Members.OwnerOf(s.ID())
+			server.Fence, server.Usable = s.Summary.Fence, s.Summary.Usable
+			server.Running, server.Waiting = s.Summary.Running, s.Summary.Waiting
+			server.BatchMax, server.Slots = s.Summary.BatchMax, s.Summary.Slots
+			server.Resident, server.Loading = s.Summary.Resident, s.Summary.Loading
+		} else {
+			server.Usable = !s.Leaving
+		}
+		status.Servers = append(status.Servers, server)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/node/admin/table.go
@@ -0,0 +1,40 @@
+package admin
+
+import (
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/table"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Table is the answer to GET /admin/table.
+type Table struct {
+	// Revision is the number of records folded.
+	Revision units.Offset `json:"revision"`
+	Columns  []string     `json:"columns"`
+	// Help holds one line for each column.
+	Help []string `json:"help"`
+	// Rows hold the key column first and then one text for each column.
+	Rows [][]string `json:"rows"`
+}
+
+func (a *api) showTable(ctx *fasthttp.RequestCtx) {
+	answer := Table{Columns: table.Columns(), Rows: [][]string{}}
+	var rows []*table.Row
+	if !a.look(ctx, func(c *entry.Core) { answer.Revision, rows = c.Table.Next(), c.Table.Rows() }) {
+		return
+	}
+	for _, column := range answer.Columns {
+		answer.Help = append(answer.Help, table.ColumnHelp(column))
+	}
+	for _, row := range rows {
+		cells := make([]string, 0, len(answer.Columns)+1)
+		cells = append(cells, string(row.Adapter))
+		for _, column := range answer.Columns {
+			cells = append(cells, row.Cell(column))
+		}
+		answer.Rows = append(answer.Rows, cells)
+	}
+	write(ctx, fasthttp.StatusOK, answer)
+}
--- a/internal/node/server/duties.go
+++ b/internal/node/server/duties.go
@@ -122,8 +122,11 @@
 	}
 }
 
-// maxAppendBatch bounds the records of one append.
-const maxAppendBatch = 256
+// Bounds of one append. The record that passes maxAppendBytes is the last.
+const (
+	maxAppendBatch = 256
+	maxAppendBytes = 1 << 20
+)
 
 // runAppends appends records, as many of one stream together as are waiting.
 func (s *Server) runAppends(ctx context.Context) error {
@@ -133,11 +136,13 @@
 			return nil
 		}
 		batches := map[units.StreamName][]event.AppendRecord{first.Stream: {first}}
-		for n := 1; n < maxAppendBatch; n++ {
+		size := len(first.Body)
+		for n := 1; n < maxAppendBatch && size < maxAppendBytes; n++ {
 			next, ok := s.appends.TryPop()
 			if !ok {
 				break
 			}
+			size += len(next.Body)
 			batches[next.Stream] = append(batches[next.Stream], next)
 		}
 		for stream, batch := range batches {
--- /dev/null
+++ b/internal/oper/client/client.go
@@ -0,0 +1,162 @@
+// Package client calls the admin API of entry VMs.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/node/admin"
+	"mangostile/internal/oper/sheet"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Client calls the admin API of one entry VM. Make it with New.
+type Client struct {
+	// Address is the admin address as host and port, with https:// before it if
+	// the address is served with TLS.
+	Address string
+	// Token is the operator's bearer token; empty sends none.
+	Token string
+	http  fasthttp.Client
+}
+
+// New returns a client that never repeats a call.
+func New(address, token string) *Client {
+	return &Client{Address: address, Token: token, http: fasthttp.Client{
+		Name:                      "mangostile",
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Timeouts of calls.
+const (
+	callTimeout = 10 * time.Second
+	editTimeout = 60 * time.Second
+)
+
+// CallError reports a call that the entry VM refused.
+type CallError struct {
+	Address string
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return "entry VM at " + e.Address + ": " + e.Message
+}
+
+// Table returns the whole table.
+func (c *Client) Table(ctx context.Context) (*sheet.Sheet, error) {
+	var s sheet.Sheet
+	return &s, c.call(ctx, fasthttp.MethodGet, "/admin/table", nil, &s, editTimeout)
+}
+
+// Edit sends an edit and waits for its outcome.
+func (c *Client) Edit(ctx context.Context, edit *admin.EditRequest) (*admin.EditAnswer, error) {
+	var answer admin.EditAnswer
+	err := c.call(ctx, fasthttp.MethodPost, "/admin/edits", edit, &answer, editTimeout)
+	var refused *CallError
+	if err != nil && !edit.DryRun && !errors.As(err, &refused) {
+		err = errors.Wrap(err, "the edit may come in force or not: look at the history before you send it again")
+	}
+	return &answer, err
+}
+
+// Members returns what the entry VM knows of all entry VMs.
+func (c *Client) Members(ctx context.Context) ([]admin.Member, error) {
+	var answer admin.Members
+	err := c.call(ctx, fasthttp.MethodGet, "/admin/members", nil, &answer, callTimeout)
+	return answer.EntryVMs, err
+}
+
+// Status returns what the entry VM says of itself and its failure domain.
+func (c *Client) Status(ctx context.Context) (*admin.Status, error) {
+	var status admin.Status
+	return &status, c.call(ctx, fasthttp.MethodGet, "/admin/status", nil, &status, callTimeout)
+}
+
+// EditOf returns the edit that makes changes, read at a revision. Rows hold the
+// cells, so that many take little room.
+func EditOf(changes []sheet.Change, readAt units.Offset, dryRun bool) *admin.EditRequest {
+	edit := &admin.EditRequest{ReadAt: readAt, DryRun: dryRun}
+	columns, rows := map[string]int{}, map[units.AdapterName]int{}
+	for i := range changes {
+		if _, known := columns[changes[i].Column]; !known {
+			columns[changes[i].Column] = len(edit.Columns)
+			edit.Columns = append(edit.Columns, changes[i].Column)
+		}
+	}
+	for i := range changes {
+		change := &changes[i]
+		place, known := rows[change.Adapter]
+		if !known {
+			place = len(edit.Rows)
+			rows[change.Adapter] = place
+			row := make([]*string, len(edit.Columns)+1)
+			adapter := string(change.Adapter)
+			row[0] = &adapter
+			edit.Rows = append(edit.Rows, row)
+		}
+		edit.Rows[place][columns[change.Column]+1] = &change.New
+	}
+	return edit
+}
+
+// call does one exchange with JSON bodies. It is never repeated.
+func (c *Client) call(ctx context.Context, method, path string, body, reply any, timeout time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(err, "call "+c.Address)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.url(path))
+	if c.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.Token)
+	}
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode call")
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBody(encoded)
+	}
+	deadline := time.Now().Add(timeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return errors.Wrapf(err, "entry VM at %s gave no answer: check --entry and that it runs", c.Address)
+	}
+	return c.read(resp, reply)
+}
+
+func (c *Client) url(path string) string {
+	if strings.Contains(c.Address, "://") {
+		return strings.TrimSuffix(c.Address, "/") + path
+	}
+	return "http://" + c.Address + path
+}
+
+func (c *Client) read(resp *fasthttp.Response, reply any) error {
+	if resp.StatusCode() == fasthttp.StatusRequestEntityTooLarge {
+		return &CallError{Address: c.Address, Status: resp.StatusCode(), Message: "the edit is too long: import the rows in several files"}
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		var failure admin.Failure
+		if json.Unmarshal(resp.Body(), &failure) != nil || failure.Message == "" {
+			failure.Message = string(resp.Body())
+		}
+		return &CallError{Address: c.Address, Status: resp.StatusCode(), Message: failure.Message}
+	}
+	return errors.Wrap(json.Unmarshal(resp.Body(), reply), "read the answer of "+c.Address)
+}
--- a/internal/oper/cmds/democmd.go
+++ b/internal/oper/cmds/democmd.go
@@ -43,6 +43,7 @@
 	standin *stand.Set
 	servers []*server.Server
 	serve   []string
+	admin   []string
 	ended   chan error
 	failed  int
 }
@@ -118,6 +119,7 @@
 		}
 		d.servers = append(d.servers, s)
 		d.serve = append(d.serve, entries[i].EntryVM.ServeAddress)
+		d.admin = append(d.admin, entries[i].EntryVM.AdminAddress)
 		go func() { d.ended <- s.Run(ctx) }()
 	}
 	return d.waitReady(ctx)
--- /dev/null
+++ b/internal/oper/cmds/editrun.go
@@ -0,0 +1,187 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/table"
+	"mangostile/internal/node/admin"
+	"mangostile/internal/oper/client"
+	"mangostile/internal/oper/sheet"
+
+	"github.com/urfave/cli/v3"
+)
+
+// editRun carries one edit from the diff to the word on where it is in force.
+type editRun struct {
+	w       io.Writer
+	all     []*client.Client
+	dryRun  bool
+	asJSON  bool
+	wait    time.Duration
+	started time.Time
+}
+
+func newEditRun(cmd *cli.Command, all []*client.Client) *editRun {
+	return &editRun{
+		w: cmd.Root().Writer, all: all, dryRun: cmd.Bool("dry-run"), asJSON: cmd.Bool("json"), wait: cmd.Duration("wait"),
+		started: time.Now(),
+	}
+}
+
+// editResult is the outcome of an edit as JSON.
+type editResult struct {
+	*admin.EditAnswer
+	Changes []sheet.Change `json:"changes,omitempty"`
+	Spread  *spread        `json:"in_force,omitempty"`
+}
+
+// Bounds of what is printed.
+const (
+	maxPrintedChanges = 40
+	maxPrintedFaults  = 40
+)
+
+// progress prints one line with the time since the start, unless the outcome is
+// written as JSON.
+func (r *editRun) progress(format string, args ...any) {
+	if r.asJSON {
+		return
+	}
+	fmt.Fprintf(r.w, "%6.1fs  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// run sends changes that were read at a revision.
+func (r *editRun) run(ctx context.Context, changes []sheet.Change, readAt units.Offset) error {
+	if !r.asJSON {
+		printChanges(r.w, changes)
+	}
+	if len(changes) == 0 {
+		return r.done(&admin.EditAnswer{DryRun: r.dryRun}, nil, nil)
+	}
+	answer, err := r.send(ctx, client.EditOf(changes, readAt, r.dryRun))
+	if err != nil {
+		return err
+	}
+	if answer.Kind != event.EditAccepted {
+		return r.notAccepted(answer)
+	}
+	var reached *spread
+	if !r.dryRun && r.wait > 0 {
+		reached = r.awaitForce(ctx, answer.Offset+1)
+	}
+	return r.done(answer, changes, reached)
+}
+
+// send sends an edit and shows that it is being waited for.
+func (r *editRun) send(ctx context.Context, edit *admin.EditRequest) (*admin.EditAnswer, error) {
+	type result struct {
+		answer *admin.EditAnswer
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		answer, err := r.all[0].Edit(ctx, edit)
+		results <- result{answer, err}
+	}()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case got := <-results:
+			return got.answer, got.err
+		case <-ticker.C:
+			r.progress("waiting for the log service")
+		}
+	}
+}
+
+func (r *editRun) done(answer *admin.EditAnswer, changes []sheet.Change, reached *spread) error {
+	if r.asJSON {
+		return writeJSON(r.w, editResult{EditAnswer: answer, Changes: changes, Spread: reached})
+	}
+	switch {
+	case answer.Kind == "":
+		fmt.Fprintln(r.w, "nothing to change")
+	case r.dryRun:
+		fmt.Fprintf(r.w, "dry run: %d cells would be accepted; nothing changed\n", answer.Cells)
+	default:
+		r.progress("accepted %d cells at offset %d as %s", answer.Cells, answer.Offset, answer.Edit)
+	}
+	if reached != nil {
+		r.progress("%s", reached)
+	}
+	return nil
+}
+
+// editRefusedError reports an edit that changed nothing, or may not have.
+type editRefusedError struct{ Kind event.EditKind }
+
+// Error implements error.
+func (e *editRefusedError) Error() string {
+	switch e.Kind {
+	case event.EditConflict:
+		return "nothing changed: another edit changed some of the cells first: read them again and decide, or import with --overwrite"
+	case event.EditUnknown:
+		return "the outcome is not known: look at the table's history before you send the edit again"
+	case event.EditNotTaken:
+		return "nothing changed: the log service did not take the edit"
+	default:
+		return "nothing changed: mend the cells named above"
+	}
+}
+
+func (r *editRun) notAccepted(answer *admin.EditAnswer) error {
+	if r.asJSON {
+		if err := writeJSON(r.w, editResult{EditAnswer: answer}); err != nil {
+			return err
+		}
+		return &editRefusedError{answer.Kind}
+	}
+	if answer.Message != "" {
+		fmt.Fprintln(r.w, answer.Message)
+	}
+	printFaults(r.w, answer.Faults, answer.FaultCount)
+	return &editRefusedError{answer.Kind}
+}
+
+// refused reports faults that were found before anything was sent.
+func (r *editRun) refused(faults []event.CellFault, count int) error {
+	answer := &admin.EditAnswer{EditOutcome: event.EditOutcome{Kind: event.EditInvalid, Faults: faults}, FaultCount: count, DryRun: r.dryRun}
+	return r.notAccepted(answer)
+}
+
+func printFaults(w io.Writer, faults []event.CellFault, count int) {
+	for _, fault := range faults[:min(len(faults), maxPrintedFaults)] {
+		fmt.Fprintf(w, "row %s, column %s: %q", fault.Adapter, fault.Column, fault.Value)
+		if fault.Current != "" {
+			fmt.Fprintf(w, " against %q in force", fault.Current)
+		}
+		fmt.Fprintf(w, ": %s\n", fault.Remedy)
+	}
+	if rest := count - maxPrintedFaults; rest > 0 {
+		fmt.Fprintf(w, "and %d more\n", rest)
+	}
+}
+
+func printChanges(w io.Writer, changes []sheet.Change) {
+	for _, c := range changes[:min(len(changes), maxPrintedChanges)] {
+		switch {
+		case c.Column == table.DeletedColumn:
+			fmt.Fprintf(w, "- %s\n", c.Adapter)
+		case c.NewRow:
+			fmt.Fprintf(w, "+ %s %s = %s\n", c.Adapter, c.Column, c.New)
+		default:
+			fmt.Fprintf(w, "~ %s %s: %s -> %s\n", c.Adapter, c.Column, orDash(c.Old), orDash(c.New))
+		}
+	}
+	if rest := len(changes) - maxPrintedChanges; rest > 0 {
+		fmt.Fprintf(w, "and %d more cells\n", rest)
+	}
+}
+
+var _ error = (*editRefusedError)(nil)
--- /dev/null
+++ b/internal/oper/cmds/operflags.go
@@ -0,0 +1,71 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"mangostile/internal/oper/client"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// defaultAdminAddress is the admin address that commands use if none is named.
+const defaultAdminAddress = "127.0.0.1:7070"
+
+// operatorFlags are the flags of all commands that call the admin API.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name: "entry", Usage: "admin `ADDRESS` of an entry VM; the first is asked, all are heard on what is in force",
+			Sources: cli.EnvVars("MANGOSTILE_ENTRY"), Value: []string{defaultAdminAddress},
+		},
+		&cli.StringFlag{Name: "token", Usage: "operator's bearer `TOKEN`", Sources: cli.EnvVars("MANGOSTILE_TOKEN")},
+	}
+}
+
+// clients returns a client for each entry VM that the command line names.
+func clients(cmd *cli.Command) ([]*client.Client, error) {
+	var all []*client.Client
+	for _, address := range cmd.StringSlice("entry") {
+		if address != "" {
+			all = append(all, client.New(address, cmd.String("token")))
+		}
+	}
+	if len(all) == 0 {
+		return nil, &usageError{"no entry VM is named: give --entry ADDRESS"}
+	}
+	return all, nil
+}
+
+// arguments returns the arguments of cmd if there are as many as names.
+func arguments(cmd *cli.Command, names ...string) ([]string, error) {
+	if cmd.Args().Len() != len(names) {
+		return nil, &usageError{fmt.Sprintf("%s takes %d arguments %v, not %d: see --help", cmd.Name, len(names), names, cmd.Args().Len())}
+	}
+	return cmd.Args().Slice(), nil
+}
+
+// operatorAction is what a command that calls the admin API does. The first
+// client is the one that is asked.
+type operatorAction func(ctx context.Context, cmd *cli.Command, all []*client.Client) error
+
+func withClients(action operatorAction) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		all, err := clients(cmd)
+		if err != nil {
+			return err
+		}
+		return action(ctx, cmd, all)
+	}
+}
+
+// writeJSON writes value as indented JSON.
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "write JSON")
+}
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -72,6 +72,7 @@
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
+			newTableCmd(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/internal/oper/sheet/sheet.go
@@ -0,0 +1,74 @@
+// Package sheet holds the operators' table as text: a row an adapter, a text a
+// cell. It reads and writes CSV for spreadsheets, TOML for version control and
+// JSON for programs, compares two sheets and checks one for mistakes.
+package sheet
+
+import (
+	"cmp"
+	"slices"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/table"
+)
+
+// Sheet is the table at one revision. The zero value has no columns and no rows.
+type Sheet struct {
+	// Revision is the revision at which the cells were read, or NoRevision.
+	Revision units.Offset `json:"revision"`
+	// Columns leaves out the key column.
+	Columns []string `json:"columns"`
+	// Rows is sorted by adapter once Sort was called.
+	Rows []Row `json:"rows"`
+}
+
+// NoRevision is the revision of a sheet that does not say when it was read.
+const NoRevision units.Offset = -1
+
+// Row is one adapter with one text for each column of its sheet.
+type Row struct {
+	Adapter units.AdapterName
+	Cells   []string
+}
+
+// Sort sorts the rows by adapter.
+func (s *Sheet) Sort() {
+	slices.SortStableFunc(s.Rows, func(a, b Row) int { return cmp.Compare(a.Adapter, b.Adapter) })
+}
+
+// Column returns the place of the column called name, or -1.
+func (s *Sheet) Column(name string) int { return slices.Index(s.Columns, name) }
+
+// Cell returns the text of a row's cell. The key column counts as a column.
+func (s *Sheet) Cell(row *Row, column string) string {
+	if column == table.AdapterColumn {
+		return string(row.Adapter)
+	}
+	if i := s.Column(column); i >= 0 {
+		return row.Cells[i]
+	}
+	return ""
+}
+
+// check names columns that the table does not have and rows that stand twice.
+func (s *Sheet) check() []event.CellFault {
+	var faults []event.CellFault
+	known := table.Columns()
+	for i, column := range s.Columns {
+		if !slices.Contains(known, column) {
+			faults = append(faults, event.CellFault{Column: column, Remedy: "there is no such column: remove it or rename it"})
+		}
+		if slices.Contains(s.Columns[:i], column) {
+			faults = append(faults, event.CellFault{Column: column, Remedy: "the column stands twice: remove one"})
+		}
+	}
+	seen := make(map[units.AdapterName]bool, len(s.Rows))
+	for i := range s.Rows {
+		adapter := s.Rows[i].Adapter
+		if seen[adapter] {
+			faults = append(faults, event.CellFault{Adapter: adapter, Column: table.AdapterColumn, Remedy: "the row stands twice: remove one"})
+		}
+		seen[adapter] = true
+	}
+	return faults
+}
