Add an open-loop load tool that checks each answer

Cause: nothing sent load at fixed times, so waits hid behind slow answers, and nothing compared what callers were told with what the stand-ins ran.

Change: internal/oper/load makes a schedule from a seed (Zipf popularity, shifts, a mix of chats, letters, lookups and actions with repeated keys), sends it as a balancer and a patient caller would, checks each answer against its own request and the stand-ins' counters, and writes JSON, a table and a plot. The load command drives it.

Conclusion: an answer that is short, crossed or of another version is told apart from a refusal and from one that was lost.

--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -69,6 +69,7 @@
 		Commands: []*cli.Command{
 			newDemoCmd(),
 			newExperimentCmd(),
+			newLoadCmd(),
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
--- /dev/null
+++ b/internal/oper/load/plan.go
@@ -0,0 +1,106 @@
+// Package load sends requests to entry VMs at times fixed beforehand and checks
+// each answer against its own request.
+package load
+
+import (
+	"time"
+
+	"mangostile/internal/base/units"
+
+	"github.com/pkg/errors"
+)
+
+// Plan says what to send where.
+type Plan struct {
+	// Entries are the callers' addresses of entry VMs, as hosts and ports.
+	Entries []string
+	// Token is sent as a bearer token unless it is empty.
+	Token string
+	// Adapters are asked for by popularity; which of them is popular follows
+	// from Seed. An empty version leaves the choice to the entry VM.
+	Adapters []units.AdapterVersion
+	// Skew is the exponent of the Zipf distribution, greater than 1.
+	Skew float64
+	// ShiftEvery is the time after which other adapters become popular; 0 is
+	// never.
+	ShiftEvery time.Duration
+	// Rate is the number of new requests a second, without repeated keys.
+	Rate     float64
+	Duration time.Duration
+	Mix      Mix
+	// RepeatShare is the share of actions whose key is sent a second time.
+	RepeatShare float64
+	// Service is the plain service that lookups and actions go to.
+	Service units.ServiceName
+	// ActionPath and LookupPath are paths of the service.
+	ActionPath string
+	LookupPath string
+	ChatTokens int
+	// LetterTokens is the length of an answer that is not streamed.
+	LetterTokens int
+	// Deadline is the time within which a whole answer is of use.
+	Deadline time.Duration
+	// MaxOpen bounds the requests that are open at once. A request beyond is not
+	// sent and counts against the tool.
+	MaxOpen int
+	Seed    uint64
+	// Engines and Services are addresses of stand-ins, whose counters are read
+	// after the run. Both may be empty.
+	Engines  []string
+	Services []string
+}
+
+// Mix holds the shares of the kinds of requests, in any unit.
+type Mix struct {
+	Chat   int `json:"chat"`
+	Letter int `json:"letter"`
+	Lookup int `json:"lookup"`
+	Action int `json:"action"`
+}
+
+func (m Mix) sum() int { return m.Chat + m.Letter + m.Lookup + m.Action }
+
+// Defaults of a plan.
+const (
+	DefaultSkew         = 1.1
+	DefaultChatTokens   = 16
+	DefaultLetterTokens = 32
+	DefaultDeadline     = 15 * time.Second
+	DefaultMaxOpen      = 4000
+)
+
+// Check reports what is wrong with p and fills in defaults.
+func (p *Plan) Check() error {
+	if p.Skew == 0 {
+		p.Skew = DefaultSkew
+	}
+	if p.ChatTokens == 0 {
+		p.ChatTokens = DefaultChatTokens
+	}
+	if p.LetterTokens == 0 {
+		p.LetterTokens = DefaultLetterTokens
+	}
+	if p.Deadline == 0 {
+		p.Deadline = DefaultDeadline
+	}
+	if p.MaxOpen == 0 {
+		p.MaxOpen = DefaultMaxOpen
+	}
+	switch {
+	case len(p.Entries) == 0:
+		return errors.New("no entry VM: name at least one address")
+	case !(p.Rate > 0):
+		return errors.New("the rate must be greater than 0 requests a second")
+	case p.Duration <= 0:
+		return errors.New("the duration must be greater than 0")
+	case !(p.Skew > 1):
+		return errors.New("the skew must be greater than 1")
+	case p.Mix.Chat < 0 || p.Mix.Letter < 0 || p.Mix.Lookup < 0 || p.Mix.Action < 0 || p.Mix.sum() == 0:
+		return errors.New("the mix must have a share above 0 and none below")
+	case p.Mix.Chat+p.Mix.Letter > 0 && len(p.Adapters) == 0:
+		return errors.New("no adapter to ask for: import a table first or name a file of adapters")
+	case p.Mix.Lookup+p.Mix.Action > 0 && p.Service == "":
+		return errors.New("no service for lookups and actions: name one or set their shares to 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/oper/load/report.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Date       string  `json:"date"`
+	Seed       uint64  `json:"seed"`
+	Entries    int     `json:"entry_vms"`
+	Adapters   int     `json:"adapters"`
+	Rate       float64 `json:"requests_per_s"`
+	DurationMS int64   `json:"duration_ms"`
+	// Kinds holds the kinds that were sent.
+	Kinds []KindReport `json:"kinds"`
+	// Refusals counts refusals by code and what they say of a run.
+	Refusals map[string]int `json:"refusals"`
+	// Lost counts calls without a whole answer or a refusal, Wrong those whose
+	// answer was not that of their request.
+	Lost  int `json:"lost"`
+	Wrong int `json:"wrong"`
+	// Cut counts tries that broke off and were asked for again.
+	Cut      int          `json:"cut"`
+	Examples []string     `json:"examples,omitempty"`
+	Stalls   StallReport  `json:"load_stalls"`
+	Actions  ActionReport `json:"actions"`
+	// BatchEfficiency is the mean fill of the batches of engines that are not
+	// idle, 0 to 1.
+	BatchEfficiency float64  `json:"batch_efficiency"`
+	Standins        Counters `json:"standins"`
+	// Unsent counts calls that the tool had no room for, Late is how much after
+	// its time a call was sent.
+	Unsent   int       `json:"unsent"`
+	Late     Quantiles `json:"sent_late"`
+	Warnings []string  `json:"warnings,omitempty"`
+	// spans is for the plot.
+	spans []span
+}
+
+// KindReport sums up the calls of one kind. Times count from the instant at
+// which a call had to be sent.
+type KindReport struct {
+	Kind    Kind `json:"kind"`
+	Sent    int  `json:"sent"`
+	Whole   int  `json:"whole"`
+	Refused int  `json:"refused"`
+	// First is the time to the first token, or to the answer if it comes whole.
+	First Quantiles `json:"first_token"`
+	Gaps  Quantiles `json:"gaps"`
+	Total Quantiles `json:"total"`
+}
+
+// Quantiles are in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// StallReport sums up requests whose first token took as long as a load. Waits
+// for a place in a batch are in it.
+type StallReport struct {
+	Requests int `json:"requests"`
+	// Share is that of all chats that were answered.
+	Share float64   `json:"share"`
+	Times Quantiles `json:"times"`
+}
+
+// ActionReport compares what callers were told with what ran.
+type ActionReport struct {
+	Keys     int `json:"keys"`
+	Answered int `json:"answered"`
+	Unknown  int `json:"unknown"`
+	// ToldNotRun counts keys of which all calls were refused with ran no.
+	ToldNotRun int `json:"told_not_run"`
+	Ran        int `json:"ran"`
+	// SecondRuns, AnsweredNotRun and ToldNotRunButRan must be 0.
+	SecondRuns       int `json:"second_runs"`
+	AnsweredNotRun   int `json:"answered_not_run"`
+	ToldNotRunButRan int `json:"told_not_run_but_ran"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	if h.TotalCount() == 0 {
+		return Quantiles{}
+	}
+	at := func(p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// Faults lists what must never happen and did.
+func (r *Report) Faults() []string {
+	var faults []string
+	for _, f := range []struct {
+		count int
+		what  string
+	}{
+		{r.Lost, "answers lost"},
+		{r.Wrong, "answers wrong"},
+		{r.Actions.SecondRuns, "second runs of an action"},
+		{r.Actions.AnsweredNotRun, "actions answered but not run"},
+		{r.Actions.ToldNotRunButRan, "actions run but refused as not run"},
+		{r.Standins.WrongAdapter, "requests run on a wrong adapter"},
+		{r.Standins.EvictedRunning, "evictions under a running request"},
+		{r.Standins.OldOrdersTaken, "orders with an old fencing number taken"},
+	} {
+		if f.count > 0 {
+			faults = append(faults, fmt.Sprintf("%d %s", f.count, f.what))
+		}
+	}
+	return faults
+}
+
+// WriteJSON writes r to the file at path.
+func (r *Report) WriteJSON(path string) error {
+	body, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	return errors.Wrap(os.WriteFile(path, append(body, '\n'), 0o644), "write report: name a path that can be written")
+}
+
+// WriteTable writes a short table for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "kind\tsent\twhole\trefused\tfirst p50\tp95\tp99 ms\tgap p50\tp95\tp99 ms\ttotal p99 ms")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n", k.Kind, k.Sent, k.Whole, k.Refused,
+			k.First.P50, k.First.P95, k.First.P99, k.Gaps.P50, k.Gaps.P95, k.Gaps.P99, k.Total.P99)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "load stalls: %d of chats (%.1f%%), p50 %.0f p95 %.0f p99 %.0f max %.0f ms; loads %d, evictions %d\n", r.Stalls.Requests,
+		100*r.Stalls.Share, r.Stalls.Times.P50, r.Stalls.Times.P95, r.Stalls.Times.P99, r.Stalls.Times.Max, r.Standins.Loads, r.Standins.Unloads)
+	fmt.Fprintf(w, "batch efficiency: %.3f\n", r.BatchEfficiency)
+	fmt.Fprintf(w, "actions: %d keys, %d answered, %d ran, %d unknown, %d told not run\n", r.Actions.Keys, r.Actions.Answered, r.Actions.Ran,
+		r.Actions.Unknown, r.Actions.ToldNotRun)
+	fmt.Fprintf(w, "lost %d, wrong %d, cut and asked again %d\n", r.Lost, r.Wrong, r.Cut)
+	for _, code := range sortedKeys(r.Refusals) {
+		fmt.Fprintf(w, "refused: %d %s\n", r.Refusals[code], code)
+	}
+	for _, list := range [][]string{r.Examples, r.Warnings} {
+		for _, line := range list {
+			fmt.Fprintln(w, line)
+		}
+	}
+	for _, fault := range r.Faults() {
+		fmt.Fprintln(w, "FAULT "+fault)
+	}
+	return nil
+}
+
+func sortedKeys(counts map[string]int) []string {
+	keys := make([]string, 0, len(counts))
+	for key := range counts {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// lateFrom is the lateness of one call in a hundred from which the tool counts as
+// the bottleneck.
+const lateFrom = 20 * time.Millisecond
+
+func (r *Report) warn() {
+	if r.Unsent > 0 {
+		r.Warnings = append(r.Warnings, fmt.Sprintf("warning: %d calls were not sent since too many were open: figures are those of the tool, use a lower rate or more processes", r.Unsent))
+	}
+	if r.Late.P99 >= float64(lateFrom.Milliseconds()) {
+		r.Warnings = append(r.Warnings, fmt.Sprintf("warning: one call in a hundred was sent %.0f ms late or more: the tool or its machine is the bottleneck", r.Late.P99))
+	}
+}
--- /dev/null
+++ b/internal/oper/load/run.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"mangostile/internal/fake/engine"
+)
+
+// run is a run in progress.
+type run struct {
+	plan   *Plan
+	caller *caller
+	w      io.Writer
+
+	mu      sync.Mutex
+	results *results
+	open    int
+}
+
+// probeConns bounds the connections for health checks and for counters, to one
+// address.
+const probeConns = 16
+
+// progressPeriod is the time between two lines of progress.
+const progressPeriod = 5 * time.Second
+
+// Run carries out a plan and writes its progress to w. It ends early if ctx is
+// done; the calls that were sent are still waited for.
+func Run(ctx context.Context, plan Plan, w io.Writer) (*Report, error) {
+	if err := plan.Check(); err != nil {
+		return nil, err
+	}
+	own := &run{plan: &plan, w: w, results: newResults()}
+	own.caller = &caller{plan: &plan, client: newStreamClient(plan.MaxOpen), balancer: newBalancer(plan.Entries, newClient(probeConns))}
+	fakes := &standins{client: newClient(probeConns), engines: plan.Engines, services: plan.Services}
+	before, err := fakes.engineCounters()
+	if err != nil {
+		return nil, err
+	}
+	side, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { own.caller.balancer.watch(side) })
+	wg.Go(func() { fakes.sample(side) })
+	wg.Go(func() { own.progress(side) })
+	own.send(ctx)
+	cancel()
+	wg.Wait()
+	return own.report(fakes, before)
+}
+
+// send sends all calls at their times and waits for their answers.
+func (r *run) send(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	calls := r.plan.Schedule()
+	start := time.Now()
+	for i := range calls {
+		due := start.Add(calls[i].At)
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		if !r.enter() {
+			continue
+		}
+		wg.Go(func() { r.leave(r.caller.do(&calls[i], due), start) })
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open >= r.plan.MaxOpen {
+		r.results.unsent++
+		return false
+	}
+	r.open++
+	return true
+}
+
+func (r *run) leave(a answer, start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	r.results.add(&a, start)
+}
+
+func (r *run) progress(ctx context.Context) {
+	ticker := time.NewTicker(progressPeriod)
+	defer ticker.Stop()
+	began := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		sent, whole, refused := 0, 0, 0
+		for _, kind := range r.results.kinds {
+			sent += kind.sent
+			whole += kind.whole
+			refused += kind.refused
+		}
+		chat := r.results.kinds[KindChat].first
+		fmt.Fprintf(r.w, "%3.0f s: %d ended, %d whole, %d refused, %d lost, %d wrong, %d open, chat first token p95 %.0f ms\n",
+			time.Since(began).Seconds(), sent, whole, refused, r.results.lost, r.results.wrong, r.open, float64(chat.ValueAtPercentile(95))/1000)
+		r.mu.Unlock()
+	}
+}
+
+func (r *run) report(fakes *standins, before engine.Counters) (*Report, error) {
+	after, err := fakes.engineCounters()
+	if err != nil {
+		return nil, err
+	}
+	runs, err := fakes.runs()
+	if err != nil {
+		return nil, err
+	}
+	res := r.results
+	report := &Report{
+		Date: time.Now().UTC().Format(time.RFC3339), Seed: r.plan.Seed, Entries: len(r.plan.Entries), Adapters: len(r.plan.Adapters),
+		Rate: r.plan.Rate, DurationMS: r.plan.Duration.Milliseconds(), Refusals: res.refusals, Lost: res.lost, Wrong: res.wrong,
+		Cut: res.cuts, Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
+		Standins: Counters{Counters: subtract(after, before)},
+		Stalls:   StallReport{Requests: int(res.stalls.TotalCount()), Times: quantiles(res.stalls)},
+	}
+	if res.models > 0 {
+		report.Stalls.Share = float64(res.stalls.TotalCount()) / float64(res.models)
+	}
+	if fakes.room > 0 {
+		report.BatchEfficiency = float64(fakes.running) / float64(fakes.room)
+	}
+	if len(fakes.services) > 0 {
+		report.Actions = res.checkActions(runs)
+		report.Standins.SecondRuns = report.Actions.SecondRuns
+	}
+	for _, kind := range Kinds {
+		if k := res.kinds[kind]; k.sent > 0 {
+			report.Kinds = append(report.Kinds, KindReport{
+				Kind: kind, Sent: k.sent, Whole: k.whole, Refused: k.refused,
+				First: quantiles(k.first), Gaps: quantiles(k.gaps), Total: quantiles(k.total),
+			})
+		}
+	}
+	report.warn()
+	return report, nil
+}
+
+func subtract(after, before engine.Counters) engine.Counters {
+	return engine.Counters{
+		WrongAdapter:   after.WrongAdapter - before.WrongAdapter,
+		EvictedRunning: after.EvictedRunning - before.EvictedRunning,
+		OldOrdersTaken: after.OldOrdersTaken - before.OldOrdersTaken,
+		Requests:       after.Requests - before.Requests,
+		Tokens:         after.Tokens - before.Tokens,
+		Steps:          after.Steps - before.Steps,
+		Loads:          after.Loads - before.Loads,
+		Unloads:        after.Unloads - before.Unloads,
+		Crashes:        after.Crashes - before.Crashes,
+	}
+}
--- /dev/null
+++ b/internal/oper/load/schedule.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mangostile/internal/base/units"
+
+	"github.com/google/uuid"
+)
+
+// Kind is the kind of a call.
+type Kind string
+
+// Kinds of calls.
+const (
+	// KindChat is a streamed chat completion.
+	KindChat Kind = "chat"
+	// KindLetter is a completion that comes in one piece.
+	KindLetter Kind = "letter"
+	// KindLookup is a call of a plain service that may be repeated.
+	KindLookup Kind = "lookup"
+	// KindAction is a call of a plain service that must run at most once.
+	KindAction Kind = "action"
+)
+
+// Kinds lists all kinds in the order in which they are shown.
+var Kinds = []Kind{KindChat, KindLetter, KindLookup, KindAction}
+
+// Call is one request that a plan sends.
+type Call struct {
+	Number int
+	Kind   Kind
+	// At is the time from the start of the run at which the call is sent.
+	At time.Duration
+	// Adapter, Prompt and Tokens are set for chats and letters.
+	Adapter units.AdapterVersion
+	Prompt  string
+	Tokens  int
+	// Path and Body are set for lookups and actions.
+	Path string
+	Body string
+	// Key is set for actions. A repeated call has the key and body of the first.
+	Key      string
+	Repeated bool
+}
+
+// Bounds of the time after which a key is repeated.
+const (
+	leastRepeatDelay = 100 * time.Millisecond
+	mostRepeatDelay  = 2 * time.Second
+)
+
+// Schedule returns the calls of a plan in the order in which they are sent. Equal
+// plans give equal schedules but for the keys of actions, which carry their time.
+func (p *Plan) Schedule() []Call {
+	draw := rand.New(rand.NewPCG(p.Seed, 1))
+	popular := newPopularity(p)
+	count := max(1, int(p.Rate*p.Duration.Seconds()))
+	calls := make([]Call, 0, count)
+	for i := range count {
+		call := Call{Number: i, At: time.Duration(float64(i) / p.Rate * float64(time.Second)), Kind: p.Mix.pick(draw)}
+		switch call.Kind {
+		case KindChat, KindLetter:
+			call.Adapter = popular.pick(call.At)
+			call.Prompt = fmt.Sprintf("adapter %s answers question %d of seed %d", call.Adapter.Adapter, i, p.Seed)
+			call.Tokens = p.ChatTokens
+			if call.Kind == KindLetter {
+				call.Tokens = p.LetterTokens
+			}
+		case KindLookup:
+			call.Path = fmt.Sprintf("%s/item-%d", p.LookupPath, i)
+		case KindAction:
+			call.Path = p.ActionPath
+			call.Body = fmt.Sprintf(`{"seed":%d,"call":%d}`, p.Seed, i)
+			call.Key = uuid.Must(uuid.NewV7()).String()
+		}
+		calls = append(calls, call)
+		if call.Kind == KindAction && draw.Float64() < p.RepeatShare {
+			call.Repeated = true
+			call.At += leastRepeatDelay + time.Duration(draw.Int64N(int64(mostRepeatDelay-leastRepeatDelay)))
+			calls = append(calls, call)
+		}
+	}
+	slices.SortStableFunc(calls, func(a, b Call) int { return cmp.Compare(a.At, b.At) })
+	for i := range calls {
+		calls[i].Number = i
+	}
+	return calls
+}
+
+func (m Mix) pick(draw *rand.Rand) Kind {
+	n := draw.IntN(m.sum())
+	for _, share := range []struct {
+		kind Kind
+		of   int
+	}{{KindChat, m.Chat}, {KindLetter, m.Letter}, {KindLookup, m.Lookup}, {KindAction, m.Action}} {
+		if n < share.of {
+			return share.kind
+		}
+		n -= share.of
+	}
+	return KindChat
+}
+
+// popularity draws adapters by a Zipf distribution whose ranks are shuffled anew
+// after each shift.
+type popularity struct {
+	adapters []units.AdapterVersion
+	zipf     *rand.Zipf
+	shuffle  *rand.Rand
+	every    time.Duration
+	shiftAt  time.Duration
+}
+
+func newPopularity(p *Plan) *popularity {
+	if len(p.Adapters) == 0 {
+		return &popularity{}
+	}
+	popular := &popularity{
+		adapters: slices.Clone(p.Adapters),
+		zipf:     rand.NewZipf(rand.New(rand.NewPCG(p.Seed, 2)), p.Skew, 1, uint64(len(p.Adapters)-1)),
+		shuffle:  rand.New(rand.NewPCG(p.Seed, 3)),
+		every:    p.ShiftEvery,
+		shiftAt:  p.ShiftEvery,
+	}
+	popular.shift()
+	return popular
+}
+
+func (p *popularity) shift() {
+	p.shuffle.Shuffle(len(p.adapters), func(i, j int) { p.adapters[i], p.adapters[j] = p.adapters[j], p.adapters[i] })
+}
+
+func (p *popularity) pick(at time.Duration) units.AdapterVersion {
+	for p.every > 0 && at >= p.shiftAt {
+		p.shift()
+		p.shiftAt += p.every
+	}
+	return p.adapters[p.zipf.Uint64()]
+}
--- /dev/null
+++ b/internal/oper/load/standins.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"mangostile/internal/core/event"
+	"mangostile/internal/fake/engine"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// standins reads the stand-ins' counters and the fill of their batches.
+type standins struct {
+	client   *fasthttp.Client
+	engines  []string
+	services []string
+	// running and room sum the requests that ran and the places of the batches,
+	// over all looks at engines that were not idle.
+	running int64
+	room    int64
+}
+
+const (
+	samplePeriod   = 250 * time.Millisecond
+	standinTimeout = 2 * time.Second
+)
+
+func (s *standins) get(address, path string, value any) error {
+	status, body, err := s.client.GetTimeout(nil, "http://"+address+path, standinTimeout)
+	if err != nil {
+		return errors.Wrapf(err, "stand-in %s", address)
+	}
+	if status != fasthttp.StatusOK {
+		return errors.Errorf("stand-in %s%s answered with status %d", address, path, status)
+	}
+	return errors.Wrapf(json.Unmarshal(body, value), "stand-in %s%s", address, path)
+}
+
+// sample looks at the engines until ctx is done.
+func (s *standins) sample(ctx context.Context) {
+	ticker := time.NewTicker(samplePeriod)
+	defer ticker.Stop()
+	for {
+		for _, address := range s.engines {
+			var report event.ServerReport
+			if s.get(address, "/v1/report", &report) == nil && report.Running > 0 {
+				s.running += int64(report.Running)
+				s.room += int64(report.BatchMax)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Counters sums the counters of all engines.
+type Counters struct {
+	engine.Counters
+	// SecondRuns counts runs of an action's key after the first.
+	SecondRuns int `json:"second_runs"`
+}
+
+// engineCounters sums the engines' counters.
+func (s *standins) engineCounters() (engine.Counters, error) {
+	var sum engine.Counters
+	for _, address := range s.engines {
+		var c engine.Counters
+		if err := s.get(address, "/counters", &c); err != nil {
+			return sum, err
+		}
+		sum.WrongAdapter += c.WrongAdapter
+		sum.EvictedRunning += c.EvictedRunning
+		sum.OldOrdersTaken += c.OldOrdersTaken
+		sum.Requests += c.Requests
+		sum.Tokens += c.Tokens
+		sum.Steps += c.Steps
+		sum.Loads += c.Loads
+		sum.Unloads += c.Unloads
+		sum.Crashes += c.Crashes
+	}
+	return sum, nil
+}
+
+// runs returns how often each key ran. Instances that share a list of runs are
+// counted once.
+func (s *standins) runs() (map[string]int, error) {
+	runs := map[string]int{}
+	for _, address := range s.services {
+		var own map[string]int
+		if err := s.get(address, "/runs", &own); err != nil {
+			return nil, err
+		}
+		for key, n := range own {
+			runs[key] = max(runs[key], n)
+		}
+	}
+	return runs, nil
+}
