Run whole deployments as processes under load

Cause: only in-process tests drove the whole path.

Change: internal/oper/trials, behind the build tag wholerun, starts an example's processes on free ports with relays between the entry VMs that delay, count and cut, runs the load tool with failures, and records outcomes in docs/measurements.

Conclusion: one command reruns the whole runs and rewrites their page.

--- /dev/null
+++ b/internal/oper/trials/network_test.go
@@ -0,0 +1,204 @@
+//go:build wholerun
+
+package trials
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"mangostile/internal/core/event"
+)
+
+// network joins the entry VMs of a deployment with each other and with the
+// platform through relays, and gives each its own view of the list of VMs.
+type network struct {
+	entries []event.VM
+	list    string
+	// peers and serves hold a relay for each ordered pair of entry VMs, logs and
+	// lists one for each entry VM.
+	peers  map[[2]string]*relay
+	serves map[[2]string]*relay
+	logs   map[string]*relay
+
+	mu       sync.Mutex
+	listDown map[string]bool
+	views    map[string]string
+	servers  []*http.Server
+}
+
+// One-way delays of the deployments.
+const (
+	domainDelay = time.Millisecond
+	regionDelay = 30 * time.Millisecond
+)
+
+func newNetwork(entries []event.VM, logAddress, listAddress string) (*network, error) {
+	n := &network{
+		entries: entries, list: listAddress, peers: map[[2]string]*relay{}, serves: map[[2]string]*relay{}, logs: map[string]*relay{},
+		listDown: map[string]bool{}, views: map[string]string{},
+	}
+	home := entries[0].Region
+	for _, from := range entries {
+		var err error
+		if n.logs[from.ID], err = newRelay(logAddress, delayBetween(from.FailureDomain != entries[0].FailureDomain, from.Region != home)); err != nil {
+			return nil, err
+		}
+		for _, to := range entries {
+			if from.ID == to.ID {
+				continue
+			}
+			delay := delayBetween(from.FailureDomain != to.FailureDomain, from.Region != to.Region)
+			pair := [2]string{from.ID, to.ID}
+			if n.peers[pair], err = newRelay(to.Address, delay); err != nil {
+				return nil, err
+			}
+			if n.serves[pair], err = newRelay(to.ServeAddress, delay); err != nil {
+				return nil, err
+			}
+		}
+		if err := n.view(from.ID); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func delayBetween(otherDomain, otherRegion bool) time.Duration {
+	switch {
+	case otherRegion:
+		return regionDelay
+	case otherDomain:
+		return domainDelay
+	default:
+		return 0
+	}
+}
+
+// view serves the list of VMs as one entry VM is to see it.
+func (n *network) view(id string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	n.views[id] = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.serveList(w, id) }), ReadTimeout: time.Minute}
+	n.servers = append(n.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (n *network) serveList(w http.ResponseWriter, id string) {
+	n.mu.Lock()
+	down := n.listDown[id]
+	n.mu.Unlock()
+	client := http.Client{Timeout: time.Second}
+	var answer struct {
+		VMs []event.VM `json:"vms"`
+	}
+	resp, err := client.Get("http://" + n.list + "/v1/vms")
+	if err == nil {
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		_ = resp.Body.Close()
+	}
+	if down || err != nil {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	for i := range answer.VMs {
+		vm := &answer.VMs[i]
+		pair := [2]string{id, vm.ID}
+		if vm.Entry && n.peers[pair] != nil {
+			vm.Address, vm.ServeAddress = n.peers[pair].address(), n.serves[pair].address()
+		}
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// cutDomain cuts a failure domain off from the others and from the platform, or
+// heals it. OneWay cuts only what goes out of the domain.
+func (n *network) cutDomain(domain string, cut, oneWay bool) {
+	inside := map[string]bool{}
+	for _, vm := range n.entries {
+		inside[vm.ID] = string(vm.FailureDomain) == domain
+	}
+	for _, relays := range []map[[2]string]*relay{n.peers, n.serves} {
+		for pair, r := range relays {
+			switch {
+			case inside[pair[0]] == inside[pair[1]]:
+			case inside[pair[0]]:
+				r.cut(cut, cut && !oneWay)
+			default:
+				r.cut(cut && !oneWay, cut)
+			}
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, r := range n.logs {
+		if inside[id] {
+			r.cut(cut, cut && !oneWay)
+			n.listDown[id] = cut
+		}
+	}
+}
+
+// traffic returns the bytes that went between entry VMs, from each one's peer
+// links out, in all, and between regions.
+func (n *network) traffic() (byEntry map[string]int64, regions int64) {
+	byEntry = map[string]int64{}
+	region := map[string]string{}
+	for _, vm := range n.entries {
+		region[vm.ID] = string(vm.Region)
+	}
+	for pair, r := range n.peers {
+		bytes := r.bytes.Load()
+		byEntry[pair[0]] += bytes
+		if region[pair[0]] != region[pair[1]] {
+			regions += bytes
+		}
+	}
+	return byEntry, regions
+}
+
+func (n *network) logBytes() (sum int64) {
+	for _, r := range n.logs {
+		sum += r.bytes.Load()
+	}
+	return sum
+}
+
+func (n *network) close() {
+	for _, relays := range []map[[2]string]*relay{n.peers, n.serves} {
+		for _, r := range relays {
+			r.close()
+		}
+	}
+	for _, r := range n.logs {
+		r.close()
+	}
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+}
+
+// freePort returns a free port of loopback below the range that outgoing
+// connections take.
+func freePort(taken map[int]bool) (int, error) {
+	for port := 22000 + len(taken); port < 32000; port++ {
+		if taken[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		taken[port] = true
+		return port, nil
+	}
+	return 0, fmt.Errorf("no free port")
+}
--- /dev/null
+++ b/internal/oper/trials/wholerun_test.go
@@ -0,0 +1,345 @@
+//go:build wholerun
+
+package trials
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/oper/load"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	recordDir = flag.String("record", "", "`directory` to write whole-runs.json and whole-runs.md to")
+	seed      = flag.Uint64("seed", 20261204, "seed of the schedules")
+)
+
+func toAdapter(name string) units.AdapterName { return units.AdapterName(name) }
+
+// trial is one whole run.
+type trial struct {
+	name    string
+	example string
+	// what tells readers of the record what was done.
+	what   string
+	change func(plan *load.Plan)
+	// during brings the failures about while the load runs.
+	during func(ctx context.Context, d *deployment) []string
+	// after checks what must hold once the load has ended.
+	after func(d *deployment) []string
+}
+
+// outcome is what is recorded of one run.
+type outcome struct {
+	Name    string `json:"name"`
+	Example string `json:"example"`
+	What    string `json:"what"`
+	// Report is what the load tool saw.
+	Report *load.Report `json:"report"`
+	// Notes are what the run itself saw, Faults what must not happen and did.
+	Notes  []string `json:"notes,omitempty"`
+	Faults []string `json:"faults,omitempty"`
+	// CPUShare is each entry VM's mean share of a core, MemoryMB the greatest
+	// resident memory seen, PeerBytes the bytes a second that it sent to others
+	// and got back on those links.
+	CPUShare    float64 `json:"cpu_share"`
+	MemoryMB    float64 `json:"memory_mb"`
+	PeerBytes   float64 `json:"peer_bytes_per_s"`
+	RegionBytes float64 `json:"region_bytes_per_s"`
+	LogBytes    float64 `json:"log_bytes_per_s"`
+}
+
+var tokens = map[string]string{"guild": "village-app-token", "kanoride": "store-app-token"}
+
+func TestWholeRun(t *testing.T) {
+	for _, run := range trials {
+		t.Run(run.name, func(t *testing.T) {
+			result := runTrial(t, run)
+			if *recordDir != "" {
+				must.NoError(t, writeRecord(*recordDir, result))
+			}
+			for _, fault := range result.Faults {
+				t.Error(fault)
+			}
+		})
+	}
+}
+
+func runTrial(t *testing.T, run trial) *outcome {
+	d := startDeployment(t, run.example, tokens[run.example])
+	plan := d.plan(*seed)
+	if run.change != nil {
+		run.change(&plan)
+	}
+	sleep(t.Context(), settleTime)
+	before, regionBefore := d.network.traffic()
+	logBefore := d.network.logBytes()
+	cpuBefore := map[string]time.Duration{}
+	for id, p := range d.processes {
+		cpuBefore[id], _ = processUsage(p.cmd.Process.Pid)
+	}
+	began := time.Now()
+	notes := make(chan []string, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), plan.Duration+plan.Deadline+time.Minute)
+	defer cancel()
+	go func() {
+		if run.during == nil {
+			notes <- nil
+			return
+		}
+		notes <- run.during(ctx, d)
+	}()
+	report, err := load.Run(ctx, plan, testWriter{t})
+	must.NoError(t, err)
+	result := &outcome{Name: run.name, Example: run.example, What: run.what, Report: report, Notes: <-notes}
+	took := time.Since(began).Seconds()
+	after, regionAfter := d.network.traffic()
+	for _, id := range d.entryIDs() {
+		d.noteUsage(id)
+		u := d.usage[id]
+		result.CPUShare = max(result.CPUShare, (u.CPU-cpuBefore[id]).Seconds()/took)
+		result.MemoryMB = max(result.MemoryMB, float64(u.MaxMemory)/(1<<20))
+		result.PeerBytes = max(result.PeerBytes, float64(after[id]-before[id])/took)
+	}
+	result.RegionBytes = float64(regionAfter-regionBefore) / took
+	result.LogBytes = float64(d.network.logBytes()-logBefore) / took
+	if run.after != nil {
+		result.Notes = append(result.Notes, run.after(d)...)
+	}
+	for _, note := range result.Notes {
+		if strings.HasPrefix(note, "FAULT ") {
+			result.Faults = append(result.Faults, note)
+		}
+	}
+	result.Faults = append(result.Faults, report.Faults()...)
+	if report.Unsent > 0 {
+		result.Faults = append(result.Faults, "the tool was the bottleneck")
+	}
+	var table strings.Builder
+	must.NoError(t, report.WriteTable(&table))
+	t.Logf("%s\nnotes %q\ncpu share %.3f, memory %.0f MB, peer links %.0f B/s, between regions %.0f B/s, log %.0f B/s", table.String(), result.Notes,
+		result.CPUShare, result.MemoryMB, result.PeerBytes, result.RegionBytes, result.LogBytes)
+	return result
+}
+
+// settleTime is how long owners get to claim their engines before the load.
+const settleTime = 3 * time.Second
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimRight(string(p), "\n"))
+	return len(p), nil
+}
+
+var _ io.Writer = testWriter{}
+
+// writeRecord replaces the run's part of the record.
+func writeRecord(dir string, result *outcome) error {
+	path := filepath.Join(dir, "whole-runs.json")
+	var all []*outcome
+	if body, err := os.ReadFile(path); err == nil {
+		if err := json.Unmarshal(body, &all); err != nil {
+			return err
+		}
+	}
+	all = slices.DeleteFunc(all, func(o *outcome) bool { return o.Name == result.Name })
+	all = append(all, result)
+	slices.SortFunc(all, func(a, b *outcome) int { return trialIndex(a.Name) - trialIndex(b.Name) })
+	body, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, append(body, '\n'), 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "whole-runs.md"), []byte(recordPage(all)), 0o644)
+}
+
+func trialIndex(name string) int {
+	return slices.IndexFunc(trials, func(t trial) bool { return t.name == name })
+}
+
+const recordHead = `# Whole runs
+
+Written by the command below; each run starts one process for the stand-ins and
+one for each of the 7 entry VMs, with the settings of examples/, on loopback and
+with the delays between failure domains and regions of the brief.
+
+    go test -tags wholerun -count 1 -timeout 30m ./internal/oper/trials -args -record ../../../docs/measurements
+
+Times are in milliseconds and count from the instant at which a request had to be
+sent. A load stall is a chat whose first token took 200 ms or more. CPU is the
+entry VM with the most, as a share of a core with all serving; memory is resident;
+peer links are the bytes a second of the busiest entry VM.
+
+`
+
+func recordPage(all []*outcome) string {
+	var page strings.Builder
+	page.WriteString(recordHead)
+	page.WriteString("| run | date | sent | first p50 | p95 | p99 | gap p50 | p95 | p99 | stalls | stall p95 | batch | refused | lost | wrong | cut | CPU | MB | peer B/s | region B/s |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, o := range all {
+		page.WriteString(recordLine(o))
+	}
+	for _, o := range all {
+		page.WriteString(recordDetails(o))
+	}
+	return page.String()
+}
+
+func recordLine(o *outcome) string {
+	r := o.Report
+	sent, refused := 0, 0
+	var chat load.KindReport
+	for _, k := range r.Kinds {
+		sent += k.Sent
+		refused += k.Refused
+		if k.Kind == load.KindChat {
+			chat = k
+		}
+	}
+	return fmt.Sprintf("| %s | %s | %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f%% | %.0f | %.3f | %d | %d | %d | %d | %.3f | %.0f | %.0f | %.0f |\n",
+		o.Name, r.Date, sent, chat.First.P50, chat.First.P95, chat.First.P99, chat.Gaps.P50, chat.Gaps.P95, chat.Gaps.P99, 100*r.Stalls.Share,
+		r.Stalls.Times.P95, r.BatchEfficiency, refused, r.Lost, r.Wrong, r.Cut, o.CPUShare, o.MemoryMB, o.PeerBytes, o.RegionBytes)
+}
+
+func recordDetails(o *outcome) string {
+	var text strings.Builder
+	r := o.Report
+	fmt.Fprintf(&text, "\n## %s\n\n%s Seed %d, %.0f requests/s for %d s, %d adapters.\n\n", o.Name, o.What, r.Seed, r.Rate, r.DurationMS/1000, r.Adapters)
+	fmt.Fprintf(&text, "- Actions: %d keys; %d answered, %d ran, %d unknown, %d told not run; %d second runs, %d answered but not run, %d told not run but run.\n",
+		r.Actions.Keys, r.Actions.Answered, r.Actions.Ran, r.Actions.Unknown, r.Actions.ToldNotRun, r.Actions.SecondRuns, r.Actions.AnsweredNotRun, r.Actions.ToldNotRunButRan)
+	fmt.Fprintf(&text, "- Engines: %d loads, %d evictions, %d requests on a wrong adapter, %d evictions under a request, %d old orders taken.\n",
+		r.Standins.Loads, r.Standins.Unloads, r.Standins.WrongAdapter, r.Standins.EvictedRunning, r.Standins.OldOrdersTaken)
+	codes := make([]string, 0, len(r.Refusals))
+	for code, n := range r.Refusals {
+		codes = append(codes, fmt.Sprintf("%d %s", n, code))
+	}
+	slices.Sort(codes)
+	if len(codes) > 0 {
+		fmt.Fprintf(&text, "- Refusals: %s.\n", strings.Join(codes, ", "))
+	}
+	for _, list := range [][]string{o.Notes, r.Warnings, o.Faults, r.Examples} {
+		for _, line := range list {
+			fmt.Fprintf(&text, "- %s\n", line)
+		}
+	}
+	return text.String()
+}
+
+var trials = []trial{
+	{
+		name: "guild_calm", example: "guild", what: "Nothing fails.",
+	},
+	{
+		name: "guild_entry_vm_killed", example: "guild", what: "Entry VM entry-1 is killed after 8 s and replaced 5 s later.",
+		during: func(ctx context.Context, d *deployment) []string {
+			sleep(ctx, 8*time.Second)
+			d.kill("entry-1")
+			sleep(ctx, 5*time.Second)
+			began := time.Now()
+			d.startEntry("entry-1")
+			d.waitReady("entry-1")
+			return []string{fmt.Sprintf("the replacement was ready after %d ms", time.Since(began).Milliseconds())}
+		},
+	},
+	{
+		name: "guild_log_outage", example: "guild", what: "The log service is down from 6 s to 18 s, with an edit each second and actions.",
+		change: func(plan *load.Plan) { plan.Mix.Action = 15 },
+		during: duringLogOutage,
+		after:  checkEdits,
+	},
+}
+
+// edited remembers the outcomes of a run's edits.
+var edited []editTry
+
+type editTry struct {
+	cell    event.Cell
+	outcome event.EditOutcome
+}
+
+func duringLogOutage(ctx context.Context, d *deployment) []string {
+	edited = nil
+	counts := map[event.EditKind]int{}
+	for second := range 26 {
+		switch second {
+		case 6:
+			d.logFault(`{"down":true}`)
+		case 18:
+			d.logFault(`{}`)
+		}
+		id := d.entries[second%len(d.entries)].ID
+		cell := event.Cell{
+			Adapter: toAdapter(string(firstAdapter(d, second))), Column: "weight", Value: fmt.Sprint(10 + second),
+			ReadAt: units.Offset(max(0, d.revision(id))),
+		}
+		began := time.Now()
+		try := editTry{cell, d.edit(id, []event.Cell{cell})}
+		edited = append(edited, try)
+		counts[try.outcome.Kind]++
+		sleep(ctx, time.Second-time.Since(began))
+	}
+	return []string{fmt.Sprintf("edits by outcome: %v", counts)}
+}
+
+func firstAdapter(d *deployment, i int) units.AdapterName {
+	adapters, err := load.ReadAdapters(filepath.Join(d.dir, "adapters.csv"))
+	must.NoError(d.t, err)
+	return adapters[i].Adapter
+}
+
+// checkEdits checks that each accepted edit is in force on all entry VMs and
+// none that was refused is.
+func checkEdits(d *deployment) []string {
+	var notes []string
+	last := units.Offset(0)
+	for _, try := range edited {
+		if try.outcome.Kind == event.EditAccepted {
+			last = max(last, try.outcome.Offset)
+		}
+	}
+	took := d.waitRevision(int64(last) + 1)
+	notes = append(notes, fmt.Sprintf("all entry VMs reached the last accepted edit %d ms after the load", took.Milliseconds()))
+	for _, id := range d.entryIDs() {
+		weights := d.column(id, "weight")
+		for _, try := range edited {
+			inForce := weights[string(try.cell.Adapter)] == try.cell.Value
+			if inForce != (try.outcome.Kind == event.EditAccepted) && try.outcome.Kind != event.EditUnknown {
+				notes = append(notes, fmt.Sprintf("FAULT edit of %s was answered %s and in force is %t on %s", try.cell.Adapter, try.outcome.Kind, inForce, id))
+			}
+		}
+	}
+	return notes
+}
+
+// column returns the values of a column by adapter.
+func (d *deployment) column(id, column string) map[string]string {
+	_, body := d.get(d.admins[id], "/admin/table")
+	var table struct {
+		Columns []string   `json:"columns"`
+		Rows    [][]string `json:"rows"`
+	}
+	must.NoError(d.t, json.Unmarshal(body, &table))
+	at := slices.Index(table.Columns, column) + 1
+	values := map[string]string{}
+	for _, row := range table.Rows {
+		values[row[0]] = row[at]
+	}
+	return values
+}
