--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
@@ -8,13 +12,20 @@
 	"mangostile/internal/core/once"
 )
 
+// intentRetry is the time after which an intent that was not found in the log is
+// appended again.
+const intentRetry = clock.Second
+
+// maxIntentAppends bounds the records of one intent.
+const maxIntentAppends = 8
+
 // intent is the progress of an action's intent through the log.
 type intent struct {
-	// record is the id of the intent's record, or "" before it is appended.
-	record units.RecordID
-	// offset is set once placed.
-	offset units.Offset
-	placed bool
+	// appends counts the records; retryAt is when to append the next one.
+	appends int
+	retryAt clock.Millis
+	// won is set once the log shows that the action may run.
+	won bool
 }
 
 // defaultServiceDeadline is the deadline of a service that sets none.
@@ -28,6 +39,11 @@
 	if !r.Idempotent && r.Key == "" {
 		return errs.Refuse(errs.CodeKeyRequired, "this call must not run twice: send an Idempotency-Key header")
 	}
+	if !r.Idempotent {
+		if refusal := c.checkKey(r); refusal != nil {
+			return refusal
+		}
+	}
 	if r.Deadline == 0 {
 		r.Deadline = c.now + service.Deadline
 		if service.Deadline == 0 {
@@ -37,13 +53,24 @@
 	return nil
 }
 
+// checkKey refuses keys whose age can't be told, before anything is appended.
+func (c *Core) checkKey(r *request) *errs.Refusal {
+	if _, ok := once.KeyTime(r.Key); !ok {
+		return errs.Refuse(errs.CodeBadRequest, "the Idempotency-Key shows no time: use a UUIDv7, or 13 digits of Unix milliseconds, a hyphen and a text of your own")
+	}
+	if c.Ledger.Full(actionKey(r)) {
+		return errs.Refuse(errs.CodeOverloaded, "too many actions in the last hour: send the request again later with the same key").After(clock.Minute)
+	}
+	return nil
+}
+
 // actionKey keeps the keys of different callers and services apart.
 func actionKey(r *request) string {
-	return string(r.Caller) + "\x00" + string(r.Service) + "\x00" + r.Key
+	return once.Scope(string(r.Caller), string(r.Service), r.Key)
 }
 
 func (c *Core) advanceService(r *request, out *event.Effects) {
-	if !r.Idempotent && !r.intent.placed {
+	if !r.Idempotent && !r.intent.won {
 		c.placeIntent(r, out)
 		return
 	}
@@ -66,60 +93,78 @@
 	})
 }
 
-// placeIntent appends the intent of an action.
+// placeIntent appends the intent of an action. It may be called again: further
+// records of the same intent change nothing.
 func (c *Core) placeIntent(r *request, out *event.Effects) {
 	key := actionKey(r)
-	c.Ledger.Follow(key, out)
+	c.Ledger.Follow(key, r.ID, out)
 	r.state = stateIntent
-	r.intent.record = units.RecordID("intent-" + string(r.ID))
+	r.intent.appends++
+	r.intent.retryAt = c.now + intentRetry
 	out.Add(event.AppendRecord{
-		Stream: once.StreamOf(key), ID: r.intent.record,
+		Stream: once.StreamOf(key), ID: intentRecord(r.ID),
 		Body: once.Encode(once.Entry{Key: key, Digest: r.Digest, Request: r.ID}),
 	})
 }
 
-// intentAppended takes the answer to the append of an intent.
-func (c *Core) intentAppended(r *request, ev event.AppendDone, out *event.Effects) {
-	switch ev.Result {
-	case event.AppendAccepted:
-		r.intent.offset = ev.Offset
-		r.intent.placed = true
-		c.decideAction(r, out)
-	case event.AppendRefused:
-		c.refuse(r, errs.Refuse(errs.CodeLogUnavailable, "the log service took no record: send the request again with the same key").After(clock.Second), out)
-	case event.AppendUnknown:
-		// The record is looked for in the stream until the deadline.
+// Prefixes of the ids of records in action streams.
+const (
+	intentPrefix  = "intent-"
+	outcomePrefix = "outcome-"
+)
+
+func intentRecord(id units.RequestID) units.RecordID {
+	return units.RecordID(intentPrefix + string(id))
+}
+
+// actionAppended takes the answer to an append. Where it was lost or refused, an
+// intent is looked for in the stream and appended again until the deadline.
+func (c *Core) actionAppended(ev event.AppendDone) {
+	if ev.Result == event.AppendAccepted && strings.HasPrefix(string(ev.ID), outcomePrefix) {
+		delete(c.outcomes, ev.ID)
 	}
 }
 
-// decideAction runs or refuses an action once its place in the log is folded.
+// decideAction runs or refuses an action once its intent is read from the log.
 func (c *Core) decideAction(r *request, out *event.Effects) {
-	key := actionKey(r)
-	if !r.intent.placed {
-		if state := c.Ledger.Known(key); state == nil || state.First != r.ID {
-			return
-		}
-		r.intent.placed = true
-	} else if _, folded := c.Ledger.State(key, r.intent.offset); !folded {
+	verdict, outcome := c.Ledger.Judge(actionKey(r), r.Digest, r.ID)
+	switch verdict {
+	case once.VerdictWait:
 		return
-	}
-	state := c.Ledger.Known(key)
-	switch {
-	case state == nil:
-		c.refuse(r, errs.Refuse(errs.CodeLogUnavailable, "the record of the request has expired: send it again with a new key"), out)
-	case state.Digest != r.Digest:
-		c.refuse(r, errs.Refuse(errs.CodeKeyReused, "this Idempotency-Key was used for another request: use a new key"), out)
-	case state.First == r.ID:
+	case once.VerdictRun:
+		r.intent.won = true
 		c.advance(r, out)
-	case state.Outcome != nil && !state.Outcome.NotRun:
-		c.replay(r, state.Outcome, out)
+		return
+	case once.VerdictReplay:
+		c.replay(r, outcome, out)
+		return
+	}
+	if verdict == once.VerdictTooOld || verdict == once.VerdictAhead {
+		// The intent may be the first of its key as others read the log.
+		c.recordOutcome(r, &once.Outcome{NotRun: true}, out)
+	}
+	c.refuse(r, verdictRefusal(verdict), out)
+}
+
+func verdictRefusal(verdict once.Verdict) *errs.Refusal {
+	switch verdict {
+	case once.VerdictKeyReused:
+		return errs.Refuse(errs.CodeKeyReused, "this Idempotency-Key was used for another request: use a new key")
+	case once.VerdictAhead:
+		return errs.Refuse(errs.CodeBadRequest, "the time in the Idempotency-Key is more than %v ahead: set the caller's clock right and use a new key", once.MaxKeyAhead)
+	case once.VerdictTooOld:
+		return errs.RefuseUnknown(errs.CodeKeyTooOld, "the Idempotency-Key is older than %v or than the records that are left, and was not run now: ask the service whether an earlier request with it ran before you use a new key", once.KeyWindow)
 	default:
-		c.refuse(r, errs.RefuseUnknown(errs.CodeOutcomeUnknown, "the first request with this key has no recorded outcome: ask again later with the same key").After(clock.Second), out)
+		return errs.RefuseUnknown(errs.CodeOutcomeUnknown, "the first request with this key has no recorded outcome: ask again later with the same key").After(clock.Second)
 	}
 }
 
 func (c *Core) replay(r *request, outcome *once.Outcome, out *event.Effects) {
-	delete(c.requests, r.ID)
+	if outcome.Shortened {
+		c.refuse(r, errs.RefuseUnknown(errs.CodeOutcomeUnknown, "an earlier request with this key ran and got status %d, but its answer was too long to be kept: ask the service", outcome.Status), out)
+		return
+	}
+	c.end(r)
 	out.Add(event.Decision{Area: "once", Request: r.ID, Choice: "replayed", Reason: "outcome_recorded"})
 	out.Add(event.Replay{Request: r.ID, Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body})
 }
@@ -135,6 +180,9 @@
 
 func (c *Core) tickIntent(r *request, out *event.Effects) {
 	if c.now < r.Deadline {
+		if c.now >= r.intent.retryAt && r.intent.appends < maxIntentAppends {
+			c.placeIntent(r, out)
+		}
 		return
 	}
 	// The intent may be in the log, but only this entry VM could have acted on
@@ -148,7 +196,7 @@
 	switch {
 	case result.Kind == event.ResultServed:
 		c.recordOutcome(r, &once.Outcome{Status: result.Status, ContentType: result.ContentType, Body: result.Body}, out)
-		delete(c.requests, r.ID)
+		c.end(r)
 	case result.Kind.Ran() == errs.RanNo && c.now < r.Deadline && r.attempt < maxAttempts:
 		r.tried = append(r.tried, r.server)
 		c.advance(r, out)
@@ -160,10 +208,56 @@
 	}
 }
 
+// pendingOutcome is an outcome that the log has not confirmed.
+type pendingOutcome struct {
+	stream  units.StreamName
+	body    []byte
+	retryAt clock.Millis
+	// giveUpAt is the instant after which the outcome stays unrecorded.
+	giveUpAt clock.Millis
+}
+
+// Times of pending outcomes.
+const (
+	outcomeRetry = 2 * clock.Second
+	outcomeTerm  = 10 * clock.Minute
+	// outcomeLeaveTerm is how long a leaving entry VM waits for the log.
+	outcomeLeaveTerm = 10 * clock.Second
+	maxOutcomes      = 1024
+)
+
+// recordOutcome appends how an action ended, again and again until the log
+// confirms it.
 func (c *Core) recordOutcome(r *request, outcome *once.Outcome, out *event.Effects) {
+	outcome.Shorten()
 	key := actionKey(r)
-	out.Add(event.AppendRecord{
-		Stream: once.StreamOf(key), ID: units.RecordID("outcome-" + string(r.ID)),
-		Body: once.Encode(once.Entry{Key: key, Digest: r.Digest, Request: r.ID, Outcome: outcome}),
-	})
+	pending := &pendingOutcome{
+		stream: once.StreamOf(key), body: once.Encode(once.Entry{Key: key, Digest: r.Digest, Request: r.ID, Outcome: outcome}),
+		giveUpAt: c.now + outcomeTerm,
+	}
+	if c.leaving {
+		pending.giveUpAt = c.now + outcomeLeaveTerm
+	}
+	id := units.RecordID(outcomePrefix + string(r.ID))
+	if len(c.outcomes) < maxOutcomes {
+		c.outcomes[id] = pending
+	}
+	c.appendOutcome(id, pending, out)
+}
+
+func (c *Core) appendOutcome(id units.RecordID, pending *pendingOutcome, out *event.Effects) {
+	pending.retryAt = c.now + outcomeRetry
+	out.Add(event.AppendRecord{Stream: pending.stream, ID: id, Body: pending.body})
+}
+
+func (c *Core) tickOutcomes(out *event.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(c.outcomes)) {
+		pending := c.outcomes[id]
+		switch {
+		case c.now >= pending.giveUpAt:
+			delete(c.outcomes, id)
+		case c.now >= pending.retryAt:
+			c.appendOutcome(id, pending, out)
+		}
+	}
 }
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -48,6 +48,8 @@
 	requests map[units.RequestID]*request
 	// edits holds edits that an operator waits for.
 	edits map[units.RecordID]*pendingEdit
+	// outcomes holds outcomes of actions that the log has not confirmed.
+	outcomes map[units.RecordID]*pendingOutcome
 	// listed is the platform's last list.
 	listed  []event.VM
 	vms     map[string]event.VM
@@ -61,7 +63,7 @@
 
 // New returns a core that has seen no event.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, requests: map[units.RequestID]*request{}, edits: map[units.RecordID]*pendingEdit{}}
+	c := &Core{cfg: cfg, requests: map[units.RequestID]*request{}, edits: map[units.RecordID]*pendingEdit{}, outcomes: map[units.RecordID]*pendingOutcome{}}
 	c.Members.Self = cfg.Self
 	c.Owner.Self = units.EntryVMID(cfg.Self.ID)
 	c.Owner.Incarnation = cfg.Incarnation
@@ -179,11 +181,12 @@
 	}
 	c.tickRequests(out)
 	c.tickEdits(out)
+	c.tickOutcomes(out)
 }
 
 func (c *Core) recordsRead(ev event.RecordsRead, out *event.Effects) {
 	if ev.Stream != event.ConfigStream {
-		if c.Ledger.Fold(ev) {
+		if c.Ledger.Fold(ev, out) {
 			c.retryActions(out)
 		}
 		return
@@ -201,13 +204,16 @@
 		return
 	}
 	c.leaving = true
+	for _, pending := range c.outcomes {
+		pending.giveUpAt = min(pending.giveUpAt, c.now+outcomeLeaveTerm)
+	}
 	c.Members.Leave(c.now)
 	c.beat(out)
 	out.Add(event.Decision{Area: "member", Choice: c.cfg.Self.ID, Reason: "leaving"})
 }
 
 func (c *Core) leaveIfDone(out *event.Effects) {
-	if !c.leaving || c.left || len(c.requests) > 0 || len(c.edits) > 0 {
+	if !c.leaving || c.left || len(c.requests) > 0 || len(c.edits) > 0 || len(c.outcomes) > 0 {
 		return
 	}
 	c.left = true
--- a/internal/core/entry/edit.go
+++ b/internal/core/entry/edit.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
@@ -61,10 +60,7 @@
 		c.editAppended(ev, out)
 		return
 	}
-	id, ok := strings.CutPrefix(string(ev.ID), "intent-")
-	if r := c.requests[units.RequestID(id)]; ok && r != nil && r.state == stateIntent {
-		c.intentAppended(r, ev, out)
-	}
+	c.actionAppended(ev)
 }
 
 func (c *Core) editAppended(ev event.AppendDone, out *event.Effects) {
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -78,11 +78,17 @@
 		copied.Ran = errs.RanUnknown
 		refusal = &copied
 	}
-	delete(c.requests, r.ID)
+	c.end(r)
 	out.Add(event.Decision{Area: "admit", Request: r.ID, Choice: "refused", Reason: string(refusal.Code), Pairs: []any{"ran", refusal.Ran}})
 	out.Add(event.Refuse{Request: r.ID, Refusal: refusal})
 }
 
+// end forgets a request that has ended.
+func (c *Core) end(r *request) {
+	delete(c.requests, r.ID)
+	c.Ledger.Forget(r.ID)
+}
+
 // tickRequests moves on requests that wait.
 func (c *Core) tickRequests(out *event.Effects) {
 	for _, r := range c.sortedRequests() {
--- a/internal/core/once/ledger.go
+++ b/internal/core/once/ledger.go
@@ -6,10 +6,8 @@
 import (
 	"fmt"
 
-	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
-	"mangostile/internal/core/peer"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,6 +18,7 @@
 
 // Entry is one record of an action stream.
 type Entry struct {
+	// Key is the scoped idempotency key.
 	Key    string            `msgpack:"k"`
 	Digest units.Fingerprint `msgpack:"d"`
 	// Request is the request whose intent this is, or whose outcome.
@@ -31,31 +30,60 @@
 // Outcome is the recorded answer of an action that ran, or the word that it did
 // not run.
 type Outcome struct {
+	// NotRun tells that the request did not run and never will.
 	NotRun      bool   `msgpack:"n,omitempty"`
 	Status      int    `msgpack:"s"`
 	ContentType string `msgpack:"t"`
 	Body        []byte `msgpack:"b"`
+	// Shortened tells that the body was too long to be kept.
+	Shortened bool `msgpack:"x,omitempty"`
 }
 
-// State is what the ledger holds of one key.
-type State struct {
-	Digest units.Fingerprint
-	// First is the request whose intent came first and that may run.
-	First   units.RequestID
-	Outcome *Outcome
+// MaxOutcomeBytes bounds the body of a recorded outcome.
+const MaxOutcomeBytes = 16 << 10
+
+// Shorten drops a body that is too long to be recorded.
+func (o *Outcome) Shorten() {
+	if len(o.Body) > MaxOutcomeBytes {
+		o.Body, o.Shortened = nil, true
+	}
 }
 
+// Verdict says what is to become of a request whose intent was appended.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictWait: the intent has not been read from the log yet.
+	VerdictWait Verdict = iota
+	// VerdictRun: the request is the first with its key and may run.
+	VerdictRun
+	// VerdictReplay: an earlier request has a recorded outcome.
+	VerdictReplay
+	// VerdictUnknown: an earlier request has no recorded outcome.
+	VerdictUnknown
+	// VerdictKeyReused: an earlier request with the key had another content.
+	VerdictKeyReused
+	// VerdictTooOld: the records of an earlier request may have expired.
+	VerdictTooOld
+	// VerdictAhead: the time in the key is too far ahead.
+	VerdictAhead
+)
+
 // Ledger is the fold of the action streams that the entry VM follows. The zero
 // value follows none.
 type Ledger struct {
 	partitions map[units.StreamName]*partition
+	// watched holds the requests of the own entry VM whose intents are to be
+	// found in the log.
+	watched map[units.RequestID]*watch
 }
 
-type partition struct {
-	next   units.Offset
-	states map[string]*State
-	// caughtUp is set once all records up to a known end are folded.
-	caughtUp bool
+// watch is the search for one intent.
+type watch struct {
+	found bool
+	// void is VerdictTooOld or VerdictAhead if the intent does not count.
+	void Verdict
 }
 
 // StreamOf returns the stream that holds the records of key.
@@ -63,82 +91,86 @@
 	return units.StreamName(fmt.Sprintf("%s%02d", event.ActionStreamPrefix, xxhash.Sum64String(key)%Partitions))
 }
 
-// Follow starts to follow the stream of key unless it is followed already.
-func (l *Ledger) Follow(key string, out *event.Effects) {
-	stream := StreamOf(key)
+// Follow starts to follow the stream of key unless it is followed already, and
+// watches for the intent of request.
+func (l *Ledger) Follow(key string, request units.RequestID, out *event.Effects) {
 	if l.partitions == nil {
 		l.partitions = map[units.StreamName]*partition{}
+		l.watched = map[units.RequestID]*watch{}
+	}
+	if l.watched[request] == nil {
+		l.watched[request] = &watch{}
 	}
+	stream := StreamOf(key)
 	if l.partitions[stream] != nil {
 		return
 	}
-	l.partitions[stream] = &partition{states: map[string]*State{}}
+	l.partitions[stream] = &partition{states: map[string]*state{}, notRun: map[units.RequestID]bool{}}
 	out.Add(event.TailStream{Stream: stream})
 }
 
-// State returns the state of key if its stream is folded beyond offset.
-func (l *Ledger) State(key string, offset units.Offset) (*State, bool) {
+// Forget ends the watch for the intent of request.
+func (l *Ledger) Forget(request units.RequestID) { delete(l.watched, request) }
+
+// Full reports whether the stream of key holds as many keys as there is room
+// for.
+func (l *Ledger) Full(key string) bool {
 	p := l.partitions[StreamOf(key)]
-	if p == nil || p.next <= offset {
-		return nil, false
-	}
-	return p.states[key], true
+	return p != nil && len(p.states) >= maxStates
 }
 
-// Known returns the state of key as far as it is folded, or nil.
-func (l *Ledger) Known(key string) *State {
-	p := l.partitions[StreamOf(key)]
-	if p == nil {
-		return nil
+// Judge returns what is to become of a watched request, with the outcome if it
+// is to be replayed.
+func (l *Ledger) Judge(key string, digest units.Fingerprint, request units.RequestID) (Verdict, *Outcome) {
+	p, w := l.partitions[StreamOf(key)], l.watched[request]
+	if p == nil || w == nil || !w.found {
+		return VerdictWait, nil
+	}
+	s := p.states[key]
+	switch {
+	case s == nil && w.void != 0:
+		return w.void, nil
+	case s == nil:
+		return VerdictTooOld, nil
+	case s.digest != digest:
+		return VerdictKeyReused, nil
+	case s.first == request && w.void != 0:
+		return w.void, nil
+	case s.first == request:
+		return VerdictRun, nil
+	case s.outcome != nil && !s.outcome.NotRun:
+		return VerdictReplay, s.outcome
+	default:
+		return VerdictUnknown, nil
 	}
-	return p.states[key]
 }
 
-// Fold applies records of a stream. It reports whether the stream is followed.
-func (l *Ledger) Fold(ev event.RecordsRead) bool {
+// Fold applies records of a stream. It reports whether the stream is followed. A
+// batch that leaves out records makes it ask for them again.
+func (l *Ledger) Fold(ev event.RecordsRead, out *event.Effects) bool {
 	p := l.partitions[ev.Stream]
 	if p == nil {
 		return false
 	}
 	for i := range ev.Records {
-		p.fold(&ev.Records[i])
+		if ev.Records[i].Offset > p.next {
+			out.Add(event.TailStream{Stream: ev.Stream, From: p.next})
+			return true
+		}
+		p.fold(&ev.Records[i], l.watched)
 	}
-	p.next = max(p.next, ev.Next)
-	p.caughtUp = p.caughtUp || p.next >= ev.End
+	p.resume(len(ev.Records) > 0)
 	return true
 }
 
-// Skip goes on after a gap: records before oldest have expired.
+// Skip goes on after a gap: records before ev.Oldest have expired.
 func (l *Ledger) Skip(ev event.StreamGap) {
-	if p := l.partitions[ev.Stream]; p != nil {
-		p.next = max(p.next, ev.Oldest)
-	}
-}
-
-func (p *partition) fold(record *peer.Record) {
-	if record.Offset < p.next {
-		return
-	}
-	p.next = record.Offset + 1
-	var entry Entry
-	if err := msgpack.Unmarshal(record.Body, &entry); err != nil {
-		return
-	}
-	state := p.states[entry.Key]
-	switch {
-	case entry.Outcome == nil && (state == nil || state.released(&entry)):
-		p.states[entry.Key] = &State{Digest: entry.Digest, First: entry.Request}
-	case entry.Outcome != nil && state != nil && state.First == entry.Request:
-		state.Outcome = entry.Outcome
+	if p := l.partitions[ev.Stream]; p != nil && ev.Oldest > p.next {
+		p.next = ev.Oldest
+		p.gap = gapNoticed
 	}
 }
 
-// released reports whether a new intent may take the place of the first, which
-// surely did not run.
-func (s *State) released(entry *Entry) bool {
-	return s.Outcome != nil && s.Outcome.NotRun && s.Digest == entry.Digest
-}
-
 // Encode returns the body of the record of entry.
 func Encode(entry Entry) []byte {
 	body, err := msgpack.Marshal(entry)
@@ -147,6 +179,3 @@
 	}
 	return body
 }
-
-// KeyWindow is how long a key is remembered and so how old it may be.
-const KeyWindow = clock.Hour
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -88,6 +88,7 @@
 	restarted := s.reported && s.report.Start != ev.Report.Start
 	s.report, s.reported = ev.Report, true
 	if restarted {
+		o.loads -= s.loadsInFlight()
 		s.forget()
 	}
 	s.syncCopies(ev.SentAt)
