--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -48,8 +48,7 @@
 func (c *Core) beat(out *event.Effects) {
 	heartbeat := peer.Heartbeat{
 		Incarnation: c.cfg.Incarnation, Leaving: c.leaving, ConfigOffset: c.Table.Next(),
-		LogUnreachable: c.feed.unreachable,
-		Servers:        c.Owner.Summaries(c.now), Full: true,
+		Servers: c.Owner.Summaries(c.now), Full: true,
 	}
 	held := c.heldByOwner()
 	for _, p := range c.Members.Peers() {
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,15 +27,26 @@
 	// PrefillTime is the time of a token of the prompt that is not in the prefix
 	// cache.
 	PrefillTime time.Duration
+	// CacheBlocks is the room of the prefix cache, in blocks of CacheBlockTokens;
+	// 0 is 4096.
+	CacheBlocks int
+	// CacheEventLag is the age at which a cache event shows.
+	CacheEventLag clock.Millis
+	// CacheEventLoss drops each so manieth cache event; 0 drops none.
+	CacheEventLoss int64
 	// ColdStart is the time that the engine is not ready after it started.
 	ColdStart clock.Millis
 	// ReportLag is how old the load figures in a report are.
 	ReportLag clock.Millis
+	// ResumeWindow is how long a stream goes on without its caller; 0 is 2 s.
+	ResumeWindow clock.Millis
 }
 
 // Engine is one model engine. Set the exported fields before use; the zero
 // value of each but Loader works.
 type Engine struct {
+	Options
+
 	ID string
 	// Loader is where adapters come from.
 	Loader Loader
@@ -46,20 +56,26 @@
 	BatchMax int
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
-	Options
 
 	mu       sync.Mutex
 	start    string
+	readyAt  time.Time
 	fence    units.Fence
 	resident map[units.AdapterVersion]bool
 	loading  map[units.AdapterVersion]bool
-	// running holds the requests in the batch.
-	running map[units.RequestID]*run
-	// free is closed and replaced when a place in the batch becomes free.
-	free     chan struct{}
-	waiting  int
-	leaving  bool
+	// runs holds the requests that wait or run, and those that ended within the
+	// resume window.
+	runs map[units.RequestID]*run
+	// batch holds those that run, and queue those that wait for a place in it.
+	batch map[*run]bool
+	queue []*waiter
+	// loads holds past load figures, for reports that lag.
+	loads    []loadFigures
+	cache    prefixCache
+	crossing crosser
+	faults   Faults
 	counters Counters
+	steps    float64
 }
 
 // Counters count what must never happen, and the work done.
@@ -75,27 +91,29 @@
 	OldOrdersTaken int `json:"old_orders_taken"`
 	Requests       int `json:"requests"`
 	Tokens         int `json:"tokens"`
-	Steps          int `json:"steps"`
-	Loads          int `json:"loads"`
-	Unloads        int `json:"unloads"`
-	Crashes        int `json:"crashes"`
+	// Steps counts passes of the batch. Tokens over Steps is how full it was.
+	Steps   int `json:"steps"`
+	Loads   int `json:"loads"`
+	Unloads int `json:"unloads"`
+	Crashes int `json:"crashes"`
+	// Canceled counts requests that were canceled before their end, and Resumed
+	// streams that went on over a second connection.
+	Canceled int `json:"canceled"`
+	Resumed  int `json:"resumed"`
+	// CachedTokens counts tokens of prompts that were found in the prefix cache.
+	CachedTokens int `json:"cached_tokens"`
 }
 
 // NeverEvents sums what must never happen.
 func (c *Counters) NeverEvents() int { return c.WrongAdapter + c.EvictedRunning + c.OldOrdersTaken }
 
-type run struct {
-	id      units.RequestID
-	adapter units.AdapterVersion
-	cancel  context.CancelFunc
-}
-
 // Defaults of the zero value.
 const (
 	defaultSlots          = 8
 	defaultBatchMax       = 16
 	defaultStepTime       = 10 * time.Millisecond
 	defaultStepPerRequest = 500 * time.Microsecond
+	defaultResumeWindow   = 2 * clock.Second
 )
 
 // RefusedError tells why an engine did not do what it was asked.
@@ -110,11 +128,14 @@
 // Codes of refusals.
 const (
 	CodeAdapterMissing = "adapter_not_loaded"
+	CodeCanceled       = "canceled"
 	CodeCrashed        = "crashed"
+	CodeDuplicate      = "duplicate_request"
 	CodeFenced         = "fenced"
 	CodeLeaving        = "leaving"
-	CodeNoSlot         = "no_slot"
 	CodeLoadFailed     = "load_failed"
+	CodeNoSlot         = "no_slot"
+	CodeStarting       = "starting"
 )
 
 func (e *Engine) init() {
@@ -123,9 +144,12 @@
 	}
 	e.resident = map[units.AdapterVersion]bool{}
 	e.loading = map[units.AdapterVersion]bool{}
-	e.running = map[units.RequestID]*run{}
-	e.free = make(chan struct{})
+	e.runs = map[units.RequestID]*run{}
+	e.batch = map[*run]bool{}
+	e.queue = nil
+	e.cache = prefixCache{room: e.CacheBlocks, lag: e.CacheEventLag, loss: e.CacheEventLoss}
 	e.start = fmt.Sprintf("%s-%d", e.ID, time.Now().UnixNano())
+	e.readyAt = time.Now().Add(e.ColdStart.Duration())
 }
 
 func (e *Engine) slots() int {
@@ -146,31 +170,27 @@
 func (e *Engine) Counters() Counters {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.counters
-}
-
-// SetLeaving makes the engine refuse new requests, or take them again.
-func (e *Engine) SetLeaving(leaving bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = leaving
+	counters := e.counters
+	counters.Steps = int(e.steps)
+	return counters
 }
 
-// Crash breaks all running requests off and starts the engine cold.
+// Crash breaks all requests off and starts the engine cold, with empty slots and
+// an empty prefix cache. The fencing number is kept.
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.init()
-	for _, r := range e.running {
-		r.cancel()
+	for _, r := range e.runs {
+		r.end(errCrashed)
 	}
 	e.counters.Crashes++
 	e.resident = nil
-	fence := e.fence
 	e.init()
-	e.fence = fence
 }
 
+var errCrashed = fmt.Errorf("the engine crashed")
+
 // Order carries out an order. The context bounds a load.
 func (e *Engine) Order(ctx context.Context, order event.Order) error {
 	e.mu.Lock()
@@ -202,7 +222,8 @@
 	return nil
 }
 
-// load is called with mu held and returns with it free.
+// load is called with mu held and returns with it free. A load during a cold
+// start waits for its end.
 func (e *Engine) load(ctx context.Context, av units.AdapterVersion) error {
 	if e.resident[av] || e.loading[av] {
 		e.mu.Unlock()
@@ -213,9 +234,12 @@
 		return &RefusedError{Code: CodeNoSlot, Message: "all adapter slots are taken"}
 	}
 	e.loading[av] = true
-	start := e.start
+	start, cold := e.start, time.Until(e.readyAt)
 	e.mu.Unlock()
-	err := e.Loader.Load(ctx, av)
+	err := sleep(ctx, cold)
+	if err == nil {
+		err = e.Loader.Load(ctx, av)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.start != start {
@@ -234,8 +258,8 @@
 	if !e.resident[av] {
 		return
 	}
-	for _, r := range e.running {
-		if r.adapter == av {
+	for r := range e.batch {
+		if r.work.Adapter == av {
 			e.counters.EvictedRunning++
 		}
 	}
@@ -243,132 +267,11 @@
 	e.counters.Unloads++
 }
 
-// Report returns the engine's report on itself.
-func (e *Engine) Report() event.ServerReport {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.init()
-	report := event.ServerReport{
-		Start: e.start, Ready: true, Leaving: e.leaving, Fence: e.fence,
-		Slots: int32(e.slots()), BatchMax: int32(e.batchMax()), Running: int32(len(e.running)), Waiting: int32(e.waiting),
-	}
-	counts := map[units.AdapterVersion]int32{}
-	for _, r := range e.running {
-		counts[r.adapter]++
-		report.Requests = append(report.Requests, r.id)
-	}
-	for av := range e.resident {
-		report.Resident = append(report.Resident, event.ResidentAdapter{AdapterVersion: av, Running: counts[av]})
-	}
-	for av := range e.loading {
-		report.Loading = append(report.Loading, av)
-	}
-	slices.SortFunc(report.Resident, func(a, b event.ResidentAdapter) int {
-		if a.String() < b.String() {
-			return -1
-		}
-		return 1
-	})
-	slices.Sort(report.Requests)
-	return report
-}
-
-// Work is one request to generate tokens.
-type Work struct {
-	ID      units.RequestID
-	Adapter units.AdapterVersion
-	Prompt  string
-	// MaxTokens is the number of tokens of the answer.
-	MaxTokens int
-}
-
-// Generate runs work and hands each token to emit. It returns a RefusedError
-// only if the work did not run at all.
-func (e *Engine) Generate(ctx context.Context, work Work, emit func(token string) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	start, err := e.enter(ctx, work, cancel)
-	if err != nil {
-		return err
-	}
-	defer e.exit(start, work.ID)
-	for _, token := range Answer(work) {
-		if err := e.step(ctx, start, work.Adapter); err != nil {
-			return err
-		}
-		if err := emit(token); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// enter waits for a place in the batch.
-func (e *Engine) enter(ctx context.Context, work Work, cancel context.CancelFunc) (start string, err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.init()
-	for {
-		if e.leaving {
-			return "", &RefusedError{Code: CodeLeaving, Message: "the engine is leaving"}
-		}
-		if !e.resident[work.Adapter] {
-			return "", &RefusedError{Code: CodeAdapterMissing, Message: "adapter " + work.Adapter.String() + " is not loaded"}
-		}
-		if len(e.running) < e.batchMax() {
-			e.running[work.ID] = &run{id: work.ID, adapter: work.Adapter, cancel: cancel}
-			e.counters.Requests++
-			return e.start, nil
-		}
-		if err := e.waitForPlace(ctx); err != nil {
-			return "", &RefusedError{Code: CodeCrashed, Message: err.Error()}
-		}
-	}
-}
-
-// waitForPlace is called with mu held and returns with it held.
-func (e *Engine) waitForPlace(ctx context.Context) error {
-	free := e.free
-	e.waiting++
-	e.mu.Unlock()
-	defer e.mu.Lock()
-	select {
-	case <-free:
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	e.waiting--
-	e.mu.Unlock()
-	return ctx.Err()
-}
-
-func (e *Engine) exit(start string, id units.RequestID) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.start == start {
-		delete(e.running, id)
-	}
-	close(e.free)
-	e.free = make(chan struct{})
-}
-
-// step waits for the time of one token.
-func (e *Engine) step(ctx context.Context, start string, av units.AdapterVersion) error {
-	e.mu.Lock()
-	step, per := e.StepTime, e.StepPerRequest
-	if step == 0 {
-		step = defaultStepTime
-	}
-	if per == 0 {
-		per = defaultStepPerRequest
-	}
-	wait := step + per*time.Duration(max(0, len(e.running)-1))
-	e.counters.Tokens++
-	if e.start == start && !e.resident[av] {
-		e.counters.WrongAdapter++
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
 	}
-	e.mu.Unlock()
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -1,11 +1,8 @@
 package engine
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
-	"strings"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -16,32 +13,25 @@
 	"github.com/valyala/fasthttp"
 )
 
-// completionRequest is the part of a completion's body that the engine reads.
-type completionRequest struct {
-	Model    string `json:"model"`
-	Prompt   string `json:"prompt"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-	MaxTokens int  `json:"max_tokens"`
-	Stream    bool `json:"stream"`
-}
+const loadTimeout = 60 * clock.Second
 
-const (
-	defaultMaxTokens = 16
-	loadTimeout      = 60 * clock.Second
-)
+const headerRequestID = "X-Request-Id"
 
 // Handle answers the engine's HTTP protocol.
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/v1/completions", "/v1/chat/completions":
 		e.handleCompletion(ctx)
+	case "/v1/cancel":
+		e.handleCancel(ctx)
+	case "/v1/resume":
+		e.handleResume(ctx)
 	case "/v1/orders":
 		e.handleOrder(ctx)
 	case "/v1/report":
 		reply.JSON(ctx, fasthttp.StatusOK, e.Report())
+	case "/v1/cache_events":
+		reply.JSON(ctx, fasthttp.StatusOK, e.CacheEvents(int64(ctx.QueryArgs().GetUintOrZero("after"))))
 	case "/counters":
 		reply.JSON(ctx, fasthttp.StatusOK, e.Counters())
 	case "/fault":
@@ -51,31 +41,17 @@
 	}
 }
 
-// Faults are the failures that a POST to /fault brings about.
-type Faults struct {
-	// Crash breaks off all requests and starts the engine cold.
-	Crash bool `json:"crash"`
-	// Leaving makes the engine refuse new requests.
-	Leaving bool `json:"leaving"`
-}
-
 func (e *Engine) handleFault(ctx *fasthttp.RequestCtx) {
 	var faults Faults
-	if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
-		reply.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
-		return
-	}
-	if faults.Crash {
-		e.Crash()
+	if reply.Decode(ctx, &faults) {
+		e.SetFaults(faults)
+		reply.JSON(ctx, fasthttp.StatusOK, faults)
 	}
-	e.SetLeaving(faults.Leaving)
-	reply.JSON(ctx, fasthttp.StatusOK, faults)
 }
 
 func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
 	var order event.Order
-	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
-		reply.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+	if !reply.Decode(ctx, &order) {
 		return
 	}
 	limit, cancel := context.WithTimeout(context.Background(), loadTimeout.Duration())
@@ -95,147 +71,135 @@
 	}
 }
 
-func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
-	var request completionRequest
-	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
-		reply.Refuse(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx) {
+	var request struct {
+		RequestID units.RequestID `json:"request_id"`
+	}
+	if !reply.Decode(ctx, &request) {
 		return
 	}
-	work := Work{
-		ID: units.RequestID(ctx.Request.Header.Peek("X-Request-Id")), Adapter: units.ParseAdapterVersion(request.Model),
-		Prompt: request.Prompt, MaxTokens: request.MaxTokens,
+	reply.JSON(ctx, fasthttp.StatusOK, struct {
+		Canceled bool `json:"canceled"`
+	}{e.Cancel(request.RequestID)})
+}
+
+// handleResume goes on with a stream whose connection broke.
+func (e *Engine) handleResume(ctx *fasthttp.RequestCtx) {
+	var request struct {
+		RequestID units.RequestID `json:"request_id"`
+		// From is the number of tokens that the caller has.
+		From int  `json:"from"`
+		Chat bool `json:"chat"`
 	}
-	for _, message := range request.Messages {
-		work.Prompt += " " + message.Content
+	if !reply.Decode(ctx, &request) {
+		return
 	}
-	if work.MaxTokens == 0 {
-		work.MaxTokens = defaultMaxTokens
+	e.mu.Lock()
+	r := e.runs[request.RequestID]
+	if r != nil {
+		e.counters.Resumed++
 	}
-	chat := string(ctx.Path()) == "/v1/chat/completions"
-	if request.Stream {
-		e.streamCompletion(ctx, work, chat)
+	e.mu.Unlock()
+	if r == nil || request.From < 0 {
+		reply.JSON(ctx, fasthttp.StatusNotFound, struct {
+			Error reply.Error `json:"error"`
+		}{reply.Error{Code: "unknown_request", Message: "the request is not here any more"}})
 		return
 	}
-	e.wholeCompletion(ctx, work, chat)
+	r.follow(1)
+	ctx.Response.Header.Set(headerRequestID, string(r.work.ID))
+	e.streamAnswer(ctx, r, request.Chat, request.From)
 }
 
-func (e *Engine) wholeCompletion(ctx *fasthttp.RequestCtx, work Work, chat bool) {
-	var text strings.Builder
-	err := e.Generate(context.Background(), work, func(token string) error {
-		text.WriteString(token)
-		return nil
-	})
-	if err != nil {
-		e.refuse(ctx, err)
+func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
+	var request completionRequest
+	if !reply.Decode(ctx, &request) {
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, completion(work, chat, text.String(), "stop"))
-}
-
-// refuse answers work that failed. Work that had begun breaks the connection, as
-// an engine that died would.
-func (e *Engine) refuse(ctx *fasthttp.RequestCtx, err error) {
-	var refused *RefusedError
-	if !errors.As(err, &refused) {
-		_ = ctx.Conn().Close()
+	chat := string(ctx.Path()) == "/v1/chat/completions"
+	r, err := e.begin(request.work(units.RequestID(ctx.Request.Header.Peek(headerRequestID))))
+	if err != nil {
+		refuse(ctx, err)
 		return
 	}
-	status := fasthttp.StatusServiceUnavailable
-	if refused.Code == CodeAdapterMissing {
-		status = fasthttp.StatusNotFound
+	faults := e.inForce()
+	r.follow(1)
+	if request.Stream {
+		e.streamCompletion(ctx, r, chat, faults)
+		return
 	}
-	reply.Refuse(ctx, status, refused.Code, refused.Message)
+	e.wholeCompletion(ctx, r, chat, faults)
 }
 
-func (e *Engine) streamCompletion(ctx *fasthttp.RequestCtx, work Work, chat bool) {
-	tokens := make(chan string)
-	result := make(chan error, 1)
-	gone, cancel := context.WithCancel(context.Background())
-	go func() {
-		result <- e.Generate(gone, work, func(token string) error {
-			select {
-			case tokens <- token:
-				return nil
-			case <-gone.Done():
-				return gone.Err()
-			}
-		})
-		close(tokens)
-	}()
-	first, ok := <-tokens
-	if !ok {
-		cancel()
-		e.refuse(ctx, <-result)
+func (e *Engine) wholeCompletion(ctx *fasthttp.RequestCtx, r *run, chat bool, faults Faults) {
+	_, err := r.wait()
+	if err == nil {
+		r = e.hinder(r, faults)
+	}
+	tokens, lateErr := r.wait()
+	if err == nil {
+		err = lateErr
+	}
+	if err != nil || faults.LoseAnswers {
+		e.breakOff(ctx, err)
 		return
 	}
-	conn := ctx.Conn()
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer cancel()
-		for token := first; ok; token, ok = <-tokens {
-			if writeChunk(w, completion(work, chat, token, "")) != nil {
-				return
-			}
-		}
-		if <-result != nil {
-			_ = conn.Close()
-			return
-		}
-		_ = writeChunk(w, completion(work, chat, "", "stop"))
-		_, _ = w.WriteString("data: [DONE]\n\n")
-		_ = w.Flush()
-	})
+	ctx.Response.Header.Set(headerRequestID, string(r.work.ID))
+	reply.JSON(ctx, fasthttp.StatusOK, wholeAnswer(r.work, chat, tokens))
 }
 
-func writeChunk(w *bufio.Writer, value any) error {
-	body, err := json.Marshal(value)
-	if err != nil {
-		return err
+func (e *Engine) streamCompletion(ctx *fasthttp.RequestCtx, r *run, chat bool, faults Faults) {
+	if _, _, err := r.token(0); err != nil {
+		e.unfollow(r)
+		e.breakOff(ctx, err)
+		return
 	}
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(body)
-	_, _ = w.WriteString("\n\n")
-	return w.Flush()
+	if other := e.hinder(r, faults); other != r {
+		other.follow(1)
+		e.unfollow(r)
+		r = other
+	}
+	ctx.Response.Header.Set(headerRequestID, string(r.work.ID))
+	e.streamAnswer(ctx, r, chat, 0)
 }
 
-type completionAnswer struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Created int64              `json:"created"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
+// hinder delays an answer and crosses it with another one, as faults ask.
+func (e *Engine) hinder(r *run, faults Faults) *run {
+	time.Sleep(faults.DelayMillis.Duration())
+	if faults.CrossAnswers {
+		return e.crossing.swap(r)
+	}
+	return r
 }
 
-type completionChoice struct {
-	Index        int                `json:"index"`
-	Text         string             `json:"text,omitempty"`
-	Message      *completionMessage `json:"message,omitempty"`
-	Delta        *completionMessage `json:"delta,omitempty"`
-	FinishReason string             `json:"finish_reason,omitempty"`
+// refuse answers work that does not run.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		reply.Refuse(ctx, fasthttp.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	status := fasthttp.StatusServiceUnavailable
+	switch refused.Code {
+	case CodeAdapterMissing:
+		status = fasthttp.StatusNotFound
+	case CodeDuplicate:
+		status = fasthttp.StatusConflict
+	}
+	reply.Refuse(ctx, status, refused.Code, refused.Message)
 }
 
-type completionMessage struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
+// breakOff ends work that began and has no answer: with an answer if it was
+// canceled, and by closing the connection if the engine died.
+func (e *Engine) breakOff(ctx *fasthttp.RequestCtx, err error) {
+	if !errors.Is(err, errCanceled) {
+		_ = ctx.Conn().Close()
+		return
+	}
+	reply.JSON(ctx, statusCanceled, struct {
+		Error reply.Error `json:"error"`
+	}{reply.Error{Code: CodeCanceled, Message: err.Error()}})
 }
 
-// completion returns a whole answer if finish is "stop" and text is not empty,
-// and a part of a stream otherwise.
-func completion(work Work, chat bool, text, finish string) completionAnswer {
-	answer := completionAnswer{
-		ID: string(work.ID), Object: "text_completion", Created: time.Now().Unix(), Model: work.Adapter.String(),
-	}
-	choice := completionChoice{Text: text, FinishReason: finish}
-	if chat {
-		answer.Object = "chat.completion"
-		choice.Text = ""
-		if finish != "" && text != "" {
-			choice.Message = &completionMessage{Role: "assistant", Content: text}
-		} else {
-			answer.Object = "chat.completion.chunk"
-			choice.Delta = &completionMessage{Content: text}
-		}
-	}
-	answer.Choices = []completionChoice{choice}
-	return answer
-}
+// statusCanceled is the usual status of a request whose client went away.
+const statusCanceled = 499
--- /dev/null
+++ b/internal/fake/engine/prefix_cache.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"container/list"
+	"strings"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// CacheBlockTokens is the length of one block of the prefix cache.
+const CacheBlockTokens = 16
+
+const (
+	defaultCacheBlocks = 4096
+	maxCacheEvents     = 4096
+)
+
+// CacheEvent tells of one change of the prefix cache. Events come late, and some
+// are lost: the numbers then have gaps.
+type CacheEvent struct {
+	Number int64 `json:"number"`
+	// Stored is false for an eviction.
+	Stored bool `json:"stored"`
+	// Block identifies an adapter and all words up to the end of the block.
+	Block units.Fingerprint `json:"block"`
+	at    time.Time
+}
+
+// prefixCache holds blocks of prompts, the least recently used leaving first.
+// The zero value is empty.
+type prefixCache struct {
+	room   int
+	lag    clock.Millis
+	loss   int64
+	blocks map[units.Fingerprint]*list.Element
+	// order holds the blocks, the most recently used first.
+	order  list.List
+	events []CacheEvent
+	number int64
+}
+
+// use looks a prompt up, stores it and returns the number of words that were
+// there.
+func (c *prefixCache) use(av units.AdapterVersion, words []string) (cached int) {
+	if c.blocks == nil {
+		c.blocks = map[units.Fingerprint]*list.Element{}
+	}
+	hit := true
+	digest := xxhash.New()
+	_, _ = digest.WriteString(av.String())
+	for end := CacheBlockTokens; end <= len(words); end += CacheBlockTokens {
+		_, _ = digest.WriteString("\x00" + strings.Join(words[end-CacheBlockTokens:end], "\x00"))
+		block := units.Fingerprint(digest.Sum64())
+		element := c.blocks[block]
+		if hit = hit && element != nil; hit {
+			cached = end
+		}
+		c.touch(block, element)
+	}
+	return cached
+}
+
+func (c *prefixCache) touch(block units.Fingerprint, element *list.Element) {
+	if element != nil {
+		c.order.MoveToFront(element)
+		return
+	}
+	c.blocks[block] = c.order.PushFront(block)
+	c.note(block, true)
+	room := c.room
+	if room == 0 {
+		room = defaultCacheBlocks
+	}
+	for len(c.blocks) > room {
+		oldest := c.order.Remove(c.order.Back()).(units.Fingerprint)
+		delete(c.blocks, oldest)
+		c.note(oldest, false)
+	}
+}
+
+func (c *prefixCache) note(block units.Fingerprint, stored bool) {
+	c.number++
+	if c.loss > 0 && c.number%c.loss == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Number: c.number, Stored: stored, Block: block, at: time.Now()})
+	c.events = c.events[max(0, len(c.events)-maxCacheEvents):]
+}
+
+// since returns the events after number that show by now.
+func (c *prefixCache) since(number int64, now time.Time) []CacheEvent {
+	shown := []CacheEvent{}
+	for _, ev := range c.events {
+		if ev.Number > number && !ev.at.After(now.Add(-c.lag.Duration())) {
+			shown = append(shown, ev)
+		}
+	}
+	return shown
+}
+
+// CacheEvents returns the events after a number that show by now.
+func (e *Engine) CacheEvents(after int64) []CacheEvent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.since(after, time.Now())
+}
--- /dev/null
+++ b/internal/fake/engine/report.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+)
+
+// loadFigures are the load at one instant.
+type loadFigures struct {
+	at      time.Time
+	running int32
+	waiting int32
+}
+
+// noteLoad keeps the present load for reports that lag. The caller holds mu.
+func (e *Engine) noteLoad() {
+	if e.ReportLag == 0 {
+		return
+	}
+	now := time.Now()
+	e.loads = append(e.loads, loadFigures{at: now, running: int32(len(e.batch)), waiting: int32(len(e.queue))})
+	seen := now.Add(-e.ReportLag.Duration())
+	for len(e.loads) > 1 && !e.loads[1].at.After(seen) {
+		e.loads = e.loads[1:]
+	}
+}
+
+// reportedLoad returns the load as a report shows it. The caller holds mu.
+func (e *Engine) reportedLoad() loadFigures {
+	if e.ReportLag == 0 {
+		return loadFigures{running: int32(len(e.batch)), waiting: int32(len(e.queue))}
+	}
+	seen := time.Now().Add(-e.ReportLag.Duration())
+	var shown loadFigures
+	for _, figures := range e.loads {
+		if figures.at.After(seen) {
+			break
+		}
+		shown = figures
+	}
+	return shown
+}
+
+// Report returns the engine's report on itself. Only the numbers of running and
+// waiting requests lag.
+func (e *Engine) Report() event.ServerReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.init()
+	load := e.reportedLoad()
+	report := event.ServerReport{
+		Start: e.start, Ready: !time.Now().Before(e.readyAt), Leaving: e.faults.Leaving, Fence: e.fence,
+		Slots: int32(e.slots()), BatchMax: int32(e.batchMax()), Running: load.running, Waiting: load.waiting,
+	}
+	counts := map[units.AdapterVersion]int32{}
+	for r := range e.batch {
+		counts[r.work.Adapter]++
+		report.Requests = append(report.Requests, r.work.ID)
+	}
+	for _, w := range e.queue {
+		counts[w.run.work.Adapter]++
+		report.Requests = append(report.Requests, w.run.work.ID)
+	}
+	for av := range e.resident {
+		report.Resident = append(report.Resident, event.ResidentAdapter{AdapterVersion: av, Running: counts[av]})
+	}
+	for av := range e.loading {
+		report.Loading = append(report.Loading, av)
+	}
+	slices.SortFunc(report.Resident, func(a, b event.ResidentAdapter) int { return cmp.Compare(a.String(), b.String()) })
+	slices.Sort(report.Requests)
+	return report
+}
--- a/internal/fake/reply/server.go
+++ b/internal/fake/reply/server.go
@@ -48,6 +48,7 @@
 	}
 	server := &fasthttp.Server{
 		Handler: s.handler, Name: "standin", NoDefaultDate: true, MaxRequestBodySize: maxBodyBytes, ConnState: s.track,
+		Logger: noLog{},
 	}
 	done := make(chan struct{})
 	s.listener, s.conns, s.done = listener, map[net.Conn]bool{}, done
@@ -95,3 +96,10 @@
 
 // Close is Stop.
 func (s *Server) Close() { s.Stop() }
+
+// noLog drops the HTTP server's messages: a stand-in breaks connections on
+// purpose.
+type noLog struct{}
+
+// Printf implements fasthttp.Logger.
+func (noLog) Printf(string, ...any) {}
--- a/internal/fake/stand/control_test.go
+++ b/internal/fake/stand/control_test.go
@@ -91,8 +91,8 @@
 	must.Error(t, err)
 	status, _ = post(t, "http://"+s.ControlAddress+"/fault/engine-1", `{"stopped":false}`)
 	must.Eq(t, fasthttp.StatusOK, status)
-	client = fasthttp.Client{}
-	_, _, err = client.Get(nil, url)
+	var another fasthttp.Client
+	_, _, err = another.Get(nil, url)
 	must.NoError(t, err)
 	must.Eq(t, 1, s.Engines[0].Counters().Crashes)
 }
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -3,12 +3,10 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"strings"
 	"time"
 
+	"mangostile/internal/base/token"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/node/server"
 
@@ -17,9 +15,9 @@
 
 // Options are what the admin API knows from the settings.
 type Options struct {
-	// Operators holds names by the SHA-256 of their tokens in hexadecimal
-	// digits. If it is empty no token is asked for.
-	Operators map[string]string
+	// Operators holds the operators' names. If it is empty no token is asked
+	// for.
+	Operators token.Set
 }
 
 // AnonymousOperator is the operator's name where the settings name none.
@@ -63,27 +61,20 @@
 		a.showTable(ctx)
 	case "/admin/edits":
 		a.edit(ctx, operator)
-	case "/admin/explain":
-		a.explain(ctx)
-	case "/admin/history":
-		a.history(ctx)
 	case "/admin/members":
 		a.members(ctx)
 	case "/admin/status":
 		a.status(ctx)
 	default:
-		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/explain, /admin/history, /admin/members or /admin/status")
+		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/members or /admin/status")
 	}
 }
 
 func (a *api) operator(ctx *fasthttp.RequestCtx) (string, bool) {
-	if len(a.options.Operators) == 0 {
+	if a.options.Operators.Len() == 0 {
 		return AnonymousOperator, true
 	}
-	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	sum := sha256.Sum256([]byte(token))
-	name, known := a.options.Operators[hex.EncodeToString(sum[:])]
-	return name, ok && known
+	return a.options.Operators.Find(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 }
 
 // Failure is the body of an answer that is not a success.
--- /dev/null
+++ b/internal/node/certs/reloader.go
@@ -0,0 +1,89 @@
+// Package certs keeps a TLS certificate up to date with its files.
+package certs
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// checkPeriod is the time between two looks at the files.
+const checkPeriod = time.Second
+
+// Reloader holds a certificate and takes it up anew once its files change. A
+// change that can't be used is logged, and the last good certificate stays.
+type Reloader struct {
+	certificateFile string
+	keyFile         string
+	logger          hclog.Logger
+	// now tells the time; tests replace it.
+	now func() time.Time
+
+	mu          sync.Mutex
+	certificate *tls.Certificate
+	// stamp identifies the contents that were read last, good or not.
+	stamp     [2]fileStamp
+	checkedAt time.Time
+}
+
+type fileStamp struct {
+	size    int64
+	changed time.Time
+}
+
+// New reads a certificate and its key.
+func New(certificateFile, keyFile string, logger hclog.Logger) (*Reloader, error) {
+	r := &Reloader{certificateFile: certificateFile, keyFile: keyFile, logger: logger, now: time.Now}
+	r.stamp = r.stamps()
+	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "certificate %s: name a PEM certificate and its key", certificateFile)
+	}
+	r.certificate, r.checkedAt = &certificate, r.now()
+	return r, nil
+}
+
+// Config returns a server's configuration that always uses the newest
+// certificate.
+func (r *Reloader) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.current(), nil },
+	}
+}
+
+func (r *Reloader) current() *tls.Certificate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	if now.Sub(r.checkedAt) < checkPeriod {
+		return r.certificate
+	}
+	r.checkedAt = now
+	stamp := r.stamps()
+	if stamp == r.stamp {
+		return r.certificate
+	}
+	r.stamp = stamp
+	certificate, err := tls.LoadX509KeyPair(r.certificateFile, r.keyFile)
+	if err != nil {
+		r.logger.Warn("certificate_not_reloaded", "file", r.certificateFile, "remedy", "replace certificate and key by a pair", "error", err)
+		return r.certificate
+	}
+	r.logger.Info("certificate_reloaded", "file", r.certificateFile)
+	r.certificate = &certificate
+	return r.certificate
+}
+
+func (r *Reloader) stamps() (stamps [2]fileStamp) {
+	for i, name := range []string{r.certificateFile, r.keyFile} {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = fileStamp{size: info.Size(), changed: info.ModTime()}
+		}
+	}
+	return stamps
+}
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -1,12 +1,8 @@
 package edge
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -14,6 +10,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -29,8 +26,15 @@
 		writeRefusal(ctx, id, errs.Refuse(errs.CodeOverloaded, "this entry VM has no room for another request: send it again later").After(clock.Second))
 		return
 	}
-	for command := range x.commands {
-		if e.follow(ctx, x, command) {
+	for {
+		select {
+		case command := <-x.commands:
+			if e.follow(ctx, x, command) {
+				return
+			}
+		case <-e.closed:
+			e.exchanges.remove(id)
+			writeRefusal(ctx, id, errs.RefuseUnknown(errs.CodeLeaving, "this entry VM stopped: send the request to another one"))
 			return
 		}
 	}
@@ -62,33 +66,81 @@
 // attempt sends the request to a backend server. It reports true once the answer
 // is on its way to the caller.
 func (e *Edge) attempt(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch) bool {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	if err := fillRequest(req, x, d); err != nil {
-		fasthttp.ReleaseResponse(resp)
-		e.done(d, event.DispatchResult{Kind: event.ResultNotSent})
-		return false
-	}
+	req := fasthttp.AcquireRequest()
+	err := fillRequest(req, x, d)
 	now := e.options.Clock.Now()
-	if d.NotAfter != 0 && now > d.NotAfter {
-		fasthttp.ReleaseResponse(resp)
+	if err != nil || now >= d.Deadline || d.NotAfter != 0 && now > d.NotAfter {
+		fasthttp.ReleaseRequest(req)
 		e.done(d, event.DispatchResult{Kind: event.ResultNotSent})
 		return false
 	}
-	err := e.client.DoDeadline(req, resp, time.Now().Add((d.Deadline - now).Duration()))
-	if err != nil {
-		fasthttp.ReleaseResponse(resp)
+	resp, err := e.call(req, x, time.Now().Add((d.Deadline - now).Duration()))
+	switch {
+	case errors.Is(err, errCallerGone):
+		e.giveUp(x, d)
+		return true
+	case err != nil:
 		e.done(d, event.DispatchResult{Kind: resultOfError(err)})
 		return false
+	case !answers(resp, d):
+		release(resp)
+		e.options.Logger.Warn("answer_of_another_request", "request", d.Request, "backend_server", d.Server)
+		e.stopAt(x, d)
+		e.done(d, event.DispatchResult{Kind: event.ResultBroken})
+		return false
+	case x.request.Streamed && resp.StatusCode() == fasthttp.StatusOK:
+		return e.stream(ctx, x, d, resp)
 	}
-	if x.request.Streamed && resp.StatusCode() == fasthttp.StatusOK {
-		e.stream(ctx, x, d, resp)
-		return true
-	}
-	defer fasthttp.ReleaseResponse(resp)
+	defer release(resp)
 	return e.whole(ctx, x, d, resp)
 }
 
+// errCallerGone tells that a call was given up since its caller went away.
+var errCallerGone = errors.New("the caller went away")
+
+// call sends req and waits for the head of the answer, or for the caller to go
+// away. The call itself then still ends by its deadline, with nobody waiting.
+func (e *Edge) call(req *fasthttp.Request, x *exchange, deadline time.Time) (*fasthttp.Response, error) {
+	type result struct {
+		resp *fasthttp.Response
+		err  error
+	}
+	got := make(chan result, 1)
+	go func() {
+		resp, err := e.backend.send(req, deadline, !x.request.Idempotent)
+		fasthttp.ReleaseRequest(req)
+		got <- result{resp, err}
+	}()
+	select {
+	case r := <-got:
+		return r.resp, r.err
+	case <-x.canceled:
+	}
+	go func() {
+		if r := <-got; r.err == nil {
+			release(r.resp)
+		}
+	}()
+	return nil, errCallerGone
+}
+
+// giveUp ends an exchange whose caller has gone, and tells the engine so.
+func (e *Edge) giveUp(x *exchange, d event.Dispatch) {
+	e.exchanges.remove(x.request.ID)
+	e.done(d, event.DispatchResult{Kind: event.ResultCanceled})
+	if x.request.Service == "" {
+		go e.backend.cancel(d)
+	}
+}
+
+// stopAt tells the engine to stop a request whose answer went astray, before
+// another attempt may use the same id.
+func (e *Edge) stopAt(x *exchange, d event.Dispatch) {
+	if x.request.Service == "" && !d.Forward {
+		e.backend.cancel(d)
+	}
+}
+
 func fillRequest(req *fasthttp.Request, x *exchange, d event.Dispatch) error {
 	req.Header.SetMethod(x.method)
 	req.SetRequestURI("http://" + d.Address + x.path)
@@ -126,19 +178,11 @@
 func (e *Edge) done(d event.Dispatch, result event.DispatchResult) {
 	ev := event.DispatchDone{Request: d.Request, Attempt: d.Attempt, Result: result}
 	for !e.options.Submit(ev) {
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func resultOfError(err error) event.ResultKind {
-	var opError *net.OpError
-	switch {
-	case errors.As(err, &opError) && opError.Op == "dial", errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return event.ResultNotSent
-	case errors.Is(err, fasthttp.ErrTimeout):
-		return event.ResultTimeout
-	default:
-		return event.ResultBroken
+		select {
+		case <-e.closed:
+			return
+		case <-time.After(time.Millisecond):
+		}
 	}
 }
 
@@ -153,6 +197,11 @@
 		e.done(d, event.DispatchResult{Kind: kind})
 		return false
 	}
+	if resp.StatusCode() == fasthttp.StatusOK && !ranOn(body, d) {
+		e.options.Logger.Warn("answer_of_another_adapter", "request", d.Request, "backend_server", d.Server, "adapter", d.Adapter)
+		e.done(d, event.DispatchResult{Kind: event.ResultBroken})
+		return false
+	}
 	e.answerHeaders(ctx, x, d)
 	ctx.SetStatusCode(resp.StatusCode())
 	ctx.SetContentTypeBytes(resp.Header.ContentType())
@@ -171,32 +220,19 @@
 	if stream == nil {
 		return append([]byte(nil), resp.Body()...), nil
 	}
-	body, err := io.ReadAll(stream)
-	if closeErr := resp.CloseBodyStream(); err == nil {
-		err = closeErr
-	}
-	return body, err
+	return io.ReadAll(stream)
 }
 
-// refusedKind returns what an answer says if the backend server did not run the
-// request, and 0 otherwise.
-func refusedKind(status int, body []byte) event.ResultKind {
-	if status == fasthttp.StatusOK {
-		return 0
+// ranOn reports whether the body of a completion names the adapter and version
+// of d, where there is one to name.
+func ranOn(body []byte, d event.Dispatch) bool {
+	if d.Adapter.Adapter == "" {
+		return true
 	}
 	var answer struct {
-		Error struct {
-			Code string `json:"code"`
-			Ran  string `json:"ran"`
-		} `json:"error"`
-	}
-	if json.Unmarshal(body, &answer) != nil || answer.Error.Ran != string(errs.RanNo) {
-		return 0
-	}
-	if answer.Error.Code == "adapter_not_loaded" {
-		return event.ResultAdapterMissing
+		Model string `json:"model"`
 	}
-	return event.ResultNotRun
+	return json.Unmarshal(body, &answer) == nil && answer.Model == d.Adapter.String()
 }
 
 func (e *Edge) answerHeaders(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch) {
@@ -207,82 +243,3 @@
 		header.Set(HeaderAdapter, d.Adapter.String())
 	}
 }
-
-// stream passes a streamed answer on as it comes.
-func (e *Edge) stream(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, resp *fasthttp.Response) {
-	e.answerHeaders(ctx, x, d)
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer fasthttp.ReleaseResponse(resp)
-		defer e.exchanges.remove(x.request.ID)
-		kind := e.copyStream(w, x, d, resp)
-		e.done(d, event.DispatchResult{Kind: kind, CallerGotBytes: true})
-		if kind != event.ResultServed && kind != event.ResultCanceled {
-			e.endBrokenStream(w, x)
-		}
-	})
-}
-
-var streamEnd = []byte("data: [DONE]")
-
-// copyStream copies lines until the stream's end mark.
-func (e *Edge) copyStream(w *bufio.Writer, x *exchange, d event.Dispatch, resp *fasthttp.Response) event.ResultKind {
-	defer func() { _ = resp.CloseBodyStream() }()
-	r := bufio.NewReader(resp.BodyStream())
-	started := false
-	for {
-		line, err := r.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event.ResultBroken
-		}
-		_, _ = w.Write(line)
-		if len(line) > 1 {
-			if bytes.HasPrefix(line, streamEnd) {
-				_, _ = w.WriteString("\n")
-				if w.Flush() != nil {
-					return event.ResultCanceled
-				}
-				return event.ResultServed
-			}
-			continue
-		}
-		if w.Flush() != nil || x.isCanceled() {
-			return event.ResultCanceled
-		}
-		if !started {
-			started = true
-			e.options.Submit(event.DispatchStarted{Request: d.Request, Attempt: d.Attempt})
-		}
-	}
-}
-
-func (x *exchange) isCanceled() bool {
-	select {
-	case <-x.canceled:
-		return true
-	default:
-		return false
-	}
-}
-
-// endBrokenStream tells the caller of a stream that broke off why.
-func (e *Edge) endBrokenStream(w *bufio.Writer, x *exchange) {
-	timer := time.NewTimer(time.Second)
-	defer timer.Stop()
-	refusal := errs.RefuseUnknown(errs.CodeServerFailed, "the backend server broke off the answer: send the request again")
-	select {
-	case command := <-x.commands:
-		if refuse, ok := command.(event.Refuse); ok {
-			refusal = refuse.Refusal
-		}
-	case <-timer.C:
-	}
-	body, err := json.Marshal(refusalBody{Error: refusal, RequestID: x.request.ID})
-	if err != nil {
-		return
-	}
-	_, _ = w.WriteString("event: error\ndata: ")
-	_, _ = w.Write(body)
-	_, _ = w.WriteString("\n\n")
-	_ = w.Flush()
-}
--- /dev/null
+++ b/internal/node/edge/attempt_test.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/core/event"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// httpAnswer returns a whole HTTP answer.
+func httpAnswer(status int, id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
+const (
+	goodBody    = `{"id":"x","model":"braid@v1","choices":[{"text":"a"}]}`
+	refusedBody = `{"error":{"code":"leaving","message":"m","ran":"no"}}`
+	streamHead  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: <id>\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// TestRanNoIsNeverSaidAfterARun breaks the exchange with a backend server at
+// each point and checks that the caller hears "ran: no" only where the request
+// did not run.
+func TestRanNoIsNeverSaidAfterARun(t *testing.T) {
+	requests := []struct{ name, path, body string }{
+		{"completion", "/v1/completions", `{"model":"braid@v1","prompt":"p"}`},
+		{"stream", "/v1/completions", `{"model":"braid@v1","prompt":"p","stream":true}`},
+		{"idempotent call", "/services/ledger/stock", `{}`},
+		{"action", "/services/ledger/release", `{}`},
+	}
+	event1 := "data: " + goodBody + "\n\n"
+	points := []struct {
+		name   string
+		script script
+		// saysNo is set where the caller must hear "ran: no".
+		saysNo bool
+		// engineOnly is set where only an engine's answer shows to be short.
+		engineOnly bool
+		limit      clock.Millis
+	}{
+		{"closed before the request was read", script{closeBefore: true}, false, false, 0},
+		{"closed in the middle of the request", script{closeAfterBytes: 40}, false, false, 0},
+		{"closed after the request", script{}, false, false, 0},
+		{"closed in the status line", script{answer: "HTTP/1.1 20"}, false, false, 0},
+		{"closed in the headers", script{answer: "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Requ"}, false, false, 0},
+		{"closed in the body", script{answer: "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"}, false, false, 0},
+		{"closed in a refusal's body", script{answer: httpAnswer(503, "<id>", refusedBody)[:100]}, false, false, 0},
+		{"closed in the first event", script{answer: streamHead + "100\r\ndata: {"}, false, false, 0},
+		{"closed after the first event", script{answer: streamHead + chunk(event1)}, false, false, 0},
+		{"closed before the end mark", script{answer: streamHead + chunk(event1) + chunk(event1) + "0\r\n\r\n"}, false, true, 0},
+		{"no answer in time", script{hang: true}, false, false, 150},
+		{"half an answer in time", script{hang: true, answer: streamHead + chunk("data: {")}, false, false, 150},
+		{"refusal of another request", script{answer: httpAnswer(503, "other", refusedBody)}, false, false, 0},
+		{"answer of another request", script{answer: httpAnswer(200, "other", goodBody)}, false, false, 0},
+		{"refusal that says it did not run", script{answer: httpAnswer(503, "<id>", refusedBody)}, true, false, 0},
+	}
+	for _, request := range requests {
+		for _, point := range points {
+			if point.engineOnly && strings.HasPrefix(request.path, "/services/") {
+				continue
+			}
+			t.Run(request.name+"/"+point.name, func(t *testing.T) {
+				backend := startRaw(t, point.script)
+				h := newHarness(t, backend.listener.Addr().String(), Options{})
+				if point.limit > 0 {
+					h.timeLimit = point.limit
+				}
+				_, answer := h.call(request.path, request.body, HeaderKey, "k1")
+				if point.saysNo {
+					must.StrContains(t, answer, `"ran":"no"`)
+					return
+				}
+				// Where the edge can't know, it may not say no; the request was
+				// written, so that it may have run.
+				must.StrNotContains(t, answer, `"ran":"no"`)
+				must.LessEq(t, 1, backend.ran())
+				// An answer that passes as whole must be one: idempotent calls have
+				// no model to check, so only a complete answer may be passed on.
+				if !strings.Contains(answer, `"ran":"unknown"`) {
+					t.Fatalf("neither refused nor unknown: %s", answer)
+				}
+			})
+		}
+		t.Run(request.name+"/nothing listens", func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			must.NoError(t, listener.Close())
+			h := newHarness(t, listener.Addr().String(), Options{})
+			_, answer := h.call(request.path, request.body, HeaderKey, "k1")
+			must.StrContains(t, answer, `"ran":"no"`)
+		})
+	}
+}
+
+// TestStaleConnectionIsNotRetried closes a kept connection under the second
+// request and counts what the backend server read: the client must not send it
+// once more by itself, whatever the method.
+func TestStaleConnectionIsNotRetried(t *testing.T) {
+	for _, method := range []string{fasthttp.MethodPost, fasthttp.MethodGet, fasthttp.MethodPut} {
+		t.Run(method, func(t *testing.T) {
+			backend := startRaw(t, script{keepAlive: 1, answer: httpAnswer(200, "<id>", `{}`)})
+			var b backendClients
+			b.init()
+			send := func() error {
+				req := fasthttp.AcquireRequest()
+				defer fasthttp.ReleaseRequest(req)
+				req.Header.SetMethod(method)
+				req.SetRequestURI("http://" + backend.listener.Addr().String() + "/x")
+				resp, err := b.send(req, time.Now().Add(testTimeout), false)
+				if err == nil {
+					_, err = readAll(resp)
+					release(resp)
+				}
+				return err
+			}
+			must.NoError(t, send())
+			must.Eq(t, event.ResultBroken, resultOfError(send()))
+			must.Eq(t, 2, backend.ran())
+			// The broken connection is gone: the next call opens another one.
+			must.NoError(t, send())
+			must.Eq(t, 3, backend.ran())
+		})
+	}
+}
+
+// TestActionsNeverUseKeptConnections checks that a call that may run once only
+// opens its own connection even if one is kept.
+func TestActionsNeverUseKeptConnections(t *testing.T) {
+	backend := startRaw(t, script{keepAlive: 1, answer: httpAnswer(200, "<id>", `{}`)})
+	h := newHarness(t, backend.listener.Addr().String(), Options{})
+	for range 3 {
+		status, answer := h.call("/services/ledger/release", `{}`, HeaderKey, "k1")
+		must.Eq(t, fasthttp.StatusOK, status, must.Sprint(answer))
+	}
+	must.Eq(t, 3, backend.ran())
+}
+
+func TestLimitsOnCallers(t *testing.T) {
+	h := newHarness(t, "127.0.0.1:1", Options{})
+	tests := []struct {
+		name, body string
+		headers    []string
+		want       string
+	}{
+		{"long body", strings.Repeat("x", 5000), nil, `"code":"body_too_large"`},
+		{"long header", "{}", []string{"X-Long", strings.Repeat("x", 5000)}, `"code":"body_too_large"`},
+		{"not JSON", "{", nil, `"code":"bad_request"`},
+		{"wrong deadline", `{"model":"braid"}`, []string{HeaderDeadline, "soon"}, HeaderDeadline},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			status, answer := h.call("/v1/completions", tc.body, tc.headers...)
+			must.Between(t, 400, status, 499)
+			must.StrContains(t, answer, tc.want)
+			must.StrContains(t, answer, `"ran":"no"`)
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/edge/backend_clients.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of the connections to one backend server.
+const (
+	maxConnsPerServer = 2048
+	maxIdleConn       = 30 * time.Second
+	dialTimeout       = time.Second
+	cancelTimeout     = time.Second
+	resumeTimeout     = time.Second
+)
+
+// backendClients holds the connections to backend servers. Its clients never repeat a
+// call by themselves.
+type backendClients struct {
+	// pooled keeps connections open between calls.
+	pooled fasthttp.Client
+	// fresh opens a connection for each call, so that a call which may run once
+	// only is never written to a connection that the other side has closed: it
+	// then either surely did not run, or broke off later.
+	fresh fasthttp.Client
+}
+
+func (b *backendClients) init() {
+	b.pooled = newClient()
+	b.fresh = newClient()
+}
+
+func newClient() fasthttp.Client {
+	return fasthttp.Client{
+		Name:                      "mangostile",
+		MaxConnsPerHost:           maxConnsPerServer,
+		MaxIdleConnDuration:       maxIdleConn,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
+		StreamResponseBody:        true,
+		Dial:                      dial,
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// dialError tells that no connection could be opened, so that no byte was sent.
+type dialError struct{ err error }
+
+// Error implements error.
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.err }
+
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return conn, nil
+}
+
+// send sends req once and waits for the head of the answer.
+func (b *backendClients) send(req *fasthttp.Request, deadline time.Time, once bool) (*fasthttp.Response, error) {
+	client := &b.pooled
+	if once {
+		client = &b.fresh
+		req.SetConnectionClose()
+	}
+	resp := fasthttp.AcquireResponse()
+	if err := client.DoDeadline(req, resp, deadline); err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return nil, err
+	}
+	return resp, nil
+}
+
+// release closes an answer. One that was not read to its end closes its
+// connection.
+func release(resp *fasthttp.Response) {
+	_ = resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(resp)
+}
+
+// post sends a small JSON body of the control side of an engine.
+func (b *backendClients) post(address, path string, body any, timeout time.Duration) (*fasthttp.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetContentType("application/json")
+	req.SetBody(encoded)
+	return b.send(req, time.Now().Add(timeout), false)
+}
+
+// cancel tells an engine to stop a request. Whether it does is not known.
+func (b *backendClients) cancel(d event.Dispatch) {
+	body := struct {
+		RequestID units.RequestID `json:"request_id"`
+	}{d.Request}
+	resp, err := b.post(d.Address, "/v1/cancel", body, cancelTimeout)
+	if err == nil {
+		release(resp)
+	}
+}
+
+// resume asks an engine for the rest of a stream of which from tokens came.
+func (b *backendClients) resume(x *exchange, d event.Dispatch, from int, left time.Duration) (*fasthttp.Response, error) {
+	body := struct {
+		RequestID units.RequestID `json:"request_id"`
+		From      int             `json:"from"`
+		Chat      bool            `json:"chat"`
+	}{d.Request, from, strings.HasPrefix(x.path, "/v1/chat/")}
+	resp, err := b.post(d.Address, "/v1/resume", body, left)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK || !answers(resp, d) {
+		release(resp)
+		return nil, errors.Errorf("resume: status %d", resp.StatusCode())
+	}
+	return resp, nil
+}
+
+// answers reports whether resp is the answer to the request of d. An answer that
+// names no request can't be told from another one and counts as right. An entry
+// VM of another failure domain adds to the id.
+func answers(resp *fasthttp.Response, d event.Dispatch) bool {
+	id := string(resp.Header.Peek(HeaderRequestID))
+	if d.Forward {
+		return strings.HasPrefix(id, string(d.Request))
+	}
+	return id == "" || id == string(d.Request)
+}
+
+// resultOfError classifies an error of a call. Only errors before the first byte
+// of the request may say that it was not sent.
+func resultOfError(err error) event.ResultKind {
+	var notDialed *dialError
+	if errors.As(err, &notDialed) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return event.ResultNotSent
+	}
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return event.ResultTimeout
+	}
+	return event.ResultBroken
+}
+
+// refusedKind returns what an answer says if the backend server did not run the
+// request, and 0 otherwise.
+func refusedKind(status int, body []byte) event.ResultKind {
+	if status == fasthttp.StatusOK {
+		return 0
+	}
+	var answer struct {
+		Error struct {
+			Code string `json:"code"`
+			Ran  string `json:"ran"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(body, &answer) != nil || answer.Error.Ran != string(errs.RanNo) {
+		return 0
+	}
+	if answer.Error.Code == "adapter_not_loaded" {
+		return event.ResultAdapterMissing
+	}
+	return event.ResultNotRun
+}
--- /dev/null
+++ b/internal/node/edge/conn_closed_linux.go
@@ -0,0 +1,29 @@
+package edge
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// connClosed reports whether the other side of conn has closed it. It reads
+// nothing and does not wait. A connection that was closed on this side counts
+// as closed.
+func connClosed(conn net.Conn) bool {
+	over, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := over.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed || err != nil
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -1,21 +1,23 @@
 package edge
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
+	"mangostile/internal/base/token"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -33,13 +35,17 @@
 // Options are what the edge knows from the settings.
 type Options struct {
 	EntryVM units.EntryVMID
-	// Callers holds the callers' names by the SHA-256 of their tokens in
-	// hexadecimal digits. If it is empty, no token is asked for and the caller
-	// is named by AnonymousCaller.
-	Callers map[string]units.Caller
+	// Callers holds the callers' names. If it is empty, no token is asked for
+	// and the caller is named by AnonymousCaller.
+	Callers token.Set
 	// NotRepeatable holds, for each service, methods with path prefixes.
 	NotRepeatable map[units.ServiceName][]string
 	Clock         clock.Clock
+	// Logger takes what the core does not see; nil drops it.
+	Logger hclog.Logger
+	// WriteTimeout is the time for a caller to take a part of a stream; 0 is
+	// DefaultWriteTimeout.
+	WriteTimeout time.Duration
 	// Submit hands an event to the core. It reports false if there is no room.
 	Submit func(event.Event) bool
 	// Ready reports whether the entry VM may be sent requests.
@@ -51,38 +57,44 @@
 // AnonymousCaller is the caller's name where the settings name no callers.
 const AnonymousCaller units.Caller = "anonymous"
 
+// Defaults of the limits on callers.
+const (
+	// DefaultMaxBodyBytes is the greatest length of a request's body.
+	DefaultMaxBodyBytes units.Bytes = 8 << 20
+	// DefaultMaxHeaderBytes is the greatest length of a request's headers.
+	DefaultMaxHeaderBytes units.Bytes = 16 << 10
+	// DefaultReadTimeout is the time for a whole request to arrive.
+	DefaultReadTimeout = 30 * time.Second
+	// DefaultWriteTimeout is the time for a caller to take a part of its answer.
+	DefaultWriteTimeout = 10 * time.Second
+)
+
 // Edge answers callers. Make it with New.
 type Edge struct {
 	options   Options
 	exchanges exchanges
-	client    fasthttp.Client
+	backend   backendClients
+	// closed is closed by Close.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-// Bounds of the connections to one backend server.
-const (
-	maxConnsPerServer = 2048
-	maxIdleConn       = 30 * time.Second
-	dialTimeout       = time.Second
-)
-
-// MaxBodyBytes is the greatest length of a request's body.
-const MaxBodyBytes units.Bytes = 8 << 20
-
-// New returns an edge. Its HTTP client never repeats a call by itself.
+// New returns an edge. Its HTTP clients never repeat a call by themselves.
 func New(options Options) *Edge {
-	return &Edge{options: options, client: fasthttp.Client{
-		Name:                      "mangostile",
-		MaxConnsPerHost:           maxConnsPerServer,
-		MaxIdleConnDuration:       maxIdleConn,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		StreamResponseBody:        true,
-		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, dialTimeout)
-		},
-	}}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.WriteTimeout == 0 {
+		options.WriteTimeout = DefaultWriteTimeout
+	}
+	e := &Edge{options: options, closed: make(chan struct{})}
+	e.backend.init()
+	return e
 }
 
+// Close refuses all requests that wait for the core.
+func (e *Edge) Close() { e.closeOnce.Do(func() { close(e.closed) }) }
+
 // Open returns the number of requests that have not ended.
 func (e *Edge) Open() int { return e.exchanges.count() }
 
@@ -131,7 +143,7 @@
 		writeRefusal(ctx, "", refusal)
 		return
 	}
-	x := newExchange()
+	x := newExchange(ctx.Conn())
 	x.request.Caller = caller
 	x.method = string(ctx.Method())
 	switch {
@@ -157,16 +169,14 @@
 }
 
 func (e *Edge) caller(ctx *fasthttp.RequestCtx) (units.Caller, *errs.Refusal) {
-	if len(e.options.Callers) == 0 {
+	if e.options.Callers.Len() == 0 {
 		return AnonymousCaller, nil
 	}
-	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	sum := sha256.Sum256([]byte(token))
-	caller, known := e.options.Callers[hex.EncodeToString(sum[:])]
-	if !ok || !known {
+	name, ok := e.options.Callers.Find(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if !ok {
 		return "", errs.Refuse(errs.CodeUnauthorized, "send Authorization: Bearer with a token of the settings' callers")
 	}
-	return caller, nil
+	return units.Caller(name), nil
 }
 
 func (e *Edge) readHeaders(ctx *fasthttp.RequestCtx, x *exchange) *errs.Refusal {
@@ -315,3 +325,19 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
 }
+
+// HandleError answers a request that could not be read.
+func (e *Edge) HandleError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	refusal := errs.Refuse(errs.CodeBadRequest, "the request is not HTTP: %v", err)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		refusal = errs.Refuse(errs.CodeBodyTooLarge, "the body is too long: send a shorter one")
+	case errors.As(err, &small):
+		refusal = errs.Refuse(errs.CodeBodyTooLarge, "the headers are too long: send shorter ones")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		refusal = errs.Refuse(errs.CodeBadRequest, "the request did not arrive in time: send it faster")
+	}
+	writeRefusal(ctx, "", refusal)
+}
--- a/internal/node/edge/exchange.go
+++ b/internal/node/edge/exchange.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"net"
 	"sync"
 
 	"mangostile/internal/base/units"
@@ -12,6 +13,8 @@
 // exchange is one caller's request with the means to answer it.
 type exchange struct {
 	request event.Request
+	// conn is the caller's connection.
+	conn net.Conn
 	// method, path and body are sent to a backend server.
 	method string
 	path   string
@@ -19,20 +22,54 @@
 	// commands holds the core's effects for this request, in order.
 	commands chan event.Effect
 	// canceled is closed once the attempt on its way is to be given up.
-	canceled   chan struct{}
-	cancelOnce sync.Once
+	canceled chan struct{}
+	// goneTold is set once the core was told that the caller has gone. Only the
+	// watching duty uses it.
+	goneTold bool
+
+	mu sync.Mutex
+	// abort closes the stream that is being read, if there is one.
+	abort func()
 }
 
 // maxCommands bounds the effects that wait for one exchange. The core has at
 // most one dispatch and one end outstanding.
 const maxCommands = 8
 
-func newExchange() *exchange {
-	return &exchange{commands: make(chan event.Effect, maxCommands), canceled: make(chan struct{})}
+func newExchange(conn net.Conn) *exchange {
+	return &exchange{conn: conn, commands: make(chan event.Effect, maxCommands), canceled: make(chan struct{})}
 }
 
+// cancel gives up the attempt on its way. It does not block.
 func (x *exchange) cancel() {
-	x.cancelOnce.Do(func() { close(x.canceled) })
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.isCanceled() {
+		return
+	}
+	close(x.canceled)
+	if x.abort != nil {
+		go x.abort()
+	}
+}
+
+// onCancel sets what breaks off the stream that is being read; nil if none is.
+func (x *exchange) onCancel(abort func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abort = abort
+	if abort != nil && x.isCanceled() {
+		go abort()
+	}
+}
+
+func (x *exchange) isCanceled() bool {
+	select {
+	case <-x.canceled:
+		return true
+	default:
+		return false
+	}
 }
 
 // exchanges holds the open exchanges by request id. The zero value is empty.
@@ -72,3 +109,13 @@
 	defer e.mu.Unlock()
 	return len(e.open)
 }
+
+// all appends all open exchanges to list.
+func (e *exchanges) all(list []*exchange) []*exchange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, x := range e.open {
+		list = append(list, x)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/edge/harness_test.go
@@ -0,0 +1,251 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// testTimeout bounds waits that a sound edge ends long before.
+const testTimeout = 10 * time.Second
+
+var testAdapter = units.AdapterVersion{Adapter: "braid", Version: "v1"}
+
+// harness is an edge on loopback with a small core that sends each request to
+// one backend server and refuses it if the attempt fails.
+type harness struct {
+	t       *testing.T
+	edge    *Edge
+	address string
+	// backend is the address that requests are sent to.
+	backend string
+	// timeLimit is the time of an attempt.
+	timeLimit clock.Millis
+	// attempts is how often a request is sent while it breaks off.
+	attempts int32
+	// onBroken is called before a request that broke off is sent again.
+	onBroken func()
+	done     chan event.DispatchDone
+	canceled chan units.RequestID
+}
+
+func newHarness(t *testing.T, backend string, options Options) *harness {
+	t.Helper()
+	h := &harness{
+		t: t, backend: backend, timeLimit: 5 * clock.Second, attempts: 1,
+		done: make(chan event.DispatchDone, 64), canceled: make(chan units.RequestID, 64),
+	}
+	options.EntryVM = "entry-1"
+	options.NotRepeatable = map[units.ServiceName][]string{"ledger": {"POST /release"}}
+	options.Submit = h.submit
+	options.Ready = func() bool { return true }
+	h.edge = New(options)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	h.address = listener.Addr().String()
+	server := &fasthttp.Server{
+		Handler: h.edge.Handle, ErrorHandler: h.edge.HandleError, MaxRequestBodySize: 4096, ReadBufferSize: 4096, CloseOnShutdown: true,
+		Logger: noLog{},
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(listener)
+	}()
+	go h.edge.Watch(t.Context())
+	t.Cleanup(func() {
+		h.edge.Close()
+		_ = server.Shutdown()
+		<-ended
+	})
+	return h
+}
+
+// noLog drops the HTTP server's messages on callers that went away.
+type noLog struct{}
+
+// Printf implements fasthttp.Logger.
+func (noLog) Printf(string, ...any) {}
+
+func (h *harness) submit(ev event.Event) bool {
+	switch ev := ev.(type) {
+	case event.RequestArrived:
+		h.dispatch(ev.Request.ID, 1, ev.Request.Service == "")
+	case event.RequestCanceled:
+		h.canceled <- ev.Request
+		h.edge.Do(ev.Request, event.CancelDispatch{Request: ev.Request})
+	case event.DispatchDone:
+		h.dispatchDone(ev)
+	}
+	return true
+}
+
+func (h *harness) dispatch(id units.RequestID, attempt int32, engine bool) {
+	d := event.Dispatch{
+		Request: id, Attempt: attempt, Server: "engine-1", Address: h.backend, Deadline: h.edge.options.Clock.Now() + h.timeLimit,
+	}
+	if engine {
+		d.Adapter = testAdapter
+	}
+	h.edge.Do(id, d)
+}
+
+func (h *harness) dispatchDone(ev event.DispatchDone) {
+	kind := ev.Result.Kind
+	h.done <- ev
+	switch {
+	case kind == event.ResultServed || kind == event.ResultCanceled:
+	case kind == event.ResultBroken && ev.Attempt < h.attempts:
+		h.onBroken()
+		h.dispatch(ev.Request, ev.Attempt+1, true)
+	default:
+		refusal := &errs.Refusal{Code: errs.CodeServerFailed, Message: kind.String(), Ran: kind.Ran()}
+		h.edge.Do(ev.Request, event.Refuse{Request: ev.Request, Refusal: refusal})
+	}
+}
+
+// result waits for the end of an attempt.
+func (h *harness) result() event.ResultKind {
+	h.t.Helper()
+	select {
+	case ev := <-h.done:
+		return ev.Result.Kind
+	case <-time.After(testTimeout):
+		h.t.Fatal("no attempt ended")
+		return 0
+	}
+}
+
+// call sends a request and returns the answer.
+func (h *harness) call(path, body string, headers ...string) (int, string) {
+	h.t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + h.address + path)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	req.SetBodyString(body)
+	req.SetConnectionClose()
+	must.NoError(h.t, fasthttp.DoTimeout(req, resp, testTimeout))
+	return resp.StatusCode(), string(resp.Body())
+}
+
+// rawBackend is a backend server that answers each whole request with given
+// bytes and then closes the connection, and counts the requests that it read
+// whole: each of them may have run.
+type rawBackend struct {
+	script
+	listener net.Listener
+
+	mu    sync.Mutex
+	runs  int
+	conns []net.Conn
+}
+
+// script says what a rawBackend does.
+type script struct {
+	// closeBefore closes connections unread, and closeAfterBytes ones after so
+	// many bytes.
+	closeBefore     bool
+	closeAfterBytes int64
+	// answer is what is written; <id> stands for the request's id. Nothing more
+	// is written after hang, and the connection stays open.
+	answer string
+	hang   bool
+	// keepAlive is the number of requests of one connection that are answered
+	// before it is closed under the next.
+	keepAlive int
+}
+
+func startRaw(t *testing.T, script script) *rawBackend {
+	t.Helper()
+	b := &rawBackend{script: script}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	b.listener = listener
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns = append(b.conns, conn)
+			b.mu.Unlock()
+			wg.Go(func() { b.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		b.mu.Lock()
+		for _, conn := range b.conns {
+			_ = conn.Close()
+		}
+		b.mu.Unlock()
+		wg.Wait()
+	})
+	return b
+}
+
+// count counts a request that may have run.
+func (b *rawBackend) count(path string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if path != "/v1/cancel" && path != "/v1/resume" {
+		b.runs++
+	}
+}
+
+func (b *rawBackend) ran() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs
+}
+
+func (b *rawBackend) serve(conn net.Conn) {
+	if b.closeBefore {
+		_ = conn.Close()
+		return
+	}
+	if b.closeAfterBytes > 0 {
+		_, _ = io.CopyN(io.Discard, conn, b.closeAfterBytes)
+		_ = conn.Close()
+		return
+	}
+	r := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			_ = conn.Close()
+			return
+		}
+		b.count(string(req.URI().Path()))
+		if b.keepAlive > 0 && i >= b.keepAlive {
+			_ = conn.Close()
+			return
+		}
+		answer := strings.ReplaceAll(b.answer, "<id>", string(req.Header.Peek(HeaderRequestID)))
+		_, _ = io.Copy(conn, bytes.NewReader([]byte(answer)))
+		if b.keepAlive == 0 && !b.hang {
+			_ = conn.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/edge/stream.go
@@ -0,0 +1,242 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"mangostile/internal/base/errs"
+	"mangostile/internal/core/event"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxResumes bounds how often one stream is taken up again after its connection
+// broke.
+const maxResumes = 2
+
+// maxEventBytes is the greatest length of one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Lines of a stream.
+var (
+	dataPrefix = []byte("data:")
+	endMark    = []byte("[DONE]")
+)
+
+// answerStream reads a streamed answer event by event and checks that all of it
+// belongs to one request.
+type answerStream struct {
+	x    *exchange
+	d    event.Dispatch
+	resp *fasthttp.Response
+	r    *bufio.Reader
+	// buf holds the event that was read last.
+	buf []byte
+	// id is the answer's id in its first event.
+	id string
+	// tokens counts events other than the end mark.
+	tokens  int
+	resumes int
+}
+
+// streamEvent is the part of an event that is checked.
+type streamEvent struct {
+	ID    string `json:"id"`
+	Model string `json:"model"`
+}
+
+func newAnswerStream(x *exchange, d event.Dispatch, resp *fasthttp.Response) *answerStream {
+	s := &answerStream{x: x, d: d}
+	s.read(resp)
+	return s
+}
+
+// read goes on with the body of resp.
+func (s *answerStream) read(resp *fasthttp.Response) {
+	s.resp = resp
+	stream := resp.BodyStream()
+	if stream == nil {
+		s.r = bufio.NewReader(bytes.NewReader(resp.Body()))
+		return
+	}
+	s.r = bufio.NewReader(stream)
+	if closer, ok := stream.(io.Closer); ok {
+		s.x.onCancel(func() { _ = closer.Close() })
+	}
+}
+
+func (s *answerStream) close() {
+	s.x.onCancel(nil)
+	release(s.resp)
+}
+
+// Errors of a stream.
+var (
+	errForeignEvent = errors.New("an event belongs to another answer")
+	errLongEvent    = errors.New("an event is too long")
+)
+
+// next reads one event into buf, with its empty line. It reports true for the
+// end mark.
+func (s *answerStream) next() (end bool, err error) {
+	s.buf = s.buf[:0]
+	for {
+		line, err := s.r.ReadSlice('\n')
+		s.buf = append(s.buf, line...)
+		if len(s.buf) > maxEventBytes {
+			return false, errLongEvent
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return false, err
+		}
+		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(s.buf) > len(line) {
+			break
+		}
+	}
+	return s.check()
+}
+
+// check checks the event in buf.
+func (s *answerStream) check() (end bool, err error) {
+	data, ok := bytes.CutPrefix(s.buf, dataPrefix)
+	if !ok {
+		return false, nil
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, endMark) {
+		return true, nil
+	}
+	var ev streamEvent
+	if err := json.Unmarshal(data, &ev); err != nil {
+		return false, errors.Wrap(err, "decode event")
+	}
+	if s.id == "" {
+		s.id = ev.ID
+	}
+	if ev.ID != s.id || ev.Model != s.d.Adapter.String() {
+		return false, errForeignEvent
+	}
+	s.tokens++
+	return false, nil
+}
+
+// resultOf classifies an error of next.
+func (s *answerStream) resultOf(err error) event.ResultKind {
+	if s.x.isCanceled() {
+		return event.ResultCanceled
+	}
+	if kind := resultOfError(err); kind != event.ResultNotSent {
+		return kind
+	}
+	return event.ResultBroken
+}
+
+// stream passes a streamed answer on. It waits for the first event before the
+// caller gets a byte, so that another backend server can still take over.
+func (e *Edge) stream(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, resp *fasthttp.Response) bool {
+	s := newAnswerStream(x, d, resp)
+	end, err := s.next()
+	if err != nil {
+		kind := s.resultOf(err)
+		s.close()
+		if kind == event.ResultCanceled {
+			e.giveUp(x, d)
+			return true
+		}
+		e.done(d, event.DispatchResult{Kind: kind})
+		return false
+	}
+	e.options.Submit(event.DispatchStarted{Request: d.Request, Attempt: d.Attempt})
+	e.answerHeaders(ctx, x, d)
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		kind := e.copyStream(w, s, end)
+		s.close()
+		e.endStream(w, s, kind)
+	})
+	return true
+}
+
+// copyStream copies events until the stream's end mark. The first is in s.buf.
+func (e *Edge) copyStream(w *bufio.Writer, s *answerStream, end bool) event.ResultKind {
+	for {
+		_ = s.x.conn.SetWriteDeadline(time.Now().Add(e.options.WriteTimeout))
+		_, _ = w.Write(s.buf)
+		if w.Flush() != nil {
+			return event.ResultCanceled
+		}
+		if end {
+			return event.ResultServed
+		}
+		var err error
+		end, err = s.next()
+		for err != nil {
+			kind := s.resultOf(err)
+			if kind != event.ResultBroken || errors.Is(err, errForeignEvent) || !e.resume(s) {
+				return kind
+			}
+			end, err = s.next()
+		}
+	}
+}
+
+// resume takes a broken stream up again at the engine that runs it.
+func (e *Edge) resume(s *answerStream) bool {
+	if s.resumes >= maxResumes || s.d.Forward {
+		return false
+	}
+	s.resumes++
+	left := (s.d.Deadline - e.options.Clock.Now()).Duration()
+	resp, err := e.backend.resume(s.x, s.d, s.tokens, left)
+	if err != nil {
+		return false
+	}
+	s.close()
+	s.read(resp)
+	e.options.Logger.Info("stream_resumed", "request", s.d.Request, "backend_server", s.d.Server, "events", s.tokens)
+	return true
+}
+
+// endStream tells the core how a stream ended, and the caller if it broke off.
+func (e *Edge) endStream(w *bufio.Writer, s *answerStream, kind event.ResultKind) {
+	defer e.exchanges.remove(s.x.request.ID)
+	e.done(s.d, event.DispatchResult{Kind: kind, CallerGotBytes: true})
+	switch kind {
+	case event.ResultServed:
+	case event.ResultCanceled:
+		go e.backend.cancel(s.d)
+	default:
+		go e.backend.cancel(s.d)
+		e.endBrokenStream(w, s.x)
+	}
+}
+
+// refusalWait is how long the end of a broken stream waits for the core's
+// refusal.
+const refusalWait = time.Second
+
+// endBrokenStream tells the caller of a stream that broke off why.
+func (e *Edge) endBrokenStream(w *bufio.Writer, x *exchange) {
+	timer := time.NewTimer(refusalWait)
+	defer timer.Stop()
+	refusal := errs.RefuseUnknown(errs.CodeServerFailed, "the backend server broke off the answer: send the request again")
+	select {
+	case command := <-x.commands:
+		if refuse, ok := command.(event.Refuse); ok {
+			refusal = refuse.Refusal
+		}
+	case <-timer.C:
+	}
+	body, err := json.Marshal(refusalBody{Error: refusal, RequestID: x.request.ID})
+	if err != nil {
+		return
+	}
+	_, _ = w.WriteString("event: error\ndata: ")
+	_, _ = w.Write(body)
+	_, _ = w.WriteString("\n\n")
+	_ = w.Flush()
+}
--- /dev/null
+++ b/internal/node/server/http.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/node/edge"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// HTTPLimits bound what one caller can take. 0 is the edge's default.
+type HTTPLimits struct {
+	MaxBody   units.Bytes
+	MaxHeader units.Bytes
+	// ReadTimeout is the time for a whole request to arrive, WriteTimeout that
+	// for a caller to take a whole answer, or a part of a stream.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+}
+
+const idleTimeout = 60 * time.Second
+
+func withTLS(listener net.Listener, cfg *tls.Config) net.Listener {
+	if cfg == nil {
+		return listener
+	}
+	return tls.NewListener(listener, cfg)
+}
+
+// serveHTTP runs an HTTP server that ends with ctx, after open answers.
+func (s *Server) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
+	limits := s.options.HTTP
+	server := &fasthttp.Server{
+		Handler: handler, ErrorHandler: s.edge.HandleError, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
+		MaxRequestBodySize: int(cmp.Or(limits.MaxBody, edge.DefaultMaxBodyBytes)),
+		ReadBufferSize:     int(cmp.Or(limits.MaxHeader, edge.DefaultMaxHeaderBytes)),
+		ReadTimeout:        cmp.Or(limits.ReadTimeout, edge.DefaultReadTimeout),
+		WriteTimeout:       cmp.Or(limits.WriteTimeout, edge.DefaultWriteTimeout),
+		IdleTimeout:        idleTimeout,
+		Logger:             hclogPrinter{s.options.Logger},
+	}
+	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve HTTP") })
+	group.Go(func() error {
+		<-ctx.Done()
+		limit, cancel := context.WithTimeout(context.Background(), leaveGrace)
+		defer cancel()
+		_ = server.ShutdownWithContext(limit)
+		return nil
+	})
+}
+
+// hclogPrinter passes the HTTP server's messages on.
+type hclogPrinter struct{ logger hclog.Logger }
+
+// Printf implements fasthttp.Logger.
+func (p hclogPrinter) Printf(format string, args ...any) {
+	p.logger.Debug("http_server", "text", errors.Errorf(format, args...).Error())
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,6 @@
 	"mangostile/internal/plat/system"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
@@ -34,6 +34,10 @@
 	ServeListener net.Listener
 	PeerListener  net.Listener
 	AdminListener net.Listener
+	// ServeTLS and AdminTLS are nil for plain HTTP.
+	ServeTLS *tls.Config
+	AdminTLS *tls.Config
+	HTTP     HTTPLimits
 	// Admin answers operators.
 	Admin func(*Server) fasthttp.RequestHandler
 }
@@ -50,9 +54,7 @@
 	polls   *ring.Ring[event.PollServer]
 	tails   tails
 	edits   editWaiters
-	// decisions are kept for Explain.
-	decisions decisionLines
-	ready     atomic.Bool
+	ready   atomic.Bool
 	// left is closed once nothing is left to do after LeaveRequested.
 	left chan struct{}
 }
@@ -91,6 +93,7 @@
 	edgeOptions.Ready = s.ready.Load
 	edgeOptions.Models = s.models
 	edgeOptions.Clock = options.Clock
+	edgeOptions.Logger = options.Logger
 	edgeOptions.EntryVM = units.EntryVMID(options.Core.Self.ID)
 	s.edge = edge.New(edgeOptions)
 	s.links = links.New(edgeOptions.EntryVM, func(ev event.PeerReceived) bool { return s.Submit(ev) })
@@ -145,9 +148,14 @@
 	for range pollDuties {
 		group.Go(func() error { return s.runPolls(ctx) })
 	}
-	s.serveHTTP(ctx, group, s.options.ServeListener, s.edge.Handle)
+	group.Go(func() error {
+		s.edge.Watch(ctx)
+		s.edge.Close()
+		return nil
+	})
+	s.serveHTTP(ctx, group, withTLS(s.options.ServeListener, s.options.ServeTLS), s.edge.Handle)
 	if s.options.AdminListener != nil {
-		s.serveHTTP(ctx, group, s.options.AdminListener, s.options.Admin(s))
+		s.serveHTTP(ctx, group, withTLS(s.options.AdminListener, s.options.AdminTLS), s.options.Admin(s))
 	}
 	group.Go(func() error {
 		select {
@@ -161,31 +169,6 @@
 	return group.Wait()
 }
 
-// serveHTTP runs an HTTP server that ends with ctx, after open answers.
-func (s *Server) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
-	server := &fasthttp.Server{
-		Handler: handler, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
-		MaxRequestBodySize: int(edge.MaxBodyBytes), ReadTimeout: 30 * time.Second, IdleTimeout: 60 * time.Second,
-		Logger: hclogPrinter{s.options.Logger},
-	}
-	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve HTTP") })
-	group.Go(func() error {
-		<-ctx.Done()
-		limit, cancel := context.WithTimeout(context.Background(), leaveGrace)
-		defer cancel()
-		_ = server.ShutdownWithContext(limit)
-		return nil
-	})
-}
-
-// hclogPrinter passes the HTTP server's messages on.
-type hclogPrinter struct{ logger hclog.Logger }
-
-// Printf implements fasthttp.Logger.
-func (p hclogPrinter) Printf(format string, args ...any) {
-	p.logger.Debug("http_server", "text", errors.Errorf(format, args...).Error())
-}
-
 func (s *Server) runTicks(ctx context.Context) error {
 	ticker := time.NewTicker(event.TickPeriod.Duration())
 	defer ticker.Stop()
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -69,12 +69,10 @@
 		Commands: []*cli.Command{
 			newDemoCmd(),
 			newExperimentCmd(),
-			newExplainCmd(),
 			newLoadCmd(),
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
-			newStatusCmd(),
 			newTableCmd(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/token"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/place"
 	"mangostile/internal/node/admin"
+	"mangostile/internal/node/certs"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/server"
 	"mangostile/internal/oper/config"
@@ -62,6 +65,14 @@
 // open.
 func newServer(settings *config.Settings, logger hclog.Logger) (*server.Server, error) {
 	own := &settings.EntryVM
+	serveTLS, err := tlsConfig(settings.TLS.ServeCertificateFile, settings.TLS.ServeKeyFile, logger)
+	if err != nil {
+		return nil, err
+	}
+	adminTLS, err := tlsConfig(settings.TLS.AdminCertificateFile, settings.TLS.AdminKeyFile, logger)
+	if err != nil {
+		return nil, err
+	}
 	var listeners [3]net.Listener
 	for i, address := range []string{own.ServeAddress, own.PeerAddress, own.AdminAddress} {
 		listener, err := net.Listen("tcp", address)
@@ -78,10 +89,28 @@
 		ServeListener: listeners[0],
 		PeerListener:  listeners[1],
 		AdminListener: listeners[2],
-		Admin:         admin.New(admin.Options{Operators: operatorNames(settings)}),
+		ServeTLS:      serveTLS,
+		AdminTLS:      adminTLS,
+		HTTP: server.HTTPLimits{
+			MaxBody: settings.Limits.MaxBodyBytes, MaxHeader: settings.Limits.MaxHeaderBytes,
+			ReadTimeout: settings.Limits.ReadTimeoutMS.Duration(), WriteTimeout: settings.Limits.WriteTimeoutMS.Duration(),
+		},
+		Admin: admin.New(admin.Options{Operators: operatorTokens(settings)}),
 	}), nil
 }
 
+// tlsConfig returns nil where no certificate is named.
+func tlsConfig(certificateFile, keyFile string, logger hclog.Logger) (*tls.Config, error) {
+	if certificateFile == "" {
+		return nil, nil
+	}
+	reloader, err := certs.New(certificateFile, keyFile, logger)
+	if err != nil {
+		return nil, err
+	}
+	return reloader.Config(), nil
+}
+
 func coreConfig(settings *config.Settings) entry.Config {
 	own := &settings.EntryVM
 	cfg := entry.Config{
@@ -104,9 +133,10 @@
 }
 
 func edgeOptions(settings *config.Settings) edge.Options {
-	options := edge.Options{Callers: map[string]units.Caller{}, NotRepeatable: map[units.ServiceName][]string{}}
+	options := edge.Options{NotRepeatable: map[units.ServiceName][]string{}, WriteTimeout: settings.Limits.WriteTimeoutMS.Duration()}
 	for _, caller := range settings.Callers {
-		options.Callers[caller.TokenSHA256] = units.Caller(caller.Name)
+		// The settings were checked: the digest is sound.
+		_ = options.Callers.Add(caller.TokenSHA256, caller.Name)
 	}
 	for _, s := range settings.Services {
 		options.NotRepeatable[s.Name] = s.NotRepeatable
@@ -114,10 +144,11 @@
 	return options
 }
 
-func operatorNames(settings *config.Settings) map[string]string {
-	names := map[string]string{}
+func operatorTokens(settings *config.Settings) token.Set {
+	var operators token.Set
 	for _, operator := range settings.Operators {
-		names[operator.TokenSHA256] = operator.Name
+		// The settings were checked: the digest is sound.
+		_ = operators.Add(operator.TokenSHA256, operator.Name)
 	}
-	return names
+	return operators
 }
