--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -41,6 +41,7 @@
 	now     clock.Millis
 	Table   table.Table
 	Members member.View
+	Domains member.Domains
 	Owner   owner.Owner
 	Router  route.Router
 	Ledger  once.Ledger
@@ -51,11 +52,16 @@
 	// outcomes holds outcomes of actions that the log has not confirmed.
 	outcomes map[units.RecordID]*pendingOutcome
 	// listed is the platform's last list.
-	listed  []event.VM
-	vms     map[string]event.VM
-	beatAt  clock.Millis
-	started bool
-	// configSeen is set once the config stream was read to its end.
+	listed []event.VM
+	vms    map[string]event.VM
+	beatAt clock.Millis
+	feed   configFeed
+	// summaries counts the summaries sent to other failure domains.
+	summaries    uint64
+	summarizedAt clock.Millis
+	started      bool
+	// configSeen is set once the config stream was read to its end, or as far as
+	// any peer has it while the log service can't be read.
 	configSeen bool
 	leaving    bool
 	left       bool
@@ -89,7 +95,8 @@
 func (c *Core) start(out *event.Effects) {
 	c.started = true
 	c.learnVMs(out)
-	out.Add(event.TailStream{Stream: event.ConfigStream, From: c.Table.Next()})
+	c.feed.startedAt = c.now
+	c.tailConfig(out)
 }
 
 func (c *Core) handle(ev event.Event, out *event.Effects) {
@@ -110,8 +117,9 @@
 	case event.RecordsRead:
 		c.recordsRead(ev, out)
 	case event.StreamGap:
-		c.Ledger.Skip(ev)
+		c.streamGap(ev, out)
 	case event.StreamUnreachable:
+		c.feed.unreachable = c.feed.unreachable || ev.Stream == event.ConfigStream
 	case event.OrderDone:
 		c.Owner.OrderDone(c.now, ev, out)
 	case event.ReportReceived:
@@ -166,7 +174,15 @@
 		c.granted(from, m, out)
 	case *peer.GrantRelease:
 		c.Owner.Release(c.now, from, m, out)
-	case *peer.ConfigRecords, *peer.ConfigAsk, *peer.ConfigSnapshot, *peer.PoisonMark, *peer.DomainSummary:
+	case *peer.ConfigRecords:
+		c.configPassed(from, m, out)
+	case *peer.ConfigAsk:
+		c.configAsked(from, m, out)
+	case *peer.ConfigSnapshot:
+		c.snapshotPassed(from, m, out)
+	case *peer.DomainSummary:
+		c.domainSummarized(m, out)
+	case *peer.PoisonMark:
 	}
 }
 
@@ -179,24 +195,32 @@
 		c.beatAt = c.now
 		c.beat(out)
 	}
+	c.tickFeed(out)
+	c.summarize(out)
 	c.tickRequests(out)
 	c.tickEdits(out)
 	c.tickOutcomes(out)
 }
 
 func (c *Core) recordsRead(ev event.RecordsRead, out *event.Effects) {
-	if ev.Stream != event.ConfigStream {
+	switch ev.Stream {
+	case event.ConfigStream:
+		c.configRead(ev, out)
+	case event.SnapshotStream:
+		c.snapshotRead(ev, out)
+	default:
 		if c.Ledger.Fold(ev, out) {
 			c.retryActions(out)
 		}
-		return
 	}
-	for i := range ev.Records {
-		c.Table.Fold(ev.Records[i])
+}
+
+func (c *Core) streamGap(ev event.StreamGap, out *event.Effects) {
+	if ev.Stream == event.ConfigStream {
+		c.configGap(ev, out)
+		return
 	}
-	c.answerEdits(out)
-	c.configSeen = c.configSeen || c.Table.Next() >= ev.End
-	c.learnVMs(out)
+	c.Ledger.Skip(ev)
 }
 
 func (c *Core) leave(out *event.Effects) {
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -48,7 +48,8 @@
 func (c *Core) beat(out *event.Effects) {
 	heartbeat := peer.Heartbeat{
 		Incarnation: c.cfg.Incarnation, Leaving: c.leaving, ConfigOffset: c.Table.Next(),
-		Servers: c.Owner.Summaries(c.now), Full: true,
+		LogUnreachable: c.feed.unreachable,
+		Servers:        c.Owner.Summaries(c.now), Full: true,
 	}
 	held := c.heldByOwner()
 	for _, p := range c.Members.Peers() {
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -36,6 +36,8 @@
 	// Leaving is set if the peer or the platform's list said so.
 	Leaving      bool
 	ConfigOffset units.Offset
+	// LogUnreachable is set while the peer can't read the log service.
+	LogUnreachable bool
 }
 
 // View is one entry VM's view of the others. Set Self before use.
@@ -94,6 +96,7 @@
 	p.HeardAt = now
 	p.Leaving = heartbeat.Leaving
 	p.ConfigOffset = heartbeat.ConfigOffset
+	p.LogUnreachable = heartbeat.LogUnreachable
 	v.refresh(now)
 	return true
 }
--- a/internal/core/peer/check.go
+++ b/internal/core/peer/check.go
@@ -103,5 +103,8 @@
 	if m.Domain == "" || m.Incarnation == 0 {
 		return invalid("domain_summary", "failure domain and incarnation are needed")
 	}
+	if len(m.Entries) == 0 {
+		return invalid("domain_summary", "no entry VM")
+	}
 	return nil
 }
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -22,6 +22,8 @@
 	// ConfigOffset is the first offset of the config stream that the sender has
 	// not applied.
 	ConfigOffset units.Offset `msgpack:"o"`
+	// LogUnreachable is set while the sender can't read the log service.
+	LogUnreachable bool `msgpack:"u,omitempty"`
 	// Servers describes backend servers that the sender owns and whose state
 	// changed, or all of them if Full.
 	Servers []ServerSummary `msgpack:"s,omitempty"`
@@ -157,8 +159,15 @@
 	// FreeSeats counts the requests that could run at once without waiting.
 	FreeSeats int32 `msgpack:"f"`
 	// LoadsInFlight counts adapter loads against the shared bound.
-	LoadsInFlight int32             `msgpack:"l"`
-	Entries       []units.EntryVMID `msgpack:"e"`
+	LoadsInFlight int32 `msgpack:"l"`
+	// Entries lists some members of the failure domain, the sender first.
+	Entries []units.EntryVMID `msgpack:"e"`
+	// ConfigOffset is the first offset of the config stream that the sender has
+	// not applied, and LowestOffset the smallest of those in its failure domain.
+	ConfigOffset units.Offset `msgpack:"o"`
+	LowestOffset units.Offset `msgpack:"w"`
+	// LogUnreachable is set while the sender can't read the log service.
+	LogUnreachable bool `msgpack:"u,omitempty"`
 }
 
 func (*Heartbeat) peerMessage()      {}
--- a/internal/core/table/history.go
+++ b/internal/core/table/history.go
@@ -34,6 +34,8 @@
 	Column  string            `msgpack:"c" json:"column"`
 	Old     string            `msgpack:"o" json:"old"`
 	New     string            `msgpack:"n" json:"new"`
+	// NewRow is set if the row was not there before the edit.
+	NewRow bool `msgpack:"r,omitempty" json:"new_row,omitempty"`
 }
 
 // editHistory holds the newest edits in log order. The zero value is empty. It
@@ -67,9 +69,14 @@
 	entry.More = len(edit.Cells) - kept
 	for i := range edit.Cells[:kept] {
 		cell := &edit.Cells[i]
+		row := t.rows[cell.Adapter]
+		_, isServer := serverOfRow(cell.Adapter)
 		entry.Changes = append(entry.Changes, Change{
-			Adapter: cell.Adapter, Column: cell.Column, Old: t.valueInForce(cell), New: cell.Value,
+			Adapter: cell.Adapter, Column: cell.Column, Old: t.valueInForce(cell), New: cell.Value, NewRow: row == nil && !isServer,
 		})
+		if cell.Column == DeletedColumn && row != nil {
+			entry.Changes = append(entry.Changes, row.lostCells()...)
+		}
 	}
 	return entry
 }
@@ -86,3 +93,13 @@
 	}
 	return row.Cell(cell.Column)
 }
+
+// lostCells describes what a row held when it was deleted, so that it can be put
+// back.
+func (r *Row) lostCells() []Change {
+	changes := make([]Change, 0, columnCount)
+	for _, column := range Columns() {
+		changes = append(changes, Change{Adapter: r.Adapter, Column: column, Old: r.Cell(column)})
+	}
+	return changes
+}
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -61,12 +61,16 @@
 		a.showTable(ctx)
 	case "/admin/edits":
 		a.edit(ctx, operator)
+	case "/admin/explain":
+		a.explain(ctx)
+	case "/admin/history":
+		a.history(ctx)
 	case "/admin/members":
 		a.members(ctx)
 	case "/admin/status":
 		a.status(ctx)
 	default:
-		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/members or /admin/status")
+		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/explain, /admin/history, /admin/members or /admin/status")
 	}
 }
 
--- /dev/null
+++ b/internal/node/admin/history.go
@@ -0,0 +1,23 @@
+package admin
+
+import (
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/table"
+
+	"github.com/valyala/fasthttp"
+)
+
+// History is the answer to GET /admin/history.
+type History struct {
+	Revision units.Offset `json:"revision"`
+	// Edits holds the newest edits, oldest first, accepted or not.
+	Edits []table.HistoryEntry `json:"edits"`
+}
+
+func (a *api) history(ctx *fasthttp.RequestCtx) {
+	var answer History
+	if a.look(ctx, func(c *entry.Core) { answer.Revision, answer.Edits = c.Table.Next(), c.Table.History() }) {
+		write(ctx, fasthttp.StatusOK, answer)
+	}
+}
--- /dev/null
+++ b/internal/node/server/decision_lines.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+)
+
+// DecisionLine is one decision that concerned a request.
+type DecisionLine struct {
+	// AtMillis is the entry VM's wall clock since the Unix epoch.
+	AtMillis clock.Millis `json:"at_ms"`
+	Area     string       `json:"area"`
+	// Text holds the decision as key=value pairs, as in the log.
+	Text    string          `json:"text"`
+	Request units.RequestID `json:"-"`
+}
+
+// decisionLines keeps the newest lines of decisions that concerned requests. The
+// zero value is empty and may be used from several goroutines.
+type decisionLines struct {
+	mu sync.Mutex
+	// lines is full once it has maxDecisionLines; next is then the oldest.
+	lines []DecisionLine
+	next  int
+}
+
+// Bounds of decisionLines.
+const (
+	maxDecisionLines = 8192
+	maxDecisionText  = 512
+)
+
+func (l *decisionLines) add(at clock.Millis, d event.Decision) {
+	if d.Request == "" {
+		return
+	}
+	line := DecisionLine{AtMillis: at, Area: d.Area, Text: decisionText(d), Request: d.Request}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.lines) < maxDecisionLines {
+		l.lines = append(l.lines, line)
+		return
+	}
+	l.lines[l.next] = line
+	l.next = (l.next + 1) % maxDecisionLines
+}
+
+// of returns the lines of a request, oldest first, with the instant of the
+// oldest line that is kept of any request.
+func (l *decisionLines) of(request units.RequestID) (lines []DecisionLine, oldest clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.lines {
+		line := &l.lines[(l.next+i)%len(l.lines)]
+		if i == 0 {
+			oldest = line.AtMillis
+		}
+		if line.Request == request {
+			lines = append(lines, *line)
+		}
+	}
+	return lines, oldest
+}
+
+func decisionText(d event.Decision) string {
+	var text strings.Builder
+	writePair(&text, "choice", d.Choice)
+	writePair(&text, "reason", d.Reason)
+	for i := 0; i+1 < len(d.Pairs); i += 2 {
+		writePair(&text, fmt.Sprint(d.Pairs[i]), fmt.Sprint(d.Pairs[i+1]))
+	}
+	return text.String()[:min(text.Len(), maxDecisionText)]
+}
+
+func writePair(text *strings.Builder, key, value string) {
+	if text.Len() > 0 {
+		text.WriteByte(' ')
+	}
+	if value == "" || strings.ContainsAny(value, " \"=\n") {
+		value = strconv.Quote(value)
+	}
+	text.WriteString(key + "=" + value)
+}
+
+// Explain returns the decisions that this entry VM made on a request lately, and
+// the instant of the oldest line that it keeps of any request.
+func (s *Server) Explain(request units.RequestID) ([]DecisionLine, clock.Millis) {
+	return s.decisions.of(request)
+}
--- a/internal/node/server/duties.go
+++ b/internal/node/server/duties.go
@@ -73,6 +73,7 @@
 }
 
 func (s *Server) logDecision(d event.Decision) {
+	s.decisions.add(clock.WallNow(), d)
 	pairs := make([]any, 0, 6+len(d.Pairs))
 	if d.Request != "" {
 		pairs = append(pairs, "request", d.Request)
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -54,7 +54,9 @@
 	polls   *ring.Ring[event.PollServer]
 	tails   tails
 	edits   editWaiters
-	ready   atomic.Bool
+	// decisions are kept for Explain.
+	decisions decisionLines
+	ready     atomic.Bool
 	// left is closed once nothing is left to do after LeaveRequested.
 	left chan struct{}
 }
--- a/internal/oper/client/client.go
+++ b/internal/oper/client/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/url"
 	"strings"
 	"time"
 
@@ -82,6 +83,19 @@
 	return &status, c.call(ctx, fasthttp.MethodGet, "/admin/status", nil, &status, callTimeout)
 }
 
+// Explain returns the decisions that the entry VM made on a request.
+func (c *Client) Explain(ctx context.Context, request units.RequestID) (*admin.Explanation, error) {
+	var answer admin.Explanation
+	path := "/admin/explain?request=" + url.QueryEscape(string(request))
+	return &answer, c.call(ctx, fasthttp.MethodGet, path, nil, &answer, callTimeout)
+}
+
+// History returns the newest edits, oldest first.
+func (c *Client) History(ctx context.Context) (*admin.History, error) {
+	var history admin.History
+	return &history, c.call(ctx, fasthttp.MethodGet, "/admin/history", nil, &history, callTimeout)
+}
+
 // EditOf returns the edit that makes changes, read at a revision. Rows hold the
 // cells, so that many take little room.
 func EditOf(changes []sheet.Change, readAt units.Offset, dryRun bool) *admin.EditRequest {
--- a/internal/oper/cmds/editrun.go
+++ b/internal/oper/cmds/editrun.go
@@ -70,11 +70,14 @@
 	if answer.Kind != event.EditAccepted {
 		return r.notAccepted(answer)
 	}
-	var reached *spread
-	if !r.dryRun && r.wait > 0 {
-		reached = r.awaitForce(ctx, answer.Offset+1)
+	if r.dryRun {
+		return r.done(answer, changes, nil)
 	}
-	return r.done(answer, changes, reached)
+	r.progress("accepted %d cells at offset %d as %s", answer.Cells, answer.Offset, answer.Edit)
+	if r.wait <= 0 {
+		return r.done(answer, changes, nil)
+	}
+	return r.done(answer, changes, r.awaitForce(ctx, answer.Offset+1))
 }
 
 // send sends an edit and shows that it is being waited for.
@@ -109,8 +112,6 @@
 		fmt.Fprintln(r.w, "nothing to change")
 	case r.dryRun:
 		fmt.Fprintf(r.w, "dry run: %d cells would be accepted; nothing changed\n", answer.Cells)
-	default:
-		r.progress("accepted %d cells at offset %d as %s", answer.Cells, answer.Offset, answer.Edit)
 	}
 	if reached != nil {
 		r.progress("%s", reached)
--- /dev/null
+++ b/internal/oper/cmds/explaincmd.go
@@ -0,0 +1,125 @@
+package cmds
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/node/server"
+	"mangostile/internal/oper/client"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func newExplainCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print the decisions on one request",
+		UsageText: "mangostile explain --entry ADDRESS,ADDRESS REQUEST_ID",
+		Flags:     append(operatorFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON"}),
+		Action:    withClients(explainRequest),
+	}
+}
+
+// explainedLine is a decision with the entry VM that made it.
+type explainedLine struct {
+	EntryVM units.EntryVMID `json:"entry_vm"`
+	server.DecisionLine
+}
+
+// explained is all that was found on one request.
+type explained struct {
+	Request units.RequestID `json:"request"`
+	Lines   []explainedLine `json:"lines"`
+	Asked   []string        `json:"asked"`
+	// NotAsked lists entry VMs of the asked ones' failure domains that were not
+	// asked; the owners of backend servers may be among them.
+	NotAsked []string `json:"not_asked"`
+	// Silent lists addresses that gave no answer.
+	Silent []string `json:"no_answer,omitempty"`
+	// OldestMillis is the latest of the instants that the asked entry VMs' lines
+	// reach back to.
+	OldestMillis clock.Millis `json:"oldest_ms"`
+}
+
+func explainRequest(ctx context.Context, cmd *cli.Command, all []*client.Client) error {
+	args, err := arguments(cmd, "REQUEST_ID")
+	if err != nil {
+		return err
+	}
+	found := &explained{Request: units.RequestID(args[0])}
+	for _, c := range all {
+		found.ask(ctx, c)
+	}
+	if len(found.Asked) == 0 {
+		return errors.Errorf("no entry VM answered at %s: check --entry and --token", strings.Join(found.Silent, ", "))
+	}
+	found.finish()
+	if cmd.Bool("json") {
+		return writeJSON(cmd.Root().Writer, found)
+	}
+	return found.print(cmd.Root().Writer)
+}
+
+func (e *explained) ask(ctx context.Context, c *client.Client) {
+	answer, err := c.Explain(ctx, e.Request)
+	if err != nil {
+		e.Silent = append(e.Silent, c.Address)
+		return
+	}
+	e.Asked = append(e.Asked, string(answer.EntryVM))
+	e.OldestMillis = max(e.OldestMillis, answer.OldestMillis)
+	for _, line := range answer.Lines {
+		e.Lines = append(e.Lines, explainedLine{EntryVM: answer.EntryVM, DecisionLine: line})
+	}
+	members, err := c.Members(ctx)
+	if err != nil {
+		return
+	}
+	for _, m := range members {
+		if m.FailureDomain == members[0].FailureDomain {
+			e.NotAsked = append(e.NotAsked, string(m.ID))
+		}
+	}
+}
+
+func (e *explained) finish() {
+	slices.SortStableFunc(e.Lines, func(a, b explainedLine) int { return cmp.Compare(a.AtMillis, b.AtMillis) })
+	e.NotAsked = slices.DeleteFunc(e.NotAsked, func(id string) bool { return slices.Contains(e.Asked, id) })
+	slices.Sort(e.NotAsked)
+	e.NotAsked = slices.Compact(e.NotAsked)
+}
+
+// timeLayout is how instants are printed.
+const timeLayout = "2006-01-02T15:04:05.000Z"
+
+func formatInstant(at clock.Millis) string {
+	return time.UnixMilli(int64(at)).UTC().Format(timeLayout)
+}
+
+func (e *explained) print(w io.Writer) error {
+	for _, line := range e.Lines {
+		fmt.Fprintf(w, "%s  %s  %s  %s\n", formatInstant(line.AtMillis), line.EntryVM, line.Area, line.Text)
+	}
+	if len(e.NotAsked) > 0 {
+		fmt.Fprintf(w, "not asked: %s: name their admin addresses in --entry to see what they decided\n", strings.Join(e.NotAsked, ", "))
+	}
+	if len(e.Silent) > 0 {
+		fmt.Fprintf(w, "no answer at %s\n", strings.Join(e.Silent, ", "))
+	}
+	if len(e.Lines) > 0 {
+		return nil
+	}
+	since := "they keep no lines yet"
+	if e.OldestMillis > 0 {
+		since = "their lines reach back to " + formatInstant(e.OldestMillis)
+	}
+	return errors.Errorf("no decision on request %s at %s: %s; older ones are in their logs", e.Request, strings.Join(e.Asked, ", "), since)
+}
--- a/internal/oper/cmds/operflags.go
+++ b/internal/oper/cmds/operflags.go
@@ -13,7 +13,7 @@
 )
 
 // defaultAdminAddress is the admin address that commands use if none is named.
-const defaultAdminAddress = "127.0.0.1:7070"
+const defaultAdminAddress = "127.0.0.1:8081"
 
 // operatorFlags are the flags of all commands that call the admin API.
 func operatorFlags() []cli.Flag {
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -69,10 +69,12 @@
 		Commands: []*cli.Command{
 			newDemoCmd(),
 			newExperimentCmd(),
+			newExplainCmd(),
 			newLoadCmd(),
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
+			newStatusCmd(),
 			newTableCmd(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/oper/cmds/script_test.go
+++ b/internal/oper/cmds/script_test.go
@@ -5,8 +5,16 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/event"
+	"mangostile/internal/node/edge"
+	"mangostile/internal/node/server"
+
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
 )
 
 // TestScripts runs operators' sessions against entry VMs and stand-ins in this
@@ -16,6 +24,7 @@
 		Dir:   "testdata/script",
 		Setup: startScriptNodes,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"complete":   completeInScript,
 			"mangostile": runScriptCommand,
 		},
 		RequireUniqueNames: true,
@@ -40,6 +49,11 @@
 	if err != nil {
 		return err
 	}
+	for _, s := range d.servers {
+		if err := waitJoined(s, len(d.servers)); err != nil {
+			return err
+		}
+	}
 	for i, address := range d.admin {
 		env.Setenv(fmt.Sprintf("ENTRY%d", i+1), address)
 		env.Setenv(fmt.Sprintf("SERVE%d", i+1), d.serve[i])
@@ -48,6 +62,29 @@
 	return nil
 }
 
+// joinTimeout bounds the wait of a script for the entry VMs to hear of each other.
+const joinTimeout = 20 * time.Second
+
+// waitJoined waits until an entry VM has heard of all members and can use all
+// backend servers.
+func waitJoined(s *server.Server, members int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	joined := false
+	for !joined {
+		if !s.Look(ctx, func(c *entry.Core) {
+			joined = len(c.Members.Members()) == members
+			for _, b := range c.Router.Servers() {
+				joined = joined && (b.Spec.Kind != event.KindEngine || b.Summary.Usable)
+			}
+		}) {
+			return errors.New("the entry VMs did not hear of each other")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
 // runScriptCommand runs the program's command line inside the test.
 func runScriptCommand(ts *testscript.TestScript, neg bool, args []string) {
 	root := newRootCmd()
@@ -60,3 +97,22 @@
 		ts.Fatalf("mangostile %s: error %v", strings.Join(args, " "), err)
 	}
 }
+
+// completeInScript asks for a completion: complete ADDRESS REQUEST_ID MODEL. It
+// prints the status and the backend server and sets REQUEST to the request's whole
+// id.
+func completeInScript(ts *testscript.TestScript, neg bool, args []string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + args[0] + "/v1/completions")
+	req.Header.Set(edge.HeaderRequestID, args[1])
+	req.SetBodyString(`{"model":"` + args[2] + `","prompt":"x","max_tokens":2}`)
+	ts.Check(fasthttp.DoTimeout(req, resp, 20*time.Second))
+	ts.Setenv("REQUEST", string(resp.Header.Peek(edge.HeaderRequestID)))
+	fmt.Fprintf(ts.Stdout(), "%d %s\n", resp.StatusCode(), resp.Header.Peek(edge.HeaderBackendServer))
+	if neg != (resp.StatusCode() != fasthttp.StatusOK) {
+		ts.Fatalf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+}
--- /dev/null
+++ b/internal/oper/cmds/statuscmd.go
@@ -0,0 +1,131 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/node/admin"
+	"mangostile/internal/oper/client"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func newStatusCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "print what entry VMs say of themselves and their failure domain",
+		UsageText: "mangostile status --entry ADDRESS,ADDRESS [--json]",
+		Flags:     append(operatorFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON, a list with one object for each entry VM asked"}),
+		Action:    withClients(showStatus),
+	}
+}
+
+func showStatus(ctx context.Context, cmd *cli.Command, all []*client.Client) error {
+	w := cmd.Root().Writer
+	var answers []*admin.Status
+	var failed error
+	for _, c := range all {
+		status, err := c.Status(ctx)
+		if err != nil {
+			failed = err
+			fmt.Fprintln(cmd.Root().ErrWriter, err)
+			continue
+		}
+		answers = append(answers, status)
+	}
+	if len(answers) == 0 {
+		return errors.Wrap(failed, "no entry VM answered")
+	}
+	if cmd.Bool("json") {
+		return writeJSON(w, answers)
+	}
+	for i, status := range answers {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		if err := printStatus(w, status); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printStatus(w io.Writer, s *admin.Status) error {
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready"
+	}
+	fmt.Fprintf(w, "entry VM %s in %s: %s, table of %d rows at revision %d\n", s.EntryVM, s.FailureDomain, ready, s.Adapters, s.Revision)
+	fmt.Fprintf(w, "requests: %d queued, %d asking an owner, %d running, %d waiting for the log\n\n",
+		s.Requests.Queued, s.Requests.Asking, s.Requests.Running, s.Requests.Intent)
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "entry_vm\tfailure_domain\tstate\trevision\theard")
+	for _, m := range s.EntryVMs {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.FailureDomain, memberState(&m), memberRevision(&m), heardText(&m))
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, "backend_server\tserves\towner\tstate\trunning\twaiting\tadapters\tloading")
+	for i := range s.Servers {
+		b := &s.Servers[i]
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d/%d\t%s\n", b.ID, orDash(string(b.Base)+string(b.Service)), orDash(string(b.Owner)),
+			serverState(b), b.Running, b.BatchMax, b.Waiting, len(b.Resident), b.Slots, orDash(joinVersions(b.Loading)))
+	}
+	return errors.Wrap(out.Flush(), "write status")
+}
+
+func memberState(m *admin.Member) string {
+	switch {
+	case !m.Alive:
+		return "not_heard"
+	case m.Leaving && m.Self:
+		return "not_ready"
+	case m.Leaving:
+		return "leaving"
+	default:
+		return "alive"
+	}
+}
+
+func memberRevision(m *admin.Member) string {
+	if !m.Heard {
+		return "unknown"
+	}
+	return fmt.Sprint(m.Revision)
+}
+
+func heardText(m *admin.Member) string {
+	switch {
+	case m.Self:
+		return "itself"
+	case !m.Heard:
+		return "never"
+	default:
+		return fmt.Sprintf("%d ms ago", m.HeardAgo)
+	}
+}
+
+func serverState(s *admin.ServerStatus) string {
+	switch {
+	case s.Drained:
+		return "drained"
+	case s.Leaving:
+		return "leaving"
+	case s.Usable:
+		return "usable"
+	default:
+		return "not_usable"
+	}
+}
+
+func joinVersions(versions []units.AdapterVersion) string {
+	names := make([]string, len(versions))
+	for i, av := range versions {
+		names[i] = av.String()
+	}
+	return strings.Join(names, ",")
+}
--- a/internal/oper/cmds/tablecmd.go
+++ b/internal/oper/cmds/tablecmd.go
@@ -20,8 +20,10 @@
 		Usage: "show and change the table of adapters",
 		Commands: []*cli.Command{
 			newTableExportCmd(),
+			newTableHistoryCmd(),
 			newTableImportCmd(),
 			newTableLintCmd(),
+			newTableRevertCmd(),
 			newTableSetCmd(),
 			newTableShowCmd(),
 		},
@@ -46,7 +48,7 @@
 	return &cli.Command{
 		Name:      "set",
 		Usage:     "change one cell; set state of a row backend_server:ID to leaving to drain it",
-		UsageText: "mangostile table set ADAPTER COLUMN VALUE (write -- before a value that begins with -)",
+		UsageText: examples("mangostile table set braid weight 5", "mangostile table set -- braid priority -3", "mangostile table set backend_server:engine-1 state leaving"),
 		Flags: editFlags(
 			&cli.Int64Flag{Name: "read-at", Usage: "`REVISION` at which the old value was read; the present one if negative", Value: -1},
 		),
