Name the load tool's token apart from the operators'

Cause: the load command read MANGOSTILE_TOKEN, which holds an operator's token for the table commands.

Change: it reads MANGOSTILE_CALLER_TOKEN.

Measured: not run beyond the tests.

Conclusion: one variable, one meaning.

--- a/internal/oper/cmds/loadcmd.go
+++ b/internal/oper/cmds/loadcmd.go
@@ -35,7 +35,7 @@
 func loadFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringSliceFlag{Name: "entry", Usage: "callers' `ADDRESS` of an entry VM, several with commas", Required: true},
-		&cli.StringFlag{Name: "token", Usage: "bearer `TOKEN` of a caller", Sources: cli.EnvVars("MANGOSTILE_TOKEN")},
+		&cli.StringFlag{Name: "token", Usage: "bearer `TOKEN` of a caller", Sources: cli.EnvVars("MANGOSTILE_CALLER_TOKEN")},
 		&cli.StringFlag{Name: "table", Usage: "CSV `FILE` that names the adapters to ask for; without it, those that the entry VM lists"},
 		&cli.FloatFlag{Name: "rate", Usage: "new requests a second", Value: 20},
 		&cli.DurationFlag{Name: "for", Usage: "time to send requests for", Value: 10 * time.Second},
