Count a grant's term from the ask, with the wait at the owner

Cause: a grant that came more than its term after the ask, since the adapter took long to load, was thrown away: the asker counted the term from its ask. The adapter had been loaded for nothing and the server was avoided for 2 s.

Change: the owner's reply gives the term from the ask on, with the time that the ask waited at the owner.

Conclusion: a request that waits for a load keeps what it waited for.

--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -61,6 +61,14 @@
 	}})
 }
 
+// replyGranted gives a grant. Its term counts from the ask, since the asker knows
+// no other instant that is surely not later than the grant.
+func (o *Owner) replyGranted(now clock.Millis, a *ask, number units.GrantNumber, out *event.Effects) {
+	out.Add(event.SendPeer{To: a.from, Message: &peer.GrantReply{
+		Request: a.Request, Attempt: a.Attempt, Server: a.Server, Grant: number, Term: now - a.askedAt + GrantTerm,
+	}})
+}
+
 func (o *Owner) refuseAsks(s *server, out *event.Effects) {
 	for _, a := range s.asks {
 		o.reply(a.from, &a.GrantAsk, 0, errs.Refuse(errs.CodeNoCapacity, "backend server %s is going away: send the request again", s.spec.ID), out)
@@ -102,7 +110,7 @@
 	s.grants[g.number] = g
 	c.grants++
 	c.usedAt = now
-	o.reply(a.from, &a.GrantAsk, g.number, nil, out)
+	o.replyGranted(now, a, g.number, out)
 	return true
 }
 
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -93,7 +93,8 @@
 	Server  units.BackendServerID `msgpack:"s"`
 	// Grant is 0 if the grant was refused.
 	Grant units.GrantNumber `msgpack:"g"`
-	// Term is the time for which the grant holds unless it is renewed.
+	// Term is the time, from the ask on, for which the grant holds unless it is
+	// renewed. The wait at the owner is in it.
 	Term    clock.Millis  `msgpack:"t"`
 	Refusal *errs.Refusal `msgpack:"e,omitempty"`
 }
