--- a/internal/oper/cmds/loadcmd.go
+++ b/internal/oper/cmds/loadcmd.go
@@ -39,6 +39,7 @@
 		&cli.StringFlag{Name: "table", Usage: "CSV `FILE` that names the adapters to ask for; without it, those that the entry VM lists"},
 		&cli.FloatFlag{Name: "rate", Usage: "new requests a second", Value: 20},
 		&cli.DurationFlag{Name: "for", Usage: "time to send requests for", Value: 10 * time.Second},
+		&cli.DurationFlag{Name: "warm-up", Usage: "beginning of the run that is checked but not timed"},
 		&cli.FloatFlag{Name: "skew", Usage: "exponent of the Zipf popularity, above 1", Value: load.DefaultSkew},
 		&cli.DurationFlag{Name: "shift-every", Usage: "time after which other adapters become popular; 0 is never"},
 		&cli.IntFlag{Name: "chat", Usage: "share of streamed chats", Value: 7},
@@ -63,7 +64,7 @@
 func loadPlan(cmd *cli.Command) (load.Plan, error) {
 	plan := load.Plan{
 		Entries: cmd.StringSlice("entry"), Token: cmd.String("token"), Skew: cmd.Float("skew"), ShiftEvery: cmd.Duration("shift-every"),
-		Rate: cmd.Float("rate"), Duration: cmd.Duration("for"), RepeatShare: cmd.Float("repeat"), Seed: cmd.Uint64("seed"),
+		Rate: cmd.Float("rate"), Duration: cmd.Duration("for"), WarmUp: cmd.Duration("warm-up"), RepeatShare: cmd.Float("repeat"), Seed: cmd.Uint64("seed"),
 		Mix:     load.Mix{Chat: cmd.Int("chat"), Letter: cmd.Int("letter"), Lookup: cmd.Int("lookup"), Action: cmd.Int("action")},
 		Service: units.ServiceName(cmd.String("service")), ActionPath: cmd.String("action-path"), LookupPath: cmd.String("lookup-path"),
 		ChatTokens: cmd.Int("chat-tokens"), LetterTokens: cmd.Int("letter-tokens"), Deadline: cmd.Duration("deadline"),
--- a/internal/oper/load/plan.go
+++ b/internal/oper/load/plan.go
@@ -27,7 +27,11 @@
 	// Rate is the number of new requests a second, without repeated keys.
 	Rate     float64
 	Duration time.Duration
-	Mix      Mix
+	// WarmUp is the part of Duration whose calls are checked, but not timed or
+	// counted by kind, so that the first loads of all adapters do not hide what
+	// comes after.
+	WarmUp time.Duration
+	Mix    Mix
 	// RepeatShare is the share of actions whose key is sent a second time.
 	RepeatShare float64
 	// Service is the plain service that lookups and actions go to.
@@ -93,6 +97,8 @@
 		return errors.New("the rate must be greater than 0 requests a second")
 	case p.Duration <= 0:
 		return errors.New("the duration must be greater than 0")
+	case p.WarmUp < 0 || p.WarmUp >= p.Duration:
+		return errors.New("the warm-up must be shorter than the run")
 	case !(p.Skew > 1):
 		return errors.New("the skew must be greater than 1")
 	case p.Mix.Chat < 0 || p.Mix.Letter < 0 || p.Mix.Lookup < 0 || p.Mix.Action < 0 || p.Mix.sum() == 0:
--- a/internal/oper/load/report.go
+++ b/internal/oper/load/report.go
@@ -21,6 +21,9 @@
 	Adapters   int     `json:"adapters"`
 	Rate       float64 `json:"requests_per_s"`
 	DurationMS int64   `json:"duration_ms"`
+	// WarmUpMS is the beginning of the run that the times and counts of kinds,
+	// refusals and stalls leave out.
+	WarmUpMS int64 `json:"warm_up_ms"`
 	// Kinds holds the kinds that were sent.
 	Kinds []KindReport `json:"kinds"`
 	// Refusals counts refusals by code and what they say of a run.
@@ -34,8 +37,8 @@
 	Examples []string     `json:"examples,omitempty"`
 	Stalls   StallReport  `json:"load_stalls"`
 	Actions  ActionReport `json:"actions"`
-	// BatchEfficiency is the mean fill of the batches of engines that are not
-	// idle, 0 to 1.
+	// BatchEfficiency is the mean fill of the batches over all steps that the
+	// engines took, 0 to 1.
 	BatchEfficiency float64  `json:"batch_efficiency"`
 	Standins        Counters `json:"standins"`
 	// Unsent counts calls that the tool had no room for, Late is how much after
--- a/internal/oper/load/results.go
+++ b/internal/oper/load/results.go
@@ -36,6 +36,8 @@
 	cuts     int
 	lost     int
 	wrong    int
+	// warmUp counts answers and refusals of the warm-up.
+	warmUp int
 	// unsent counts calls that the tool had no room for.
 	unsent  int
 	actions map[string]*actionResult
@@ -83,8 +85,12 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), leastMicros), mostMicros))
 }
 
-func (r *results) add(a *answer, start time.Time) {
+// add adds an answer. Warm tells that the call came after the warm-up.
+func (r *results) add(a *answer, start time.Time, warm bool) {
 	kind := r.kinds[a.call.Kind]
+	if !warm {
+		kind = &kindResults{}
+	}
 	kind.sent++
 	r.cuts += a.cuts
 	record(r.late, a.sentAt.Sub(a.due))
@@ -94,8 +100,12 @@
 	var refused *RefusedError
 	var wrong *WrongAnswerError
 	switch {
+	case a.err == nil && !warm:
+		r.warmUp++
 	case a.err == nil:
 		r.addWhole(kind, a, start)
+	case errors.As(a.err, &refused) && !warm:
+		r.warmUp++
 	case errors.As(a.err, &refused):
 		kind.refused++
 		r.refusals[fmt.Sprintf("%s ran=%s", refused.Code, refused.Ran)]++
--- a/internal/oper/load/run.go
+++ b/internal/oper/load/run.go
@@ -44,7 +44,6 @@
 	side, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { own.caller.balancer.watch(side) })
-	wg.Go(func() { fakes.sample(side) })
 	wg.Go(func() { own.progress(side) })
 	own.send(ctx)
 	cancel()
@@ -100,7 +99,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open--
-	r.results.add(&a, start)
+	r.results.add(&a, start, a.call.At >= r.plan.WarmUp)
 }
 
 func (r *run) progress(ctx context.Context) {
@@ -114,14 +113,14 @@
 			return
 		}
 		r.mu.Lock()
-		sent, whole, refused := 0, 0, 0
+		sent, whole, refused := r.results.warmUp, 0, 0
 		for _, kind := range r.results.kinds {
 			sent += kind.sent
 			whole += kind.whole
 			refused += kind.refused
 		}
 		chat := r.results.kinds[KindChat].first
-		fmt.Fprintf(r.w, "%3.0f s: %d ended, %d whole, %d refused, %d lost, %d wrong, %d open, chat first token p95 %.0f ms\n",
+		fmt.Fprintf(r.w, "%3.0f s: %d ended; after the warm-up %d whole, %d refused; %d lost, %d wrong, %d open, chat first token p95 %.0f ms\n",
 			time.Since(began).Seconds(), sent, whole, refused, r.results.lost, r.results.wrong, r.open, float64(chat.ValueAtPercentile(95))/1000)
 		r.mu.Unlock()
 	}
@@ -139,7 +138,7 @@
 	res := r.results
 	report := &Report{
 		Date: time.Now().UTC().Format(time.RFC3339), Seed: r.plan.Seed, Entries: len(r.plan.Entries), Adapters: len(r.plan.Adapters),
-		Rate: r.plan.Rate, DurationMS: r.plan.Duration.Milliseconds(), Refusals: res.refusals, Lost: res.lost, Wrong: res.wrong,
+		Rate: r.plan.Rate, DurationMS: r.plan.Duration.Milliseconds(), WarmUpMS: r.plan.WarmUp.Milliseconds(), Refusals: res.refusals, Lost: res.lost, Wrong: res.wrong,
 		Cut: res.cuts, Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
 		Standins: Counters{Counters: subtract(after, before)},
 		Stalls:   StallReport{Requests: int(res.stalls.TotalCount()), Times: quantiles(res.stalls)},
@@ -147,8 +146,12 @@
 	if res.models > 0 {
 		report.Stalls.Share = float64(res.stalls.TotalCount()) / float64(res.models)
 	}
-	if fakes.room > 0 {
-		report.BatchEfficiency = float64(fakes.running) / float64(fakes.room)
+	if report.Standins.Steps > 0 {
+		room, err := fakes.batchMax()
+		if err != nil {
+			return nil, err
+		}
+		report.BatchEfficiency = float64(report.Standins.Tokens) / float64(report.Standins.Steps) / room
 	}
 	if len(fakes.services) > 0 {
 		report.Actions = res.checkActions(runs)
@@ -177,5 +180,8 @@
 		Loads:          after.Loads - before.Loads,
 		Unloads:        after.Unloads - before.Unloads,
 		Crashes:        after.Crashes - before.Crashes,
+		Canceled:       after.Canceled - before.Canceled,
+		Resumed:        after.Resumed - before.Resumed,
+		CachedTokens:   after.CachedTokens - before.CachedTokens,
 	}
 }
--- a/internal/oper/load/schedule_test.go
+++ b/internal/oper/load/schedule_test.go
@@ -77,6 +77,7 @@
 		{"no entry VM", func(p *Plan) { p.Entries = nil }, "name at least one address"},
 		{"no rate", func(p *Plan) { p.Rate = 0 }, "rate must be greater"},
 		{"no time", func(p *Plan) { p.Duration = 0 }, "duration must be greater"},
+		{"all warm-up", func(p *Plan) { p.WarmUp = p.Duration }, "shorter than the run"},
 		{"flat skew", func(p *Plan) { p.Skew = 1 }, "skew must be greater"},
 		{"negative share", func(p *Plan) { p.Mix.Chat = -1 }, "none below"},
 		{"empty mix", func(p *Plan) { p.Mix = Mix{} }, "share above 0"},
