--- a/internal/base/frame/frame.go
+++ b/internal/base/frame/frame.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -31,7 +32,7 @@
 
 // Append appends the frame of value with its type tag to buf.
 func Append(buf []byte, tag byte, value any) ([]byte, error) {
-	payload, err := msgpack.Marshal(value)
+	payload, err := encode(value)
 	if err != nil {
 		return buf, errors.Wrap(err, "encode frame")
 	}
@@ -43,6 +44,17 @@
 	return append(buf, payload...), nil
 }
 
+// encode encodes value with integers as short as they can be.
+func encode(value any) ([]byte, error) {
+	var payload bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&payload)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(value)
+	return payload.Bytes(), err
+}
+
 // Read reads one frame and returns its type tag and payload. It returns io.EOF
 // only between frames.
 func Read(r *bufio.Reader) (tag byte, payload []byte, err error) {
--- /dev/null
+++ b/internal/core/entry/beat_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"mangostile/internal/base/proof"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func drawSummaries(t *rapid.T) []peer.ServerSummary {
+	var summaries []peer.ServerSummary
+	for i := range 4 {
+		if !rapid.Bool().Draw(t, "owned") {
+			continue
+		}
+		s := peer.ServerSummary{Server: units.BackendServerID(fmt.Sprint("e", i)), Running: int32(rapid.IntRange(0, 3).Draw(t, "running"))}
+		if rapid.Bool().Draw(t, "resident") {
+			s.Resident = []units.AdapterVersion{{Adapter: "a"}}
+		}
+		summaries = append(summaries, s)
+	}
+	return summaries
+}
+
+// TestHeartbeatsCarryChanges loses heartbeats and restarts the sender. Whenever
+// the receiver holds itself for synced, it knows what the sender knows; and two
+// heartbeats each way that arrive are enough for that.
+func TestHeartbeatsCarryChanges(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		var sender beats
+		var receiver peerBeats
+		incarnation := units.Incarnation(1)
+		arrivedInTurn := 0
+		for range rapid.IntRange(1, 40).Draw(t, "beats") {
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				incarnation++
+				sender = beats{}
+			}
+			now := drawSummaries(t)
+			sender.sequence++
+			changed, dropped := sender.changes(now)
+			to := sender.of("receiver")
+			m := to.message(peer.Heartbeat{Incarnation: incarnation, Sequence: sender.sequence, Loads: loads(now)}, changed, dropped, now)
+			sender.told = now
+			must.NoError(t, m.Check())
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				arrivedInTurn = 0
+				continue
+			}
+			arrivedInTurn++
+			if receiver.take(&m) {
+				must.True(t, slices.EqualFunc(now, receiver.servers, func(a, b peer.ServerSummary) bool {
+					return a.Server == b.Server && a.Running == b.Running && slices.Equal(a.Resident, b.Resident)
+				}), must.Sprintf("sent %v, known %v", now, receiver.servers))
+			} else {
+				must.Less(t, 3, arrivedInTurn)
+			}
+			answer := receiver.message(peer.Heartbeat{Incarnation: 1}, nil, nil, nil)
+			to.take(&answer)
+		}
+	})
+}
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -55,6 +55,7 @@
 	listed []event.VM
 	vms    map[string]event.VM
 	beatAt clock.Millis
+	beats  beats
 	feed   configFeed
 	// summaries counts the summaries sent to other failure domains.
 	summaries    uint64
--- a/internal/core/entry/net_engine_test.go
+++ b/internal/core/entry/net_engine_test.go
@@ -133,7 +133,7 @@
 func (e *testEngine) finish(n *testNode, d event.Dispatch, done event.DispatchDone) {
 	e.running[d.Request] = d.Adapter
 	start := e.starts
-	e.net.after(testRunTime, func() {
+	e.net.after(e.net.runTime, func() {
 		done.Result.Kind = event.ResultBroken
 		if e.starts == start {
 			delete(e.running, d.Request)
--- a/internal/core/entry/net_test.go
+++ b/internal/core/entry/net_test.go
@@ -36,7 +36,10 @@
 	ended         map[units.RequestID]event.Effect
 	edits         map[units.RecordID]event.EditOutcome
 	messages      map[string]int
-	decided       []event.Decision
+	// bytes counts the encoded messages by type if it is not nil.
+	bytes   map[string]int
+	runTime clock.Millis
+	decided []event.Decision
 }
 
 type job struct {
@@ -102,7 +105,7 @@
 		engines:  map[units.BackendServerID]*testEngine{}, log: testLog{streams: map[units.StreamName]*testStream{}},
 		cut: map[string]bool{}, runsOfKey: map[string]int{}, runsOfRequest: map[units.RequestID]int{},
 		keys: map[units.RequestID]string{}, refusedUnrun: map[units.RequestID]*event.Refuse{},
-		ended: map[units.RequestID]event.Effect{}, edits: map[units.RecordID]event.EditOutcome{}, messages: map[string]int{},
+		ended: map[units.RequestID]event.Effect{}, edits: map[units.RecordID]event.EditOutcome{}, messages: map[string]int{}, runTime: testRunTime,
 	}
 }
 
@@ -270,6 +273,9 @@
 func (w *testNet) send(n *testNode, send event.SendPeer) {
 	to := w.nodes[send.To]
 	w.messages[fmt.Sprintf("%T", send.Message)]++
+	if w.bytes != nil {
+		w.count(send.Message)
+	}
 	if to == nil || w.cut[n.vm.ID+">"+to.vm.ID] || w.random.Float64() < w.loss {
 		return
 	}
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -49,6 +49,8 @@
 	owner   units.EntryVMID
 	askedAt clock.Millis
 	grant   units.GrantNumber
+	// renewed is the last renewal of grant.
+	renewed renewal
 	tried   []units.BackendServerID
 	// ran is RanUnknown once an attempt may have run.
 	ran errs.Ran
--- a/internal/core/peer/check.go
+++ b/internal/core/peer/check.go
@@ -27,6 +27,9 @@
 	if m.ConfigOffset < 0 {
 		return invalid("heartbeat", "negative config offset")
 	}
+	if len(m.Loads)%2 != 0 {
+		return invalid("heartbeat", "odd number of load figures")
+	}
 	for i := range m.Servers {
 		if m.Servers[i].Server == "" {
 			return invalid("heartbeat", "backend server without id")
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -24,10 +24,21 @@
 	ConfigOffset units.Offset `msgpack:"o"`
 	// LogUnreachable is set while the sender can't read the log service.
 	LogUnreachable bool `msgpack:"u,omitempty"`
-	// Servers describes backend servers that the sender owns and whose state
-	// changed, or all of them if Full.
+	// Sequence counts the heartbeats of one incarnation.
+	Sequence uint32 `msgpack:"n"`
+	// Servers describes backend servers that the sender owns and that changed
+	// other than in their load, or all of them if Full.
 	Servers []ServerSummary `msgpack:"s,omitempty"`
 	Full    bool            `msgpack:"f,omitempty"`
+	// Dropped lists servers that the sender no longer owns.
+	Dropped []units.BackendServerID `msgpack:"x,omitempty"`
+	// Loads lists, for all servers that the sender owns in the order of their
+	// ids, the number of running and that of waiting requests in turn, each at most
+	// 255.
+	Loads []byte `msgpack:"w,omitempty"`
+	// WantFull asks the receiver to send Full, since the sender missed a
+	// heartbeat.
+	WantFull bool `msgpack:"q,omitempty"`
 	// GrantsHeld renews the grants that the sender uses on backend servers that
 	// it believes the receiver to own. The receiver takes over those that an
 	// earlier owner gave.
