Show the table, its history and the status on a page

Cause: people who know spreadsheets had only the command line.

Change: /admin/ serves plain HTML, CSS and scripts that are embedded in the program and load nothing from elsewhere. The table has editable cells, a filter, sorting and pages; changes are reviewed, tried without an append and saved as one edit; a conflict shows both values and asks for each cell. Below the table stands what a column means and who last changed the cell. Further views show the history and the status, now with refusals by code. The token is kept in the page's memory only. It works by keyboard, and rows become cards on a narrow screen.

An edit, a refused value, a conflict, a wrong token and a right one were tried by keyboard.

Conclusion: quarantined requests are not shown yet.

--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/member"
@@ -65,7 +66,9 @@
 	// any peer has it while the log service can't be read.
 	configSeen bool
 	leaving    bool
-	left       bool
+	// refusals counts refused requests by code.
+	refusals map[errs.Code]int64
+	left     bool
 }
 
 // New returns a core that has seen no event.
@@ -91,6 +94,7 @@
 	c.handle(ev, out)
 	c.loopBack(first, out)
 	c.leaveIfDone(out)
+	c.countRefusals(out.List[first:])
 }
 
 func (c *Core) start(out *event.Effects) {
--- a/internal/core/entry/look.go
+++ b/internal/core/entry/look.go
@@ -1,6 +1,12 @@
 package entry
 
-import "mangostile/internal/base/clock"
+import (
+	"maps"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
+	"mangostile/internal/core/event"
+)
 
 // Now returns the instant of the last event.
 func (c *Core) Now() clock.Millis { return c.now }
@@ -34,3 +40,19 @@
 	}
 	return counts
 }
+
+// Refusals counts the requests that the core refused since it began, by code.
+func (c *Core) Refusals() map[errs.Code]int64 { return maps.Clone(c.refusals) }
+
+func (c *Core) countRefusals(effects []event.Effect) {
+	for _, effect := range effects {
+		refuse, ok := effect.(event.Refuse)
+		if !ok {
+			continue
+		}
+		if c.refusals == nil {
+			c.refusals = map[errs.Code]int64{}
+		}
+		c.refusals[refuse.Refusal.Code]++
+	}
+}
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -51,6 +51,9 @@
 }
 
 func (a *api) handle(ctx *fasthttp.RequestCtx) {
+	if servePage(ctx) {
+		return
+	}
 	operator, ok := a.operator(ctx)
 	if !ok {
 		fail(ctx, fasthttp.StatusUnauthorized, "send Authorization: Bearer with a token of the settings' operators")
--- /dev/null
+++ b/internal/node/admin/page/saving.js
@@ -0,0 +1,149 @@
+// Reviews and saves changes: dry run, save, conflicts, and where it is in force.
+
+import { call, sendEdit } from "./api.js";
+import { byID, element } from "./dom.js";
+
+const IN_FORCE_TRIES = 50;
+const IN_FORCE_PAUSE_MS = 200;
+const MAX_LISTED = 300;
+
+export class Saving {
+  // Calls notify with a text and a kind, and onSaved after the table changed.
+  constructor(sheet, { notify, onSaved }) {
+    this.sheet = sheet;
+    this.notify = notify;
+    this.onSaved = onSaved;
+    byID("review-cancel").addEventListener("click", () => byID("review").close());
+    byID("review-save").addEventListener("click", () => this.save());
+    byID("conflict-cancel").addEventListener("click", () => byID("conflict").close());
+    byID("conflict-save").addEventListener("click", () => this.saveChosen());
+  }
+
+  async review() {
+    if (this.sheet.changes.size === 0) {
+      return;
+    }
+    const changes = [...this.sheet.changes.values()];
+    const lines = changes.slice(0, MAX_LISTED).map((c) => [c.adapter, c.column, c.old || "–", c.value || "–"]);
+    byID("review-body").replaceChildren(listing(["Adapter", "Column", "In force when read", "New"], lines));
+    byID("review-title").textContent = `Review and save: ${changes.length} ${changes.length === 1 ? "cell" : "cells"}`;
+    byID("review-error").textContent = "";
+    byID("review").showModal();
+    byID("review-save").focus();
+    await this.attempt(async () => this.showFaults(await sendEdit(this.sheet.cells(), true)));
+  }
+
+  async attempt(work) {
+    try {
+      await work();
+    } catch (error) {
+      byID("review-error").textContent = error.message;
+    }
+  }
+
+  // Shows what the table would refuse. Reports whether there is anything.
+  showFaults(answer) {
+    if (answer.kind === "accepted") {
+      return false;
+    }
+    if (answer.kind === "conflict") {
+      byID("review").close();
+      this.askConflicts(answer);
+      return true;
+    }
+    const faults = (answer.faults || []).map((f) => `Row ${f.adapter}, column ${f.column}: “${f.value}”: ${f.remedy}.`);
+    byID("review-error").replaceChildren(...[answer.message, ...faults].filter(Boolean).map((text) => element("div", {}, text)));
+    return true;
+  }
+
+  async save() {
+    const button = byID("review-save");
+    button.disabled = true;
+    await this.attempt(async () => {
+      const answer = await sendEdit(this.sheet.cells(), false);
+      if (!this.showFaults(answer)) {
+        byID("review").close();
+        await this.saved(answer);
+      }
+    });
+    button.disabled = false;
+  }
+
+  askConflicts(answer) {
+    this.conflicts = answer.faults || [];
+    const lines = this.conflicts.map((fault, i) => [
+      fault.adapter, fault.column,
+      choice(i, "mine", fault.value, false), choice(i, "theirs", fault.current ?? "", true),
+    ]);
+    byID("conflict-body").replaceChildren(listing(["Adapter", "Column", "Yours", "In force"], lines));
+    byID("conflict").showModal();
+  }
+
+  // Sends the edit again: cells of the operator's choice count as read now.
+  async saveChosen() {
+    const table = await call("/admin/table").catch((error) => this.notify(error.message, "bad"));
+    if (!table) {
+      return;
+    }
+    this.conflicts.forEach((fault, i) => {
+      const key = fault.adapter + "\n" + fault.column;
+      const mine = document.querySelector(`input[name="choice-${i}"][value="mine"]`).checked;
+      if (mine && this.sheet.changes.has(key)) {
+        this.sheet.changes.get(key).readAt = table.revision;
+      } else {
+        this.sheet.changes.delete(key);
+      }
+    });
+    byID("conflict").close();
+    this.sheet.load(table);
+    await this.onSaved();
+    if (this.sheet.changes.size > 0) {
+      await this.review();
+    }
+  }
+
+  async saved(answer) {
+    this.sheet.changes.clear();
+    this.notify(`Accepted at offset ${answer.offset}. Waiting until it is in force.`, "");
+    await this.onSaved();
+    for (let i = 0; i < IN_FORCE_TRIES; i++) {
+      const { entry_vms: members } = await call("/admin/members");
+      const text = spreadText(members, answer.offset + 1);
+      this.notify(text.text, text.complete ? "good" : "");
+      if (text.complete) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, IN_FORCE_PAUSE_MS));
+    }
+  }
+}
+
+// Says on how many entry VMs a revision is in force and which were not heard.
+function spreadText(members, revision) {
+  const inForce = members.filter((m) => m.heard && m.alive && m.revision >= revision);
+  const behind = members.filter((m) => m.heard && m.alive && m.revision < revision);
+  const silent = members.filter((m) => !m.heard || !m.alive);
+  let text = `In force on ${inForce.length} of ${members.length} entry VMs.`;
+  if (behind.length > 0) {
+    text += ` Not yet on ${names(behind)}.`;
+  }
+  if (silent.length > 0) {
+    text += ` Not heard from: ${names(silent)}.`;
+  }
+  return { text, complete: behind.length + silent.length === 0 };
+}
+
+function names(members) {
+  return members.map((m) => `${m.id} (${m.failure_domain})`).join(", ");
+}
+
+function choice(place, value, text, checked) {
+  const input = element("input", { type: "radio", name: "choice-" + place, value, checked });
+  return element("label", { className: "choice" }, input, text || "–");
+}
+
+function listing(headings, lines) {
+  const head = element("tr", {}, ...headings.map((h) => element("th", {}, h)));
+  const rows = lines.map((cells) => element("tr", {}, ...cells.map((c) => element("td", { className: "wrap" }, c))));
+  return element("table", {}, element("thead", {}, head), element("tbody", {}, ...rows));
+}
--- /dev/null
+++ b/internal/node/admin/page/status.js
@@ -0,0 +1,98 @@
+// Shows entry VMs, backend servers, loads and open requests.
+
+import { call } from "./api.js";
+import { byID, cardTable, element } from "./dom.js";
+
+const PERIOD_MS = 2000;
+const MAX_ADAPTERS = 6;
+
+export class Status {
+  // Calls onStatus with each answer.
+  constructor(onStatus) {
+    this.onStatus = onStatus;
+    this.visible = false;
+    setInterval(() => this.poll(), PERIOD_MS);
+  }
+
+  async poll() {
+    if (document.hidden || document.querySelector("dialog#login[open]")) {
+      return;
+    }
+    try {
+      const status = await call("/admin/status");
+      this.onStatus(status);
+      if (this.visible) {
+        this.render(status);
+      }
+    } catch (error) {
+      if (this.visible) {
+        byID("view-status").replaceChildren(element("p", { className: "error" }, error.message));
+      }
+    }
+  }
+
+  render(status) {
+    const servers = status.backend_servers || [];
+    const loading = servers.reduce((sum, s) => sum + (s.loading || []).length, 0);
+    const waiting = servers.reduce((sum, s) => sum + s.waiting, 0);
+    const counts = status.requests;
+    byID("view-status").replaceChildren(
+      element("div", { className: "figures" },
+        figure("rows", status.adapters), figure("revision", status.revision), figure("running here", counts.running),
+        figure("queued here", counts.queued), figure("asking an owner", counts.asking), figure("waiting for the log", counts.intent),
+        figure("waiting at owners", waiting), figure("loads on their way", loading)),
+      ...refusals(status),
+      element("h2", {}, "Entry VMs"),
+      cardTable(["Entry VM", "Failure domain", "State", "Revision", "Heard"], status.entry_vms.map(memberRow)),
+      element("h2", {}, "Backend servers of " + status.failure_domain),
+      cardTable(["Backend server", "Serves", "Owner", "State", "Running", "Waiting", "Adapters loaded", "Loading"], servers.map(serverRow)));
+  }
+}
+
+function figure(name, value) {
+  return element("div", { className: "figure" }, element("b", {}, String(value)), element("span", { className: "quiet" }, name));
+}
+
+function refusals(status) {
+  const counts = Object.entries(status.refusals || {});
+  if (counts.length === 0) {
+    return [];
+  }
+  return [element("h2", {}, "Refusals since the start"), cardTable(["Code", "Count"], counts)];
+}
+
+function memberRow(m) {
+  const state = !m.alive ? "not heard" : m.leaving ? (m.self ? "not ready" : "leaving") : "alive";
+  const heard = m.self ? "itself" : m.heard ? `${m.heard_ms_ago} ms ago` : "never";
+  return [m.id, m.failure_domain, mark(state, state === "alive"), m.heard ? m.revision : "unknown", heard];
+}
+
+function serverRow(s) {
+  const state = s.drained ? "drained" : s.leaving ? "leaving" : s.usable ? "usable" : "not usable";
+  return [
+    s.id, s.base || s.service || "", s.owner || "–", mark(state, state === "usable"),
+    s.kind === "engine" ? `${s.running} of ${s.batch_max || 0}` : "–", s.kind === "engine" ? s.waiting : "–", adapterList(s), versions(s.loading),
+  ];
+}
+
+function mark(text, good) {
+  return element("span", { className: good ? "good" : "bad" }, text);
+}
+
+function adapterList(s) {
+  if (s.kind !== "engine") {
+    return "–";
+  }
+  const all = s.resident || [];
+  const text = `${all.length} of ${s.slots || 0}`;
+  return all.length === 0 ? text : `${text}: ${versions(all)}`;
+}
+
+function versions(list) {
+  const all = (list || []).map((av) => av.adapter + "@" + av.version);
+  if (all.length === 0) {
+    return "–";
+  }
+  const rest = all.length - MAX_ADAPTERS;
+  return all.slice(0, MAX_ADAPTERS).join(", ") + (rest > 0 ? ` and ${rest} more` : "");
+}
--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
@@ -17,6 +18,9 @@
 	Adapters      int                 `json:"adapters"`
 	// Requests counts the requests that this entry VM has open.
 	Requests entry.RequestCounts `json:"requests"`
+	// Refusals counts refused requests since this entry VM began, by code. Those
+	// that never reached the core, as malformed ones, are not among them.
+	Refusals map[errs.Code]int64 `json:"refusals,omitempty"`
 	EntryVMs []Member            `json:"entry_vms"`
 	// Servers are the backend servers of the own failure domain.
 	Servers []ServerStatus `json:"backend_servers"`
@@ -54,7 +58,7 @@
 func describe(c *entry.Core) Status {
 	status := Status{
 		EntryVM: c.Members.SelfID(), FailureDomain: c.Members.Self.FailureDomain, Ready: c.Ready(), Revision: c.Table.Next(),
-		Adapters: c.Table.Len(), Requests: c.CountRequests(), EntryVMs: describeMembers(c), Servers: []ServerStatus{},
+		Adapters: c.Table.Len(), Requests: c.CountRequests(), Refusals: c.Refusals(), EntryVMs: describeMembers(c), Servers: []ServerStatus{},
 	}
 	for _, s := range c.Router.Servers() {
 		server := ServerStatus{
--- a/internal/oper/cmds/statuscmd.go
+++ b/internal/oper/cmds/statuscmd.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
+	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/node/admin"
 	"mangostile/internal/oper/client"
@@ -61,8 +64,9 @@
 		ready = "not ready"
 	}
 	fmt.Fprintf(w, "entry VM %s in %s: %s, table of %d rows at revision %d\n", s.EntryVM, s.FailureDomain, ready, s.Adapters, s.Revision)
-	fmt.Fprintf(w, "requests: %d queued, %d asking an owner, %d running, %d waiting for the log\n\n",
+	fmt.Fprintf(w, "requests: %d queued, %d asking an owner, %d running, %d waiting for the log\n",
 		s.Requests.Queued, s.Requests.Asking, s.Requests.Running, s.Requests.Intent)
+	fmt.Fprintf(w, "refused since it began: %s\n\n", refusalText(s.Refusals))
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "entry_vm\tfailure_domain\tstate\trevision\theard")
 	for _, m := range s.EntryVMs {
@@ -129,3 +133,15 @@
 	}
 	return strings.Join(names, ",")
 }
+
+// refusalText lists counts by code, sorted by code.
+func refusalText(counts map[errs.Code]int64) string {
+	if len(counts) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", code, counts[code]))
+	}
+	return strings.Join(parts, ", ")
+}
