Measure the slopes of one entry VM

Cause: what a node costs at 340 nodes was not measured.

The whole runs take a first port and notice a process that ended.

--- /dev/null
+++ b/internal/oper/slopes/node_test.go
@@ -0,0 +1,393 @@
+//go:build wholerun
+
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/frame"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// world is the size of what stands around one entry VM.
+type world struct {
+	// members and servers are those of its failure domain, itself included;
+	// domains counts failure domains of the same size.
+	members, servers, domains int
+	// rows is the length of the table, residents the adapters on each engine.
+	rows, residents int
+	// rate is the requests a second that callers send to the entry VM, runTime
+	// how long one runs.
+	rate    float64
+	runTime clock.Millis
+}
+
+// traffic counts messages and bytes by kind.
+type traffic map[string]*count
+
+type count struct{ messages, bytes int }
+
+func (t traffic) add(kind string, bytes int) {
+	if t[kind] == nil {
+		t[kind] = &count{}
+	}
+	t[kind].messages++
+	t[kind].bytes += bytes
+}
+
+func (t traffic) bytes() (sum int) {
+	for _, c := range t {
+		sum += c.bytes
+	}
+	return sum
+}
+
+func (t traffic) messages() (sum int) {
+	for _, c := range t {
+		sum += c.messages
+	}
+	return sum
+}
+
+// later is an event that is due at an instant.
+type later struct {
+	at clock.Millis
+	ev event.Event
+}
+
+// fakeServer is what a backend server would say of itself.
+type fakeServer struct {
+	vm       event.VM
+	fence    units.Fence
+	resident []event.ResidentAdapter
+}
+
+// node is one entry VM's core with made-up surroundings.
+type node struct {
+	t       *testing.T
+	world   world
+	core    *entry.Core
+	now     clock.Millis
+	vms     []event.VM
+	servers map[units.BackendServerID]*fakeServer
+	owned   []units.BackendServerID
+	peers   []units.EntryVMID
+	later   []later
+	out     event.Effects
+	sent    traffic
+	got     traffic
+	backend traffic
+	busy    time.Duration
+	// granted holds the grants that peers hold here, by peer.
+	granted  map[units.EntryVMID]map[units.GrantNumber]peer.HeldGrant
+	asked    map[units.RequestID]*peer.GrantAsk
+	requests int
+	appends  int
+	started  bool
+}
+
+func (n *node) adapter(i int) units.AdapterVersion {
+	return units.AdapterVersion{Adapter: units.AdapterName(fmt.Sprintf("galle-braid-%05d", i%n.world.rows)), Version: "v1"}
+}
+
+func newNode(t *testing.T, w world) *node {
+	n := &node{
+		t: t, world: w, now: 10 * clock.Second, servers: map[units.BackendServerID]*fakeServer{}, sent: traffic{}, got: traffic{}, backend: traffic{},
+		granted: map[units.EntryVMID]map[units.GrantNumber]peer.HeldGrant{}, asked: map[units.RequestID]*peer.GrantAsk{},
+	}
+	for d := range w.domains {
+		domain := units.FailureDomain(fmt.Sprintf("domain-%02d", d))
+		region := units.Region(fmt.Sprintf("region-%d", d%4))
+		for m := range w.members {
+			id := fmt.Sprintf("entry-%02d-%03d", d, m)
+			n.vms = append(n.vms, event.VM{
+				ID: id, Address: fmt.Sprintf("10.%d.0.%d:7000", d, m), ServeAddress: fmt.Sprintf("10.%d.0.%d:8000", d, m),
+				FailureDomain: domain, Region: region, State: event.VMLive, Entry: true,
+			})
+			if d == 0 && m > 0 {
+				n.peers = append(n.peers, units.EntryVMID(id))
+			}
+		}
+		for s := range w.servers {
+			vm := event.VM{
+				ID: fmt.Sprintf("engine-%02d-%03d", d, s), Address: fmt.Sprintf("10.%d.1.%d:9000", d, s), FailureDomain: domain, Region: region,
+				State: event.VMLive, Kind: event.KindEngine, Base: "straw-7b", ChecksFence: true, Slots: int32(w.residents), BatchMax: 64,
+			}
+			n.vms = append(n.vms, vm)
+			if d == 0 {
+				n.addServer(vm, s)
+			}
+		}
+	}
+	n.core = entry.New(entry.Config{Self: n.vms[0], Incarnation: 1_790_000_000_000, VMs: n.vms})
+	n.start()
+	return n
+}
+
+func (n *node) addServer(vm event.VM, s int) {
+	server := &fakeServer{vm: vm}
+	for i := range n.world.residents {
+		server.resident = append(server.resident, event.ResidentAdapter{AdapterVersion: n.adapter(s*n.world.residents + i)})
+	}
+	n.servers[units.BackendServerID(vm.ID)] = server
+}
+
+// start folds the table and lets the node claim its servers.
+func (n *node) start() {
+	n.step(event.Tick{})
+	var records []peer.Record
+	for first := 0; first < n.world.rows; first += 500 {
+		var cells []event.Cell
+		for i := first; i < min(first+500, n.world.rows); i++ {
+			name := n.adapter(i).Adapter
+			cells = append(cells, event.Cell{Adapter: name, Column: "base", Value: "straw-7b"},
+				event.Cell{Adapter: name, Column: "versions", Value: "v1:1"}, event.Cell{Adapter: name, Column: "callers", Value: "village-app"})
+		}
+		records = append(records, n.record(event.Edit{ID: units.RecordID(fmt.Sprintf("import-%d", first)), Author: "operator", Cells: cells}, len(records)))
+	}
+	n.step(event.RecordsRead{Stream: event.ConfigStream, Records: records, Next: units.Offset(len(records)), End: units.Offset(len(records))})
+	must.True(n.t, n.core.Ready())
+	n.started = true
+	n.run(8 * clock.Second)
+	for id := range n.servers {
+		if n.core.Members.OwnerOf(id) == n.core.Members.SelfID() {
+			n.owned = append(n.owned, id)
+		}
+	}
+	must.Len(n.t, n.world.members, n.core.Members.Members())
+}
+
+func (n *node) record(edit event.Edit, offset int) peer.Record {
+	body, err := msgpack.Marshal(edit)
+	must.NoError(n.t, err)
+	return peer.Record{Offset: units.Offset(offset), ID: edit.ID, At: 1_790_000_000_000, Body: body}
+}
+
+// step hands one event to the core, timed, and carries its effects.
+func (n *node) step(ev event.Event) {
+	n.out.Reset()
+	began := time.Now()
+	n.core.Step(n.now, ev, &n.out)
+	n.busy += time.Since(began)
+	effects := append([]event.Effect(nil), n.out.List...)
+	for _, effect := range effects {
+		n.carry(effect)
+	}
+}
+
+func (n *node) carry(effect event.Effect) {
+	switch effect := effect.(type) {
+	case event.SendPeer:
+		n.send(effect)
+	case event.OrderServer:
+		server := n.servers[effect.Server]
+		server.fence = max(server.fence, effect.Order.Fence)
+		n.soon(1, event.OrderDone{Server: effect.Server, Order: effect.Order, Result: event.OrderResult{Kind: event.OrderTaken}, SentAt: n.now})
+	case event.PollServer:
+		n.poll(effect)
+	case event.Dispatch:
+		n.soon(n.world.runTime, event.DispatchDone{Request: effect.Request, Attempt: effect.Attempt, Result: event.DispatchResult{
+			Kind: event.ResultServed, CallerGotBytes: true,
+		}})
+	case event.AppendRecord:
+		n.appends++
+		n.soon(5, event.AppendDone{Stream: effect.Stream, ID: effect.ID, Result: event.AppendRefused})
+	}
+}
+
+func (n *node) soon(wait clock.Millis, ev event.Event) {
+	n.later = append(n.later, later{n.now + wait, ev})
+}
+
+// send encodes a message as the links do and answers as its receiver would.
+func (n *node) send(effect event.SendPeer) {
+	began := time.Now()
+	buf, err := frame.Append(nil, 1, effect.Message)
+	n.busy += time.Since(began)
+	must.NoError(n.t, err)
+	n.sent.add(fmt.Sprintf("%T", effect.Message)[len("*peer."):], len(buf))
+	switch m := effect.Message.(type) {
+	case *peer.GrantAsk:
+		n.requests++
+		n.soon(2, event.PeerReceived{From: effect.To, Message: &peer.GrantReply{
+			Request: m.Request, Attempt: m.Attempt, Server: m.Server, Grant: units.GrantNumber(1_790_000_000_000)<<20 + units.GrantNumber(n.requests), Term: 10 * clock.Second,
+		}})
+	case *peer.GrantReply:
+		n.noteGrant(effect.To, m)
+	}
+}
+
+// noteGrant lets a peer run the request that it was granted.
+func (n *node) noteGrant(to units.EntryVMID, m *peer.GrantReply) {
+	ask := n.asked[m.Request]
+	delete(n.asked, m.Request)
+	if m.Grant == 0 || ask == nil {
+		return
+	}
+	if n.granted[to] == nil {
+		n.granted[to] = map[units.GrantNumber]peer.HeldGrant{}
+	}
+	n.granted[to][m.Grant] = peer.HeldGrant{Request: m.Request, Attempt: m.Attempt, Server: m.Server, Adapter: ask.Adapter, Grant: m.Grant}
+	n.soon(n.world.runTime, event.PeerReceived{From: to, Message: &peer.GrantRelease{
+		Request: m.Request, Attempt: m.Attempt, Server: m.Server, Grant: m.Grant,
+	}})
+}
+
+func (n *node) poll(effect event.PollServer) {
+	server := n.servers[effect.Server]
+	report := event.ServerReport{
+		Start: "engine-1-1790000000000000000", Ready: true, Fence: server.fence, Slots: server.vm.Slots, BatchMax: server.vm.BatchMax, Resident: server.resident,
+	}
+	for _, held := range n.granted {
+		for _, grant := range held {
+			if grant.Server == effect.Server {
+				report.Requests = append(report.Requests, grant.Request)
+				report.Running++
+			}
+		}
+	}
+	body, err := json.Marshal(report)
+	must.NoError(n.t, err)
+	n.backend.add("report", len(body))
+	began := time.Now()
+	var decoded event.ServerReport
+	must.NoError(n.t, json.Unmarshal(body, &decoded))
+	n.busy += time.Since(began)
+	n.soon(1, event.ReportReceived{Server: effect.Server, Report: decoded, SentAt: n.now})
+}
+
+// receive decodes a message as the links do and hands it to the core.
+func (n *node) receive(from units.EntryVMID, m peer.Message, empty peer.Message) {
+	buf, err := frame.Append(nil, 1, m)
+	must.NoError(n.t, err)
+	n.got.add(fmt.Sprintf("%T", m)[len("*peer."):], len(buf))
+	began := time.Now()
+	must.NoError(n.t, frame.Decode(buf[5:], empty))
+	must.NoError(n.t, empty.Check())
+	n.busy += time.Since(began)
+	n.step(event.PeerReceived{From: from, Message: empty})
+}
+
+// heartbeatOf returns what a peer would say of the servers that it owns.
+func (n *node) heartbeatOf(id units.EntryVMID) *peer.Heartbeat {
+	heartbeat := &peer.Heartbeat{Incarnation: 1_790_000_000_000, ConfigOffset: n.core.Table.Next(), Full: true}
+	for _, server := range n.servers {
+		if n.core.Members.OwnerOf(units.BackendServerID(server.vm.ID)) != id {
+			continue
+		}
+		summary := peer.ServerSummary{
+			Server: units.BackendServerID(server.vm.ID), Fence: 1, Running: 8, BatchMax: server.vm.BatchMax, Slots: server.vm.Slots, Usable: true,
+		}
+		for _, r := range server.resident {
+			summary.Resident = append(summary.Resident, r.AdapterVersion)
+		}
+		heartbeat.Servers = append(heartbeat.Servers, summary)
+	}
+	for _, grant := range n.granted[id] {
+		heartbeat.GrantsHeld = append(heartbeat.GrantsHeld, grant)
+	}
+	return heartbeat
+}
+
+// run lets virtual time pass.
+func (n *node) run(length clock.Millis) {
+	end := n.now + length
+	arrivals := 0.0
+	for n.now < end {
+		n.now += event.TickPeriod
+		arrivals += n.world.rate * float64(event.TickPeriod) / float64(clock.Second)
+		for n.started && len(n.owned) > 0 && arrivals >= 1 {
+			arrivals--
+			n.arrive()
+		}
+		if n.now%clock.Second == 0 {
+			for _, id := range n.peers {
+				n.receive(id, n.heartbeatOf(id), &peer.Heartbeat{})
+			}
+		}
+		n.step(event.Tick{})
+		n.due()
+	}
+}
+
+func (n *node) due() {
+	waiting := n.later
+	n.later = nil
+	for _, l := range waiting {
+		if l.at > n.now {
+			n.later = append(n.later, l)
+			continue
+		}
+		received, ok := l.ev.(event.PeerReceived)
+		if !ok {
+			n.step(l.ev)
+			continue
+		}
+		switch m := received.Message.(type) {
+		case *peer.GrantReply:
+			n.receive(received.From, m, &peer.GrantReply{})
+		case *peer.GrantRelease:
+			delete(n.granted[received.From], m.Grant)
+			n.receive(received.From, m, &peer.GrantRelease{})
+		}
+	}
+}
+
+// arrive brings one request of a caller and one ask of a peer for a server that is
+// owned here.
+func (n *node) arrive() {
+	n.requests++
+	id := units.RequestID(fmt.Sprintf("9908a5dc-b610-4840-9e8d-%012d", n.requests))
+	n.step(event.RequestArrived{Request: event.Request{
+		ID: id, Caller: "village-app", Adapter: n.adapter(n.requests * 7 % (n.world.servers * n.world.residents)), Idempotent: true, Streamed: true,
+		Digest: 1, Prefix: 2, PromptTokens: 400, MaxTokens: 300, Deadline: n.now + clock.Minute,
+	}})
+	if len(n.peers) == 0 {
+		return
+	}
+	server := n.servers[n.owned[n.requests%len(n.owned)]]
+	ask := &peer.GrantAsk{
+		Request: "b" + id, Attempt: 1, Server: units.BackendServerID(server.vm.ID), Adapter: server.resident[n.requests%len(server.resident)].AdapterVersion,
+		Within: clock.Minute, Fingerprint: 1, Prefix: 2, Tokens: 700,
+	}
+	n.asked[ask.Request] = ask
+	n.receive(n.peers[n.requests%len(n.peers)], ask, &peer.GrantAsk{})
+}
+
+// measured is what one entry VM took in a second.
+type measured struct {
+	// SentBytes and GotBytes went over peer links, BackendBytes were reports.
+	SentBytes    float64            `json:"sent_bytes_per_s"`
+	SentMessages float64            `json:"sent_messages_per_s"`
+	GotBytes     float64            `json:"got_bytes_per_s"`
+	BackendBytes float64            `json:"backend_bytes_per_s"`
+	Busy         float64            `json:"core_share"`
+	ByKind       map[string]float64 `json:"sent_bytes_per_s_by_kind"`
+}
+
+// measure lets requests reach their steady number and counts for some time.
+func (n *node) measure() measured {
+	n.run(n.world.runTime + 3*clock.Second)
+	n.sent, n.got, n.backend, n.busy = traffic{}, traffic{}, traffic{}, 0
+	const length = 30 * clock.Second
+	n.run(length)
+	seconds := length.Duration().Seconds()
+	m := measured{
+		SentBytes: float64(n.sent.bytes()) / seconds, SentMessages: float64(n.sent.messages()) / seconds, GotBytes: float64(n.got.bytes()) / seconds,
+		BackendBytes: float64(n.backend.bytes()) / seconds, Busy: n.busy.Seconds() / seconds, ByKind: map[string]float64{},
+	}
+	for kind, c := range n.sent {
+		m.ByKind[kind] = float64(c.bytes) / seconds
+	}
+	return m
+}
--- a/internal/oper/trials/deployment_test.go
+++ b/internal/oper/trials/deployment_test.go
@@ -108,6 +108,7 @@
 		d.startEntry(vm.ID)
 	}
 	d.waitReady(d.entryIDs()...)
+	d.mustRun()
 	d.importTable()
 	return d
 }
@@ -194,6 +195,20 @@
 	d.processes[name] = p
 }
 
+// mustRun fails if a process has ended by itself, for instance since another took
+// its port.
+func (d *deployment) mustRun() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.processes {
+		select {
+		case <-p.done:
+			d.t.Fatalf("%s ended: %v: see %s.log", name, p.err, name)
+		default:
+		}
+	}
+}
+
 func (d *deployment) startStandins() {
 	d.start("standin", "standin", "--settings", filepath.Join(d.dir, "standin.toml"))
 	d.eventually("the stand-ins answer", func() bool {
--- a/internal/oper/trials/network_test.go
+++ b/internal/oper/trials/network_test.go
@@ -188,7 +188,7 @@
 // freePort returns a free port of loopback below the range that outgoing
 // connections take.
 func freePort(taken map[int]bool) (int, error) {
-	for port := 22000 + len(taken); port < 32000; port++ {
+	for port := *firstPort; port < 32000; port++ {
 		if taken[port] {
 			continue
 		}
--- a/internal/oper/trials/wholerun_test.go
+++ b/internal/oper/trials/wholerun_test.go
@@ -22,6 +22,7 @@
 
 var (
 	recordDir = flag.String("record", "", "`directory` to write whole-runs.json and whole-runs.md to")
+	firstPort = flag.Int("port", 22000, "first `port` to use, so that two of these commands may run at once")
 	seed      = flag.Uint64("seed", 20261204, "seed of the schedules")
 )
 
