Drive the slopes with heartbeats of changes

Cause: the made-up peers still sent all in each heartbeat, so grants were refused and the figures were of another protocol.

Change: they send all once and then loads, and renew grants every 4 s.

--- a/internal/oper/slopes/node_test.go
+++ b/internal/oper/slopes/node_test.go
@@ -3,8 +3,10 @@
 package slopes
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +74,23 @@
 	resident []event.ResidentAdapter
 }
 
+// heldGrant is a grant that a peer holds.
+type heldGrant struct {
+	peer.HeldGrant
+	renewedAt clock.Millis
+}
+
+// peerBeat is what a peer's heartbeats need to go on.
+type peerBeat struct {
+	sequence uint32
+	told     bool
+	// servers are those that the peer owns, sorted.
+	servers []*fakeServer
+}
+
+// renewPeriod is the time between two renewals of a grant.
+const renewPeriod = 4 * clock.Second
+
 // node is one entry VM's core with made-up surroundings.
 type node struct {
 	t       *testing.T
@@ -89,7 +108,8 @@
 	backend traffic
 	busy    time.Duration
 	// granted holds the grants that peers hold here, by peer.
-	granted  map[units.EntryVMID]map[units.GrantNumber]peer.HeldGrant
+	granted  map[units.EntryVMID]map[units.GrantNumber]*heldGrant
+	beats    map[units.EntryVMID]*peerBeat
 	asked    map[units.RequestID]*peer.GrantAsk
 	requests int
 	appends  int
@@ -103,7 +123,8 @@
 func newNode(t *testing.T, w world) *node {
 	n := &node{
 		t: t, world: w, now: 10 * clock.Second, servers: map[units.BackendServerID]*fakeServer{}, sent: traffic{}, got: traffic{}, backend: traffic{},
-		granted: map[units.EntryVMID]map[units.GrantNumber]peer.HeldGrant{}, asked: map[units.RequestID]*peer.GrantAsk{},
+		granted: map[units.EntryVMID]map[units.GrantNumber]*heldGrant{}, beats: map[units.EntryVMID]*peerBeat{},
+		asked: map[units.RequestID]*peer.GrantAsk{},
 	}
 	for d := range w.domains {
 		domain := units.FailureDomain(fmt.Sprintf("domain-%02d", d))
@@ -217,6 +238,10 @@
 	must.NoError(n.t, err)
 	n.sent.add(fmt.Sprintf("%T", effect.Message)[len("*peer."):], len(buf))
 	switch m := effect.Message.(type) {
+	case *peer.Heartbeat:
+		if m.WantFull && n.beats[effect.To] != nil {
+			n.beats[effect.To].told = false
+		}
 	case *peer.GrantAsk:
 		n.requests++
 		n.soon(2, event.PeerReceived{From: effect.To, Message: &peer.GrantReply{
@@ -235,9 +260,11 @@
 		return
 	}
 	if n.granted[to] == nil {
-		n.granted[to] = map[units.GrantNumber]peer.HeldGrant{}
+		n.granted[to] = map[units.GrantNumber]*heldGrant{}
 	}
-	n.granted[to][m.Grant] = peer.HeldGrant{Request: m.Request, Attempt: m.Attempt, Server: m.Server, Adapter: ask.Adapter, Grant: m.Grant}
+	n.granted[to][m.Grant] = &heldGrant{HeldGrant: peer.HeldGrant{
+		Request: m.Request, Attempt: m.Attempt, Server: m.Server, Adapter: ask.Adapter, Grant: m.Grant,
+	}}
 	n.soon(n.world.runTime, event.PeerReceived{From: to, Message: &peer.GrantRelease{
 		Request: m.Request, Attempt: m.Attempt, Server: m.Server, Grant: m.Grant,
 	}})
@@ -278,11 +305,22 @@
 	n.step(event.PeerReceived{From: from, Message: empty})
 }
 
-// heartbeatOf returns what a peer would say of the servers that it owns.
+// heartbeatOf returns what a peer would say: all of its servers at first or when
+// asked, then their load.
 func (n *node) heartbeatOf(id units.EntryVMID) *peer.Heartbeat {
-	heartbeat := &peer.Heartbeat{Incarnation: 1_790_000_000_000, ConfigOffset: n.core.Table.Next(), Full: true}
-	for _, server := range n.servers {
-		if n.core.Members.OwnerOf(units.BackendServerID(server.vm.ID)) != id {
+	beat := n.beats[id]
+	if beat == nil {
+		beat = &peerBeat{}
+		n.beats[id] = beat
+	}
+	if !beat.told {
+		beat.servers = n.serversOf(id)
+	}
+	beat.sequence++
+	heartbeat := &peer.Heartbeat{Incarnation: 1_790_000_000_000, ConfigOffset: n.core.Table.Next(), Sequence: beat.sequence, Full: !beat.told}
+	for _, server := range beat.servers {
+		heartbeat.Loads = append(heartbeat.Loads, 8, 0)
+		if beat.told {
 			continue
 		}
 		summary := peer.ServerSummary{
@@ -293,12 +331,27 @@
 		}
 		heartbeat.Servers = append(heartbeat.Servers, summary)
 	}
+	beat.told = len(n.core.Members.Members()) == n.world.members
 	for _, grant := range n.granted[id] {
-		heartbeat.GrantsHeld = append(heartbeat.GrantsHeld, grant)
+		if n.now-grant.renewedAt >= renewPeriod {
+			grant.renewedAt = n.now
+			heartbeat.GrantsHeld = append(heartbeat.GrantsHeld, grant.HeldGrant)
+		}
 	}
 	return heartbeat
 }
 
+func (n *node) serversOf(id units.EntryVMID) []*fakeServer {
+	var servers []*fakeServer
+	for _, server := range n.servers {
+		if n.core.Members.OwnerOf(units.BackendServerID(server.vm.ID)) == id {
+			servers = append(servers, server)
+		}
+	}
+	slices.SortFunc(servers, func(a, b *fakeServer) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+	return servers
+}
+
 // run lets virtual time pass.
 func (n *node) run(length clock.Millis) {
 	end := n.now + length
