Keep new work from plain services that leave, and complete the demo

Cause: only engines were polled, so an instance of a plain service that said it was leaving went on getting calls until the platform's list showed it; the demo left out refused callers, a changed cell, and draining.

--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -58,6 +58,8 @@
 	beatAt clock.Millis
 	beats  beats
 	feed   configFeed
+	// services holds what plain services say of themselves.
+	services serviceWatch
 	// summaries counts the summaries sent to other failure domains.
 	summaries    uint64
 	summarizedAt clock.Millis
@@ -128,8 +130,16 @@
 	case event.OrderDone:
 		c.Owner.OrderDone(c.now, ev, out)
 	case event.ReportReceived:
+		if c.isService(ev.Server) {
+			c.serviceReported(ev.Server, ev.Report.Leaving, false, out)
+			return
+		}
 		c.Owner.Reported(c.now, ev, out)
 	case event.ReportFailed:
+		if c.isService(ev.Server) {
+			c.serviceReported(ev.Server, false, ev.Refused, out)
+			return
+		}
 		c.Owner.ReportFailed(ev, out)
 	case event.VMsListed:
 		c.listed = ev.VMs
@@ -196,6 +206,7 @@
 		c.assignServers(out)
 	}
 	c.Owner.Tick(c.now, out)
+	c.pollServices(out)
 	if c.now-c.beatAt >= member.HeartbeatPeriod {
 		c.beatAt = c.now
 		c.beat(out)
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -21,7 +21,7 @@
 		if vm.Entry || vm.FailureDomain != c.cfg.Self.FailureDomain {
 			continue
 		}
-		if c.Table.ServerLeaving(units.BackendServerID(vm.ID)) {
+		if id := units.BackendServerID(vm.ID); c.Table.ServerLeaving(id) || c.services.outOfUse(id) {
 			vm.State = event.VMLeaving
 		}
 		backend = append(backend, vm)
--- a/internal/core/entry/net_test.go
+++ b/internal/core/entry/net_test.go
@@ -250,7 +250,7 @@
 	case event.OrderServer:
 		w.whenAwake(n, func() { w.engines[effect.Server].order(n, effect) })
 	case event.PollServer:
-		w.whenAwake(n, func() { w.engines[effect.Server].poll(n) })
+		w.whenAwake(n, func() { w.poll(n, effect.Server) })
 	case event.Dispatch:
 		w.whenAwake(n, func() { w.dispatch(n, effect) })
 	case event.Refuse:
--- a/internal/fake/stand/standin.go
+++ b/internal/fake/stand/standin.go
@@ -23,6 +23,8 @@
 	Engines []*engine.Engine
 	// Services holds one counter of runs for each service name.
 	Services map[units.ServiceName]*plain.Service
+	// Instances holds the backend servers that run services, by id.
+	Instances map[string]*plain.Instance
 	// ControlAddress, LogAddress and VMListAddress are in use.
 	ControlAddress string
 	LogAddress     string
@@ -60,12 +62,13 @@
 // Start starts the stand-ins. Close ends them.
 func Start(options Options) (*Set, error) {
 	s := &Set{
-		Log:      &logs.LogService{Options: options.Log},
-		Store:    &store.WeightStore{Options: options.Store},
-		VMs:      &vmlist.VMList{Options: options.VMList},
-		Services: map[units.ServiceName]*plain.Service{},
-		backends: map[string]*reply.Server{},
-		handlers: map[string]fasthttp.RequestHandler{},
+		Log:       &logs.LogService{Options: options.Log},
+		Store:     &store.WeightStore{Options: options.Store},
+		VMs:       &vmlist.VMList{Options: options.VMList},
+		Services:  map[units.ServiceName]*plain.Service{},
+		Instances: map[string]*plain.Instance{},
+		backends:  map[string]*reply.Server{},
+		handlers:  map[string]fasthttp.RequestHandler{},
 	}
 	if err := s.start(options); err != nil {
 		s.Close()
@@ -104,7 +107,8 @@
 		if s.Services[vm.Service] == nil {
 			s.Services[vm.Service] = &plain.Service{}
 		}
-		handler = s.Services[vm.Service].NewInstance().Handle
+		s.Instances[vm.ID] = s.Services[vm.Service].NewInstance()
+		handler = s.Instances[vm.ID].Handle
 	default:
 		return errors.Errorf("backend server %s: kind %q: use engine or service", vm.ID, vm.Kind)
 	}
--- a/internal/oper/cmds/democmd.go
+++ b/internal/oper/cmds/democmd.go
@@ -6,28 +6,24 @@
 	"io"
 	"net"
 	"os"
-	"strings"
 	"time"
 
-	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/fake/stand"
 	"mangostile/internal/node/server"
 	"mangostile/internal/oper/config"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
-	"github.com/valyala/fasthttp"
 )
 
 func newDemoCmd() *cli.Command {
 	return &cli.Command{
 		Name:      "demo",
 		Usage:     "run entry VMs and stand-ins in one process on loopback and show what they promise",
-		UsageText: "mangostile demo",
+		UsageText: examples("mangostile demo", "mangostile demo --verbose"),
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "verbose", Usage: "show the entry VMs' log lines"},
 		},
@@ -39,6 +35,9 @@
 
 // demo is a running demonstration.
 type demo struct {
+	// tokens holds the callers' tokens by name. If it is empty, no token is asked
+	// for.
+	tokens  map[string]string
 	w       io.Writer
 	standin *stand.Set
 	servers []*server.Server
@@ -53,7 +52,7 @@
 func runDemo(ctx context.Context, w io.Writer, verbose bool) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	d := &demo{w: w}
+	d := &demo{w: w, tokens: demoTokens}
 	if err := d.start(ctx, verbose); err != nil {
 		return err
 	}
@@ -89,6 +88,7 @@
 const (
 	demoEntryVMs = 3
 	demoEngines  = 2
+	demoServices = 2
 )
 
 func (d *demo) start(ctx context.Context, verbose bool) (err error) {
@@ -99,7 +99,11 @@
 			ChecksFence: true, Slots: 2, BatchMax: 8,
 		})
 	}
-	backends = append(backends, event.VM{ID: "ledger-1", FailureDomain: "galle", Region: "south", Kind: event.KindService, Service: "ledger"})
+	for i := range demoServices {
+		backends = append(backends, event.VM{
+			ID: fmt.Sprintf("ledger-%d", i+1), FailureDomain: "galle", Region: "south", Kind: event.KindService, Service: "ledger",
+		})
+	}
 	if d.standin, err = stand.Start(stand.Options{Backends: backends}); err != nil {
 		return err
 	}
@@ -143,12 +147,23 @@
 			Region: own.Region, State: event.VMLive, Entry: true,
 		})
 		settings[i].Platform = config.Platform{LogAddress: d.standin.LogAddress, VMListAddress: d.standin.VMListAddress}
+		for name, token := range d.tokens {
+			settings[i].Callers = append(settings[i].Callers, config.Principal{Name: name, TokenSHA256: tokenDigest(token)})
+		}
 		settings[i].Services = []config.Service{{Name: "ledger", NotRepeatable: []string{"POST /release"}}}
 	}
 	d.standin.VMs.Set(append(vms, d.standin.Backends...))
 	return settings, nil
 }
 
+// The callers of the demonstration and their tokens.
+const (
+	demoVillage  = "village-app"
+	demoExporter = "exporter-app"
+)
+
+var demoTokens = map[string]string{demoVillage: "village-token", demoExporter: "exporter-token"}
+
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -169,154 +184,3 @@
 	}
 	return nil
 }
-
-func (d *demo) steps() []demoStep {
-	return []demoStep{
-		{"an edit of the table is in force on every entry VM", d.editTable},
-		{"a whole answer comes from the adapter and version named", d.wholeAnswer},
-		{"a stream comes whole", d.streamedAnswer},
-		{"an unknown adapter is refused and not run", d.unknownAdapter},
-		{"an action asked for twice runs once", d.actionTwice},
-		{"a cold adapter gives way to one that is asked for", d.evictCold},
-		{"nothing that must never happen was counted", d.counters},
-	}
-}
-
-func (d *demo) editTable() (string, error) {
-	var cells []event.Cell
-	for _, adapter := range []units.AdapterName{"braid", "letter", "lot", "knot", "brim"} {
-		cells = append(cells,
-			event.Cell{Adapter: adapter, Column: "base", Value: "straw-7b"},
-			event.Cell{Adapter: adapter, Column: "versions", Value: "v1:1"},
-			event.Cell{Adapter: adapter, Column: "callers", Value: "*"},
-		)
-	}
-	limit, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	began := time.Now()
-	outcome := d.servers[0].Edit(limit, event.Edit{
-		ID: units.RecordID("edit-" + uuid.NewString()), Author: "demo", AtMillis: int64(clock.WallNow()), Cells: cells,
-	})
-	if outcome.Kind != event.EditAccepted {
-		return "", errors.Errorf("edit %s: %s %v", outcome.Kind, outcome.Message, outcome.Faults)
-	}
-	for _, s := range d.servers {
-		if err := waitRevision(limit, s, outcome.Offset+1); err != nil {
-			return "", err
-		}
-	}
-	return fmt.Sprintf("15 cells on %d entry VMs after %d ms", len(d.servers), time.Since(began).Milliseconds()), nil
-}
-
-// call sends one request to an entry VM.
-func (d *demo) call(entryVM int, path, body string, headers ...string) (status int, answer string, err error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + d.serve[entryVM] + path)
-	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
-	}
-	req.SetBodyString(body)
-	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
-	err = client.DoTimeout(req, resp, 20*time.Second)
-	return resp.StatusCode(), string(resp.Body()), err
-}
-
-func (d *demo) wholeAnswer() (string, error) {
-	status, answer, err := d.call(0, "/v1/completions", `{"model":"braid@v1","prompt":"seven strand braid","max_tokens":6}`)
-	if err != nil {
-		return "", err
-	}
-	const want = "[braid@v1] seven strand braid seven <end>"
-	if status != fasthttp.StatusOK || !strings.Contains(strings.ReplaceAll(answer, `\u003c`, "<"), "[braid@v1] seven strand braid seven") {
-		return "", errors.Errorf("status %d: %s, wanted %s", status, answer, want)
-	}
-	return want, nil
-}
-
-func (d *demo) streamedAnswer() (string, error) {
-	status, answer, err := d.call(1, "/v1/chat/completions", `{"model":"letter","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"dear buyer"}]}`)
-	if err != nil {
-		return "", err
-	}
-	chunks := strings.Count(answer, "data: {")
-	if status != fasthttp.StatusOK || !strings.Contains(answer, "data: [DONE]") || chunks != 13 {
-		return "", errors.Errorf("status %d, %d chunks: %s", status, chunks, answer)
-	}
-	return fmt.Sprintf("%d chunks and the end mark", chunks), nil
-}
-
-func (d *demo) unknownAdapter() (string, error) {
-	status, answer, err := d.call(2, "/v1/completions", `{"model":"nobody","prompt":"x"}`)
-	if err != nil {
-		return "", err
-	}
-	if status != fasthttp.StatusNotFound || !strings.Contains(answer, `"ran":"no"`) {
-		return "", errors.Errorf("status %d: %s", status, answer)
-	}
-	return "unknown_adapter, ran: no", nil
-}
-
-func (d *demo) actionTwice() (string, error) {
-	key := uuid.Must(uuid.NewV7()).String()
-	for entryVM := range 2 {
-		status, answer, err := d.call(entryVM, "/services/ledger/release", `{"fund":"galle-7"}`, "Idempotency-Key", key)
-		if err != nil {
-			return "", err
-		}
-		if status != fasthttp.StatusOK || !strings.Contains(answer, `"run":"1"`) {
-			return "", errors.Errorf("status %d: %s", status, answer)
-		}
-	}
-	if runs := d.standin.Services["ledger"].Runs()[key]; runs != 1 {
-		return "", errors.Errorf("it ran %d times", runs)
-	}
-	return "both callers got the answer of the one run", nil
-}
-
-func (d *demo) evictCold() (string, error) {
-	for _, adapter := range []string{"lot", "knot", "brim", "braid", "letter"} {
-		status, answer, err := d.call(0, "/v1/completions", `{"model":"`+adapter+`","prompt":"x","max_tokens":3}`)
-		if err != nil {
-			return "", err
-		}
-		if status != fasthttp.StatusOK {
-			return "", errors.Errorf("adapter %s: status %d: %s", adapter, status, answer)
-		}
-	}
-	unloads := 0
-	for _, e := range d.standin.Engines {
-		unloads += e.Counters().Unloads
-	}
-	if unloads == 0 {
-		return "", errors.New("nothing was evicted")
-	}
-	return fmt.Sprintf("%d evictions for 5 adapters in %d slots", unloads, 2*demoEngines), nil
-}
-
-func (d *demo) counters() (string, error) {
-	for _, e := range d.standin.Engines {
-		c := e.Counters()
-		if c.WrongAdapter+c.EvictedRunning+c.OldOrdersTaken > 0 {
-			return "", errors.Errorf("%s counted %+v", e.ID, c)
-		}
-	}
-	if n := d.standin.Services["ledger"].SecondRuns(); n > 0 {
-		return "", errors.Errorf("%d second runs", n)
-	}
-	return "no wrong adapter, no eviction under a run, no old order, no second run", nil
-}
-
-func (d *demo) leave() (string, error) {
-	for _, s := range d.servers {
-		s.Leave()
-	}
-	for range d.servers {
-		if err := <-d.ended; err != nil {
-			return "", err
-		}
-	}
-	return "all ended without error", nil
-}
--- a/internal/oper/cmds/settingscmd.go
+++ b/internal/oper/cmds/settingscmd.go
@@ -116,7 +116,12 @@
 	if token == "" {
 		return &usageError{"settings token: the token is empty: give one on standard input"}
 	}
-	digest := sha256.Sum256([]byte(token))
-	fmt.Fprintf(w, "token_sha256 = %q\n", hex.EncodeToString(digest[:]))
+	fmt.Fprintf(w, "token_sha256 = %q\n", tokenDigest(token))
 	return nil
 }
+
+// tokenDigest returns the SHA-256 of a token as settings hold it.
+func tokenDigest(token string) string {
+	digest := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(digest[:])
+}
