Count entry VMs of other failure domains by their domain's word

Cause: an edit was in force elsewhere but told as not heard.

Change: GET /admin/members gives the last word of other failure domains; table commands and the page count their entry VMs apart, with the reserve that a domain speaks only for those that it hears of.

Measured: not run over several failure domains; TestSpreadSaysWhatIsKnown checks each state.

--- a/internal/node/admin/members.go
+++ b/internal/node/admin/members.go
@@ -28,11 +28,23 @@
 // Members is the answer to GET /admin/members.
 type Members struct {
 	EntryVMs []Member `json:"entry_vms"`
+	// Domains is what other failure domains last said of themselves. Only the
+	// member that talks for its failure domain holds it; others answer none.
+	Domains []DomainWord `json:"failure_domains,omitempty"`
+}
+
+// DomainWord is what a failure domain said of itself.
+type DomainWord struct {
+	FailureDomain units.FailureDomain `json:"failure_domain"`
+	// LowestRevision is the smallest among the entry VMs that the sender hears of.
+	LowestRevision units.Offset `json:"lowest_revision"`
+	// LogUnreachable is set if the sender can't read the log service.
+	LogUnreachable bool `json:"log_unreachable,omitempty"`
 }
 
 func (a *api) members(ctx *fasthttp.RequestCtx) {
 	var answer Members
-	if a.look(ctx, func(c *entry.Core) { answer.EntryVMs = describeMembers(c) }) {
+	if a.look(ctx, func(c *entry.Core) { answer.EntryVMs, answer.Domains = describeMembers(c), describeDomains(c) }) {
 		write(ctx, fasthttp.StatusOK, answer)
 	}
 }
@@ -55,3 +67,13 @@
 	}
 	return members
 }
+
+func describeDomains(c *entry.Core) []DomainWord {
+	var words []DomainWord
+	for _, summary := range c.Domains.Newest(c.Now()) {
+		words = append(words, DomainWord{
+			FailureDomain: summary.Domain, LowestRevision: summary.LowestOffset, LogUnreachable: summary.LogUnreachable,
+		})
+	}
+	return words
+}
--- a/internal/node/admin/page/saving.js
+++ b/internal/node/admin/page/saving.js
@@ -107,8 +107,7 @@
     this.notify(`Accepted at offset ${answer.offset}. Waiting until it is in force.`, "");
     await this.onSaved();
     for (let i = 0; i < IN_FORCE_TRIES; i++) {
-      const { entry_vms: members } = await call("/admin/members");
-      const text = spreadText(members, answer.offset + 1);
+      const text = spreadText(await call("/admin/members"), answer.offset + 1);
       this.notify(text.text, text.complete ? "good" : "");
       if (text.complete) {
         return;
@@ -119,11 +118,17 @@
 }
 
 // Says on how many entry VMs a revision is in force and which were not heard.
-function spreadText(members, revision) {
+// Entry VMs of other failure domains are known by the word of their domain only.
+function spreadText({ entry_vms: members, failure_domains: domains }, revision) {
+  const told = new Set((domains || []).filter((d) => d.lowest_revision >= revision).map((d) => d.failure_domain));
   const inForce = members.filter((m) => m.heard && m.alive && m.revision >= revision);
   const behind = members.filter((m) => m.heard && m.alive && m.revision < revision);
-  const silent = members.filter((m) => !m.heard || !m.alive);
+  const byDomain = members.filter((m) => !m.heard && told.has(m.failure_domain));
+  const silent = members.filter((m) => (!m.heard && !told.has(m.failure_domain)) || (m.heard && !m.alive));
   let text = `In force on ${inForce.length} of ${members.length} entry VMs.`;
+  if (byDomain.length > 0) {
+    text += ` By the word of their failure domain on ${byDomain.length} more, if it hears of them: ${names(byDomain)}.`;
+  }
   if (behind.length > 0) {
     text += ` Not yet on ${names(behind)}.`;
   }
--- a/internal/oper/client/client.go
+++ b/internal/oper/client/client.go
@@ -71,10 +71,9 @@
 }
 
 // Members returns what the entry VM knows of all entry VMs.
-func (c *Client) Members(ctx context.Context) ([]admin.Member, error) {
+func (c *Client) Members(ctx context.Context) (*admin.Members, error) {
 	var answer admin.Members
-	err := c.call(ctx, fasthttp.MethodGet, "/admin/members", nil, &answer, callTimeout)
-	return answer.EntryVMs, err
+	return &answer, c.call(ctx, fasthttp.MethodGet, "/admin/members", nil, &answer, callTimeout)
 }
 
 // Status returns what the entry VM says of itself and its failure domain.
--- a/internal/oper/cmds/explaincmd.go
+++ b/internal/oper/cmds/explaincmd.go
@@ -83,8 +83,8 @@
 	if err != nil {
 		return
 	}
-	for _, m := range members {
-		if m.FailureDomain == members[0].FailureDomain {
+	for _, m := range members.EntryVMs {
+		if m.FailureDomain == members.EntryVMs[0].FailureDomain {
 			e.NotAsked = append(e.NotAsked, string(m.ID))
 		}
 	}
--- a/internal/oper/cmds/spread.go
+++ b/internal/oper/cmds/spread.go
@@ -15,10 +15,13 @@
 // spread says on which entry VMs a revision is in force.
 type spread struct {
 	Revision units.Offset `json:"revision"`
-	// InForce, Behind and NotHeard are sorted and share no entry VM. Behind told
-	// an older revision; NotHeard told none or is not alive in the view of those
-	// asked, and may hold any.
-	InForce  []string `json:"entry_vms"`
+	// InForce, ByDomain, Behind and NotHeard are sorted and share no entry VM.
+	// Behind told an older revision; NotHeard told none or is not alive in the
+	// view of those asked, and may hold any.
+	InForce []string `json:"entry_vms"`
+	// ByDomain lists entry VMs whose failure domain says that the revision is in
+	// force on all that it hears of.
+	ByDomain []string `json:"by_failure_domain"`
 	Behind   []string `json:"behind"`
 	NotHeard []string `json:"not_heard"`
 	// Silent lists the addresses that were asked and gave no answer.
@@ -30,9 +33,12 @@
 
 // String says what is known and what is not.
 func (s *spread) String() string {
-	known := len(s.InForce) + len(s.Behind) + len(s.NotHeard)
+	known := len(s.InForce) + len(s.ByDomain) + len(s.Behind) + len(s.NotHeard)
 	var text strings.Builder
 	fmt.Fprintf(&text, "in force on %d of %d entry VMs", len(s.InForce), known)
+	if len(s.ByDomain) > 0 {
+		fmt.Fprintf(&text, "; by the word of their failure domain on %d more, if it hears of them: %s", len(s.ByDomain), strings.Join(s.ByDomain, ", "))
+	}
 	if len(s.Behind) > 0 {
 		fmt.Fprintf(&text, "; not yet on %s", strings.Join(s.Behind, ", "))
 	}
@@ -71,20 +77,24 @@
 func (r *editRun) lookSpread(ctx context.Context, revision units.Offset) *spread {
 	reached := &spread{Revision: revision}
 	known := map[units.EntryVMID]admin.Member{}
+	lowest := map[units.FailureDomain]units.Offset{}
 	for _, c := range r.all {
-		members, err := c.Members(ctx)
+		answer, err := c.Members(ctx)
 		if err != nil {
 			reached.Silent = append(reached.Silent, c.Address)
 			continue
 		}
-		for _, m := range members {
+		for _, m := range answer.EntryVMs {
 			known[m.ID] = newerMember(known[m.ID], m)
 		}
+		for _, word := range answer.Domains {
+			lowest[word.FailureDomain] = max(lowest[word.FailureDomain], word.LowestRevision)
+		}
 	}
 	for _, m := range known {
-		reached.add(m)
+		reached.add(m, lowest[m.FailureDomain])
 	}
-	for _, list := range [][]string{reached.InForce, reached.Behind, reached.NotHeard} {
+	for _, list := range [][]string{reached.InForce, reached.ByDomain, reached.Behind, reached.NotHeard} {
 		slices.Sort(list)
 	}
 	return reached
@@ -117,11 +127,14 @@
 	}
 }
 
-func (s *spread) add(m admin.Member) {
+// add sorts one entry VM in. Lowest is the word of its failure domain, or 0.
+func (s *spread) add(m admin.Member, lowest units.Offset) {
 	name := string(m.ID) + " (" + string(m.FailureDomain) + ")"
 	switch {
 	case m.Heard && m.Alive && m.Revision >= s.Revision:
 		s.InForce = append(s.InForce, name)
+	case !m.Heard && lowest >= s.Revision:
+		s.ByDomain = append(s.ByDomain, name)
 	case m.Heard && m.Alive:
 		s.Behind = append(s.Behind, name)
 	default:
--- /dev/null
+++ b/internal/oper/cmds/spread_test.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"testing"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/node/admin"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestSpreadSaysWhatIsKnown checks how one entry VM's state is told for an edit
+// at revision 5.
+func TestSpreadSaysWhatIsKnown(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		member admin.Member
+		lowest units.Offset
+		text   string
+	}{
+		{"in force", admin.Member{Heard: true, Alive: true, Revision: 5}, 0, "in force on 1 of 1 entry VMs"},
+		{"behind", admin.Member{Heard: true, Alive: true, Revision: 4}, 0, "in force on 0 of 1 entry VMs; not yet on e (d)"},
+		{"dead since", admin.Member{Heard: true, Revision: 5}, 0, "in force on 0 of 1 entry VMs; not heard from: e (d)"},
+		{"never heard", admin.Member{}, 0, "in force on 0 of 1 entry VMs; not heard from: e (d)"},
+		{
+			"other failure domain",
+			admin.Member{},
+			5,
+			"in force on 0 of 1 entry VMs; by the word of their failure domain on 1 more, if it hears of them: e (d)",
+		},
+		{"other failure domain behind", admin.Member{}, 4, "in force on 0 of 1 entry VMs; not heard from: e (d)"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reached := &spread{Revision: 5}
+			tc.member.ID, tc.member.FailureDomain = "e", "d"
+			reached.add(tc.member, tc.lowest)
+			must.Eq(t, tc.text, reached.String())
+		})
+	}
+}
+
+func TestNewerMemberTakesTheOwnWord(t *testing.T) {
+	own := admin.Member{ID: "e", Self: true, Alive: true, Heard: true, Revision: 4}
+	other := admin.Member{ID: "e", Alive: true, Heard: true, Revision: 5}
+	unheard := admin.Member{ID: "e"}
+	must.Eq(t, own, newerMember(own, other))
+	must.Eq(t, own, newerMember(other, own))
+	must.Eq(t, other, newerMember(unheard, other))
+	must.Eq(t, other, newerMember(other, unheard))
+	must.Eq(t, other, newerMember(admin.Member{}, other))
+}
+
+func TestRefusedEditsSayWhatHolds(t *testing.T) {
+	for kind, text := range map[event.EditKind]string{
+		event.EditConflict: "nothing changed",
+		event.EditInvalid:  "nothing changed",
+		event.EditNotTaken: "nothing changed",
+		event.EditUnknown:  "the outcome is not known",
+	} {
+		must.StrContains(t, (&editRefusedError{kind}).Error(), text)
+	}
+}
