--- a/internal/node/admin/page/status.js
+++ b/internal/node/admin/page/status.js
@@ -43,7 +43,8 @@
         figure("waiting at owners", waiting), figure("loads on their way", loading)),
       ...refusals(status),
       element("h2", {}, "Entry VMs"),
-      cardTable(["Entry VM", "Failure domain", "State", "Revision", "Heard"], status.entry_vms.map(memberRow)),
+      cardTable(["Entry VM", "Failure domain", "State", "Revision", "Heard"], status.entry_vms.map((m) => memberRow(m, status.failure_domain))),
+      ...otherDomains(status),
       element("h2", {}, "Backend servers of " + status.failure_domain),
       cardTable(["Backend server", "Serves", "Owner", "State", "Running", "Waiting", "Adapters loaded", "Loading"], servers.map(serverRow)));
   }
@@ -61,7 +62,20 @@
   return [element("h2", {}, "Refusals since the start"), cardTable(["Code", "Count"], counts)];
 }
 
-function memberRow(m) {
+function otherDomains(status) {
+  const words = status.failure_domains || [];
+  if (words.length === 0) {
+    return [];
+  }
+  const rows = words.map((d) => [d.failure_domain, d.lowest_revision, mark(d.log_unreachable ? "unreachable" : "reachable", !d.log_unreachable)]);
+  return [element("h2", {}, "Other failure domains"), cardTable(["Failure domain", "Lowest revision", "Log service"], rows)];
+}
+
+// Entry VMs of other failure domains send no heartbeats here.
+function memberRow(m, own) {
+  if (m.failure_domain !== own) {
+    return [m.id, m.failure_domain, "elsewhere", "–", "–"];
+  }
   const state = !m.alive ? "not heard" : m.leaving ? (m.self ? "not ready" : "leaving") : "alive";
   const heard = m.self ? "itself" : m.heard ? `${m.heard_ms_ago} ms ago` : "never";
   return [m.id, m.failure_domain, mark(state, state === "alive"), m.heard ? m.revision : "unknown", heard];
--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -22,6 +22,8 @@
 	// that never reached the core, as malformed ones, are not among them.
 	Refusals map[errs.Code]int64 `json:"refusals,omitempty"`
 	EntryVMs []Member            `json:"entry_vms"`
+	// Domains is the last word of other failure domains; see Members.
+	Domains []DomainWord `json:"failure_domains,omitempty"`
 	// Servers are the backend servers of the own failure domain.
 	Servers []ServerStatus `json:"backend_servers"`
 }
@@ -58,7 +60,8 @@
 func describe(c *entry.Core) Status {
 	status := Status{
 		EntryVM: c.Members.SelfID(), FailureDomain: c.Members.Self.FailureDomain, Ready: c.Ready(), Revision: c.Table.Next(),
-		Adapters: c.Table.Len(), Requests: c.CountRequests(), Refusals: c.Refusals(), EntryVMs: describeMembers(c), Servers: []ServerStatus{},
+		Adapters: c.Table.Len(), Requests: c.CountRequests(), Refusals: c.Refusals(), EntryVMs: describeMembers(c),
+		Domains: describeDomains(c), Servers: []ServerStatus{},
 	}
 	for _, s := range c.Router.Servers() {
 		server := ServerStatus{
--- a/internal/oper/cmds/statuscmd.go
+++ b/internal/oper/cmds/statuscmd.go
@@ -31,18 +31,20 @@
 func showStatus(ctx context.Context, cmd *cli.Command, all []*client.Client) error {
 	w := cmd.Root().Writer
 	var answers []*admin.Status
-	var failed error
+	var failed []error
 	for _, c := range all {
 		status, err := c.Status(ctx)
 		if err != nil {
-			failed = err
-			fmt.Fprintln(cmd.Root().ErrWriter, err)
+			failed = append(failed, err)
 			continue
 		}
 		answers = append(answers, status)
 	}
 	if len(answers) == 0 {
-		return errors.Wrap(failed, "no entry VM answered")
+		return failed[0]
+	}
+	for _, err := range failed {
+		fmt.Fprintln(cmd.Root().ErrWriter, err)
 	}
 	if cmd.Bool("json") {
 		return writeJSON(w, answers)
@@ -70,8 +72,9 @@
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "entry_vm\tfailure_domain\tstate\trevision\theard")
 	for _, m := range s.EntryVMs {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.FailureDomain, memberState(&m), memberRevision(&m), heardText(&m))
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.FailureDomain, memberState(&m, s.FailureDomain), memberRevision(&m), heardText(&m))
 	}
+	printDomains(out, s.Domains)
 	fmt.Fprintln(out)
 	fmt.Fprintln(out, "backend_server\tserves\towner\tstate\trunning\twaiting\tadapters\tloading")
 	for i := range s.Servers {
@@ -82,8 +85,27 @@
 	return errors.Wrap(out.Flush(), "write status")
 }
 
-func memberState(m *admin.Member) string {
+func printDomains(out io.Writer, domains []admin.DomainWord) {
+	if len(domains) == 0 {
+		return
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, "other_failure_domain\tlowest_revision\tlog_service")
+	for _, d := range domains {
+		log := "reachable"
+		if d.LogUnreachable {
+			log = "unreachable"
+		}
+		fmt.Fprintf(out, "%s\t%d\t%s\n", d.FailureDomain, d.LowestRevision, log)
+	}
+}
+
+// memberState names the state of an entry VM as one of the failure domain own
+// sees it. Those of other failure domains send no heartbeats.
+func memberState(m *admin.Member, own units.FailureDomain) string {
 	switch {
+	case m.FailureDomain != own:
+		return "elsewhere"
 	case !m.Alive:
 		return "not_heard"
 	case m.Leaving && m.Self:
--- a/internal/oper/cmds/tablecmd.go
+++ b/internal/oper/cmds/tablecmd.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/table"
 	"mangostile/internal/oper/client"
 	"mangostile/internal/oper/sheet"
 
@@ -69,7 +71,7 @@
 	if readAt < 0 {
 		readAt = current.Revision
 	}
-	change := sheet.Change{Adapter: units.AdapterName(args[0]), Column: args[1], New: args[2], NewRow: true}
+	change := sheet.Change{Adapter: units.AdapterName(args[0]), Column: args[1], New: args[2], NewRow: !strings.HasPrefix(args[0], table.ServerRowPrefix)}
 	for i := range current.Rows {
 		if row := &current.Rows[i]; row.Adapter == change.Adapter {
 			change.Old, change.NewRow = current.Cell(row, change.Column), false
