Show metrics, and test whole servers for leaks, secrets and leaving

Cause: nothing counted what an entry VM does, and no test ran a whole server. Change: package meter counts by tally and writes the text exposition format on GET /metrics of the admin address, with /healthz and /readyz beside it: answers by status, refusals by code and ran, attempts by result, first token, gaps between tokens, load stalls, appends, ring depth, link traffic and the load of owned engines. A dispatch carries the time that its request waited for the adapter. Tests run a server with stand-ins: a stream is finished while leaving, no duty is left behind, no token or digest is logged, a caller that goes away under TLS is noticed.

--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"slices"
+
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -22,6 +25,7 @@
 	r.server = choice.Server.ID()
 	r.owner = c.Members.OwnerOf(r.server)
 	r.askedAt = c.now
+	r.stalled = !slices.Contains(choice.Server.Summary.Resident, r.adapter)
 	c.Router.Sent(r.server)
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
 		"adapter", r.adapter.String(), "attempt", r.attempt, "owner", r.owner, "refused", choice.Refused,
@@ -54,9 +58,13 @@
 	r.grant = m.Grant
 	r.owner = from
 	r.state = stateRunning
+	var stall clock.Millis
+	if r.stalled {
+		stall = c.now - r.askedAt
+	}
 	out.Add(event.Dispatch{
 		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: server.Spec.Address, Adapter: r.adapter,
-		Deadline: r.Deadline, NotAfter: r.askedAt + m.Term, Priority: r.Priority,
+		Deadline: r.Deadline, NotAfter: r.askedAt + m.Term, Priority: r.Priority, LoadStall: stall,
 	})
 }
 
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -48,6 +48,8 @@
 	server  units.BackendServerID
 	owner   units.EntryVMID
 	askedAt clock.Millis
+	// stalled is set if the adapter was not on the chosen server when asked for.
+	stalled bool
 	grant   units.GrantNumber
 	// renewed is the last renewal of grant.
 	renewed renewal
--- a/internal/core/event/effect.go
+++ b/internal/core/event/effect.go
@@ -37,6 +37,9 @@
 	// right before. 0 is no bound.
 	NotAfter clock.Millis
 	Priority units.Priority
+	// LoadStall is the time that the request waited for its adapter to arrive. 0
+	// if it was there.
+	LoadStall clock.Millis
 	// RecordAnswer asks for status and body in the DispatchDone.
 	RecordAnswer bool
 	// Forward is set if Address belongs to an entry VM of another failure
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -64,6 +64,18 @@
 	AppendUnknown
 )
 
+// String returns the name of r in log lines.
+func (r AppendResult) String() string {
+	switch r {
+	case AppendAccepted:
+		return "accepted"
+	case AppendRefused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
 // RecordsRead brings consecutive records of a stream in order.
 type RecordsRead struct {
 	Stream  units.StreamName
--- a/internal/fake/logs/log_service.go
+++ b/internal/fake/logs/log_service.go
@@ -46,6 +46,9 @@
 	// budget holds appends that may be taken at once, refilled with time.
 	budget   float64
 	budgetAt time.Time
+	// closed is closed by Close. It is nil until a read waits.
+	closed     chan struct{}
+	closedOnce sync.Once
 }
 
 type stream struct {
@@ -161,6 +164,21 @@
 	return batch, st.changed
 }
 
+func (s *LogService) ends() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed == nil {
+		s.closed = make(chan struct{})
+	}
+	return s.closed
+}
+
+// Close ends the reads that wait.
+func (s *LogService) Close() {
+	ended := s.ends()
+	s.closedOnce.Do(func() { close(ended) })
+}
+
 // Handle answers the service's HTTP protocol.
 func (s *LogService) Handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/fault" {
@@ -244,6 +262,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+		case <-s.ends():
 		}
 		batch, _ = s.Read(name, units.Offset(from))
 	}
--- a/internal/fake/stand/standin.go
+++ b/internal/fake/stand/standin.go
@@ -163,6 +163,7 @@
 
 // Close ends all stand-ins and closes their connections.
 func (s *Set) Close() {
+	s.Log.Close()
 	for _, server := range s.servers {
 		server.Close()
 	}
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -18,12 +18,12 @@
 func (e *Edge) run(ctx *fasthttp.RequestCtx, x *exchange) {
 	id := x.request.ID
 	if !e.exchanges.add(x) {
-		writeRefusal(ctx, id, errs.Refuse(errs.CodeBadRequest, "request id %s is in use: leave %s out or choose another", id, HeaderRequestID))
+		e.writeRefusal(ctx, id, errs.Refuse(errs.CodeBadRequest, "request id %s is in use: leave %s out or choose another", id, HeaderRequestID))
 		return
 	}
 	if !e.options.Submit(event.RequestArrived{Request: x.request}) {
 		e.exchanges.remove(id)
-		writeRefusal(ctx, id, errs.Refuse(errs.CodeOverloaded, "this entry VM has no room for another request: send it again later").After(clock.Second))
+		e.writeRefusal(ctx, id, errs.Refuse(errs.CodeOverloaded, "this entry VM has no room for another request: send it again later").After(clock.Second))
 		return
 	}
 	for {
@@ -34,7 +34,7 @@
 			}
 		case <-e.closed:
 			e.exchanges.remove(id)
-			writeRefusal(ctx, id, errs.RefuseUnknown(errs.CodeLeaving, "this entry VM stopped: send the request to another one"))
+			e.writeRefusal(ctx, id, errs.RefuseUnknown(errs.CodeLeaving, "this entry VM stopped: send the request to another one"))
 			return
 		}
 	}
@@ -48,7 +48,7 @@
 		return e.attempt(ctx, x, command)
 	case event.Refuse:
 		e.exchanges.remove(x.request.ID)
-		writeRefusal(ctx, x.request.ID, command.Refusal)
+		e.writeRefusal(ctx, x.request.ID, command.Refusal)
 		return true
 	case event.Replay:
 		e.exchanges.remove(x.request.ID)
@@ -74,6 +74,9 @@
 		e.done(d, event.DispatchResult{Kind: event.ResultNotSent})
 		return false
 	}
+	if d.LoadStall > 0 && d.Attempt == 1 {
+		e.options.Meter.LoadStalled(d.LoadStall.Duration())
+	}
 	resp, err := e.call(req, x, time.Now().Add((d.Deadline - now).Duration()))
 	switch {
 	case errors.Is(err, errCallerGone):
@@ -176,6 +179,7 @@
 }
 
 func (e *Edge) done(d event.Dispatch, result event.DispatchResult) {
+	e.options.Meter.Attempted(result.Kind.String())
 	ev := event.DispatchDone{Request: d.Request, Attempt: d.Attempt, Result: result}
 	for !e.options.Submit(ev) {
 		select {
@@ -202,6 +206,7 @@
 		e.done(d, event.DispatchResult{Kind: event.ResultBroken})
 		return false
 	}
+	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
 	e.answerHeaders(ctx, x, d)
 	ctx.SetStatusCode(resp.StatusCode())
 	ctx.SetContentTypeBytes(resp.Header.ContentType())
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/base/token"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/meter"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -43,6 +44,8 @@
 	Clock         clock.Clock
 	// Logger takes what the core does not see; nil drops it.
 	Logger hclog.Logger
+	// Meter counts; nil counts nothing.
+	Meter *meter.Meter
 	// WriteTimeout is the time for a caller to take a part of a stream; 0 is
 	// DefaultWriteTimeout.
 	WriteTimeout time.Duration
@@ -126,6 +129,7 @@
 		e.handleReady(ctx)
 	default:
 		e.handleCaller(ctx, path)
+		e.options.Meter.Answered(ctx.Response.StatusCode())
 	}
 }
 
@@ -140,7 +144,7 @@
 func (e *Edge) handleCaller(ctx *fasthttp.RequestCtx, path string) {
 	caller, refusal := e.caller(ctx)
 	if refusal != nil {
-		writeRefusal(ctx, "", refusal)
+		e.writeRefusal(ctx, "", refusal)
 		return
 	}
 	x := newExchange(ctx.Conn())
@@ -162,7 +166,7 @@
 		refusal = e.readHeaders(ctx, x)
 	}
 	if refusal != nil {
-		writeRefusal(ctx, x.request.ID, refusal)
+		e.writeRefusal(ctx, x.request.ID, refusal)
 		return
 	}
 	e.run(ctx, x)
@@ -315,7 +319,8 @@
 	RequestID units.RequestID `json:"request_id,omitempty"`
 }
 
-func writeRefusal(ctx *fasthttp.RequestCtx, id units.RequestID, refusal *errs.Refusal) {
+func (e *Edge) writeRefusal(ctx *fasthttp.RequestCtx, id units.RequestID, refusal *errs.Refusal) {
+	e.options.Meter.Refused(refusal)
 	writeJSON(ctx, refusal.Status(), refusalBody{Error: refusal, RequestID: id})
 	if id != "" {
 		ctx.Response.Header.Set(HeaderRequestID, string(id))
@@ -339,5 +344,5 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		refusal = errs.Refuse(errs.CodeBadRequest, "the request did not arrive in time: send it faster")
 	}
-	writeRefusal(ctx, "", refusal)
+	e.writeRefusal(ctx, "", refusal)
 }
--- a/internal/node/edge/exchange.go
+++ b/internal/node/edge/exchange.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -14,7 +15,8 @@
 type exchange struct {
 	request event.Request
 	// conn is the caller's connection.
-	conn net.Conn
+	conn      net.Conn
+	arrivedAt time.Time
 	// method, path and body are sent to a backend server.
 	method string
 	path   string
@@ -37,7 +39,7 @@
 const maxCommands = 8
 
 func newExchange(conn net.Conn) *exchange {
-	return &exchange{conn: conn, commands: make(chan event.Effect, maxCommands), canceled: make(chan struct{})}
+	return &exchange{conn: conn, arrivedAt: time.Now(), commands: make(chan event.Effect, maxCommands), canceled: make(chan struct{})}
 }
 
 // cancel gives up the attempt on its way. It does not block.
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -150,6 +150,7 @@
 		e.done(d, event.DispatchResult{Kind: kind})
 		return false
 	}
+	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
 	e.options.Submit(event.DispatchStarted{Request: d.Request, Attempt: d.Attempt})
 	e.answerHeaders(ctx, x, d)
 	ctx.SetContentType("text/event-stream")
@@ -163,8 +164,14 @@
 
 // copyStream copies events until the stream's end mark. The first is in s.buf.
 func (e *Edge) copyStream(w *bufio.Writer, s *answerStream, end bool) event.ResultKind {
+	var before time.Time
 	for {
-		_ = s.x.conn.SetWriteDeadline(time.Now().Add(e.options.WriteTimeout))
+		now := time.Now()
+		if !before.IsZero() {
+			e.options.Meter.TokenGap(now.Sub(before))
+		}
+		before = now
+		_ = s.x.conn.SetWriteDeadline(now.Add(e.options.WriteTimeout))
 		_, _ = w.Write(s.buf)
 		if w.Flush() != nil {
 			return event.ResultCanceled
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -15,6 +15,7 @@
 	"mangostile/internal/core/event"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/links"
+	"mangostile/internal/node/meter"
 	"mangostile/internal/plat/system"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,8 @@
 	Core   entry.Config
 	Edge   edge.Options
 	Logger hclog.Logger
+	// Meter counts; nil counts nothing. Run closes it.
+	Meter  *meter.Meter
 	System system.System
 	Clock  clock.Clock
 	// ServeListener takes callers, PeerListener other entry VMs, AdminListener
@@ -96,6 +99,7 @@
 	edgeOptions.Models = s.models
 	edgeOptions.Clock = options.Clock
 	edgeOptions.Logger = options.Logger
+	edgeOptions.Meter = options.Meter
 	edgeOptions.EntryVM = units.EntryVMID(options.Core.Self.ID)
 	s.edge = edge.New(edgeOptions)
 	s.links = links.New(edgeOptions.EntryVM, func(ev event.PeerReceived) bool { return s.Submit(ev) })
@@ -143,6 +147,7 @@
 	group.Go(func() error { return s.runTicks(ctx) })
 	group.Go(func() error { return s.runAppends(ctx) })
 	group.Go(func() error { return s.runVMList(ctx) })
+	group.Go(func() error { return s.runGauges(ctx) })
 	group.Go(func() error { return s.links.Run(ctx, s.options.PeerListener) })
 	for range orderDuties {
 		group.Go(func() error { return s.runOrders(ctx) })
@@ -157,7 +162,7 @@
 	})
 	s.serveHTTP(ctx, group, withTLS(s.options.ServeListener, s.options.ServeTLS), s.edge.Handle)
 	if s.options.AdminListener != nil {
-		s.serveHTTP(ctx, group, withTLS(s.options.AdminListener, s.options.AdminTLS), s.options.Admin(s))
+		s.serveHTTP(ctx, group, withTLS(s.options.AdminListener, s.options.AdminTLS), s.adminHandler())
 	}
 	group.Go(func() error {
 		select {
@@ -168,7 +173,11 @@
 		}
 		return nil
 	})
-	return group.Wait()
+	err := group.Wait()
+	if closeErr := s.options.Meter.Close(); err == nil {
+		err = closeErr
+	}
+	return err
 }
 
 func (s *Server) runTicks(ctx context.Context) error {
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -17,6 +17,7 @@
 	"mangostile/internal/node/admin"
 	"mangostile/internal/node/certs"
 	"mangostile/internal/node/edge"
+	"mangostile/internal/node/meter"
 	"mangostile/internal/node/server"
 	"mangostile/internal/oper/config"
 	"mangostile/internal/plat/system"
@@ -85,6 +86,7 @@
 		Core:          coreConfig(settings),
 		Edge:          edgeOptions(settings),
 		Logger:        logger,
+		Meter:         meter.New(),
 		System:        system.NewRealSystem(settings.Platform.LogAddress, settings.Platform.VMListAddress),
 		ServeListener: listeners[0],
 		PeerListener:  listeners[1],
