--- a/internal/core/table/snapshot.go
+++ b/internal/core/table/snapshot.go
@@ -91,6 +91,9 @@
 	if err := msgpack.NewDecoder(r).Decode(&s); err != nil {
 		return false, errors.Wrap(err, "decode snapshot")
 	}
+	if err := s.check(); err != nil {
+		return false, err
+	}
 	if s.Next <= t.next {
 		return false, nil
 	}
@@ -98,6 +101,21 @@
 	return true, nil
 }
 
+// check reports whether a decoded snapshot names each row and partial edit.
+func (s *snapshot) check() error {
+	for _, row := range s.Rows {
+		if row == nil || row.Adapter == "" {
+			return errors.New("snapshot with a row that names no adapter: run the same release on all entry VMs")
+		}
+	}
+	for _, p := range s.Parts {
+		if p.Partial == nil {
+			return errors.New("snapshot with an empty partial edit: run the same release on all entry VMs")
+		}
+	}
+	return nil
+}
+
 func (s *snapshot) table() *Table {
 	t := &Table{
 		next: s.Next, rows: map[units.AdapterName]*Row{}, deleted: map[units.AdapterName]units.Offset{},
