Write a sheet without revision so that it can be read again

Cause: CSV of a sheet without revision held -1, which reading refused; a negative revision in JSON or TOML was taken.

Change: CSV leaves the revision out, reading refuses one below 0. FuzzRead checks the round trip through all formats.

Conclusion: what is read can be written and read again.

--- a/internal/oper/sheet/format.go
+++ b/internal/oper/sheet/format.go
@@ -72,6 +72,14 @@
 
 // Read reads a sheet in a format. It does not check the values of cells.
 func Read(r io.Reader, format Format) (*Sheet, error) {
+	s, err := read(r, format)
+	if err == nil && s.Revision < NoRevision {
+		return nil, errors.Errorf("revision %d is below 0: leave it as it was exported", s.Revision)
+	}
+	return s, err
+}
+
+func read(r io.Reader, format Format) (*Sheet, error) {
 	switch format {
 	case FormatCSV:
 		return readCSV(r)
@@ -121,7 +129,10 @@
 	if err := out.Write(append(header, readAtColumn)); err != nil {
 		return errors.Wrap(err, "write CSV")
 	}
-	revision := strconv.FormatInt(int64(s.Revision), 10)
+	revision := ""
+	if s.Revision != NoRevision {
+		revision = strconv.FormatInt(int64(s.Revision), 10)
+	}
 	for i := range s.Rows {
 		record := append([]string{string(s.Rows[i].Adapter)}, s.Rows[i].Cells...)
 		if err := out.Write(append(record, revision)); err != nil {
