--- /dev/null
+++ b/internal/base/frame/fuzz_test.go
@@ -0,0 +1,30 @@
+package frame
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// FuzzRead checks that any bytes are read or refused, and that a frame that was
+// read is the one that stood there.
+func FuzzRead(f *testing.F) {
+	whole, err := Append(nil, 2, map[string]int{"a": 1})
+	must.NoError(f, err)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tag, payload, err := Read(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		must.EqOp(t, data[4], tag)
+		must.Eq(t, data[headerBytes:headerBytes+len(payload)], payload)
+		var value any
+		_ = Decode(payload, &value)
+	})
+}
