Choose loads, victims and servers by what is expected

Cause: a failed load refused all who waited, each owner had two loads in flight whatever the others did, victims were the least recently used, and any summary wiped what had been sent since. Change: loads start by need (requests waiting, aging, deadline, priority) within a part of the weight store's bounds that follows announced demand; failed loads are tried again with backoff, and a version that fails four times in a row is refused for 30 s; victims go by decayed popularity; requests wait in a fair queue by weight with priorities as a bounded head start; the router scores wait, copy and crowding, corrects load reports by what was sent and ended since, keeps an index of copies and sends absent adapters to one home by hash. Under the batch objective an idle server waits for more requests.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -83,9 +83,9 @@
 	r.attempt++
 	r.state = stateRunning
 	r.server = choice.Server.ID()
-	c.Router.Sent(r.server)
+	c.Router.Sent(c.now, r.server)
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
-		"service", r.Service, "attempt", r.attempt, "refused", choice.Refused,
+		"service", r.Service, "attempt", r.attempt, "refused", choice.Refused.String(),
 	}})
 	out.Add(event.Dispatch{
 		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: choice.Server.Spec.Address,
--- a/internal/core/entry/beat.go
+++ b/internal/core/entry/beat.go
@@ -105,7 +105,7 @@
 	changed, dropped := b.changes(summaries)
 	base := peer.Heartbeat{
 		Incarnation: c.cfg.Incarnation, Leaving: c.leaving, ConfigOffset: c.Table.Next(), LogUnreachable: c.feed.unreachable,
-		Sequence: b.sequence, Loads: loads(summaries),
+		Sequence: b.sequence, Loads: loads(summaries), Demand: c.demands(),
 	}
 	held := c.heldByOwner()
 	for _, p := range c.Members.Peers() {
@@ -136,6 +136,7 @@
 	if len(c.Members.Members()) != before {
 		c.assignServers(out)
 	}
+	c.heardDemands(from, m.Demand)
 	pb := c.beats.of(from)
 	if pb.take(m) {
 		c.summarized(pb.servers)
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -6,6 +6,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/admit"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/member"
 	"mangostile/internal/core/once"
@@ -46,6 +47,8 @@
 	Owner   owner.Owner
 	Router  route.Router
 	Ledger  once.Ledger
+	// shares divides limits between the entry VMs of the failure domain.
+	shares admit.Shares
 	// requests holds all requests that have not ended.
 	requests map[units.RequestID]*request
 	// edits holds edits that an operator waits for.
@@ -79,6 +82,10 @@
 	c.Members.Self = cfg.Self
 	c.Owner.Self = units.EntryVMID(cfg.Self.ID)
 	c.Owner.Incarnation = cfg.Incarnation
+	c.Owner.Objective = cfg.Policy.Objective
+	c.Owner.Budget.Policy = cfg.Policy
+	c.Owner.Copies = c.Router.Copies
+	c.Router.Objective = cfg.Policy.Objective
 	return c
 }
 
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -13,6 +14,7 @@
 		return
 	}
 	kind := ev.Result.Kind
+	c.noteEnd(r, kind)
 	if r.grant != 0 {
 		c.release(r.owner, r.ID, r.attempt, r.server, r.grant, kind == event.ResultBroken, out)
 		r.grant = 0
@@ -31,6 +33,15 @@
 	c.attemptDone(r, ev.Result, out)
 }
 
+// noteEnd tells the router of the end of an attempt.
+func (c *Core) noteEnd(r *request, kind event.ResultKind) {
+	var service clock.Millis
+	if kind == event.ResultServed && r.Service == "" {
+		service = c.now - r.runningAt
+	}
+	c.Router.Ended(r.server, service)
+}
+
 func (c *Core) attemptDone(r *request, result event.DispatchResult, out *event.Effects) {
 	switch {
 	case result.Kind == event.ResultServed || result.Kind == event.ResultCanceled:
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"slices"
-
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
@@ -14,7 +12,7 @@
 	choice := c.Router.Engine(c.now, r.row.Base, r.adapter, r.tried)
 	if choice.Server == nil {
 		if r.state != stateQueued || r.attempt == 0 && c.now == r.arrivedAt {
-			out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "wait", Reason: "no_backend_server", Pairs: []any{"refused", choice.Refused}})
+			out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "wait", Reason: "no_backend_server", Pairs: []any{"refused", choice.Refused.String()}})
 		}
 		r.state = stateQueued
 		r.tried = nil
@@ -25,13 +23,13 @@
 	r.server = choice.Server.ID()
 	r.owner = c.Members.OwnerOf(r.server)
 	r.askedAt = c.now
-	r.stalled = !slices.Contains(choice.Server.Summary.Resident, r.adapter)
-	c.Router.Sent(r.server)
+	r.absent, r.stalled = choice.Absent, !choice.Resident
+	c.Router.Sent(c.now, r.server)
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
-		"adapter", r.adapter.String(), "attempt", r.attempt, "owner", r.owner, "refused", choice.Refused,
+		"adapter", r.adapter.String(), "attempt", r.attempt, "owner", r.owner, "refused", choice.Refused.String(),
 	}})
 	out.Add(event.SendPeer{To: r.owner, Message: &peer.GrantAsk{
-		Request: r.ID, Attempt: r.attempt, Server: r.server, Adapter: r.adapter, Priority: r.Priority, Within: r.Deadline - c.now,
+		Request: r.ID, Attempt: r.attempt, Server: r.server, Adapter: r.adapter, Priority: r.Priority, Weight: r.row.Weight, Within: r.Deadline - c.now,
 		Fingerprint: r.Digest, Prefix: r.Prefix, Tokens: r.PromptTokens + r.MaxTokens,
 	}})
 }
@@ -55,7 +53,11 @@
 		c.advance(r, out)
 		return
 	}
+	if r.absent {
+		c.Router.Loaded(c.now - r.askedAt)
+	}
 	r.grant = m.Grant
+	r.runningAt = c.now
 	r.owner = from
 	r.state = stateRunning
 	var stall clock.Millis
@@ -76,7 +78,7 @@
 func (c *Core) grantRefused(r *request, m *peer.GrantReply, out *event.Effects) {
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "refused_by_owner", Reason: string(m.Refusal.Code), Pairs: []any{"backend_server", m.Server}})
 	switch m.Refusal.Code {
-	case errs.CodeLoadFailed, errs.CodeDeadline:
+	case errs.CodeLoadFailed, errs.CodeDeadline, errs.CodeOverloaded:
 		c.refuse(r, m.Refusal, out)
 	default:
 		r.tried = append(r.tried, r.server)
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -48,9 +48,12 @@
 	server  units.BackendServerID
 	owner   units.EntryVMID
 	askedAt clock.Millis
-	// stalled is set if the adapter was not on the chosen server when asked for.
-	stalled bool
-	grant   units.GrantNumber
+	// absent is set if the chosen server neither had nor loaded the adapter when
+	// asked for, stalled if it did not have it.
+	absent, stalled bool
+	// runningAt is the instant of the grant.
+	runningAt clock.Millis
+	grant     units.GrantNumber
 	// renewed is the last renewal of grant.
 	renewed renewal
 	tried   []units.BackendServerID
--- a/internal/core/owner/claim.go
+++ b/internal/core/owner/claim.go
@@ -12,10 +12,10 @@
 	}
 	s.phase = phaseClaiming
 	s.fence = s.report.Fence + 1
-	o.order(now, s, event.Order{Kind: event.OrderClaim}, out)
+	o.send(now, s, event.Order{Kind: event.OrderClaim}, out)
 }
 
-func (o *Owner) order(now clock.Millis, s *server, order event.Order, out *event.Effects) {
+func (o *Owner) send(now clock.Millis, s *server, order event.Order, out *event.Effects) {
 	order.Fence = s.fence
 	order.Holder = o.Self
 	order.NotAfter = now + OwnerTerm
--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -13,11 +13,21 @@
 // Ask handles a request for a grant.
 func (o *Owner) Ask(now clock.Millis, from units.EntryVMID, m *peer.GrantAsk, out *event.Effects) {
 	s := o.servers[m.Server]
-	if s == nil || !s.mayGrant(now) || len(s.asks) >= MaxAsks {
+	if s == nil || !s.mayGrant(now) {
 		o.reply(from, m, 0, errs.Refuse(errs.CodeNoCapacity, "backend server %s can't take the request now: send it again", m.Server), out)
 		return
 	}
-	s.asks = append(s.asks, &ask{GrantAsk: *m, from: from, deadline: now + m.Within, askedAt: now})
+	o.Popularity.Note(now, m.Adapter)
+	if wait := o.Failures.Open(now, m.Adapter); wait > 0 && s.copies[m.Adapter] == nil {
+		o.reply(from, m, 0, loadRefusal(m.Adapter, wait), out)
+		return
+	}
+	s.enqueue(now, &ask{GrantAsk: *m, from: from, deadline: now + m.Within, askedAt: now})
+	if len(s.asks) > MaxAsks {
+		last := s.asks[len(s.asks)-1]
+		s.asks = s.asks[:len(s.asks)-1]
+		o.reply(last.from, &last.GrantAsk, 0, errs.Refuse(errs.CodeOverloaded, "too many requests wait for backend server %s: send it again later", m.Server).After(clock.Second), out)
+	}
 	o.serve(now, s, out)
 }
 
@@ -28,6 +38,9 @@
 		return
 	}
 	if g := s.grants[m.Grant]; g != nil && g.holder == from {
+		if !m.ServerDied {
+			s.pace.note(now-g.grantedAt, g.tokens)
+		}
 		o.drop(now, s, g)
 	}
 	s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
@@ -81,18 +94,26 @@
 	if !s.mayGrant(now) {
 		return
 	}
-	waiting := s.asks
-	s.asks = nil
-	for _, a := range waiting {
-		switch {
-		case now >= a.deadline:
-			o.reply(a.from, &a.GrantAsk, 0, errs.Refuse(errs.CodeDeadline, "the deadline passed while the request waited for adapter %s: allow more time", a.Adapter), out)
-		case o.tryGrant(now, s, a, out):
-		default:
-			s.asks = append(s.asks, a)
-			o.tryLoad(now, s, a.Adapter, out)
-		}
+	if !o.gathering(now, s) {
+		s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
+			return o.tooLate(now, s, a, out) || o.tryGrant(now, s, a, out)
+		})
 	}
+	o.pump(now, out)
+}
+
+// tooLate refuses a request that can't be answered within its deadline any
+// more.
+func (o *Owner) tooLate(now clock.Millis, s *server, a *ask, out *event.Effects) bool {
+	switch {
+	case now >= a.deadline:
+		o.reply(a.from, &a.GrantAsk, 0, errs.Refuse(errs.CodeDeadline, "the deadline passed while the request waited for adapter %s: allow more time", a.Adapter), out)
+	case now+s.pace.expect(a.Tokens) > a.deadline:
+		o.reply(a.from, &a.GrantAsk, 0, errs.Refuse(errs.CodeOverloaded, "the answer would come after the deadline: allow more time or send the request again later").After(clock.Second), out)
+	default:
+		return false
+	}
+	return true
 }
 
 func (o *Owner) tryGrant(now clock.Millis, s *server, a *ask, out *event.Effects) bool {
@@ -106,6 +127,7 @@
 	o.lastGrant = max(o.lastGrant+1, units.GrantNumber(o.Incarnation)<<grantNumberBits)
 	g := &grant{
 		number: o.lastGrant, holder: a.from, request: a.Request, attempt: a.Attempt, adapter: a.Adapter, until: now + GrantTerm,
+		grantedAt: now, tokens: a.Tokens,
 	}
 	s.grants[g.number] = g
 	c.grants++
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -8,24 +8,15 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/core/place"
 )
 
-// MaxLoadsInFlight bounds the loads that one owner has on their way.
-const MaxLoadsInFlight = 2
-
 // MaxAsks bounds the requests that wait for one backend server.
 const MaxAsks = 256
 
 // grantNumberBits is the room for the grants of one incarnation.
 const grantNumberBits = 20
 
-// loadBackoff is the wait after the first failed load; it doubles up to
-// maxLoadBackoff.
-const (
-	loadBackoff    = 500 * clock.Millis(1)
-	maxLoadBackoff = 30 * clock.Second
-)
-
 // Owner decides for the backend servers that one entry VM owns. Set Self before
 // use.
 type Owner struct {
@@ -33,8 +24,23 @@
 	// Incarnation keeps grant numbers of two runs apart.
 	Incarnation units.Incarnation
 	servers     map[units.BackendServerID]*server
-	lastGrant   units.GrantNumber
-	loads       int
+	// order holds servers sorted by id.
+	order     []*server
+	lastGrant units.GrantNumber
+	// Objective is 0 to keep load stalls short and 1 to keep batches full.
+	Objective float64
+	// Budget is the own part of the weight store.
+	Budget place.Budget
+	// Failures holds versions that could not be loaded.
+	Failures place.Failures
+	// Popularity counts what the own servers are asked for.
+	Popularity place.Popularity
+	// Copies returns the number of servers of the failure domain that have or
+	// load an adapter. Nothing is loaded ahead of a request without it.
+	Copies func(av units.AdapterVersion) int
+	// needs is memory for nextLoad.
+	needs    map[wantedLoad]float64
+	prunedAt clock.Millis
 }
 
 // SetServers takes up the servers in specs and gives up all others. Asks that
@@ -61,10 +67,10 @@
 			continue
 		}
 		o.refuseAsks(s, out)
-		o.loads -= s.loadsInFlight()
 		delete(o.servers, s.id())
 		out.Add(event.Decision{Area: "owner", Choice: s.spec.ID, Reason: "gives_up"})
 	}
+	o.order = o.sorted()
 }
 
 // Owns reports whether server is among those taken up.
@@ -88,7 +94,6 @@
 	restarted := s.reported && s.report.Start != ev.Report.Start
 	s.report, s.reported = ev.Report, true
 	if restarted {
-		o.loads -= s.loadsInFlight()
 		s.forget()
 	}
 	s.syncCopies(ev.SentAt)
@@ -116,6 +121,13 @@
 
 // OrderDone takes the result of an order.
 func (o *Owner) OrderDone(now clock.Millis, ev event.OrderDone, out *event.Effects) {
+	switch ev.Order.Kind {
+	case event.OrderLoad:
+		o.Budget.Done()
+	case event.OrderUnload:
+		o.Budget.Return()
+	case event.OrderClaim, event.OrderRole:
+	}
 	s := o.servers[ev.Server]
 	if s == nil {
 		return
@@ -126,19 +138,26 @@
 	case event.OrderLoad:
 		o.loadDone(now, s, ev, out)
 	case event.OrderUnload:
+		s.unloading = max(0, s.unloading-1)
 		s.unloadDone(now, ev)
+	case event.OrderRole:
 	}
 	o.serve(now, s, out)
 }
 
 // Tick polls servers, lapses grants and refuses asks whose deadline has passed.
 func (o *Owner) Tick(now clock.Millis, out *event.Effects) {
+	if now-o.prunedAt >= clock.Minute {
+		o.prunedAt = now
+		o.Popularity.Prune(now)
+	}
 	for _, s := range o.sorted() {
 		if now-s.polledAt >= PollPeriod {
 			s.polledAt = now
 			out.Add(event.PollServer{Server: s.id(), Address: s.spec.Address})
 		}
 		s.lapse(now)
+		s.fairness.prune(now)
 		o.claim(now, s, out)
 		o.serve(now, s, out)
 	}
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -48,6 +48,10 @@
 	adapter units.AdapterVersion
 	// until is the instant at which the grant lapses.
 	until clock.Millis
+	// grantedAt and tokens tell how long the request took; grantedAt is 0 if an
+	// earlier owner gave the grant.
+	grantedAt clock.Millis
+	tokens    units.Tokens
 }
 
 // copyState is one adapter on a server.
@@ -75,6 +79,8 @@
 	from     units.EntryVMID
 	deadline clock.Millis
 	askedAt  clock.Millis
+	// rank is the place in the queue; smaller goes first.
+	rank clock.Millis
 }
 
 // server is one owned backend server.
@@ -93,7 +99,12 @@
 	reported   bool
 	copies     map[units.AdapterVersion]*copyState
 	grants     map[units.GrantNumber]*grant
-	asks       []*ask
+	// asks is sorted by rank.
+	asks     []*ask
+	fairness fairness
+	// unloading counts orders to unload on their way.
+	unloading int
+	pace      pace
 }
 
 func (s *server) id() units.BackendServerID { return units.BackendServerID(s.spec.ID) }
@@ -129,21 +140,6 @@
 	return c.lapsedAt == 0 || c.idleReportAt > c.lapsedAt
 }
 
-// victim returns the evictable copy that was used the longest ago.
-func (s *server) victim(now clock.Millis) (units.AdapterVersion, bool) {
-	var best units.AdapterVersion
-	var found bool
-	for av, c := range s.copies {
-		if !s.evictable(now, c) {
-			continue
-		}
-		if !found || c.usedAt < s.copies[best].usedAt || (c.usedAt == s.copies[best].usedAt && av.String() < best.String()) {
-			best, found = av, true
-		}
-	}
-	return best, found
-}
-
 // summary describes s for the heartbeat.
 func (s *server) summary(now clock.Millis) peer.ServerSummary {
 	summary := peer.ServerSummary{
@@ -164,7 +160,9 @@
 }
 
 func sortVersions(versions []units.AdapterVersion) {
-	slices.SortFunc(versions, func(a, b units.AdapterVersion) int {
-		return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
-	})
+	slices.SortFunc(versions, compareVersions)
+}
+
+func compareVersions(a, b units.AdapterVersion) int {
+	return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
 }
--- a/internal/core/owner/sync.go
+++ b/internal/core/owner/sync.go
@@ -41,16 +41,6 @@
 	}
 }
 
-func (s *server) loadsInFlight() int {
-	n := 0
-	for _, c := range s.copies {
-		if c.loading {
-			n++
-		}
-	}
-	return n
-}
-
 // lapse ends grants that were not renewed.
 func (s *server) lapse(now clock.Millis) {
 	for number, g := range s.grants {
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -84,6 +84,8 @@
 	Server   units.BackendServerID `msgpack:"s"`
 	Adapter  units.AdapterVersion  `msgpack:"a"`
 	Priority units.Priority        `msgpack:"p,omitempty"`
+	// Weight is the adapter's share under contention; 0 is 1.
+	Weight int32 `msgpack:"w,omitempty"`
 	// Within is the time left to the request's deadline.
 	Within clock.Millis `msgpack:"d"`
 	// Fingerprint identifies the content, so that the owner can name suspects
--- /dev/null
+++ b/internal/core/route/cost.go
@@ -0,0 +1,104 @@
+package route
+
+import "math"
+
+// Times that are taken until the real ones are learned, in milliseconds.
+const (
+	firstLoadWait = 500
+	firstService  = 3000
+)
+
+// Costs in milliseconds of waiting that a choice may save.
+const (
+	// spreadCost is added to absent copies by hash, so that all entry VMs choose
+	// the same few servers for an adapter.
+	spreadCost = 2000
+	// evictCost is added where a load needs an eviction.
+	evictCost = 100
+	// copyCost multiplies the load wait where another server has the adapter,
+	// since the load takes a slot and a turn of the weight store.
+	copyCost = 4
+	// crowdCost is the cost of each request that runs beside.
+	crowdCost = 6
+	// fillGain is the gain of each request that runs beside under an objective
+	// of 1.
+	fillGain = 12
+)
+
+// queued returns the requests that run or wait at s, as far as is known.
+func (s *Server) queued() float64 {
+	return max(0, float64(s.Summary.Running+s.Summary.Waiting+s.SentSince))
+}
+
+// cost of sending a request on the marked adapter to s; key is the adapter's
+// hash. Smaller is better.
+func (r *Router) cost(s *Server, key uint64) float64 {
+	state := s.stateIn(r.epoch)
+	beside := min(s.queued(), float64(s.Summary.BatchMax))
+	cost := r.queueWait(s) + beside*(crowdCost*(1-r.Objective)-fillGain*r.Objective)
+	switch state {
+	case copyResident:
+	case copyLoading:
+		cost += r.loadTime() / 2
+	default:
+		cost += r.absentCost(s, key)
+	}
+	return cost
+}
+
+func (r *Router) absentCost(s *Server, key uint64) float64 {
+	cost := r.loadTime() + spreadCost*hashShare(s.hash^key)
+	if len(s.Summary.Resident)+len(s.Summary.Loading) >= int(s.Summary.Slots) {
+		cost += evictCost
+	}
+	if r.marked > 0 {
+		cost += r.loadTime() * (copyCost - 1)
+	}
+	return cost
+}
+
+// expectedWait is the time before a request on the adapter runs at s.
+func (r *Router) expectedWait(s *Server, state copyState) float64 {
+	switch state {
+	case copyResident:
+		return r.queueWait(s)
+	case copyLoading:
+		return max(r.queueWait(s), r.loadTime()/2)
+	default:
+		return max(r.queueWait(s), r.loadTime())
+	}
+}
+
+// queueWait is the time until a place in the batch of s is free.
+func (r *Router) queueWait(s *Server) float64 {
+	batch := float64(max(1, s.Summary.BatchMax))
+	over := s.queued() + 1 - batch
+	if over <= 0 {
+		return 0
+	}
+	return over * r.serviceTime() / batch
+}
+
+func (r *Router) loadTime() float64 {
+	if r.loadWait == 0 {
+		return firstLoadWait
+	}
+	return r.loadWait
+}
+
+func (r *Router) serviceTime() float64 {
+	if r.service == 0 {
+		return firstService
+	}
+	return r.service
+}
+
+// hashShare spreads x evenly over 0 to 1.
+func hashShare(x uint64) float64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return float64(x) / math.MaxUint64
+}
