--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -10,6 +10,7 @@
 	"mangostile/internal/core/event"
 	"mangostile/internal/fake/reply"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 )
 
@@ -117,7 +118,11 @@
 		return
 	}
 	chat := string(ctx.Path()) == "/v1/chat/completions"
-	r, err := e.begin(request.work(units.RequestID(ctx.Request.Header.Peek(headerRequestID))))
+	id := units.RequestID(ctx.Request.Header.Peek(headerRequestID))
+	if id == "" {
+		id = units.RequestID(uuid.NewString())
+	}
+	r, err := e.begin(request.work(id))
 	if err != nil {
 		refuse(ctx, err)
 		return
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -25,8 +25,9 @@
 
 // Options say what a Server is made of.
 type Options struct {
-	Core   entry.Config
-	Edge   edge.Options
+	Core entry.Config
+	Edge edge.Options
+	// Logger takes a line for each event; nil drops them.
 	Logger hclog.Logger
 	// Meter counts; nil counts nothing. Run closes it.
 	Meter  *meter.Meter
@@ -84,6 +85,9 @@
 
 // New returns a server that is not running.
 func New(options Options) *Server {
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
 	s := &Server{
 		options: options,
 		core:    entry.New(options.Core),
--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -58,7 +58,7 @@
 
 // node is one entry VM with one engine and one adapter.
 type node struct {
-	t       *testing.T
+	t       testing.TB
 	server  *Server
 	standin *stand.Set
 	log     lockedBuffer
@@ -69,13 +69,18 @@
 	admin   string
 }
 
-func startNode(t *testing.T, change func(*Options)) *node {
+func startNode(t testing.TB, change func(*Options)) *node {
+	t.Helper()
+	return startNodeWith(t, stand.Options{Backends: []event.VM{{
+		ID: "engine-1", FailureDomain: "galle", Region: "south", Kind: event.KindEngine, Base: "straw-7b", ChecksFence: true,
+	}}}, change)
+}
+
+func startNodeWith(t testing.TB, deployment stand.Options, change func(*Options)) *node {
 	t.Helper()
 	n := &node{t: t, token: testToken, ended: make(chan error, 1), client: &http.Client{Timeout: testTimeout}}
 	var err error
-	n.standin, err = stand.Start(stand.Options{Backends: []event.VM{{
-		ID: "engine-1", FailureDomain: "galle", Region: "south", Kind: event.KindEngine, Base: "straw-7b", ChecksFence: true,
-	}}})
+	n.standin, err = stand.Start(deployment)
 	must.NoError(t, err)
 	options := n.options(t)
 	if change != nil {
@@ -92,7 +97,7 @@
 	return n
 }
 
-func (n *node) options(t *testing.T) Options {
+func (n *node) options(t testing.TB) Options {
 	var listeners [3]net.Listener
 	for i := range listeners {
 		var err error
@@ -141,7 +146,7 @@
 	return resp
 }
 
-func readBody(t *testing.T, resp *http.Response) string {
+func readBody(t testing.TB, resp *http.Response) string {
 	t.Helper()
 	body, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
@@ -156,7 +161,7 @@
 	return resp.StatusCode, readBody(n.t, resp)
 }
 
-func waitUntil(t *testing.T, condition func() bool) {
+func waitUntil(t testing.TB, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
