--- a/internal/oper/cmds/democmd.go
+++ b/internal/oper/cmds/democmd.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"time"
 
@@ -111,13 +110,13 @@
 	if verbose {
 		logger = hclog.New(&hclog.LoggerOptions{Name: "mangostile", Output: d.w})
 	}
-	entries, err := d.entrySettings()
+	entries, listeners, err := d.entrySettings()
 	if err != nil {
 		return err
 	}
 	d.ended = make(chan error, len(entries))
 	for i := range entries {
-		s, err := newServer(&entries[i], logger)
+		s, err := newServer(&entries[i], listeners[i], logger)
 		if err != nil {
 			return err
 		}
@@ -129,19 +128,23 @@
 	return d.waitReady(ctx)
 }
 
-// entrySettings returns the settings of all entry VMs with free addresses.
-func (d *demo) entrySettings() ([]config.Settings, error) {
+// entrySettings returns the settings of all entry VMs, with addresses that are
+// open.
+func (d *demo) entrySettings() ([]config.Settings, []entryListeners, error) {
 	settings := make([]config.Settings, demoEntryVMs)
+	listeners := make([]entryListeners, demoEntryVMs)
 	var vms []event.VM
 	for i := range settings {
 		own := &settings[i].EntryVM
 		*own = config.EntryVM{ID: units.EntryVMID(fmt.Sprintf("entry-%d", i+1)), FailureDomain: "galle", Region: "south"}
-		for _, address := range []*string{&own.ServeAddress, &own.PeerAddress, &own.AdminAddress} {
-			var err error
-			if *address, err = freeAddress(); err != nil {
-				return nil, err
-			}
+		own.ServeAddress, own.PeerAddress, own.AdminAddress = anyLoopback, anyLoopback, anyLoopback
+		var err error
+		if listeners[i], err = listen(own); err != nil {
+			return nil, nil, err
 		}
+		own.ServeAddress = listeners[i].serve.Addr().String()
+		own.PeerAddress = listeners[i].peer.Addr().String()
+		own.AdminAddress = listeners[i].admin.Addr().String()
 		vms = append(vms, event.VM{
 			ID: string(own.ID), Address: own.PeerAddress, ServeAddress: own.ServeAddress, FailureDomain: own.FailureDomain,
 			Region: own.Region, State: event.VMLive, Entry: true,
@@ -153,9 +156,11 @@
 		settings[i].Services = []config.Service{{Name: "ledger", NotRepeatable: []string{"POST /release"}}}
 	}
 	d.standin.VMs.Set(append(vms, d.standin.Backends...))
-	return settings, nil
+	return settings, listeners, nil
 }
 
+const anyLoopback = "127.0.0.1:0"
+
 // The callers of the demonstration and their tokens.
 const (
 	demoVillage  = "village-app"
@@ -164,15 +169,6 @@
 
 var demoTokens = map[string]string{demoVillage: "village-token", demoExporter: "exporter-token"}
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free address")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 func (d *demo) waitReady(ctx context.Context) error {
 	for _, s := range d.servers {
 		for !s.Ready() {
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -47,7 +47,11 @@
 
 func runServe(ctx context.Context, settings *config.Settings) error {
 	logger := hclog.New(&hclog.LoggerOptions{Name: "mangostile", Level: hclog.LevelFromString(settings.Log.Level), Output: os.Stderr})
-	s, err := newServer(settings, logger)
+	listeners, err := listen(&settings.EntryVM)
+	if err != nil {
+		return err
+	}
+	s, err := newServer(settings, listeners, logger)
 	if err != nil {
 		return err
 	}
@@ -62,10 +66,28 @@
 	return s.Run(ctx)
 }
 
-// newServer returns the entry VM that settings describe, with its listeners
-// open.
-func newServer(settings *config.Settings, logger hclog.Logger) (*server.Server, error) {
-	own := &settings.EntryVM
+// entryListeners are the open addresses of one entry VM.
+type entryListeners struct{ serve, peer, admin net.Listener }
+
+// listen opens the addresses of an entry VM.
+func listen(own *config.EntryVM) (entryListeners, error) {
+	var opened [3]net.Listener
+	for i, address := range []string{own.ServeAddress, own.PeerAddress, own.AdminAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, other := range opened[:i] {
+				_ = other.Close()
+			}
+			return entryListeners{}, errors.Wrapf(err, "entry VM %s: choose free addresses", own.ID)
+		}
+		opened[i] = listener
+	}
+	return entryListeners{serve: opened[0], peer: opened[1], admin: opened[2]}, nil
+}
+
+// newServer returns the entry VM that settings describe. It takes listeners
+// over.
+func newServer(settings *config.Settings, listeners entryListeners, logger hclog.Logger) (*server.Server, error) {
 	serveTLS, err := tlsConfig(settings.TLS.ServeCertificateFile, settings.TLS.ServeKeyFile, logger)
 	if err != nil {
 		return nil, err
@@ -74,23 +96,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var listeners [3]net.Listener
-	for i, address := range []string{own.ServeAddress, own.PeerAddress, own.AdminAddress} {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, errors.Wrapf(err, "entry VM %s: choose free addresses", own.ID)
-		}
-		listeners[i] = listener
-	}
 	return server.New(server.Options{
 		Core:          coreConfig(settings),
 		Edge:          edgeOptions(settings),
 		Logger:        logger,
 		Meter:         meter.New(),
 		System:        system.NewRealSystem(settings.Platform.LogAddress, settings.Platform.VMListAddress),
-		ServeListener: listeners[0],
-		PeerListener:  listeners[1],
-		AdminListener: listeners[2],
+		ServeListener: listeners.serve,
+		PeerListener:  listeners.peer,
+		AdminListener: listeners.admin,
 		ServeTLS:      serveTLS,
 		AdminTLS:      adminTLS,
 		HTTP: server.HTTPLimits{
