Write JSON answers in one place

Cause: the stand-ins, the callers' edge and the admin API each held the same function.

Change: internal/node/render holds it; 14 files call it.

Measured: three copies of 10 lines became one; tests of the packages pass.

--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -30,11 +32,11 @@
 	case "/v1/orders":
 		e.handleOrder(ctx)
 	case "/v1/report":
-		reply.JSON(ctx, fasthttp.StatusOK, e.Report())
+		render.JSON(ctx, fasthttp.StatusOK, e.Report())
 	case "/v1/cache_events":
-		reply.JSON(ctx, fasthttp.StatusOK, e.CacheEvents(int64(ctx.QueryArgs().GetUintOrZero("after"))))
+		render.JSON(ctx, fasthttp.StatusOK, e.CacheEvents(int64(ctx.QueryArgs().GetUintOrZero("after"))))
 	case "/counters":
-		reply.JSON(ctx, fasthttp.StatusOK, e.Counters())
+		render.JSON(ctx, fasthttp.StatusOK, e.Counters())
 	case "/fault":
 		e.handleFault(ctx)
 	default:
@@ -46,7 +48,7 @@
 	var faults Faults
 	if reply.Decode(ctx, &faults) {
 		e.SetFaults(faults)
-		reply.JSON(ctx, fasthttp.StatusOK, faults)
+		render.JSON(ctx, fasthttp.StatusOK, faults)
 	}
 }
 
@@ -64,9 +66,9 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
-		reply.JSON(ctx, fasthttp.StatusOK, fence)
+		render.JSON(ctx, fasthttp.StatusOK, fence)
 	case errors.As(err, &refused) && refused.Code == CodeFenced:
-		reply.JSON(ctx, fasthttp.StatusConflict, fence)
+		render.JSON(ctx, fasthttp.StatusConflict, fence)
 	default:
 		reply.Refuse(ctx, fasthttp.StatusBadRequest, "refused", err.Error())
 	}
@@ -79,7 +81,7 @@
 	if !reply.Decode(ctx, &request) {
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, struct {
+	render.JSON(ctx, fasthttp.StatusOK, struct {
 		Canceled bool `json:"canceled"`
 	}{e.Cancel(request.RequestID)})
 }
@@ -102,7 +104,7 @@
 	}
 	e.mu.Unlock()
 	if r == nil || request.From < 0 {
-		reply.JSON(ctx, fasthttp.StatusNotFound, struct {
+		render.JSON(ctx, fasthttp.StatusNotFound, struct {
 			Error reply.Error `json:"error"`
 		}{reply.Error{Code: "unknown_request", Message: "the request is not here any more"}})
 		return
@@ -150,7 +152,7 @@
 		return
 	}
 	ctx.Response.Header.Set(headerRequestID, string(r.work.ID))
-	reply.JSON(ctx, fasthttp.StatusOK, wholeAnswer(r.work, chat, tokens))
+	render.JSON(ctx, fasthttp.StatusOK, wholeAnswer(r.work, chat, tokens))
 }
 
 func (e *Engine) streamCompletion(ctx *fasthttp.RequestCtx, r *run, chat bool, faults Faults) {
@@ -201,7 +203,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	reply.JSON(ctx, statusCanceled, struct {
+	render.JSON(ctx, statusCanceled, struct {
 		Error reply.Error `json:"error"`
 	}{reply.Error{Code: CodeCanceled, Message: err.Error()}})
 }
--- a/internal/fake/logs/log_service.go
+++ b/internal/fake/logs/log_service.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/peer"
@@ -213,7 +215,7 @@
 		return
 	}
 	s.SetFaults(faults)
-	reply.JSON(ctx, fasthttp.StatusOK, faults)
+	render.JSON(ctx, fasthttp.StatusOK, faults)
 }
 
 func streamOfPath(path string) (units.StreamName, bool) {
@@ -242,7 +244,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, struct {
+	render.JSON(ctx, fasthttp.StatusOK, struct {
 		First units.Offset `json:"first_offset"`
 	}{first})
 }
@@ -266,5 +268,5 @@
 		}
 		batch, _ = s.Read(name, units.Offset(from))
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, batch)
+	render.JSON(ctx, fasthttp.StatusOK, batch)
 }
--- a/internal/fake/plain/service.go
+++ b/internal/fake/plain/service.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/fake/reply"
 
@@ -102,12 +104,12 @@
 func (i *Instance) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/v1/report":
-		reply.JSON(ctx, fasthttp.StatusOK, struct {
+		render.JSON(ctx, fasthttp.StatusOK, struct {
 			Ready   bool `json:"ready"`
 			Leaving bool `json:"leaving"`
 		}{true, i.leaving.Load()})
 	case "/runs":
-		reply.JSON(ctx, fasthttp.StatusOK, i.service.Runs())
+		render.JSON(ctx, fasthttp.StatusOK, i.service.Runs())
 	case "/fault":
 		i.handleFault(ctx)
 	default:
@@ -123,7 +125,7 @@
 	}
 	i.SetLeaving(faults.Leaving)
 	i.service.SetFaults(faults)
-	reply.JSON(ctx, fasthttp.StatusOK, faults)
+	render.JSON(ctx, fasthttp.StatusOK, faults)
 }
 
 func (i *Instance) handleCall(ctx *fasthttp.RequestCtx) {
@@ -145,7 +147,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, map[string]string{
+	render.JSON(ctx, fasthttp.StatusOK, map[string]string{
 		"done": string(ctx.Path()), "key": key, "run": strconv.Itoa(count), "echo": string(ctx.PostBody()),
 	})
 }
--- a/internal/fake/reply/reply.go
+++ b/internal/fake/reply/reply.go
@@ -4,21 +4,11 @@
 import (
 	"encoding/json"
 
+	"mangostile/internal/node/render"
+
 	"github.com/valyala/fasthttp"
 )
 
-// JSON answers with a status and a value.
-func JSON(ctx *fasthttp.RequestCtx, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 // Error is the body of an answer that is not a success.
 type Error struct {
 	Code    string `json:"code"`
@@ -29,7 +19,7 @@
 
 // Refuse answers with an error body.
 func Refuse(ctx *fasthttp.RequestCtx, status int, code, message string) {
-	JSON(ctx, status, struct {
+	render.JSON(ctx, status, struct {
 		Error Error `json:"error"`
 	}{Error{Code: code, Message: message, Ran: "no"}})
 }
--- a/internal/fake/stand/control.go
+++ b/internal/fake/stand/control.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/fake/engine"
@@ -60,11 +62,11 @@
 func (s *Set) handleControl(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if path == "/counters" {
-		reply.JSON(ctx, fasthttp.StatusOK, s.Counters())
+		render.JSON(ctx, fasthttp.StatusOK, s.Counters())
 		return
 	}
 	if name, ok := strings.CutPrefix(path, "/runs/"); ok && s.Services[units.ServiceName(name)] != nil {
-		reply.JSON(ctx, fasthttp.StatusOK, s.Services[units.ServiceName(name)].Runs())
+		render.JSON(ctx, fasthttp.StatusOK, s.Services[units.ServiceName(name)].Runs())
 		return
 	}
 	name, ok := strings.CutPrefix(path, "/fault/")
@@ -81,13 +83,13 @@
 		var faults logs.Faults
 		if reply.Decode(ctx, &faults) {
 			s.Log.SetFaults(faults)
-			reply.JSON(ctx, fasthttp.StatusOK, faults)
+			render.JSON(ctx, fasthttp.StatusOK, faults)
 		}
 	case "store":
 		var faults store.Faults
 		if reply.Decode(ctx, &faults) {
 			s.Store.SetFaults(faults)
-			reply.JSON(ctx, fasthttp.StatusOK, faults)
+			render.JSON(ctx, fasthttp.StatusOK, faults)
 		}
 	case "vms":
 		s.handleVMsFault(ctx)
@@ -115,7 +117,7 @@
 	}
 	s.VMs.SetDown(faults.Down)
 	s.VMs.Update(faults.change)
-	reply.JSON(ctx, fasthttp.StatusOK, faults)
+	render.JSON(ctx, fasthttp.StatusOK, faults)
 }
 
 func (f *vmsFaults) change(vms []event.VM) []event.VM {
--- a/internal/fake/vmlist/vm_list.go
+++ b/internal/fake/vmlist/vm_list.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/core/event"
 	"mangostile/internal/fake/reply"
@@ -100,7 +102,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotModified)
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, struct {
+	render.JSON(ctx, fasthttp.StatusOK, struct {
 		VMs []event.VM `json:"vms"`
 	}{visible})
 }
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -3,9 +3,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/token"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/node/server"
@@ -91,16 +92,5 @@
 }
 
 func fail(ctx *fasthttp.RequestCtx, status int, message string) {
-	write(ctx, status, Failure{message})
-}
-
-func write(ctx *fasthttp.RequestCtx, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	render.JSON(ctx, status, Failure{message})
 }
--- a/internal/node/admin/edit.go
+++ b/internal/node/admin/edit.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
@@ -76,7 +78,7 @@
 	}
 	answer.FaultCount = len(answer.Faults)
 	answer.Faults = answer.Faults[:min(len(answer.Faults), MaxFaults)]
-	write(ctx, fasthttp.StatusOK, answer)
+	render.JSON(ctx, fasthttp.StatusOK, answer)
 }
 
 // allCells returns Cells and then those of Rows.
--- a/internal/node/admin/explain.go
+++ b/internal/node/admin/explain.go
@@ -4,6 +4,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
+	"mangostile/internal/node/render"
 	"mangostile/internal/node/server"
 
 	"github.com/valyala/fasthttp"
@@ -29,5 +30,5 @@
 		return
 	}
 	answer.Lines, answer.OldestMillis = a.server.Explain(answer.Request)
-	write(ctx, fasthttp.StatusOK, answer)
+	render.JSON(ctx, fasthttp.StatusOK, answer)
 }
--- a/internal/node/admin/history.go
+++ b/internal/node/admin/history.go
@@ -4,6 +4,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/table"
+	"mangostile/internal/node/render"
 
 	"github.com/valyala/fasthttp"
 )
@@ -18,6 +19,6 @@
 func (a *api) history(ctx *fasthttp.RequestCtx) {
 	var answer History
 	if a.look(ctx, func(c *entry.Core) { answer.Revision, answer.Edits = c.Table.Next(), c.Table.History() }) {
-		write(ctx, fasthttp.StatusOK, answer)
+		render.JSON(ctx, fasthttp.StatusOK, answer)
 	}
 }
--- a/internal/node/admin/members.go
+++ b/internal/node/admin/members.go
@@ -4,6 +4,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
+	"mangostile/internal/node/render"
 
 	"github.com/valyala/fasthttp"
 )
@@ -45,7 +46,7 @@
 func (a *api) members(ctx *fasthttp.RequestCtx) {
 	var answer Members
 	if a.look(ctx, func(c *entry.Core) { answer.EntryVMs, answer.Domains = describeMembers(c), describeDomains(c) }) {
-		write(ctx, fasthttp.StatusOK, answer)
+		render.JSON(ctx, fasthttp.StatusOK, answer)
 	}
 }
 
--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -5,6 +5,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/render"
 
 	"github.com/valyala/fasthttp"
 )
@@ -53,7 +54,7 @@
 func (a *api) status(ctx *fasthttp.RequestCtx) {
 	var status Status
 	if a.look(ctx, func(c *entry.Core) { status = describe(c) }) {
-		write(ctx, fasthttp.StatusOK, status)
+		render.JSON(ctx, fasthttp.StatusOK, status)
 	}
 }
 
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -4,6 +4,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/table"
+	"mangostile/internal/node/render"
 
 	"github.com/valyala/fasthttp"
 )
@@ -36,5 +37,5 @@
 		}
 		answer.Rows = append(answer.Rows, cells)
 	}
-	write(ctx, fasthttp.StatusOK, answer)
+	render.JSON(ctx, fasthttp.StatusOK, answer)
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mangostile/internal/node/render"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/token"
@@ -299,18 +301,7 @@
 	for _, av := range e.options.Models(caller) {
 		answer.Data = append(answer.Data, model{ID: av.String(), Object: "model"})
 	}
-	writeJSON(ctx, fasthttp.StatusOK, answer)
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	render.JSON(ctx, fasthttp.StatusOK, answer)
 }
 
 // refusalBody is the JSON body of a refusal.
@@ -321,7 +312,7 @@
 
 func (e *Edge) writeRefusal(ctx *fasthttp.RequestCtx, id units.RequestID, refusal *errs.Refusal) {
 	e.options.Meter.Refused(refusal)
-	writeJSON(ctx, refusal.Status(), refusalBody{Error: refusal, RequestID: id})
+	render.JSON(ctx, refusal.Status(), refusalBody{Error: refusal, RequestID: id})
 	if id != "" {
 		ctx.Response.Header.Set(HeaderRequestID, string(id))
 	}
--- /dev/null
+++ b/internal/node/render/json.go
@@ -0,0 +1,21 @@
+// Package render writes HTTP answers.
+package render
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// JSON answers with a status and value as the body. A value that can't be
+// encoded is answered with status 500.
+func JSON(ctx *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
