Hold limits, bound retries and refuse early under overload

Cause: the limits of a row were not applied, retries were unbounded, and under overload requests ran that could not end before their deadline. Change: request, token and concurrency limits of a row are shared between the entry VMs of a failure domain by announced demand; retries of broken attempts take from a budget of a tenth of the requests; a request whose wait exceeds its deadline is refused at once. Loads in flight are one for each entry VM and the rest by demand, so that the sum keeps the bound. The size overload joins the experiment. Properties drive the owner through lost messages, lapses and pauses and check that nothing running is evicted, that no request is overtaken without bound, and the stated overshoot of limits.

--- /dev/null
+++ b/internal/core/admit/admit_test.go
@@ -0,0 +1,102 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/proof"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestOvershootIsBounded lets several entry VMs admit as much as they can under
+// random demands, with announcements that are lost at random, and checks the
+// stated bound: where all have heard the same, a rate is exceeded by no more
+// than one second of it and one request for each entry VM.
+func TestOvershootIsBounded(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "entry_vms")
+		rate := float64(rapid.IntRange(1, 50).Draw(t, "rate"))
+		lossless := rapid.Bool().Draw(t, "lossless")
+		var members []units.EntryVMID
+		for i := range n {
+			members = append(members, units.EntryVMID(fmt.Sprint("entry-", i)))
+		}
+		shares, limiters := make([]Shares, n), make([]Limiter, n)
+		admitted := 0
+		seconds := rapid.IntRange(1, 12).Draw(t, "seconds")
+		for second := range seconds {
+			now := clock.Millis(second) * clock.Second
+			for i := range n {
+				part := shares[i].Part(LimitKey("a"), members[i], members)
+				for k := range rapid.IntRange(0, 120).Draw(t, "asked") {
+					verdict := limiters[i].Admit(now+clock.Millis(k*8), "a", Limits{RequestsPerSecond: rate}, part, 1, 0)
+					if verdict.Limit == "" {
+						admitted++
+					} else {
+						must.Positive(t, verdict.Wait)
+					}
+				}
+			}
+			for i := range n {
+				demands := limiters[i].Demands(now)
+				for j := range n {
+					if lossless || i == j || rapid.Bool().Draw(t, "heard") {
+						shares[j].Heard(now, members[i], demands)
+					}
+				}
+			}
+		}
+		bound := rate*float64(seconds+1) + float64(2*n)
+		if !lossless {
+			bound *= float64(n)
+		}
+		must.LessEq(t, bound, float64(admitted))
+	})
+}
+
+func TestPartsAddUpToOne(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		var s Shares
+		n := rapid.IntRange(1, 24).Draw(t, "entry_vms")
+		var members []units.EntryVMID
+		for i := range n {
+			id := units.EntryVMID(fmt.Sprint("entry-", i))
+			members = append(members, id)
+			s.Heard(1, id, []peer.Demand{{Key: "k", Rate: float32(rapid.IntRange(0, 9).Draw(t, "rate"))}})
+		}
+		sum := 0.0
+		for _, id := range members {
+			part := s.Part("k", id, members)
+			must.Greater(t, 0, part)
+			must.LessEq(t, 1, s.Left("k", id, members, 4))
+			sum += part
+		}
+		must.InDelta(t, 1, sum, 1e-9)
+	})
+}
+
+func TestLimiterNamesTheLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		limits  Limits
+		running int
+		want    string
+	}{
+		{"no limit", Limits{}, 100, ""},
+		{"requests", Limits{RequestsPerSecond: 1}, 0, "requests_per_second"},
+		{"tokens", Limits{TokensPerSecond: 10}, 0, "tokens_per_second"},
+		{"concurrency", Limits{Concurrency: 3}, 3, "concurrency"},
+		{"below concurrency", Limits{Concurrency: 3}, 2, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var l Limiter
+			l.Admit(1, "a", tc.limits, 1, 50, 0)
+			must.Eq(t, tc.want, l.Admit(2, "a", tc.limits, 1, 50, tc.running).Limit)
+		})
+	}
+}
--- a/internal/core/entry/admission.go
+++ b/internal/core/entry/admission.go
@@ -22,6 +22,7 @@
 		return
 	}
 	c.requests[r.ID] = r
+	c.retries.Request()
 	c.advance(r, out)
 }
 
@@ -61,5 +62,5 @@
 	if r.Deadline == 0 {
 		r.Deadline = c.now + row.Deadline
 	}
-	return nil
+	return c.limit(r)
 }
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/core/owner"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/place"
+	"mangostile/internal/core/retry"
 	"mangostile/internal/core/route"
 	"mangostile/internal/core/table"
 )
@@ -48,7 +49,10 @@
 	Router  route.Router
 	Ledger  once.Ledger
 	// shares divides limits between the entry VMs of the failure domain.
-	shares admit.Shares
+	shares  admit.Shares
+	limiter admit.Limiter
+	// retries bounds what is tried again after a failure.
+	retries retry.Budget
 	// requests holds all requests that have not ended.
 	requests map[units.RequestID]*request
 	// edits holds edits that an operator waits for.
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -45,11 +45,13 @@
 func (c *Core) attemptDone(r *request, result event.DispatchResult, out *event.Effects) {
 	switch {
 	case result.Kind == event.ResultServed || result.Kind == event.ResultCanceled:
-		delete(c.requests, r.ID)
+		c.end(r)
 	case result.Kind == event.ResultTimeout:
 		c.refuse(r, errs.Refuse(errs.CodeDeadline, "the deadline passed while the request ran: allow more time"), out)
 	case result.CallerGotBytes:
 		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "backend server %s broke off the answer: send the request again", r.server), out)
+	case !c.retries.Take():
+		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "backend server %s failed and too much is being tried again: send the request again later", r.server).After(clock.Second), out)
 	default:
 		r.tried = append(r.tried, r.server)
 		c.advance(r, out)
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -18,6 +18,10 @@
 		r.tried = nil
 		return
 	}
+	if r.Priority <= 0 && r.attempt == 0 && c.now+choice.QueueWait >= r.Deadline {
+		c.refuse(r, errs.Refuse(errs.CodeOverloaded, "more requests wait than can be served before the deadline: send the request again later").After(choice.QueueWait), out)
+		return
+	}
 	r.attempt++
 	r.state = stateAsking
 	r.server = choice.Server.ID()
--- /dev/null
+++ b/internal/core/owner/owner_test.go
@@ -0,0 +1,254 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/proof"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/place"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const holder units.EntryVMID = "entry-2"
+
+func version(n int) units.AdapterVersion {
+	return units.AdapterVersion{Adapter: units.AdapterName(fmt.Sprint("a", n)), Version: "v1"}
+}
+
+// bench is one owner before one fake engine, with messages that wait.
+type bench struct {
+	t        must.T
+	now      clock.Millis
+	owner    Owner
+	fence    units.Fence
+	resident map[units.AdapterVersion]bool
+	// running holds the requests at the engine.
+	running map[units.RequestID]run
+	orders  []event.OrderServer
+	replies []*peer.GrantReply
+	asked   int
+	asks    map[units.RequestID]units.AdapterVersion
+}
+
+type run struct {
+	adapter units.AdapterVersion
+	grant   units.GrantNumber
+}
+
+func newBench(t must.T) *bench {
+	b := &bench{
+		t: t, now: 1, resident: map[units.AdapterVersion]bool{}, running: map[units.RequestID]run{}, asks: map[units.RequestID]units.AdapterVersion{},
+		owner: Owner{Self: "entry-1", Incarnation: 1, Budget: place.Budget{Policy: place.Policy{LoadsInFlight: 2}}},
+	}
+	var out event.Effects
+	b.owner.SetServers([]event.VM{{ID: "engine-1", Kind: event.KindEngine, Slots: 2, BatchMax: 3, ChecksFence: true}}, &out)
+	b.report()
+	b.deliverOrder(0, event.OrderTaken)
+	return b
+}
+
+// do calls the owner and keeps what it wants done.
+func (b *bench) do(f func(out *event.Effects)) {
+	var out event.Effects
+	f(&out)
+	for _, effect := range out.List {
+		switch effect := effect.(type) {
+		case event.OrderServer:
+			b.orders = append(b.orders, effect)
+		case event.SendPeer:
+			if reply, ok := effect.Message.(*peer.GrantReply); ok {
+				if reply.Grant != 0 {
+					must.LessEq(b.t, 3, len(b.owner.servers["engine-1"].grants))
+				}
+				b.replies = append(b.replies, reply)
+			}
+		}
+	}
+}
+
+func (b *bench) report() {
+	report := event.ServerReport{Start: "1", Ready: true, Fence: b.fence, Slots: 2, BatchMax: 3}
+	for n := range 6 {
+		if av := version(n); b.resident[av] {
+			report.Resident = append(report.Resident, event.ResidentAdapter{AdapterVersion: av, Running: int32(b.runningOn(av))})
+		}
+	}
+	b.do(func(out *event.Effects) {
+		b.owner.Reported(b.now, event.ReportReceived{Server: "engine-1", Report: report, SentAt: b.now}, out)
+	})
+}
+
+func (b *bench) runningOn(av units.AdapterVersion) int {
+	n := 0
+	for _, r := range b.running {
+		if r.adapter == av {
+			n++
+		}
+	}
+	return n
+}
+
+// deliverOrder carries out a waiting order and hands the result back.
+func (b *bench) deliverOrder(i int, kind event.OrderResultKind) {
+	order := b.orders[i]
+	b.orders = append(b.orders[:i], b.orders[i+1:]...)
+	av := order.Order.Adapter
+	switch {
+	case b.now >= order.Order.NotAfter:
+		kind = event.OrderNotSent
+	case kind == event.OrderRefused:
+	case order.Order.Kind == event.OrderClaim:
+		b.fence = order.Order.Fence
+	case order.Order.Kind == event.OrderUnload:
+		must.Eq(b.t, 0, b.runningOn(av), must.Sprint("evicted ", av, " with a running request"))
+		delete(b.resident, av)
+	case order.Order.Kind == event.OrderLoad:
+		b.resident[av] = true
+		must.LessEq(b.t, 2, len(b.resident))
+	}
+	b.do(func(out *event.Effects) {
+		b.owner.OrderDone(b.now, event.OrderDone{
+			Server: "engine-1", Order: order.Order, Result: event.OrderResult{Kind: kind, Fence: b.fence}, SentAt: b.now,
+		}, out)
+	})
+}
+
+func (b *bench) ask(n int) {
+	b.asked++
+	id := units.RequestID(fmt.Sprint("r", b.asked))
+	b.asks[id] = version(n)
+	b.do(func(out *event.Effects) {
+		b.owner.Ask(b.now, holder, &peer.GrantAsk{Request: id, Attempt: 1, Server: "engine-1", Adapter: version(n), Within: 20 * clock.Second}, out)
+	})
+}
+
+// deliverReply starts a granted request, or loses the reply.
+func (b *bench) deliverReply(i int, lost bool) {
+	reply := b.replies[i]
+	b.replies = append(b.replies[:i], b.replies[i+1:]...)
+	if lost || reply.Grant == 0 {
+		return
+	}
+	av := b.asks[reply.Request]
+	must.True(b.t, b.resident[av], must.Sprint("granted ", av, " that is not loaded"))
+	b.running[reply.Request] = run{av, reply.Grant}
+}
+
+// finish ends a running request; its release may be lost.
+func (b *bench) finish(lost bool) {
+	for n := range b.asked + 1 {
+		id := units.RequestID(fmt.Sprint("r", n))
+		r, ok := b.running[id]
+		if !ok {
+			continue
+		}
+		delete(b.running, id)
+		if !lost {
+			b.do(func(out *event.Effects) {
+				b.owner.Release(b.now, holder, &peer.GrantRelease{Request: id, Attempt: 1, Server: "engine-1", Grant: r.grant}, out)
+			})
+		}
+		return
+	}
+}
+
+func (b *bench) renew() {
+	var held []peer.HeldGrant
+	for id, r := range b.running {
+		held = append(held, peer.HeldGrant{Request: id, Attempt: 1, Server: "engine-1", Adapter: r.adapter, Grant: r.grant})
+	}
+	b.owner.Renew(b.now, holder, held)
+}
+
+// TestNothingRunningIsEvicted drives an owner with random requests, lost replies
+// and releases, refused and lost orders, lapsing grants and pauses.
+func TestNothingRunningIsEvicted(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		b := newBench(t)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch step := rapid.IntRange(0, 12).Draw(t, "step"); {
+			case step <= 2:
+				b.ask(rapid.IntRange(0, 5).Draw(t, "adapter"))
+			case step == 3 && len(b.orders) > 0:
+				kind := rapid.SampledFrom([]event.OrderResultKind{event.OrderTaken, event.OrderTaken, event.OrderRefused}).Draw(t, "result")
+				b.deliverOrder(rapid.IntRange(0, len(b.orders)-1).Draw(t, "order"), kind)
+			case step <= 5 && len(b.replies) > 0:
+				b.deliverReply(0, rapid.IntRange(0, 9).Draw(t, "lost") == 0)
+			case step == 6:
+				b.finish(rapid.IntRange(0, 4).Draw(t, "lost") == 0)
+			case step == 7:
+				b.renew()
+			case step == 8:
+				b.report()
+			default:
+				b.now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "pause"))
+				b.do(func(out *event.Effects) { b.owner.Tick(b.now, out) })
+				if rapid.Bool().Draw(t, "reports") {
+					b.report()
+				}
+			}
+			must.LessEq(t, 2, b.owner.Budget.InFlight())
+		}
+	})
+}
+
+// TestRankIsBounded checks that a request is overtaken only by those that come
+// within a bounded time after it, whatever their priorities and weights.
+func TestRankIsBounded(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		var f fairness
+		var now clock.Millis
+		type ranked struct {
+			at, rank clock.Millis
+			priority units.Priority
+		}
+		var all []ranked
+		for range rapid.IntRange(2, 60).Draw(t, "requests") {
+			now += clock.Millis(rapid.IntRange(0, 3000).Draw(t, "gap"))
+			a := &ask{}
+			a.Adapter = version(rapid.IntRange(0, 3).Draw(t, "adapter"))
+			a.Priority = units.Priority(rapid.IntRange(-10, 10).Draw(t, "priority"))
+			a.Weight = int32(rapid.IntRange(0, 5).Draw(t, "weight"))
+			all = append(all, ranked{now, f.rank(now, a), a.Priority})
+		}
+		for i, a := range all {
+			for _, b := range all[i+1:] {
+				if b.at > a.at+maxTurns+clock.Millis(b.priority-a.priority)*priorityStep {
+					must.Greater(t, a.rank, b.rank)
+				}
+			}
+		}
+	})
+}
+
+func TestFailingVersionIsRefusedAfterTries(t *testing.T) {
+	b := newBench(t)
+	b.ask(0)
+	tries := 0
+	for len(b.replies) == 0 {
+		must.Less(t, 20*clock.Second, b.now)
+		if len(b.orders) > 0 {
+			tries++
+			b.deliverOrder(0, event.OrderRefused)
+		}
+		b.now += 100
+		b.report()
+	}
+	must.Eq(t, place.OpenAfter, tries)
+	must.Eq(t, "adapter_load_failed", string(b.replies[0].Refusal.Code))
+	b.replies = nil
+	b.ask(0)
+	must.SliceLen(t, 1, b.replies, must.Sprint("a version that fails is refused at once"))
+	b.now += place.OpenPeriod
+	b.report()
+	b.ask(0)
+	must.SliceLen(t, 1, b.orders, must.Sprint("one load is tried after a while"))
+	b.deliverOrder(0, event.OrderTaken)
+	must.Positive(t, b.replies[1].Grant)
+}
--- a/internal/core/place/budget.go
+++ b/internal/core/place/budget.go
@@ -6,8 +6,12 @@
 // zero value allows DefaultLoadsInFlight loads at once at any rate.
 type Budget struct {
 	Policy Policy
-	// share is the part of the failure domain's part, 0 to 1; 0 is all.
+	// share is the part of the failure domain's rate, 0 to 1; 0 is all.
 	share float64
+	// inFlightShare is the part of the loads in flight that are not one for each
+	// of the members.
+	inFlightShare float64
+	members       int
 	// tokens is the number of loads that may start, as of at.
 	tokens float64
 	at     clock.Millis
@@ -18,8 +22,13 @@
 // burst bounds the loads that may start at once after a pause.
 const burst = 2
 
-// SetShare sets the part of the failure domain's part, from 0 to 1.
-func (b *Budget) SetShare(share float64) { b.share = min(max(share, 0), 1) }
+// SetShare sets the parts of the failure domain's part: of the rate, and of the
+// loads in flight beyond the one that each of the members may always have.
+func (b *Budget) SetShare(rate, inFlight float64, members int) {
+	b.share = min(max(rate, 0), 1)
+	b.inFlightShare = min(max(inFlight, 0), 1)
+	b.members = members
+}
 
 // Capacity is the number of loads that the failure domain's part allows in a
 // second, or at once if there is no bound on the rate.
@@ -45,13 +54,18 @@
 	return total
 }
 
-// maxInFlight is at least 1, so that a small part still loads.
+// maxInFlight is at least 1, so that every entry VM can load. The sum over the
+// members is no more than the bound, unless there are more members than that.
 func (b *Budget) maxInFlight() int {
-	total := b.Policy.LoadsInFlight
+	total := int(b.Policy.LoadsInFlight)
 	if total == 0 {
 		total = DefaultLoadsInFlight
 	}
-	return max(1, int(b.part(float64(total))+0.5))
+	total /= int(max(1, b.Policy.Shares))
+	if b.members <= 1 {
+		return max(1, total)
+	}
+	return 1 + int(float64(max(0, total-b.members))*b.inFlightShare)
 }
 
 func (b *Budget) refill(now clock.Millis) {
--- a/internal/core/route/cost.go
+++ b/internal/core/route/cost.go
@@ -57,18 +57,6 @@
 	return cost
 }
 
-// expectedWait is the time before a request on the adapter runs at s.
-func (r *Router) expectedWait(s *Server, state copyState) float64 {
-	switch state {
-	case copyResident:
-		return r.queueWait(s)
-	case copyLoading:
-		return max(r.queueWait(s), r.loadTime()/2)
-	default:
-		return max(r.queueWait(s), r.loadTime())
-	}
-}
-
 // queueWait is the time until a place in the batch of s is free.
 func (r *Router) queueWait(s *Server) float64 {
 	batch := float64(max(1, s.Summary.BatchMax))
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -71,8 +71,9 @@
 type Choice struct {
 	Server *Server
 	Reason string
-	// Wait is the time that the request is expected to wait before it runs.
-	Wait clock.Millis
+	// QueueWait is the time until the server is expected to have a free place in
+	// its batch.
+	QueueWait clock.Millis
 	// Resident is set if the server has the adapter, Absent if it does not even
 	// load it.
 	Resident, Absent bool
@@ -219,7 +220,7 @@
 		state := best.stateIn(r.epoch)
 		choice.Reason = state.String()
 		choice.Resident, choice.Absent = state == copyResident, state == copyAbsent
-		choice.Wait = clock.Millis(r.expectedWait(best, state))
+		choice.QueueWait = clock.Millis(r.queueWait(best))
 	}
 	return choice
 }
--- a/internal/oper/cmds/experimentcmd.go
+++ b/internal/oper/cmds/experimentcmd.go
@@ -13,6 +13,10 @@
 	"github.com/urfave/cli/v3"
 )
 
+// overloadFactor is the demand of the size overload, in times of what the
+// engines can serve.
+const overloadFactor = 2
+
 func newExperimentCmd() *cli.Command {
 	return &cli.Command{
 		Name:      "experiment",
@@ -23,7 +27,7 @@
 			&cli.StringFlag{Name: "output", Usage: "write NAME.json and NAME.png into `DIRECTORY`"},
 			&cli.IntFlag{Name: "seconds", Usage: "virtual `SECONDS` to play"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the trace", Value: 1},
-			&cli.StringFlag{Name: "size", Usage: "`SIZE` to play: guild or kanoride; both if not given"},
+			&cli.StringFlag{Name: "size", Usage: "`SIZE` to play: guild, kanoride or overload; the first two if not given"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			scenarios, err := experimentScenarios(cmd)
@@ -50,8 +54,10 @@
 		scenarios = []trial.Scenario{trial.Guild(seed)}
 	case "kanoride":
 		scenarios = []trial.Scenario{trial.Kanoride(seed)}
+	case "overload":
+		scenarios = []trial.Scenario{trial.Overload(seed, overloadFactor)}
 	default:
-		return nil, &usageError{"unknown size " + size + ": use guild or kanoride"}
+		return nil, &usageError{"unknown size " + size + ": use guild, kanoride or overload"}
 	}
 	if cmd.Float("load") <= 0 || cmd.Int("seconds") < 0 {
 		return nil, &usageError{"--load must be greater than 0 and --seconds not negative"}
--- a/internal/oper/trial/report.go
+++ b/internal/oper/trial/report.go
@@ -33,8 +33,10 @@
 	Fill float64 `json:"batch_fill"`
 	// EnginePerToken is the engine time for one token, in milliseconds.
 	EnginePerToken float64 `json:"engine_ms_per_token"`
-	// Goodput is the number of tokens a second in answers within the deadline.
-	Goodput float64 `json:"goodput_tokens_per_second"`
+	// Goodput is the number of tokens a second in answers within the deadline,
+	// as long as requests come. Capacity is what the engines can make.
+	Goodput  float64 `json:"goodput_tokens_per_second"`
+	Capacity float64 `json:"capacity_tokens_per_second"`
 	// EvictedRunning counts evictions of an adapter with a running request. It
 	// must be 0.
 	EvictedRunning int `json:"evicted_running"`
@@ -96,7 +98,9 @@
 		r.stalls = append(r.stalls, c.stall)
 		if c.served {
 			r.Served++
-			goodTokens += c.tokens
+			if c.endedAt < w.scenario.Duration+warmUp {
+				goodTokens += c.tokens
+			}
 		} else {
 			r.Missed++
 			if c.priority < 0 {
@@ -114,6 +118,7 @@
 	r.StallP50 = clock.Millis(histogram.ValueAtQuantile(50))
 	r.StallP99 = clock.Millis(histogram.ValueAtQuantile(99))
 	r.Goodput = float64(goodTokens) / w.scenario.Duration.Duration().Seconds()
+	r.Capacity = w.scenario.capacity()
 	w.addEngines(&r)
 	return r
 }
@@ -159,10 +164,10 @@
 	fmt.Fprintf(w, "%s: %d replicas, %d adapters, %.0f loads/s, %.1f requests/s for %s, seed %d\n",
 		s.Name, s.Replicas, s.Adapters, s.LoadsPerSecond, s.Rate, s.Duration, s.Seed)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tserved\tmissed\tmissed_but_met\tlow_missed\tstalled\tstall_sum_s\tstall_p50_ms\tstall_p99_ms\tloads\tbatch_fill\tengine_ms_per_token\tgoodput\tmost_in_flight")
+	fmt.Fprintln(table, "policy\tserved\tmissed\tmissed_but_met\tlow_missed\tstalled\tstall_sum_s\tstall_p50_ms\tstall_p99_ms\tloads\tbatch_fill\tengine_ms_per_token\tgoodput\tof_capacity\tmost_in_flight")
 	for _, x := range r.Results {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%.3f\t%.2f\t%.0f\t%d\n", x.Policy, x.Served, x.Missed, x.MissedButMet, x.LowMissed,
-			x.Stalled, x.StallSum.Duration().Seconds(), x.StallP50, x.StallP99, x.Loads, x.Fill, x.EnginePerToken, x.Goodput, x.MostInFlight)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%.3f\t%.2f\t%.0f\t%.2f\t%d\n", x.Policy, x.Served, x.Missed, x.MissedButMet, x.LowMissed,
+			x.Stalled, x.StallSum.Duration().Seconds(), x.StallP50, x.StallP99, x.Loads, x.Fill, x.EnginePerToken, x.Goodput, x.Goodput/x.Capacity, x.MostInFlight)
 	}
 	return errors.Wrap(table.Flush(), "write table")
 }
--- a/internal/oper/trial/trace.go
+++ b/internal/oper/trial/trace.go
@@ -68,6 +68,26 @@
 	return s
 }
 
+// Overload returns Kanoride's replicas with adapters that all fit, a fast store
+// and factor times the requests that the engines can serve.
+func Overload(seed uint64, factor float64) Scenario {
+	s := Kanoride(seed)
+	s.Name = "overload"
+	s.Duration = 3 * clock.Minute
+	s.Adapters = 100
+	s.Zipf = 0.8
+	s.Restarts = 0
+	s.LoadsPerSecond = 20
+	s.Rate = factor * s.capacity() / s.MeanTokens
+	return s
+}
+
+// capacity returns the tokens a second that all engines make with full batches.
+func (s Scenario) capacity() float64 {
+	step := stepTime + stepPerRequest*clock.Millis(s.BatchMax-1)
+	return float64(s.Replicas*s.BatchMax) / step.Duration().Seconds()
+}
+
 // call is one request of a trace and what became of it.
 type call struct {
 	id       units.RequestID
