Count the time to open a connection into the right to send

Cause: the right to send a request or an order was checked before the connection was opened, which may take a second, so the first byte could leave after the right had run out. Calls of plain services lost their content type. Change: a right must hold for the longest dial on top. The caller's content type is passed on. Conclusion: a late first byte needs a pause of the process between check and send; that residue stays.

--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"time"
@@ -69,7 +70,7 @@
 	req := fasthttp.AcquireRequest()
 	err := fillRequest(req, x, d)
 	now := e.options.Clock.Now()
-	if err != nil || now >= d.Deadline || d.NotAfter != 0 && now > d.NotAfter {
+	if err != nil || now >= d.Deadline || d.NotAfter != 0 && now+dialMillis > d.NotAfter {
 		fasthttp.ReleaseRequest(req)
 		e.done(d, event.DispatchResult{Kind: event.ResultNotSent})
 		return false
@@ -151,7 +152,7 @@
 	if x.request.Key != "" {
 		req.Header.Set(HeaderKey, x.request.Key)
 	}
-	req.Header.SetContentType("application/json")
+	req.Header.SetContentType(cmp.Or(x.contentType, "application/json"))
 	if x.request.Service != "" {
 		req.SetBody(x.body)
 		return nil
--- a/internal/node/edge/attempt_test.go
+++ b/internal/node/edge/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/core/event"
+	"mangostile/internal/fake/reply"
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
@@ -165,3 +167,43 @@
 		})
 	}
 }
+
+// TestServiceCallsKeepTheirContentType checks that the edge passes on what the
+// caller says of its body.
+func TestServiceCallsKeepTheirContentType(t *testing.T) {
+	seen := make(chan string, 1)
+	server, err := reply.Listen("127.0.0.1:0", func(ctx *fasthttp.RequestCtx) {
+		seen <- string(ctx.Request.Header.ContentType()) + " " + string(ctx.RequestURI())
+	})
+	must.NoError(t, err)
+	t.Cleanup(server.Close)
+	h := newHarness(t, server.Address(), Options{})
+	h.call("/services/ledger/stock?hat=7", "a,b", fasthttp.HeaderContentType, "text/csv")
+	must.Eq(t, "text/csv /stock?hat=7", <-seen)
+}
+
+// TestRightToSendRunsOut gives a right to send that ends sooner than a connection
+// may take to open, and checks that nothing is sent.
+func TestRightToSendRunsOut(t *testing.T) {
+	backend := startRaw(t, script{answer: httpAnswer(200, "<id>", goodBody)})
+	h := newHarness(t, backend.listener.Addr().String(), Options{})
+	h.notAfter = dialMillis / 2
+	_, answer := h.call("/v1/completions", `{"model":"braid@v1","prompt":"p"}`)
+	must.StrContains(t, answer, `"ran":"no"`)
+	must.Eq(t, 0, backend.ran())
+}
+
+// TestRequestThatArrivesTooSlowly sends half a request and waits.
+func TestRequestThatArrivesTooSlowly(t *testing.T) {
+	h := newHarnessWith(t, "127.0.0.1:1", Options{}, 50*time.Millisecond)
+	conn, err := net.Dial("tcp", h.address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"))
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	answer, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.StrContains(t, string(answer), "did not arrive in time")
+	must.StrContains(t, string(answer), `"ran":"no"`)
+}
--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -20,7 +21,9 @@
 	maxIdleConn       = 30 * time.Second
 	dialTimeout       = time.Second
 	cancelTimeout     = time.Second
-	resumeTimeout     = time.Second
+	// dialMillis is the longest time from the check of a right to send up to the
+	// first byte.
+	dialMillis = clock.Millis(dialTimeout / time.Millisecond)
 )
 
 // backendClients holds the connections to backend servers. Its clients never repeat a
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -274,6 +274,7 @@
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/services/"), "/")
 	x.request.Service = units.ServiceName(name)
 	x.path = "/" + rest
+	x.contentType = string(ctx.Request.Header.ContentType())
 	x.body = append([]byte(nil), ctx.PostBody()...)
 	x.request.Key = string(ctx.Request.Header.Peek(HeaderKey))
 	x.request.Idempotent = true
--- a/internal/node/edge/exchange.go
+++ b/internal/node/edge/exchange.go
@@ -17,10 +17,11 @@
 	// conn is the caller's connection.
 	conn      net.Conn
 	arrivedAt time.Time
-	// method, path and body are sent to a backend server.
-	method string
-	path   string
-	body   []byte
+	// method, path, contentType and body are sent to a backend server.
+	method      string
+	path        string
+	contentType string
+	body        []byte
 	// commands holds the core's effects for this request, in order.
 	commands chan event.Effect
 	// canceled is closed once the attempt on its way is to be given up.
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -34,6 +34,8 @@
 	backend string
 	// timeLimit is the time of an attempt.
 	timeLimit clock.Millis
+	// notAfter is the time that the right to send holds; 0 is no bound.
+	notAfter clock.Millis
 	// attempts is how often a request is sent while it breaks off.
 	attempts int32
 	// onBroken is called before a request that broke off is sent again.
@@ -43,6 +45,12 @@
 }
 
 func newHarness(t *testing.T, backend string, options Options) *harness {
+	t.Helper()
+	return newHarnessWith(t, backend, options, testTimeout)
+}
+
+// newHarnessWith also sets the time for a whole request to arrive.
+func newHarnessWith(t *testing.T, backend string, options Options, readTimeout time.Duration) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, backend: backend, timeLimit: 5 * clock.Second, attempts: 1,
@@ -58,7 +66,7 @@
 	h.address = listener.Addr().String()
 	server := &fasthttp.Server{
 		Handler: h.edge.Handle, ErrorHandler: h.edge.HandleError, MaxRequestBodySize: 4096, ReadBufferSize: 4096, CloseOnShutdown: true,
-		Logger: noLog{},
+		ReadTimeout: readTimeout, Logger: noLog{},
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -100,6 +108,9 @@
 	if engine {
 		d.Adapter = testAdapter
 	}
+	if h.notAfter > 0 {
+		d.NotAfter = h.edge.options.Clock.Now() + h.notAfter
+	}
 	h.edge.Do(id, d)
 }
 
--- a/internal/node/server/duties.go
+++ b/internal/node/server/duties.go
@@ -91,7 +91,7 @@
 		}
 		sentAt := s.options.Clock.Now()
 		result := event.OrderResult{Kind: event.OrderNotSent, Reason: "the right to order has run out"}
-		if sentAt <= order.Order.NotAfter {
+		if sentAt+system.DialTimeout <= order.Order.NotAfter {
 			result = s.options.System.OrderServer(ctx, order.Address, order.Order)
 		}
 		s.mustSubmit(ctx, event.OrderDone{Server: order.Server, Order: order.Order, Result: result, SentAt: sentAt})
--- a/internal/plat/system/real_system.go
+++ b/internal/plat/system/real_system.go
@@ -33,6 +33,10 @@
 
 var _ System = (*RealSystem)(nil)
 
+// DialTimeout is the longest time between the call of a method and the first byte
+// that it sends.
+const DialTimeout = clock.Second
+
 // Timeouts of calls.
 const (
 	appendTimeout = 3 * clock.Second
@@ -51,7 +55,7 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
 			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, time.Second)
+				return fasthttp.DialTimeout(addr, DialTimeout.Duration())
 			},
 		},
 	}
