--- a/internal/oper/load/caller.go
+++ b/internal/oper/load/caller.go
@@ -58,8 +58,8 @@
 	firstAt time.Time
 	endAt   time.Time
 	gaps    []time.Duration
-	// cuts counts tries that broke off.
-	cuts int
+	// cuts holds the request ids of tries that broke off.
+	cuts []string
 	// mayHaveRun is set once a try broke off or was refused as unknown.
 	mayHaveRun bool
 	requestIDs []string
@@ -77,7 +77,7 @@
 		var opError *net.OpError
 		switch {
 		case errors.Is(a.err, errCut):
-			a.cuts++
+			a.cuts = append(a.cuts, a.requestIDs[len(a.requestIDs)-1])
 			a.mayHaveRun = true
 		case errors.As(a.err, &opError) && opError.Op == "dial", errors.Is(a.err, fasthttp.ErrDialTimeout):
 		default:
--- a/internal/oper/load/report.go
+++ b/internal/oper/load/report.go
@@ -32,11 +32,13 @@
 	// answer was not that of their request.
 	Lost  int `json:"lost"`
 	Wrong int `json:"wrong"`
-	// Cut counts tries that broke off and were asked for again.
-	Cut      int          `json:"cut"`
-	Examples []string     `json:"examples,omitempty"`
-	Stalls   StallReport  `json:"load_stalls"`
-	Actions  ActionReport `json:"actions"`
+	// Cut counts tries that broke off and were asked for again, CutRequests names
+	// the first of them.
+	Cut         int          `json:"cut"`
+	CutRequests []string     `json:"cut_requests,omitempty"`
+	Examples    []string     `json:"examples,omitempty"`
+	Stalls      StallReport  `json:"load_stalls"`
+	Actions     ActionReport `json:"actions"`
 	// BatchEfficiency is the mean fill of the batches over all steps that the
 	// engines took, 0 to 1.
 	BatchEfficiency float64  `json:"batch_efficiency"`
@@ -174,6 +176,9 @@
 	return keys
 }
 
+// maxCutRequests bounds the cut requests that a report names.
+const maxCutRequests = 100
+
 // lateFrom is the lateness of one call in a hundred from which the tool counts as
 // the bottleneck.
 const lateFrom = 20 * time.Millisecond
--- a/internal/oper/load/results.go
+++ b/internal/oper/load/results.go
@@ -33,7 +33,7 @@
 	late     *hdrhistogram.Histogram
 	stalls   *hdrhistogram.Histogram
 	models   int
-	cuts     int
+	cuts     []string
 	lost     int
 	wrong    int
 	// warmUp counts answers and refusals of the warm-up.
@@ -92,7 +92,7 @@
 		kind = &kindResults{}
 	}
 	kind.sent++
-	r.cuts += a.cuts
+	r.cuts = append(r.cuts, a.cuts...)
 	record(r.late, a.sentAt.Sub(a.due))
 	if a.call.Kind == KindAction {
 		r.addAction(a)
--- a/internal/oper/load/run.go
+++ b/internal/oper/load/run.go
@@ -139,7 +139,7 @@
 	report := &Report{
 		Date: time.Now().UTC().Format(time.RFC3339), Seed: r.plan.Seed, Entries: len(r.plan.Entries), Adapters: len(r.plan.Adapters),
 		Rate: r.plan.Rate, DurationMS: r.plan.Duration.Milliseconds(), WarmUpMS: r.plan.WarmUp.Milliseconds(), Refusals: res.refusals, Lost: res.lost, Wrong: res.wrong,
-		Cut: res.cuts, Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
+		Cut: len(res.cuts), CutRequests: res.cuts[:min(len(res.cuts), maxCutRequests)], Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
 		Standins: Counters{Counters: subtract(after, before)},
 		Stalls:   StallReport{Requests: int(res.stalls.TotalCount()), Times: quantiles(res.stalls)},
 	}
--- a/internal/oper/trials/deployment_test.go
+++ b/internal/oper/trials/deployment_test.go
@@ -413,6 +413,22 @@
 	d.network.close()
 }
 
+// cutInFlight looks for cut requests in the entry VMs' logs. One that was taken
+// was in flight; any other came on a connection that was closing.
+func (d *deployment) cutInFlight(cut []string) []string {
+	var notes []string
+	for _, id := range d.entryIDs() {
+		text, err := os.ReadFile(filepath.Join(d.dir, id+".log"))
+		must.NoError(d.t, err)
+		for _, request := range cut {
+			if bytes.Contains(text, []byte(request)) {
+				notes = append(notes, fmt.Sprintf("FAULT request %s was cut in flight by %s", request, id))
+			}
+		}
+	}
+	return append(notes, fmt.Sprintf("%d cut tries were looked for in the logs", len(cut)))
+}
+
 // plan returns the usual load of the example.
 func (d *deployment) plan(seed uint64) load.Plan {
 	plan := load.Plan{
--- a/internal/oper/trials/trials_test.go
+++ b/internal/oper/trials/trials_test.go
@@ -50,7 +50,7 @@
 	},
 	{
 		name: "guild_rolling_replacement", example: "guild", what: "All 7 entry VMs are asked to leave and replaced, one after the other.",
-		during: replaceAll,
+		during: replaceAll, noCuts: true,
 	},
 	{
 		name: "guild_domain_cut", example: "guild", what: "Failure domain kandy is cut off from the others and the platform from 4 s to 12 s, and from 16 s to 22 s only what it sends is lost.",
--- a/internal/oper/trials/wholerun_test.go
+++ b/internal/oper/trials/wholerun_test.go
@@ -37,6 +37,8 @@
 	during func(ctx context.Context, d *deployment) []string
 	// after checks what must hold once the load has ended.
 	after func(d *deployment) []string
+	// noCuts tells that no entry VM may break off a request that it has taken.
+	noCuts bool
 }
 
 // outcome is what is recorded of one run.
@@ -84,10 +86,7 @@
 	sleep(t.Context(), settleTime)
 	before, regionBefore := d.network.traffic()
 	logBefore := d.network.logBytes()
-	cpuBefore := map[string]time.Duration{}
-	for id, p := range d.processes {
-		cpuBefore[id], _ = processUsage(p.cmd.Process.Pid)
-	}
+	cpuBefore := d.cpuTimes()
 	began := time.Now()
 	notes := make(chan []string, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), plan.Duration+plan.Deadline+time.Minute)
@@ -116,6 +115,9 @@
 	if run.after != nil {
 		result.Notes = append(result.Notes, run.after(d)...)
 	}
+	if run.noCuts {
+		result.Notes = append(result.Notes, d.cutInFlight(report.CutRequests)...)
+	}
 	for _, note := range result.Notes {
 		if strings.HasPrefix(note, "FAULT ") {
 			result.Faults = append(result.Faults, note)
@@ -167,7 +169,10 @@
 }
 
 func trialIndex(name string) int {
-	return slices.IndexFunc(trials, func(t trial) bool { return t.name == name })
+	if i := slices.IndexFunc(trials, func(t trial) bool { return t.name == name }); i >= 0 {
+		return i
+	}
+	return len(trials)
 }
 
 const recordHead = `# Whole runs
