Take requests for a notice while leaving

Cause: a leaving entry VM refused requests and closed its connections as soon as nothing ran, before a balancer could see that it was not ready. Callers on open connections saw their requests break off.

Change: it is not ready at once but takes requests for 1.5 s and ends no earlier; answers in that time ask for the connection to be closed.

--- a/internal/core/entry/admission.go
+++ b/internal/core/entry/admission.go
@@ -28,7 +28,7 @@
 
 func (c *Core) admit(r *request) *errs.Refusal {
 	switch {
-	case c.leaving:
+	case !c.takesStill():
 		return errs.Refuse(errs.CodeLeaving, "this entry VM is leaving: send the request to another").After(clock.Second)
 	case !c.configSeen:
 		return errs.Refuse(errs.CodeNotReady, "this entry VM has no table yet: send the request again or to another entry VM").After(clock.Second)
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -75,6 +75,7 @@
 	// any peer has it while the log service can't be read.
 	configSeen bool
 	leaving    bool
+	leavingAt  clock.Millis
 	// refusals counts refused requests by code.
 	refusals map[errs.Code]int64
 	left     bool
@@ -250,11 +251,18 @@
 	c.Ledger.Skip(ev)
 }
 
+// leaveNotice is how long a leaving entry VM still takes requests, so that a
+// balancer sees that it is not ready before it refuses any.
+const leaveNotice = 1500 * clock.Millis(1)
+
+// takesStill reports whether requests are taken.
+func (c *Core) takesStill() bool { return !c.leaving || c.now < c.leavingAt+leaveNotice }
+
 func (c *Core) leave(out *event.Effects) {
 	if c.leaving {
 		return
 	}
-	c.leaving = true
+	c.leaving, c.leavingAt = true, c.now
 	for _, pending := range c.outcomes {
 		pending.giveUpAt = min(pending.giveUpAt, c.now+outcomeLeaveTerm)
 	}
@@ -264,7 +272,7 @@
 }
 
 func (c *Core) leaveIfDone(out *event.Effects) {
-	if !c.leaving || c.left || len(c.requests) > 0 || len(c.edits) > 0 || len(c.outcomes) > 0 {
+	if !c.leaving || c.left || c.takesStill() || len(c.requests) > 0 || len(c.edits) > 0 || len(c.outcomes) > 0 {
 		return
 	}
 	c.left = true
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -120,8 +120,14 @@
 	}
 }
 
-// Handle answers one request of a caller.
+// Handle answers one request of a caller. While the entry VM is not ready, it asks
+// for the connection to be closed, so that no request comes on it once it leaves.
 func (e *Edge) Handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if !e.options.Ready() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	ctx.Response.Header.Set(HeaderEntryVM, string(e.options.EntryVM))
 	path := string(ctx.Path())
 	switch {
