--- a/internal/oper/slopes/slopes_test.go
+++ b/internal/oper/slopes/slopes_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/frame"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/once"
@@ -71,7 +72,7 @@
 
 func TestSlopes(t *testing.T) {
 	var all []*series
-	for _, measure := range []func(*testing.T) []*series{membersSlopes, requestSlopes, residentSlopes, tableSlopes, listSlopes, actionSlopes} {
+	for _, measure := range []func(*testing.T) []*series{membersSlopes, requestSlopes, residentSlopes, domainSlopes, editSlopes, tableSlopes, listSlopes, actionSlopes} {
 		all = append(all, measure(t)...)
 	}
 	for _, s := range all {
@@ -142,6 +143,36 @@
 	})
 }
 
+// domainSlopes measures the delegate of a failure domain, which tells the others of
+// its own.
+func domainSlopes(t *testing.T) []*series {
+	sent := &series{Name: "failure domains: summaries sent by a delegate", Of: "failure domain", Unit: "B/s", Target: targetDomains}
+	for _, domains := range []int{1, 4, 8, 14} {
+		m := newNode(t, world{members: 3, servers: 6, domains: domains, rows: 100, residents: 1}).measure()
+		sent.add(float64(domains), m.ByKind["DomainSummary"])
+	}
+	return []*series{sent}
+}
+
+// editSlopes measures the records of edits and what passes them on.
+func editSlopes(t *testing.T) []*series {
+	body := &series{Name: "edits: record in the log", Of: "cell", Unit: "B", Target: 1}
+	push := &series{Name: "edits: message that passes one record on", Of: "cell", Unit: "B", Target: 1}
+	n := &node{t: t, world: world{rows: targetRows}}
+	for _, cells := range []int{1, 10, 100, 1000} {
+		edit := event.Edit{ID: "edit-9908a5dc-b610-4840-9e8d-000000000000", Author: "operator", AtMillis: 1_790_000_000_000}
+		for i := range cells {
+			edit.Cells = append(edit.Cells, event.Cell{Adapter: n.adapter(i).Adapter, Column: "versions", Value: "v1:90,v2:10", ReadAt: 100_000})
+		}
+		record := n.record(edit, 100_000)
+		buf, err := frame.Append(nil, 1, &peer.ConfigRecords{From: record.Offset, Records: []peer.Record{record}})
+		must.NoError(t, err)
+		body.add(float64(cells), float64(len(record.Body)))
+		push.add(float64(cells), float64(len(buf)))
+	}
+	return []*series{body, push}
+}
+
 func heap() float64 {
 	runtime.GC()
 	runtime.GC()
