Give up a server at once when an order is fenced

Cause: an owner whose load was refused for its fencing number ordered it again at once, until a report showed that the number was lost.

Change: a fenced order ends the right to the server, and the requests that wait there are refused so that they are routed anew.

TestFencedLoadIsNotOrderedAgain fails before and passes after.

Conclusion: a lost owner stops at its first fenced order.

--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -132,6 +132,9 @@
 	if s == nil {
 		return
 	}
+	if ev.Result.Kind == event.OrderFenced {
+		o.fencedOff(now, s, ev, out)
+	}
 	switch ev.Order.Kind {
 	case event.OrderClaim:
 		o.claimDone(now, s, ev, out)
