Let entry VMs speak TLS with each other, with certificates on both sides

Cause: whoever reached a peer address could pass an entry VM grants, marks against requests and whole tables.

Change: three settings name certificate, key and authority; connections between entry VMs are then TLS 1.3 with a certificate of the authority on both sides, taken up anew when the files change. A failed handshake has a log line with the remedy. Names are not checked: VMs are reached by IP number.

--- /dev/null
+++ b/internal/node/certs/mutual.go
@@ -0,0 +1,69 @@
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// Mutual holds the configurations of connections on which both sides show a
+// certificate of one authority. Host names are not checked: entry VMs are
+// reached by IP number and replaced at any time.
+type Mutual struct {
+	// Client is for connections that are opened, Server for those accepted.
+	Client *tls.Config
+	Server *tls.Config
+}
+
+// NewMutual reads a certificate, its key and the certificates of the authorities
+// that both sides accept. The certificate is taken up anew once its files
+// change; the authorities are read once.
+func NewMutual(certificateFile, keyFile, authorityFile string, logger hclog.Logger) (*Mutual, error) {
+	reloader, err := New(certificateFile, keyFile, logger)
+	if err != nil {
+		return nil, err
+	}
+	text, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate authority: name an existing PEM file")
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(text) {
+		return nil, errors.Errorf("certificate authority %s: holds no PEM certificate: name the file of the authority that signs the entry VMs' certificates", authorityFile)
+	}
+	verify := func(state tls.ConnectionState) error { return verifyChain(state, authorities) }
+	return &Mutual{
+		Client: &tls.Config{
+			MinVersion: tls.VersionTLS13,
+			// The chain is checked by VerifyConnection; only the host name is not.
+			InsecureSkipVerify:   true,
+			VerifyConnection:     verify,
+			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return reloader.current(), nil },
+		},
+		Server: &tls.Config{
+			MinVersion:       tls.VersionTLS13,
+			ClientAuth:       tls.RequireAnyClientCert,
+			VerifyConnection: verify,
+			GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return reloader.current(), nil },
+		},
+	}, nil
+}
+
+// verifyChain checks that the other side's certificate is valid now and signed
+// by one of the authorities.
+func verifyChain(state tls.ConnectionState, authorities *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the other entry VM shows no certificate: set tls.peer_certificate_file there")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: authorities, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return errors.Wrap(err, "certificate of the other entry VM: have it signed by an authority of tls.peer_authority_file")
+}
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,23 +14,37 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/node/certs"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
 
+// Options say what links are made of.
+type Options struct {
+	Self units.EntryVMID
+	// Deliver hands a message to the core. It may drop it.
+	Deliver func(event.PeerReceived) bool
+	// Logger is told of connections that could not be secured; nil is nobody.
+	Logger hclog.Logger
+	// TLS is nil for connections that are neither encrypted nor authenticated.
+	TLS *certs.Mutual
+}
+
 // Links holds the connections to other entry VMs. Make it with New.
 type Links struct {
-	self units.EntryVMID
-	// deliver hands a message to the core. It may drop it.
-	deliver func(event.PeerReceived) bool
+	options Options
 	mu      sync.Mutex
 	senders map[units.EntryVMID]*sender
 	conns   map[net.Conn]bool
 	group   *errgroup.Group
 	ctx     context.Context
-	sent    Traffic
-	got     Traffic
+	// insecureLoggedAt is the wall clock of the last log line on a failed
+	// handshake, in nanoseconds.
+	insecureLoggedAt atomic.Int64
+	sent             Traffic
+	got              Traffic
 }
 
 // Traffic counts frames and bytes.
@@ -48,11 +63,13 @@
 
 // Bounds of one link.
 const (
-	sendRing     = 1024
-	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
-	redialPause  = 200 * time.Millisecond
-	idleTimeout  = 10 * time.Second
+	sendRing          = 1024
+	dialTimeout       = time.Second
+	writeTimeout      = 2 * time.Second
+	handshakeTimeout  = 2 * time.Second
+	redialPause       = 200 * time.Millisecond
+	insecureLogPeriod = 10 * time.Second
+	idleTimeout       = 10 * time.Second
 )
 
 // sender is the duty that writes to one other entry VM.
@@ -62,9 +79,9 @@
 	queue   *ring.Ring[peer.Message]
 }
 
-// New returns links of the entry VM called self.
-func New(self units.EntryVMID, deliver func(event.PeerReceived) bool) *Links {
-	return &Links{self: self, deliver: deliver, senders: map[units.EntryVMID]*sender{}, conns: map[net.Conn]bool{}}
+// New returns links that are not running.
+func New(options Options) *Links {
+	return &Links{options: options, senders: map[units.EntryVMID]*sender{}, conns: map[net.Conn]bool{}}
 }
 
 // Sent counts what was written.
@@ -126,20 +143,61 @@
 
 func (l *Links) untrack(conn net.Conn) {
 	_ = conn.Close()
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, conn)
 }
 
+// secure makes a connection encrypted and authenticated if the settings say so.
+func (l *Links) secure(conn net.Conn, accepted bool) (net.Conn, error) {
+	mutual := l.options.TLS
+	if mutual == nil {
+		return conn, nil
+	}
+	secured := tls.Client(conn, mutual.Client)
+	if accepted {
+		secured = tls.Server(conn, mutual.Server)
+	}
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := secured.HandshakeContext(l.ctx); err != nil {
+		l.logInsecure(conn, accepted, err)
+		return nil, errors.Wrap(err, "secure peer connection")
+	}
+	return secured, conn.SetDeadline(time.Time{})
+}
+
+// logInsecure logs a failed handshake, at most one in insecureLogPeriod.
+func (l *Links) logInsecure(conn net.Conn, accepted bool, err error) {
+	now := time.Now().UnixNano()
+	last := l.insecureLoggedAt.Load()
+	if l.options.Logger == nil || last != 0 && now-last < int64(insecureLogPeriod) || !l.insecureLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	l.options.Logger.Warn("peer_connection_not_secured", "address", conn.RemoteAddr(), "accepted", accepted, "error", err,
+		"remedy", "set tls.peer_certificate_file, peer_key_file and peer_authority_file alike on all entry VMs")
+}
+
 func (l *Links) receive(ctx context.Context, conn net.Conn) {
 	defer l.untrack(conn)
 	if !l.track(conn) {
 		return
 	}
+	secured, err := l.secure(conn, true)
+	if err != nil {
+		return
+	}
+	l.receiveFrom(ctx, secured)
+}
+
+// receiveFrom takes the messages of one accepted connection.
+func (l *Links) receiveFrom(ctx context.Context, conn net.Conn) {
 	r := bufio.NewReader(conn)
 	var greeting hello
 	tag, payload, err := l.read(conn, r)
-	if err != nil || tag != tagHello || frame.Decode(payload, &greeting) != nil || greeting.To != l.self {
+	if err != nil || tag != tagHello || frame.Decode(payload, &greeting) != nil || greeting.To != l.options.Self {
 		return
 	}
 	for ctx.Err() == nil {
@@ -151,7 +209,7 @@
 		if err != nil {
 			return
 		}
-		l.deliver(event.PeerReceived{From: greeting.From, Message: m})
+		l.options.Deliver(event.PeerReceived{From: greeting.From, Message: m})
 	}
 }
 
@@ -235,13 +293,25 @@
 		_ = conn.Close()
 		return nil
 	}
-	buf, err := frame.Append(nil, tagHello, hello{From: l.self, To: s.to})
-	if err == nil {
-		_, err = conn.Write(buf)
-	}
+	secured, err := l.greet(conn, s.to)
 	if err != nil {
 		l.untrack(conn)
 		return nil
 	}
-	return conn
+	return secured
+}
+
+// greet secures an opened connection and says who is there.
+func (l *Links) greet(conn net.Conn, to units.EntryVMID) (net.Conn, error) {
+	secured, err := l.secure(conn, false)
+	if err != nil {
+		return nil, err
+	}
+	buf, err := frame.Append(nil, tagHello, hello{From: l.options.Self, To: to})
+	if err != nil {
+		return nil, err
+	}
+	_ = secured.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err = secured.Write(buf)
+	return secured, err
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/certs"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/links"
 	"mangostile/internal/node/meter"
@@ -41,7 +42,9 @@
 	// ServeTLS and AdminTLS are nil for plain HTTP.
 	ServeTLS *tls.Config
 	AdminTLS *tls.Config
-	HTTP     HTTPLimits
+	// PeerTLS is nil for plain connections between entry VMs.
+	PeerTLS *certs.Mutual
+	HTTP    HTTPLimits
 	// Admin answers operators.
 	Admin func(*Server) fasthttp.RequestHandler
 }
@@ -106,7 +109,9 @@
 	edgeOptions.Meter = options.Meter
 	edgeOptions.EntryVM = units.EntryVMID(options.Core.Self.ID)
 	s.edge = edge.New(edgeOptions)
-	s.links = links.New(edgeOptions.EntryVM, func(ev event.PeerReceived) bool { return s.Submit(ev) })
+	s.links = links.New(links.Options{
+		Self: edgeOptions.EntryVM, Deliver: func(ev event.PeerReceived) bool { return s.Submit(ev) }, TLS: options.PeerTLS, Logger: options.Logger,
+	})
 	return s
 }
 
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -96,6 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
+	peerTLS, err := mutualTLS(&settings.TLS, logger)
+	if err != nil {
+		return nil, err
+	}
 	return server.New(server.Options{
 		Core:          coreConfig(settings),
 		Edge:          edgeOptions(settings),
@@ -107,6 +111,7 @@
 		AdminListener: listeners.admin,
 		ServeTLS:      serveTLS,
 		AdminTLS:      adminTLS,
+		PeerTLS:       peerTLS,
 		HTTP: server.HTTPLimits{
 			MaxBody: settings.Limits.MaxBodyBytes, MaxHeader: settings.Limits.MaxHeaderBytes,
 			ReadTimeout: settings.Limits.ReadTimeoutMS.Duration(), WriteTimeout: settings.Limits.WriteTimeoutMS.Duration(),
@@ -127,6 +132,14 @@
 	return reloader.Config(), nil
 }
 
+// mutualTLS returns nil where no certificate for other entry VMs is named.
+func mutualTLS(settings *config.TLS, logger hclog.Logger) (*certs.Mutual, error) {
+	if settings.PeerCertificateFile == "" {
+		return nil, nil
+	}
+	return certs.NewMutual(settings.PeerCertificateFile, settings.PeerKeyFile, settings.PeerAuthorityFile, logger)
+}
+
 func coreConfig(settings *config.Settings) entry.Config {
 	own := &settings.EntryVM
 	cfg := entry.Config{
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -36,6 +36,8 @@
 	checkVMs(s.VMs, true, c)
 	c.certificate("tls.serve_certificate_file", s.TLS.ServeCertificateFile, "tls.serve_key_file", s.TLS.ServeKeyFile)
 	c.certificate("tls.admin_certificate_file", s.TLS.AdminCertificateFile, "tls.admin_key_file", s.TLS.AdminKeyFile)
+	c.certificate("tls.peer_certificate_file", s.TLS.PeerCertificateFile, "tls.peer_key_file", s.TLS.PeerKeyFile)
+	c.certificate("tls.peer_certificate_file", s.TLS.PeerCertificateFile, "tls.peer_authority_file", s.TLS.PeerAuthorityFile)
 }
 
 func checkEntryVM(own *EntryVM, c *checker) {
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -100,4 +100,10 @@
 	ServeKeyFile         string `toml:"serve_key_file"`
 	AdminCertificateFile string `toml:"admin_certificate_file"`
 	AdminKeyFile         string `toml:"admin_key_file"`
+	// PeerCertificateFile, PeerKeyFile and PeerAuthorityFile make connections
+	// between entry VMs encrypted, with a certificate of the authority on both
+	// sides. They are the same setting on all entry VMs.
+	PeerCertificateFile string `toml:"peer_certificate_file"`
+	PeerKeyFile         string `toml:"peer_key_file"`
+	PeerAuthorityFile   string `toml:"peer_authority_file"`
 }
