Pack adapters by how much they are asked for

Cause: adapters went to a home by hash, so that every engine ran a few requests at a time, and a load evicted what its home had, not what was missed the least anywhere. Change: heartbeats tell in one byte for each backend server how much its next victim is asked for; a load goes to a free slot and then to the server whose victim is missed the least, less those where adapters wait for a slot. Under the batch objective servers are filled one after the other, so that adapters that are asked for often gather on few of them, and an idle server gathers requests for up to 8 s. Adapters that requests wait for count as loading, so that other entry VMs join them.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -83,7 +83,7 @@
 	r.attempt++
 	r.state = stateRunning
 	r.server = choice.Server.ID()
-	c.Router.Sent(c.now, r.server)
+	c.Router.Sent(c.now, r.server, false)
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
 		"service", r.Service, "attempt", r.attempt, "refused", choice.Refused.String(),
 	}})
--- a/internal/core/entry/beat.go
+++ b/internal/core/entry/beat.go
@@ -87,11 +87,11 @@
 	return base
 }
 
-// loads lists running and waiting requests of each server in turn.
+// loads lists running and waiting requests and spare of each server in turn.
 func loads(summaries []peer.ServerSummary) []byte {
-	list := make([]byte, 0, 2*len(summaries))
+	list := make([]byte, 0, peer.LoadFigures*len(summaries))
 	for i := range summaries {
-		list = append(list, byte(min(summaries[i].Running, math.MaxUint8)), byte(min(summaries[i].Waiting, math.MaxUint8)))
+		list = append(list, byte(min(summaries[i].Running, math.MaxUint8)), byte(min(summaries[i].Waiting, math.MaxUint8)), summaries[i].Spare)
 	}
 	return list
 }
@@ -164,9 +164,10 @@
 	default:
 		p.apply(m)
 	}
-	p.synced = len(m.Loads) == 2*len(p.servers)
-	for i := range min(len(m.Loads)/2, len(p.servers)) {
-		p.servers[i].Running, p.servers[i].Waiting = int32(m.Loads[2*i]), int32(m.Loads[2*i+1])
+	p.synced = len(m.Loads) == peer.LoadFigures*len(p.servers)
+	for i := range min(len(m.Loads)/peer.LoadFigures, len(p.servers)) {
+		figures := m.Loads[peer.LoadFigures*i:]
+		p.servers[i].Running, p.servers[i].Waiting, p.servers[i].Spare = int32(figures[0]), int32(figures[1]), figures[2]
 	}
 	return p.synced
 }
--- a/internal/core/entry/beat_test.go
+++ b/internal/core/entry/beat_test.go
@@ -19,7 +19,7 @@
 		if !rapid.Bool().Draw(t, "owned") {
 			continue
 		}
-		s := peer.ServerSummary{Server: units.BackendServerID(fmt.Sprint("e", i)), Running: int32(rapid.IntRange(0, 3).Draw(t, "running"))}
+		s := peer.ServerSummary{Server: units.BackendServerID(fmt.Sprint("e", i)), Running: int32(rapid.IntRange(0, 3).Draw(t, "running")), Spare: uint8(rapid.IntRange(0, 255).Draw(t, "spare"))}
 		if rapid.Bool().Draw(t, "resident") {
 			s.Resident = []units.AdapterVersion{{Adapter: "a"}}
 		}
@@ -56,7 +56,7 @@
 			arrivedInTurn++
 			if receiver.take(&m) {
 				must.True(t, slices.EqualFunc(now, receiver.servers, func(a, b peer.ServerSummary) bool {
-					return a.Server == b.Server && a.Running == b.Running && slices.Equal(a.Resident, b.Resident)
+					return a.Server == b.Server && a.Running == b.Running && a.Spare == b.Spare && slices.Equal(a.Resident, b.Resident)
 				}), must.Sprintf("sent %v, known %v", now, receiver.servers))
 			} else {
 				must.Less(t, 3, arrivedInTurn)
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -28,7 +28,7 @@
 	r.owner = c.Members.OwnerOf(r.server)
 	r.askedAt = c.now
 	r.absent, r.stalled = choice.Absent, !choice.Resident
-	c.Router.Sent(c.now, r.server)
+	c.Router.Sent(c.now, r.server, r.absent)
 	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(r.server), Reason: choice.Reason, Pairs: []any{
 		"adapter", r.adapter.String(), "attempt", r.attempt, "owner", r.owner, "refused", choice.Refused.String(),
 	}})
--- a/internal/core/owner/gather.go
+++ b/internal/core/owner/gather.go
@@ -5,11 +5,14 @@
 const (
 	// gatherPart is the part of a request's time that it may wait for others
 	// under an objective of 1.
-	gatherPart = 0.2
+	gatherPart = 0.3
 	// maxGather bounds that wait.
-	maxGather = 5 * clock.Second
+	maxGather = 8 * clock.Second
+	// gatherLeft is the part of a request's time that must be left for it to
+	// wait for others.
+	gatherLeft = 0.6
 	// gatherFill is the part of a batch that ends the wait.
-	gatherFill = 0.5
+	gatherFill = 0.75
 )
 
 // gathering reports whether an idle server waits for more requests, so that
@@ -25,7 +28,7 @@
 		if c == nil || c.loading || c.unloading {
 			continue
 		}
-		if a.Priority > 0 || now >= a.askedAt+o.gatherTime(a) {
+		if a.Priority > 0 || now >= a.askedAt+o.gatherTime(a) || float64(a.deadline-now) < gatherLeft*float64(a.Within) {
 			return false
 		}
 		ready++
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -180,6 +180,18 @@
 	return best, found
 }
 
+// spare is the worth of the next victim in the steps of a summary.
+func (o *Owner) spare(now clock.Millis, s *server) uint8 {
+	if len(s.copies) < s.slots() {
+		return 0
+	}
+	victim, ok := o.victim(now, s)
+	if !ok {
+		return math.MaxUint8
+	}
+	return place.Steps(o.worth(now, s, victim))
+}
+
 // spareCopyWorth is the part of an adapter's worth that another copy has.
 const spareCopyWorth = 0.1
 
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -80,7 +80,9 @@
 func (o *Owner) Summaries(now clock.Millis) []peer.ServerSummary {
 	summaries := make([]peer.ServerSummary, 0, len(o.servers))
 	for _, s := range o.sorted() {
-		summaries = append(summaries, s.summary(now))
+		summary := s.summary(now)
+		summary.Spare = o.spare(now, s)
+		summaries = append(summaries, summary)
 	}
 	return summaries
 }
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -140,7 +140,8 @@
 	return c.lapsedAt == 0 || c.idleReportAt > c.lapsedAt
 }
 
-// summary describes s for the heartbeat.
+// summary describes s for the heartbeat. Adapters that requests wait for count
+// as loading.
 func (s *server) summary(now clock.Millis) peer.ServerSummary {
 	summary := peer.ServerSummary{
 		Server: s.id(), Fence: s.fence, Running: int32(len(s.grants)), Waiting: int32(len(s.asks)),
@@ -154,6 +155,11 @@
 			summary.Resident = append(summary.Resident, av)
 		}
 	}
+	for _, a := range s.asks {
+		if s.copies[a.Adapter] == nil && !slices.Contains(summary.Loading, a.Adapter) {
+			summary.Loading = append(summary.Loading, a.Adapter)
+		}
+	}
 	sortVersions(summary.Resident)
 	sortVersions(summary.Loading)
 	return summary
--- a/internal/core/peer/check.go
+++ b/internal/core/peer/check.go
@@ -27,8 +27,8 @@
 	if m.ConfigOffset < 0 {
 		return invalid("heartbeat", "negative config offset")
 	}
-	if len(m.Loads)%2 != 0 {
-		return invalid("heartbeat", "odd number of load figures")
+	if len(m.Loads)%LoadFigures != 0 {
+		return invalid("heartbeat", "load figures of a part of a backend server")
 	}
 	for i := range m.Servers {
 		if m.Servers[i].Server == "" {
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -33,8 +33,8 @@
 	// Dropped lists servers that the sender no longer owns.
 	Dropped []units.BackendServerID `msgpack:"x,omitempty"`
 	// Loads lists, for all servers that the sender owns in the order of their
-	// ids, the number of running and that of waiting requests in turn, each at most
-	// 255.
+	// ids, LoadFigures bytes: the number of running and that of waiting requests,
+	// each at most 255, and Spare.
 	Loads []byte `msgpack:"w,omitempty"`
 	// WantFull asks the receiver to send Full, since the sender missed a
 	// heartbeat.
@@ -47,6 +47,9 @@
 	Demand []Demand `msgpack:"d,omitempty"`
 }
 
+// LoadFigures is the number of bytes of a Heartbeat's Loads for each server.
+const LoadFigures = 3
+
 // ServerSummary is what an owner tells of one backend server.
 type ServerSummary struct {
 	Server   units.BackendServerID  `msgpack:"s"`
@@ -57,6 +60,9 @@
 	Slots    int32                  `msgpack:"n"`
 	Resident []units.AdapterVersion `msgpack:"a,omitempty"`
 	Loading  []units.AdapterVersion `msgpack:"l,omitempty"`
+	// Spare tells how much the adapter is asked for that would be evicted next,
+	// from 0 for a free slot to 255, as place.Steps gives it.
+	Spare uint8 `msgpack:"p,omitempty"`
 	// Usable is false while the server is down, leaving or without a valid right
 	// to grant.
 	Usable bool `msgpack:"u"`
--- a/internal/core/place/popularity.go
+++ b/internal/core/place/popularity.go
@@ -76,3 +76,10 @@
 		f(av)
 	}
 }
+
+// Steps gives a rate as a whole number from 1 to 255: the steps of a factor of
+// the square root of two from once in an hour on.
+func Steps(rate float64) uint8 {
+	steps := 2 * math.Log2(rate*clock.Hour.Duration().Seconds())
+	return uint8(min(max(steps, 1), math.MaxUint8))
+}
--- a/internal/core/route/cost.go
+++ b/internal/core/route/cost.go
@@ -13,8 +13,8 @@
 	// spreadCost is added to absent copies by hash, so that all entry VMs choose
 	// the same few servers for an adapter.
 	spreadCost = 2000
-	// evictCost is added where a load needs an eviction.
-	evictCost = 100
+	// overflowCost is added for each adapter that waits for a slot.
+	overflowCost = 150
 	// copyCost multiplies the load wait where another server has the adapter,
 	// since the load takes a slot and a turn of the weight store.
 	copyCost = 4
@@ -47,16 +47,44 @@
 }
 
 func (r *Router) absentCost(s *Server, key uint64) float64 {
-	cost := r.loadTime() + spreadCost*hashShare(s.hash^key)
-	if len(s.Summary.Resident)+len(s.Summary.Loading) >= int(s.Summary.Slots) {
-		cost += evictCost
-	}
+	spread := hashShare(s.hash ^ key)
+	cost := r.loadTime() + spreadCost*r.placing(s, spread) + overflowCost*s.overflow()
 	if r.marked > 0 {
 		cost += r.loadTime() * (copyCost - 1)
 	}
 	return cost
 }
 
+const (
+	// packingFill is the part of the packing order that servers with a free slot
+	// have; the first of them is filled first.
+	packingFill = 0.3
+	// packingSteps is the number of steps of worth over which servers without a
+	// free slot are told apart.
+	packingSteps = 24
+	// packingSpread breaks ties by hash.
+	packingSpread = 0.05
+)
+
+// placing is smaller for a server that an adapter is to be loaded on: one with a
+// free slot, and then the one whose next victim is missed the least. Under an
+// objective of 1 the servers are filled one after the other, so that adapters
+// that are asked for often gather on few of them; under 0 they are spread by
+// hash.
+func (r *Router) placing(s *Server, spread float64) float64 {
+	if s.Summary.Spare == 0 && s.taken() < int(s.Summary.Slots) {
+		return packingFill * (r.Objective*s.place + (1-r.Objective)*spread)
+	}
+	return packingFill + (1-packingFill)*min(1, float64(s.Summary.Spare)/packingSteps) + packingSpread*spread
+}
+
+func (s *Server) taken() int { return len(s.Summary.Resident) + len(s.Summary.Loading) }
+
+// overflow counts the adapters that wait for a slot, and those sent for since.
+func (s *Server) overflow() float64 {
+	return float64(max(0, s.taken()-int(s.Summary.Slots)) + int(s.absentSince))
+}
+
 // queueWait is the time until a place in the batch of s is free.
 func (r *Router) queueWait(s *Server) float64 {
 	batch := float64(max(1, s.Summary.BatchMax))
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -34,6 +34,8 @@
 	// SentSince counts requests that were sent to the server and are not in
 	// Summary, less those in Summary that have ended.
 	SentSince int32
+	// absentSince counts those of SentSince whose adapter was absent.
+	absentSince int32
 	// recent counts those of SentSince that were sent from recentAt on.
 	recent   int32
 	recentAt clock.Millis
@@ -41,6 +43,8 @@
 	AvoidUntil clock.Millis
 	// hash of the id.
 	hash uint64
+	// place in the order of the servers, from 0 to 1.
+	place float64
 	// state is that of the adapter of the choice numbered epoch.
 	state copyState
 	epoch uint64
@@ -123,6 +127,9 @@
 	}
 	r.servers = servers
 	slices.SortFunc(r.order, func(a, b *Server) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
+	for i, s := range r.order {
+		s.place = float64(i) / float64(len(r.order))
+	}
 }
 
 // Server returns the server called id, or nil.
@@ -145,7 +152,7 @@
 	r.copies.replace(s, s.Summary.Resident, summary.Resident, copyResident)
 	s.Summary = summary
 	s.SummaryAt = now
-	s.SentSince = 0
+	s.SentSince, s.absentSince = 0, 0
 	if now-s.recentAt < summaryLag {
 		s.SentSince = s.recent
 	}
@@ -158,8 +165,9 @@
 	}
 }
 
-// Sent notes that a request was sent to a server.
-func (r *Router) Sent(now clock.Millis, id units.BackendServerID) {
+// Sent notes that a request was sent to a server, whose adapter may be absent
+// there.
+func (r *Router) Sent(now clock.Millis, id units.BackendServerID, absent bool) {
 	s := r.servers[id]
 	if s == nil {
 		return
@@ -169,6 +177,9 @@
 	}
 	s.recent++
 	s.SentSince++
+	if absent {
+		s.absentSince++
+	}
 }
 
 // Ended notes that a request that was sent to a server has ended. A service
