Write down the edges' reasons, the metrics and the stand-ins

Cause: the ways weighed for the edges stood nowhere, operators had no page on metrics, and the stand-ins' control address none either. Change: pages docs/design/edges.md, docs/operators/metrics.md and docs/standins.md; a test checks that the page names each metric shown.

--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -224,6 +226,12 @@
 		}
 		return true
 	})
+	page, err := os.ReadFile("../../../docs/operators/metrics.md")
+	must.NoError(t, err)
+	_, text := n.get(n.admin, "/metrics")
+	for _, family := range regexp.MustCompile(`(?m)^# TYPE (\w+) `).FindAllStringSubmatch(text, -1) {
+		must.StrContains(t, string(page), "`"+family[1]+"`", must.Sprint("docs/operators/metrics.md"))
+	}
 	for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/admin/table": fasthttp.StatusTeapot} {
 		status, _ := n.get(n.admin, path)
 		must.Eq(t, want, status, must.Sprint(path))
