Hold engines that ignore fencing numbers by leases in the log

Cause: An engine that ignores fencing numbers was never usable where it reports none, and two entry VMs could both order it about. Two views of the members took an engine from each other each second. Grants of two owners that started in one millisecond had equal numbers. A restart of an engine that was noticed late dropped grants of the new run, whose adapters were then evicted under them. Owners' refusals used up a request's tries.

Change: Package lease folds a lease stream for each failure domain. Owners claim and renew there, freeze without a lease, and release on leaving. Who loses an engine backs off. Grant numbers hold a hash of owner and run. Grants outlive a restart until released. Only attempts that were sent count as tries. The engine of the core's first tests now says that it checks.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -81,6 +81,7 @@
 		return
 	}
 	r.attempt++
+	r.sent++
 	r.state = stateRunning
 	r.server = choice.Server.ID()
 	c.Router.Sent(c.now, r.server, false)
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -236,6 +236,8 @@
 		c.configRead(ev, out)
 	case event.SnapshotStream:
 		c.snapshotRead(ev, out)
+	case c.Owner.LeaseStream():
+		c.Owner.LeasesRead(c.now, ev, out)
 	default:
 		if c.Ledger.Fold(ev, out) {
 			c.retryActions(out)
@@ -244,11 +246,14 @@
 }
 
 func (c *Core) streamGap(ev event.StreamGap, out *event.Effects) {
-	if ev.Stream == event.ConfigStream {
+	switch ev.Stream {
+	case event.ConfigStream:
 		c.configGap(ev, out)
-		return
+	case c.Owner.LeaseStream():
+		c.Owner.LeasesExpired(c.now, ev, out)
+	default:
+		c.Ledger.Skip(ev)
 	}
-	c.Ledger.Skip(ev)
 }
 
 // leaveNotice is how long a leaving entry VM still takes requests, so that a
@@ -267,6 +272,7 @@
 		pending.giveUpAt = min(pending.giveUpAt, c.now+outcomeLeaveTerm)
 	}
 	c.Members.Leave(c.now)
+	c.assignServers(out)
 	c.beat(out)
 	out.Add(event.Decision{Area: "member", Choice: c.cfg.Self.ID, Reason: "leaving"})
 }
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -60,6 +60,7 @@
 	if r.absent {
 		c.Router.Loaded(c.now - r.askedAt)
 	}
+	r.sent++
 	r.grant = m.Grant
 	r.runningAt = c.now
 	r.owner = from
@@ -85,6 +86,7 @@
 	case errs.CodeLoadFailed, errs.CodeDeadline, errs.CodeOverloaded:
 		c.refuse(r, m.Refusal, out)
 	default:
+		c.Router.Avoid(r.server, c.now+refusedPeriod)
 		r.tried = append(r.tried, r.server)
 		c.advance(r, out)
 	}
--- a/internal/core/entry/granting_test.go
+++ b/internal/core/entry/granting_test.go
@@ -15,7 +15,7 @@
 func startCore(t *testing.T) (*Core, *event.Effects) {
 	t.Helper()
 	self := event.VM{ID: "entry-1", FailureDomain: "galle", Entry: true, State: event.VMLive}
-	engine := event.VM{ID: "engine-1", FailureDomain: "galle", Kind: event.KindEngine, Base: "straw-7b", State: event.VMLive, Slots: 2, BatchMax: 4}
+	engine := event.VM{ID: "engine-1", FailureDomain: "galle", Kind: event.KindEngine, Base: "straw-7b", State: event.VMLive, ChecksFence: true, Slots: 2, BatchMax: 4}
 	c := New(Config{Self: self, Incarnation: 1, VMs: []event.VM{engine}})
 	body, err := msgpack.Marshal(event.Edit{ID: "edit", Cells: []event.Cell{
 		{Adapter: "braid", Column: "base", Value: "straw-7b"},
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -35,6 +35,9 @@
 func (c *Core) assignServers(out *event.Effects) {
 	var owned []event.VM
 	for _, s := range c.Router.Servers() {
+		if s.Spec.Kind == event.KindEngine && !s.Spec.ChecksFence {
+			c.Owner.FollowLeases(event.LeaseStream+"_"+units.StreamName(c.cfg.Self.FailureDomain), out)
+		}
 		if s.Spec.Kind == event.KindEngine && c.Members.OwnerOf(s.ID()) == c.Members.SelfID() {
 			owned = append(owned, s.Spec)
 		}
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -33,6 +33,9 @@
 // come is asked for elsewhere, unless the owner is alive.
 const askTimeout = 2 * clock.Second
 
+// refusedPeriod is how long a server is avoided whose owner can't grant.
+const refusedPeriod = 500 * clock.Millis(1)
+
 // avoidPeriod is how long a server is avoided after it broke a connection.
 const avoidPeriod = 2 * clock.Second
 
@@ -45,6 +48,8 @@
 	adapter units.AdapterVersion
 	// attempt counts the servers chosen so far.
 	attempt int32
+	// sent counts the attempts that were sent to a server.
+	sent    int32
 	server  units.BackendServerID
 	owner   units.EntryVMID
 	askedAt clock.Millis
@@ -69,7 +74,7 @@
 	switch {
 	case c.now >= r.Deadline:
 		c.refuse(r, errs.Refuse(errs.CodeDeadline, "the deadline passed: allow more time or send the request again later"), out)
-	case r.attempt >= maxAttempts:
+	case r.sent >= maxAttempts:
 		c.refuse(r, errs.Refuse(errs.CodeNoCapacity, "no backend server took the request in %d tries: send it again later", maxAttempts).After(clock.Second), out)
 	case r.Service != "":
 		c.advanceService(r, out)
--- a/internal/core/entry/together_test.go
+++ b/internal/core/entry/together_test.go
@@ -233,3 +233,11 @@
 	w.checkConverged(t, 1)
 	must.False(t, slices.ContainsFunc(w.decided, func(d event.Decision) bool { return d.Reason == "fencing_number_lost" }))
 }
+
+func TestFaultsBeforeIgnoringEngines(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		w := newTestNet(rapid.Uint64().Draw(t, "seed"))
+		w.addDomain("galle", 3, 0, 2)
+		trial(t, w)
+	})
+}
--- /dev/null
+++ b/internal/core/lease/book_test.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/proof"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
+
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// holderTerm is the term of a holder's own right, as the owner keeps it.
+const holderTerm = 4 * clock.Second
+
+// testRetention is far shorter than a log service's, but longer than any append
+// is on its way.
+const testRetention = 15 * clock.Second
+
+// contender is an entry VM that wants the lease of one engine.
+type contender struct {
+	book Book
+	id   units.EntryVMID
+	rate clock.Millis
+	seq  uint64
+	sent map[uint64]clock.Millis
+	// fence is that of the lease held, or 0. Claims up to gaveUp are of no use.
+	fence  units.Fence
+	gaveUp uint64
+	until  clock.Millis
+}
+
+func (c *contender) local(now clock.Millis) clock.Millis { return now * c.rate / 1000 }
+
+// TestNeverTwoHolders lets contenders with clocks up to 2% apart read late, lose
+// records that expire, and append with delays. No two of them hold the right at
+// the same time.
+func TestNeverTwoHolders(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		var log []peer.Record
+		type flight struct {
+			at   clock.Millis
+			body []byte
+		}
+		var flights []flight
+		now, oldest := clock.Millis(0), units.Offset(0)
+		contenders := make([]*contender, 3)
+		for i := range contenders {
+			contenders[i] = &contender{id: units.EntryVMID(rune('a' + i)), rate: clock.Millis(rapid.IntRange(980, 1020).Draw(t, "rate")), sent: map[uint64]clock.Millis{}}
+		}
+
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			now += clock.Millis(rapid.SampledFrom([]int{10, 200, 1000, 4600}).Draw(t, "wait"))
+			kept := flights[:0]
+			for _, f := range flights {
+				if f.at > now {
+					kept = append(kept, f)
+					continue
+				}
+				log = append(log, peer.Record{Offset: units.Offset(len(log)), At: now, Body: f.body})
+			}
+			flights = kept
+			if rapid.IntRange(0, 19).Draw(t, "expire") == 0 {
+				for int(oldest) < len(log) && log[oldest].At < now-testRetention {
+					oldest++
+				}
+			}
+			c := contenders[rapid.IntRange(0, 2).Draw(t, "contender")]
+			local := c.local(now)
+			if oldest > c.book.Next() {
+				c.book.Skip(local, oldest)
+				c.fence, c.gaveUp = 0, c.seq
+			}
+			read := event.RecordsRead{Records: log[c.book.Next():], End: units.Offset(len(log))}
+			granted, whole := c.book.Fold(local, read, c.id, 1)
+			must.True(t, whole || len(read.Records) > maxBacklog)
+			for _, g := range granted {
+				if g.Taken && g.Sequence > c.gaveUp || g.Fence == c.fence {
+					c.fence, c.until = g.Fence, max(c.until, c.sent[g.Sequence]+holderTerm)
+				}
+			}
+			if l := c.book.Lease("e"); l == nil || l.Fence != c.fence {
+				c.fence = 0
+			}
+			record := Record{Holder: c.id, Incarnation: 1, AsOf: c.book.Next(), Claims: []Claim{{Server: "e"}}}
+			if c.fence != 0 {
+				record.Claims[0].Fence = c.fence
+				record.Claims[0].Released = rapid.IntRange(0, 9).Draw(t, "release") == 0
+			} else if !c.book.Claimable(local, "e") {
+				continue
+			}
+			c.seq++
+			record.Sequence = c.seq
+			c.sent[c.seq] = local
+			if record.Claims[0].Released {
+				c.fence, c.until, c.gaveUp = 0, 0, c.seq
+			}
+			body, err := msgpack.Marshal(record)
+			must.NoError(t, err)
+			flights = append(flights, flight{at: now + clock.Millis(rapid.SampledFrom([]int{0, 100, 6000}).Draw(t, "delay")), body: body})
+			holders := 0
+			for _, other := range contenders {
+				if other.local(now) < other.until {
+					holders++
+				}
+			}
+			must.LessEq(t, 1, holders)
+
+		}
+	})
+}
--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -2,12 +2,15 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Ask handles a request for a grant.
@@ -124,7 +127,7 @@
 	if a.Isolated && len(s.grants) > 0 {
 		return false
 	}
-	o.lastGrant = max(o.lastGrant+1, units.GrantNumber(o.Incarnation)<<grantNumberBits)
+	o.lastGrant = max(o.lastGrant+1, o.firstGrant())
 	g := &grant{
 		number: o.lastGrant, holder: a.from, request: a.Request, attempt: a.Attempt, adapter: a.Adapter, until: now + GrantTerm,
 		grantedAt: now, tokens: a.Tokens,
@@ -136,6 +139,13 @@
 	return true
 }
 
+// firstGrant keeps the grant numbers of different owners and incarnations apart,
+// also of two entry VMs that started in the same instant.
+func (o *Owner) firstGrant() units.GrantNumber {
+	run := xxhash.Sum64String(string(o.Self) + "\x00" + strconv.FormatUint(uint64(o.Incarnation), 10))
+	return units.GrantNumber(run >> grantNumberBits << grantNumberBits)
+}
+
 func (o *Owner) drop(now clock.Millis, s *server, g *grant) {
 	delete(s.grants, g.number)
 	if c := s.copies[g.adapter]; c != nil {
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -92,7 +92,7 @@
 	var best wantedLoad
 	bestNeed := 0.0
 	for _, s := range o.order {
-		if len(s.asks) == 0 || s.unloading > 0 || !s.mayGrant(now) || !s.hasRoom(now) {
+		if len(s.asks) == 0 || s.unloading > 0 || !s.mayOrder(now) || !s.hasRoom(now) {
 			continue
 		}
 		for _, a := range s.asks {
@@ -245,7 +245,7 @@
 	bestFree := 0
 	for _, s := range o.order {
 		free := s.slots() - len(s.copies)
-		if s.mayGrant(now) && free > bestFree {
+		if s.mayOrder(now) && free > bestFree {
 			best, bestFree = s, free
 		}
 	}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -41,6 +41,7 @@
 	// needs is memory for nextLoad.
 	needs    map[wantedLoad]float64
 	prunedAt clock.Millis
+	leasing  leasing
 }
 
 // SetServers takes up the servers in specs and gives up all others. Asks that
@@ -59,6 +60,7 @@
 		}
 		o.servers[id] = &server{
 			spec: spec, copies: map[units.AdapterVersion]*copyState{}, grants: map[units.GrantNumber]*grant{},
+			takenUpAfter: o.leasing.sequence,
 		}
 		out.Add(event.Decision{Area: "owner", Choice: spec.ID, Reason: "takes_up"})
 	}
@@ -67,6 +69,7 @@
 			continue
 		}
 		o.refuseAsks(s, out)
+		o.giveUpLease(s)
 		delete(o.servers, s.id())
 		out.Add(event.Decision{Area: "owner", Choice: s.spec.ID, Reason: "gives_up"})
 	}
@@ -99,14 +102,7 @@
 		s.forget()
 	}
 	s.syncCopies(ev.SentAt)
-	switch {
-	case s.phase == phaseOwned && ev.Report.Fence == s.fence && !restarted:
-		s.renewedAt = max(s.renewedAt, ev.SentAt)
-	case s.phase == phaseOwned:
-		s.phase = phaseUnknown
-		s.claimAt = now + RetryPeriod
-		out.Add(event.Decision{Area: "owner", Choice: s.spec.ID, Reason: "fencing_number_lost", Pairs: []any{"ours", s.fence, "seen", ev.Report.Fence}})
-	}
+	o.renew(now, s, ev, out)
 	o.claim(now, s, out)
 	o.serve(now, s, out)
 }
@@ -156,6 +152,7 @@
 		o.prunedAt = now
 		o.Popularity.Prune(now)
 	}
+	o.tickLeases(now, out)
 	for _, s := range o.sorted() {
 		if now-s.polledAt >= PollPeriod {
 			s.polledAt = now
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -24,6 +24,12 @@
 	// RetryPeriod is the time after which a failed claim or order is tried
 	// again.
 	RetryPeriod = clock.Second
+	// idleReportTerm is the greatest age of a report that shows an adapter to be
+	// idle, where the engine does not check fencing numbers.
+	idleReportTerm = 2 * PollPeriod
+	// peacePeriod is how long a server must be held for an earlier fight over it
+	// to be forgotten.
+	peacePeriod = clock.Minute
 )
 
 // phase is how far the ownership of a backend server has come.
@@ -91,8 +97,17 @@
 	// renewedAt is the instant at which the last successful renewal was sent.
 	renewedAt clock.Millis
 	// quietUntil is the instant before which nothing may be evicted, since an
-	// earlier owner's grants may still hold.
+	// earlier owner's grants may still hold. Eviction then needs a report asked
+	// for later that shows nothing running.
 	quietUntil clock.Millis
+	// frozenFrom is the instant from which on what is loaded is served without a
+	// lease, or 0.
+	frozenFrom clock.Millis
+	// takenUpAfter is the last lease record sent before the server was taken up.
+	takenUpAfter uint64
+	// fights counts in turn how often another owner took the server.
+	fights     int
+	ownedSince clock.Millis
 	polledAt   clock.Millis
 	claimAt    clock.Millis
 	report     event.ServerReport
@@ -109,11 +124,16 @@
 
 func (s *server) id() units.BackendServerID { return units.BackendServerID(s.spec.ID) }
 
-// mayGrant reports whether the right to grant holds at now.
-func (s *server) mayGrant(now clock.Millis) bool {
+// mayOrder reports whether the right to load and evict holds at now.
+func (s *server) mayOrder(now clock.Millis) bool {
 	return s.phase == phaseOwned && now < s.renewedAt+OwnerTerm && s.report.Ready && !s.report.Leaving
 }
 
+// mayGrant reports whether requests may be let onto what is loaded at now.
+func (s *server) mayGrant(now clock.Millis) bool {
+	return s.mayOrder(now) || s.frozen(now) && s.report.Ready && !s.report.Leaving
+}
+
 func (s *server) slots() int {
 	if s.report.Slots > 0 {
 		return int(s.report.Slots)
@@ -134,10 +154,13 @@
 	if c.loading || c.unloading || c.grants > 0 {
 		return false
 	}
-	if !s.mayGrant(now) || now < s.quietUntil {
+	if !s.mayOrder(now) || now < s.quietUntil {
+		return false
+	}
+	if !s.spec.ChecksFence && now-c.idleReportAt > idleReportTerm {
 		return false
 	}
-	return c.lapsedAt == 0 || c.idleReportAt > c.lapsedAt
+	return c.idleReportAt >= s.quietUntil && (c.lapsedAt == 0 || c.idleReportAt > c.lapsedAt)
 }
 
 // summary describes s for the heartbeat. Adapters that requests wait for count
--- a/internal/core/owner/sync.go
+++ b/internal/core/owner/sync.go
@@ -16,11 +16,18 @@
 	return c
 }
 
-// forget drops what was true of the server before it restarted.
+// forget drops what was true of the server before it restarted. Grants and
+// copies in use stay until they are released or lapse: the restart is noticed
+// late, so that they may be of the new run.
 func (s *server) forget() {
-	s.copies = map[units.AdapterVersion]*copyState{}
-	s.grants = map[units.GrantNumber]*grant{}
-	s.phase = phaseUnknown
+	for av, c := range s.copies {
+		if c.grants == 0 && !c.loading && !c.unloading {
+			delete(s.copies, av)
+		}
+	}
+	if s.spec.ChecksFence {
+		s.phase = phaseUnknown
+	}
 }
 
 // syncCopies takes over which adapters the report shows as loaded. Copies with
@@ -41,6 +48,16 @@
 	}
 }
 
+// ordered reports whether an order is on its way.
+func (s *server) ordered() bool {
+	for _, c := range s.copies {
+		if c.loading || c.unloading {
+			return true
+		}
+	}
+	return s.unloading > 0
+}
+
 // lapse ends grants that were not renewed.
 func (s *server) lapse(now clock.Millis) {
 	for number, g := range s.grants {
