--- a/internal/oper/cmds/loadcmd.go
+++ b/internal/oper/cmds/loadcmd.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"mangostile/internal/base/units"
@@ -27,7 +26,7 @@
 			if err != nil {
 				return err
 			}
-			return runLoad(ctx, os.Stdout, plan, cmd.String("json"), cmd.String("plot"))
+			return runLoad(ctx, cmd.Root().Writer, plan, cmd.String("json"), cmd.String("plot"))
 		},
 	}
 }
--- a/internal/oper/load/results.go
+++ b/internal/oper/load/results.go
@@ -32,7 +32,7 @@
 	examples []string
 	late     *hdrhistogram.Histogram
 	stalls   *hdrhistogram.Histogram
-	models   int
+	chats    int
 	cuts     []string
 	lost     int
 	wrong    int
@@ -135,7 +135,7 @@
 	if a.call.Kind != KindChat {
 		return
 	}
-	r.models++
+	r.chats++
 	r.spans = append(r.spans, span{a.due.Sub(start), first})
 	if first >= stallFrom {
 		record(r.stalls, first)
--- a/internal/oper/load/run.go
+++ b/internal/oper/load/run.go
@@ -143,8 +143,8 @@
 		Standins: Counters{Counters: subtract(after, before)},
 		Stalls:   StallReport{Requests: int(res.stalls.TotalCount()), Times: quantiles(res.stalls)},
 	}
-	if res.models > 0 {
-		report.Stalls.Share = float64(res.stalls.TotalCount()) / float64(res.models)
+	if res.chats > 0 {
+		report.Stalls.Share = float64(res.stalls.TotalCount()) / float64(res.chats)
 	}
 	if report.Standins.Steps > 0 {
 		room, err := fakes.batchMax()
