Keep minimum copies and load new versions ahead

Cause: a row's minimum of copies was not kept, a new version was loaded only once a request waited for it, and a summary that told of a copy that loads again lost it from the router's index. Change: a pass of placement each second wants the minimum of copies on servers chosen by rendezvous hash, and a version with weight and no copy on a server that has another version; the owner loads what is wanted while no request waits for a load, and never evicts a pinned copy. The index replaces both lists of a summary at once.

--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -51,6 +51,7 @@
 	// shares divides limits between the entry VMs of the failure domain.
 	shares  admit.Shares
 	limiter admit.Limiter
+	placing placing
 	// retries bounds what is tried again after a failure.
 	retries retry.Budget
 	// requests holds all requests that have not ended.
@@ -225,6 +226,7 @@
 	}
 	c.tickFeed(out)
 	c.summarize(out)
+	c.placeCopies(out)
 	c.tickRequests(out)
 	c.tickEdits(out)
 	c.tickOutcomes(out)
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -76,7 +76,9 @@
 	for o.Budget.Ready(now) {
 		next, ok := o.nextLoad(now)
 		if !ok {
-			o.prefetch(now, out)
+			if !o.loadWanted(now, out) {
+				o.prefetch(now, out)
+			}
 			return
 		}
 		o.startLoad(now, next, "load", out)
@@ -198,6 +200,9 @@
 // worth is the loss that the eviction of a copy is expected to bring.
 func (o *Owner) worth(now clock.Millis, s *server, av units.AdapterVersion) float64 {
 	worth := o.Popularity.Rate(now, av)
+	if o.pinned[pin{s.id(), av}] {
+		return pinnedWorth
+	}
 	if o.Copies != nil && o.Copies(av) > 1 {
 		worth *= spareCopyWorth
 	}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -38,6 +38,9 @@
 	// Copies returns the number of servers of the failure domain that have or
 	// load an adapter. Nothing is loaded ahead of a request without it.
 	Copies func(av units.AdapterVersion) int
+	// wants and pinned are what SetWants was given.
+	wants  []place.Want
+	pinned map[pin]bool
 	// needs is memory for nextLoad.
 	needs    map[wantedLoad]float64
 	prunedAt clock.Millis
--- a/internal/core/route/copies.go
+++ b/internal/core/route/copies.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
 )
 
 // copyState is what the router knows of one adapter on one server.
@@ -65,15 +66,19 @@
 	c.places[av] = places[:len(places)-1]
 }
 
-// replace takes the new lists of one server in place of the old ones.
-func (c *copies) replace(s *Server, before, after []units.AdapterVersion, state copyState) {
-	if slices.Equal(before, after) {
+// replace takes the new summary of one server in place of the old one.
+func (c *copies) replace(s *Server, before, after *peer.ServerSummary) {
+	if slices.Equal(before.Resident, after.Resident) && slices.Equal(before.Loading, after.Loading) {
 		return
 	}
-	for _, av := range before {
-		c.set(av, s, copyAbsent)
-	}
-	for _, av := range after {
+	c.setAll(before.Resident, s, copyAbsent)
+	c.setAll(before.Loading, s, copyAbsent)
+	c.setAll(after.Loading, s, copyLoading)
+	c.setAll(after.Resident, s, copyResident)
+}
+
+func (c *copies) setAll(versions []units.AdapterVersion, s *Server, state copyState) {
+	for _, av := range versions {
 		c.set(av, s, state)
 	}
 }
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -121,8 +121,7 @@
 	}
 	for id, s := range r.servers {
 		if servers[id] == nil {
-			r.copies.replace(s, s.Summary.Resident, nil, copyAbsent)
-			r.copies.replace(s, s.Summary.Loading, nil, copyAbsent)
+			r.copies.replace(s, &s.Summary, &peer.ServerSummary{})
 		}
 	}
 	r.servers = servers
@@ -148,8 +147,7 @@
 	if s == nil || summary.Fence < s.Summary.Fence {
 		return
 	}
-	r.copies.replace(s, s.Summary.Loading, summary.Loading, copyLoading)
-	r.copies.replace(s, s.Summary.Resident, summary.Resident, copyResident)
+	r.copies.replace(s, &s.Summary, &summary)
 	s.Summary = summary
 	s.SummaryAt = now
 	s.SentSince, s.absentSince = 0, 0
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -75,6 +77,9 @@
 	return rows
 }
 
+// All yields all rows in no order.
+func (t *Table) All() iter.Seq[*Row] { return maps.Values(t.rows) }
+
 // ServerLeaving reports whether operators have taken server out of use.
 func (t *Table) ServerLeaving(server units.BackendServerID) bool {
 	return t.drains[server].Leaving
