--- a/internal/core/event/request.go
+++ b/internal/core/event/request.go
@@ -70,6 +70,9 @@
 	ResultTimeout
 	// ResultCanceled tells that the caller went away.
 	ResultCanceled
+	// ResultFailed tells that an engine answered, but with an error of its own
+	// or with the answer to another request.
+	ResultFailed
 )
 
 // String returns the name of k in log lines.
@@ -89,6 +92,8 @@
 		return "timeout"
 	case ResultCanceled:
 		return "canceled"
+	case ResultFailed:
+		return "failed"
 	default:
 		return "unknown"
 	}
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -90,7 +90,7 @@
 		release(resp)
 		e.options.Logger.Warn("answer_of_another_request", "request", d.Request, "backend_server", d.Server)
 		e.stopAt(x, d)
-		e.done(d, event.DispatchResult{Kind: event.ResultBroken})
+		e.done(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
 	case x.request.Streamed && resp.StatusCode() == fasthttp.StatusOK:
 		return e.stream(ctx, x, d, resp)
@@ -202,9 +202,9 @@
 		e.done(d, event.DispatchResult{Kind: kind})
 		return false
 	}
-	if resp.StatusCode() == fasthttp.StatusOK && !ranOn(body, d) {
-		e.options.Logger.Warn("answer_of_another_adapter", "request", d.Request, "backend_server", d.Server, "adapter", d.Adapter)
-		e.done(d, event.DispatchResult{Kind: event.ResultBroken})
+	if x.request.Service == "" && !passable(resp.StatusCode(), body, d) {
+		e.options.Logger.Warn("engine_failed", "request", d.Request, "backend_server", d.Server, "adapter", d.Adapter, "status", resp.StatusCode())
+		e.done(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
 	}
 	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
@@ -229,11 +229,11 @@
 	return io.ReadAll(stream)
 }
 
-// ranOn reports whether the body of a completion names the adapter and version
-// of d, where there is one to name.
-func ranOn(body []byte, d event.Dispatch) bool {
-	if d.Adapter.Adapter == "" {
-		return true
+// passable reports whether an engine's answer is for the caller: a completion of
+// the adapter and version asked for, or a fault of the request itself.
+func passable(status int, body []byte, d event.Dispatch) bool {
+	if status != fasthttp.StatusOK {
+		return status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError && status != statusClientClosed
 	}
 	var answer struct {
 		Model string `json:"model"`
@@ -241,6 +241,9 @@
 	return json.Unmarshal(body, &answer) == nil && answer.Model == d.Adapter.String()
 }
 
+// statusClientClosed is the usual status of a request that was canceled.
+const statusClientClosed = 499
+
 func (e *Edge) answerHeaders(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch) {
 	header := &ctx.Response.Header
 	header.Set(HeaderRequestID, string(x.request.ID))
--- a/internal/node/edge/attempt_test.go
+++ b/internal/node/edge/attempt_test.go
@@ -63,6 +63,8 @@
 		{"half an answer in time", script{hang: true, answer: streamHead + chunk("data: {")}, false, false, 150},
 		{"refusal of another request", script{answer: httpAnswer(503, "other", refusedBody)}, false, false, 0},
 		{"answer of another request", script{answer: httpAnswer(200, "other", goodBody)}, false, false, 0},
+		{"error of the backend server itself", script{answer: httpAnswer(500, "<id>", `{"error":{"code":"internal"}}`)}, false, true, 0},
+		{"canceled by another", script{answer: httpAnswer(499, "<id>", `{"error":{"code":"canceled"}}`)}, false, true, 0},
 		{"refusal that says it did not run", script{answer: httpAnswer(503, "<id>", refusedBody)}, true, false, 0},
 	}
 	for _, request := range requests {
@@ -146,6 +148,24 @@
 	must.Eq(t, 3, backend.ran())
 }
 
+// rawCall sends a request and reads until the connection is closed. The edge may
+// refuse and close before it has read all, which resets the connection: what came
+// before counts.
+func (h *harness) rawCall(body string, headers ...string) string {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.address)
+	must.NoError(h.t, err)
+	defer func() { _ = conn.Close() }()
+	head := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n", len(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		head += headers[i] + ": " + headers[i+1] + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"\r\n"+body)
+	must.NoError(h.t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
 func TestLimitsOnCallers(t *testing.T) {
 	h := newHarness(t, "127.0.0.1:1", Options{})
 	tests := []struct {
@@ -160,8 +180,8 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			status, answer := h.call("/v1/completions", tc.body, tc.headers...)
-			must.Between(t, 400, status, 499)
+			answer := h.rawCall(tc.body, tc.headers...)
+			must.StrHasPrefix(t, "HTTP/1.1 4", answer)
 			must.StrContains(t, answer, tc.want)
 			must.StrContains(t, answer, `"ran":"no"`)
 		})
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -36,10 +36,10 @@
 	timeLimit clock.Millis
 	// notAfter is the time that the right to send holds; 0 is no bound.
 	notAfter clock.Millis
-	// attempts is how often a request is sent while it breaks off.
+	// attempts is how often a request is sent while it fails.
 	attempts int32
-	// onBroken is called before a request that broke off is sent again.
-	onBroken func()
+	// onFailed is called before a request that failed is sent again.
+	onFailed func()
 	done     chan event.DispatchDone
 	canceled chan units.RequestID
 }
@@ -119,8 +119,8 @@
 	h.done <- ev
 	switch {
 	case kind == event.ResultServed || kind == event.ResultCanceled:
-	case kind == event.ResultBroken && ev.Attempt < h.attempts:
-		h.onBroken()
+	case kind == event.ResultFailed && ev.Attempt < h.attempts:
+		h.onFailed()
 		h.dispatch(ev.Request, ev.Attempt+1, true)
 	default:
 		refusal := &errs.Refusal{Code: errs.CodeServerFailed, Message: kind.String(), Ran: kind.Ran()}
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -129,6 +129,9 @@
 	if s.x.isCanceled() {
 		return event.ResultCanceled
 	}
+	if errors.Is(err, errForeignEvent) {
+		return event.ResultFailed
+	}
 	if kind := resultOfError(err); kind != event.ResultNotSent {
 		return kind
 	}
@@ -183,7 +186,7 @@
 		end, err = s.next()
 		for err != nil {
 			kind := s.resultOf(err)
-			if kind != event.ResultBroken || errors.Is(err, errForeignEvent) || !e.resume(s) {
+			if kind != event.ResultBroken || !e.resume(s) {
 				return kind
 			}
 			end, err = s.next()
--- a/internal/node/edge/stream_test.go
+++ b/internal/node/edge/stream_test.go
@@ -83,7 +83,7 @@
 			e.SetFaults(engine.Faults{CrossAnswers: true})
 			h := newHarness(t, address, Options{})
 			h.attempts = 20
-			h.onBroken = func() { e.SetFaults(engine.Faults{}) }
+			h.onFailed = func() { e.SetFaults(engine.Faults{}) }
 			var wg sync.WaitGroup
 			for _, prompt := range []string{"alpha", "beta", "gamma"} {
 				wg.Go(func() {
@@ -102,7 +102,7 @@
 				kinds[h.result()]++
 			}
 			must.Eq(t, 3, kinds[event.ResultServed])
-			must.Positive(t, kinds[event.ResultBroken])
+			must.Positive(t, kinds[event.ResultFailed])
 		})
 	}
 }
@@ -126,7 +126,7 @@
 			must.StrNotContains(t, got, "braid@v2")
 			must.StrNotContains(t, got, `"id":"y"`)
 			must.StrContains(t, got, `"ran":"unknown"`)
-			must.Eq(t, event.ResultBroken, h.result())
+			must.Eq(t, event.ResultFailed, h.result())
 		})
 	}
 }
