Take no parts from a proposed edit

Cause: an operator's JSON could name a part of an edit; its other parts never came, and the edit hung until its timeout.

Change: an edit is split anew, whatever parts it came with.

Measured: TestProposedEditBringsNoParts fails before and passes after.

Conclusion: only this program writes parts.

--- a/internal/core/entry/edit.go
+++ b/internal/core/entry/edit.go
@@ -40,7 +40,10 @@
 	}
 }
 
+// splitEdit spreads an edit over as many records as it needs, whatever parts it
+// came with.
 func splitEdit(edit event.Edit) []event.Edit {
+	edit.Part, edit.Parts = 0, 0
 	if len(edit.Cells) <= maxEditCells {
 		return []event.Edit{edit}
 	}
