Fuzz edits and check the load tool for leaks

Cause: what Try says of an edit and what its record then does were not compared on arbitrary bodies; the load tool's goroutines were not checked.

Change: FuzzTry, and goleak in the load tool's run test.

Conclusion: an edit ends as it was tried.

--- a/internal/core/table/fuzz_test.go
+++ b/internal/core/table/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/json"
 	"testing"
 
 	"mangostile/internal/base/units"
@@ -86,3 +87,28 @@
 		must.EqOp(t, next+1, own.Next())
 	})
 }
+
+// FuzzTry checks that an edit of any JSON body ends in the log as it was tried.
+func FuzzTry(f *testing.F) {
+	f.Add([]byte(`{"cells":[{"adapter":"braid","column":"weight","value":"7","read_at":1}]}`))
+	f.Add([]byte(`{"cells":[{"adapter":"braid","column":"deleted","value":"true","read_at":1},{"adapter":"braid","column":"base","value":"x"}]}`))
+	f.Add([]byte(`{"cells":[{"adapter":"backend_server:engine-1","column":"state","value":"leaving"}]}`))
+	f.Add([]byte(`{"cells":[{"adapter":"","column":"","value":""}],"part":-1,"parts":2}`))
+	first, _ := fuzzTable(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var edit event.Edit
+		if json.Unmarshal(body, &edit) != nil {
+			return
+		}
+		edit.ID, edit.Part, edit.Parts = "f", 0, 0
+		var own Table
+		must.True(t, own.Fold(peer.Record{ID: "e", Body: first}))
+		tried := own.Try(&edit)
+		record, err := msgpack.Marshal(edit)
+		must.NoError(t, err)
+		own.Fold(peer.Record{Offset: 1, ID: "f", Body: record})
+		outcome, ok := own.Outcome("f")
+		must.True(t, ok)
+		must.EqOp(t, tried.Kind, outcome.Kind)
+	})
+}
--- a/internal/oper/load/run_test.go
+++ b/internal/oper/load/run_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
 )
 
 type instantLoader struct{}
@@ -25,6 +26,13 @@
 // TestRunAgainstOneEngine checks that every call is accounted for: those of the
 // adapter that is there are whole, the others refused, and each action ran once.
 func TestRunAgainstOneEngine(t *testing.T) {
+	// The HTTP library's janitors sleep on for some seconds.
+	defer goleak.VerifyNone(t,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+	)
 	e := &engine.Engine{ID: "engine-1", Loader: instantLoader{}, Slots: 1, Options: engine.Options{StepTime: time.Millisecond}}
 	braid := units.AdapterVersion{Adapter: "braid", Version: "v1"}
 	must.NoError(t, e.Order(t.Context(), event.Order{Kind: event.OrderLoad, Adapter: braid}))
