--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -69,17 +69,42 @@
 
 // Rows returns all rows sorted by adapter.
 func (t *Table) Rows() []*Row {
+	rows := t.UnsortedRows()
+	SortRows(rows)
+	return rows
+}
+
+// UnsortedRows returns all rows in any order. Who holds up the core takes these
+// and sorts them elsewhere.
+func (t *Table) UnsortedRows() []*Row {
 	rows := make([]*Row, 0, len(t.rows))
 	for _, row := range t.rows {
 		rows = append(rows, row)
 	}
-	slices.SortFunc(rows, func(a, b *Row) int { return strings.Compare(string(a.Adapter), string(b.Adapter)) })
 	return rows
 }
 
 // All yields all rows in no order.
 func (t *Table) All() iter.Seq[*Row] { return maps.Values(t.rows) }
 
+// SortRows sorts rows by adapter.
+func SortRows(rows []*Row) {
+	slices.SortFunc(rows, func(a, b *Row) int { return strings.Compare(string(a.Adapter), string(b.Adapter)) })
+}
+
+// Drained returns the backend servers that operators have taken out of use,
+// sorted.
+func (t *Table) Drained() []units.BackendServerID {
+	var drained []units.BackendServerID
+	for server, d := range t.drains {
+		if d.Leaving {
+			drained = append(drained, server)
+		}
+	}
+	slices.Sort(drained)
+	return drained
+}
+
 // ServerLeaving reports whether operators have taken server out of use.
 func (t *Table) ServerLeaving(server units.BackendServerID) bool {
 	return t.drains[server].Leaving
--- a/internal/node/admin/edit.go
+++ b/internal/node/admin/edit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"mime"
 	"time"
 
 	"mangostile/internal/node/render"
@@ -48,11 +49,19 @@
 
 const editTimeout = 30 * time.Second
 
+// editType is the type of an edit's body. Pages of other origins can't send it
+// without asking first, and are not answered.
+const editType = "application/json"
+
 func (a *api) edit(ctx *fasthttp.RequestCtx, operator string) {
 	if !ctx.IsPost() {
 		fail(ctx, fasthttp.StatusMethodNotAllowed, "use POST")
 		return
 	}
+	if mediaType, _, _ := mime.ParseMediaType(string(ctx.Request.Header.ContentType())); mediaType != editType {
+		fail(ctx, fasthttp.StatusUnsupportedMediaType, "send the edit with Content-Type: "+editType)
+		return
+	}
 	var request EditRequest
 	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
 		fail(ctx, fasthttp.StatusBadRequest, "POST a JSON object with cells, or with read_at, columns and rows: "+err.Error())
--- a/internal/node/admin/page/status.js
+++ b/internal/node/admin/page/status.js
@@ -1,6 +1,6 @@
 // Shows entry VMs, backend servers, loads and open requests.
 
-import { call } from "./api.js";
+import { call, sendEdit } from "./api.js";
 import { byID, cardTable, element } from "./dom.js";
 
 const PERIOD_MS = 2000;
@@ -10,6 +10,7 @@
   // Calls onStatus with each answer.
   constructor(onStatus) {
     this.onStatus = onStatus;
+    byID("view-status").addEventListener("click", (event) => this.onClick(event.target));
     this.visible = false;
     setInterval(() => this.poll(), PERIOD_MS);
   }
@@ -31,7 +32,27 @@
     }
   }
 
+  // Drains a backend server or puts it back, by an edit of its cell.
+  async onClick(button) {
+    const { server, state } = button.dataset;
+    if (!server || !confirm(state === "leaving" ? `Give ${server} no new work?` : `Give ${server} work again?`)) {
+      return;
+    }
+    button.disabled = true;
+    const cell = { adapter: "backend_server:" + server, column: "state", value: state, read_at: this.revision };
+    try {
+      const answer = await sendEdit([cell], false);
+      if (answer.kind !== "accepted") {
+        alert(answer.message || answer.faults[0].remedy);
+      }
+    } catch (error) {
+      alert(error.message);
+    }
+    this.poll();
+  }
+
   render(status) {
+    this.revision = status.revision;
     const servers = status.backend_servers || [];
     const loading = servers.reduce((sum, s) => sum + (s.loading || []).length, 0);
     const waiting = servers.reduce((sum, s) => sum + s.waiting, 0);
@@ -46,7 +67,7 @@
       cardTable(["Entry VM", "Failure domain", "State", "Revision", "Heard"], status.entry_vms.map((m) => memberRow(m, status.failure_domain))),
       ...otherDomains(status),
       element("h2", {}, "Backend servers of " + status.failure_domain),
-      cardTable(["Backend server", "Serves", "Owner", "State", "Running", "Waiting", "Adapters loaded", "Loading"], servers.map(serverRow)));
+      cardTable(["Backend server", "Serves", "Owner", "State", "Running", "Waiting", "Adapters loaded", "Loading", ""], servers.map(serverRow)));
   }
 }
 
@@ -86,6 +107,7 @@
   return [
     s.id, s.base || s.service || "", s.owner || "–", mark(state, state === "usable"),
     s.kind === "engine" ? `${s.running} of ${s.batch_max || 0}` : "–", s.kind === "engine" ? s.waiting : "–", adapterList(s), versions(s.loading),
+    element("button", { dataset: { server: s.id, state: s.drained ? "live" : "leaving" } }, s.drained ? "Put back" : "Drain"),
   ];
 }
 
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -18,14 +18,20 @@
 	Help []string `json:"help"`
 	// Rows hold the key column first and then one text for each column.
 	Rows [][]string `json:"rows"`
+	// Drained lists the backend servers that the table takes out of use.
+	Drained []units.BackendServerID `json:"drained,omitempty"`
 }
 
 func (a *api) showTable(ctx *fasthttp.RequestCtx) {
 	answer := Table{Columns: table.Columns(), Rows: [][]string{}}
 	var rows []*table.Row
-	if !a.look(ctx, func(c *entry.Core) { answer.Revision, rows = c.Table.Next(), c.Table.Rows() }) {
+	if !a.look(ctx, func(c *entry.Core) {
+		answer.Revision, answer.Drained = c.Table.Next(), c.Table.Drained()
+		rows = c.Table.UnsortedRows()
+	}) {
 		return
 	}
+	table.SortRows(rows)
 	for _, column := range answer.Columns {
 		answer.Help = append(answer.Help, table.ColumnHelp(column))
 	}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/table"
 	"mangostile/internal/node/certs"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/links"
@@ -222,13 +223,13 @@
 	limit, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	var models []units.AdapterVersion
-	s.Look(limit, func(c *entry.Core) {
-		for _, row := range c.Table.Rows() {
-			if !row.Enabled || !row.Allows(caller) {
-				continue
-			}
+	var rows []*table.Row
+	s.Look(limit, func(c *entry.Core) { rows = c.Table.UnsortedRows() })
+	table.SortRows(rows)
+	for _, row := range rows {
+		if row.Enabled && row.Allows(caller) {
 			models = append(models, units.AdapterVersion{Adapter: row.Adapter})
 		}
-	})
+	}
 	return models
 }
--- a/internal/oper/cmds/script_test.go
+++ b/internal/oper/cmds/script_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/fake/logs"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/server"
 
@@ -25,7 +30,9 @@
 		Setup: startScriptNodes,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"complete":   completeInScript,
+			"logfaults":  setLogFaults,
 			"mangostile": runScriptCommand,
+			"writerows":  writeRows,
 		},
 		RequireUniqueNames: true,
 	})
@@ -36,7 +43,9 @@
 func startScriptNodes(env *testscript.Env) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &demo{w: &strings.Builder{}}
+	stuck := time.AfterFunc(joinTimeout, cancel)
 	err := d.start(ctx, false)
+	stuck.Stop()
 	env.Defer(func() {
 		cancel()
 		if d.standin != nil {
@@ -113,6 +122,42 @@
 	ts.Setenv("REQUEST", string(resp.Header.Peek(edge.HeaderRequestID)))
 	fmt.Fprintf(ts.Stdout(), "%d %s\n", resp.StatusCode(), resp.Header.Peek(edge.HeaderBackendServer))
 	if neg != (resp.StatusCode() != fasthttp.StatusOK) {
+		for _, s := range ts.Value("demo").(*demo).servers {
+			lines, _ := s.Explain(units.RequestID(ts.Getenv("REQUEST")))
+			ts.Logf("%+v", lines)
+		}
 		ts.Fatalf("status %d: %s", resp.StatusCode(), resp.Body())
 	}
 }
+
+// setLogFaults sets the failures of the log service: logfaults [down]
+// [lose_answers].
+func setLogFaults(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("logfaults can't fail")
+	}
+	d := ts.Value("demo").(*demo)
+	d.standin.Log.SetFaults(logs.Faults{Down: slices.Contains(args, "down"), LoseAnswers: slices.Contains(args, "lose_answers")})
+}
+
+// writeRows writes a CSV file with many rows: writerows FILE COUNT WEIGHT
+// [EXPORT]. Their revision is that of the file EXPORT.
+func writeRows(ts *testscript.TestScript, neg bool, args []string) {
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	if neg {
+		ts.Fatalf("writerows can't fail")
+	}
+	revision := ""
+	if len(args) > 3 {
+		exported, err := readSheet(args[3], "")
+		ts.Check(err)
+		revision = fmt.Sprint(exported.Revision)
+	}
+	var text strings.Builder
+	text.WriteString("adapter,base,versions,callers,weight,read_at\n")
+	for i := range count {
+		fmt.Fprintf(&text, "adapter-%05d,straw-7b,\"v1:90,v2:10\",\"guild,kanoride\",%s,%s\n", i, args[2], revision)
+	}
+	ts.Check(os.WriteFile(args[0], []byte(text.String()), 0o600))
+}
--- a/internal/oper/cmds/tableshow.go
+++ b/internal/oper/cmds/tableshow.go
@@ -135,6 +135,9 @@
 	if err := out.Flush(); err != nil {
 		return errors.Wrap(err, "write table")
 	}
+	if len(s.Drained) > 0 {
+		fmt.Fprintf(w, "backend servers drained: %v\n", s.Drained)
+	}
 	fmt.Fprintf(w, "%d rows at revision %d\n", len(s.Rows), s.Revision)
 	return nil
 }
--- a/internal/oper/sheet/sheet.go
+++ b/internal/oper/sheet/sheet.go
@@ -20,6 +20,9 @@
 	Columns []string `json:"columns"`
 	// Rows is sorted by adapter once Sort was called.
 	Rows []Row `json:"rows"`
+	// Drained lists backend servers that the table takes out of use. It is shown
+	// and not part of an import.
+	Drained []units.BackendServerID `json:"drained,omitempty"`
 }
 
 // NoRevision is the revision of a sheet that does not say when it was read.
