--- a/internal/oper/trials/deployment_test.go
+++ b/internal/oper/trials/deployment_test.go
@@ -271,6 +271,7 @@
 	req, err := http.NewRequest(method, "http://"+address+path, jsonBody(value))
 	must.NoError(d.t, err)
 	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	req.Header.Set("Content-Type", "application/json")
 	resp, err := httpClient.Do(req)
 	if err != nil {
 		return 0, []byte(err.Error())
