Hold refused completions against the engines' run lists

Cause: a completion refused with ran: no was believed; only actions were held against a list of what ran.

Change: the engine stand-in lists the requests that it began (GET /runs); the load tool counts requests refused as not run that are on a list, as a fault.

Conclusion: each ran: no that callers see is checked.

--- a/internal/fake/engine/batch.go
+++ b/internal/fake/engine/batch.go
@@ -69,6 +69,7 @@
 		e.queue = e.queue[1:]
 		e.batch[w.run] = true
 		e.counters.Requests++
+		e.begun = append(e.begun, w.run.work.ID)
 		close(w.entered)
 	}
 	e.noteLoad()
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -75,7 +75,9 @@
 	crossing crosser
 	faults   Faults
 	counters Counters
-	steps    float64
+	// begun lists the requests that entered the batch, also before a crash.
+	begun []units.RequestID
+	steps float64
 }
 
 // Counters count what must never happen, and the work done.
@@ -104,6 +106,13 @@
 	CachedTokens int `json:"cached_tokens"`
 }
 
+// Begun returns the ids of the requests that have begun to run so far.
+func (e *Engine) Begun() []units.RequestID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]units.RequestID{}, e.begun...)
+}
+
 // NeverEvents sums what must never happen.
 func (c *Counters) NeverEvents() int { return c.WrongAdapter + c.EvictedRunning + c.OldOrdersTaken }
 
--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -37,6 +37,8 @@
 		render.JSON(ctx, fasthttp.StatusOK, e.CacheEvents(int64(ctx.QueryArgs().GetUintOrZero("after"))))
 	case "/counters":
 		render.JSON(ctx, fasthttp.StatusOK, e.Counters())
+	case "/runs":
+		render.JSON(ctx, fasthttp.StatusOK, e.Begun())
 	case "/fault":
 		e.handleFault(ctx)
 	default:
--- a/internal/oper/load/answer_test.go
+++ b/internal/oper/load/answer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 
 	"github.com/pkg/errors"
@@ -71,6 +72,16 @@
 	}
 }
 
+func TestRefusedButRan(t *testing.T) {
+	r := newResults()
+	call := &Call{Kind: KindLetter, Adapter: units.AdapterVersion{Adapter: "braid"}}
+	for id, ran := range map[string]errs.Ran{"not-run": errs.RanNo, "ran": errs.RanNo, "unknown": errs.RanUnknown} {
+		r.add(&answer{call: call, requestIDs: []string{"first-try", id}, err: &RefusedError{errs.Refusal{Code: errs.CodeNoCapacity, Ran: ran}}}, time.Now(), true)
+	}
+	report := Report{RefusedButRan: r.refusedButRan(map[string]bool{"ran": true, "unknown": true, "first-try": true})}
+	must.Eq(t, []string{"1 requests run but refused as not run"}, report.Faults())
+}
+
 func TestCheckActions(t *testing.T) {
 	r := newResults()
 	r.actions = map[string]*actionResult{
--- a/internal/oper/load/report.go
+++ b/internal/oper/load/report.go
@@ -34,11 +34,14 @@
 	Wrong int `json:"wrong"`
 	// Cut counts tries that broke off and were asked for again, CutRequests names
 	// the first of them.
-	Cut         int          `json:"cut"`
-	CutRequests []string     `json:"cut_requests,omitempty"`
-	Examples    []string     `json:"examples,omitempty"`
-	Stalls      StallReport  `json:"load_stalls"`
-	Actions     ActionReport `json:"actions"`
+	Cut         int      `json:"cut"`
+	CutRequests []string `json:"cut_requests,omitempty"`
+	// RefusedButRan counts requests that were refused as not run although an
+	// engine began them. It must be 0.
+	RefusedButRan int          `json:"refused_but_ran"`
+	Examples      []string     `json:"examples,omitempty"`
+	Stalls        StallReport  `json:"load_stalls"`
+	Actions       ActionReport `json:"actions"`
 	// BatchEfficiency is the mean fill of the batches over all steps that the
 	// engines took, 0 to 1.
 	BatchEfficiency float64  `json:"batch_efficiency"`
@@ -113,6 +116,7 @@
 	}{
 		{r.Lost, "answers lost"},
 		{r.Wrong, "answers wrong"},
+		{r.RefusedButRan, "requests run but refused as not run"},
 		{r.Actions.SecondRuns, "second runs of an action"},
 		{r.Actions.AnsweredNotRun, "actions answered but not run"},
 		{r.Actions.ToldNotRunButRan, "actions run but refused as not run"},
--- a/internal/oper/load/results.go
+++ b/internal/oper/load/results.go
@@ -36,6 +36,9 @@
 	cuts     []string
 	lost     int
 	wrong    int
+	// toldNotRun holds the ids of requests to engines that were refused as not
+	// run.
+	toldNotRun []string
 	// warmUp counts answers and refusals of the warm-up.
 	warmUp int
 	// unsent counts calls that the tool had no room for.
@@ -99,6 +102,9 @@
 	}
 	var refused *RefusedError
 	var wrong *WrongAnswerError
+	if errors.As(a.err, &refused) && refused.Ran == errs.RanNo && a.call.Adapter.Adapter != "" {
+		r.toldNotRun = append(r.toldNotRun, a.requestIDs[len(a.requestIDs)-1])
+	}
 	switch {
 	case a.err == nil && !warm:
 		r.warmUp++
@@ -156,6 +162,18 @@
 	}
 }
 
+// refusedButRan counts the requests that were refused as not run although an engine
+// began them.
+func (r *results) refusedButRan(begun map[string]bool) int {
+	n := 0
+	for _, id := range r.toldNotRun {
+		if begun[id] {
+			n++
+		}
+	}
+	return n
+}
+
 // checkActions compares what the callers were told with what the services ran.
 func (r *results) checkActions(runs map[string]int) ActionReport {
 	report := ActionReport{Keys: len(r.actions)}
--- a/internal/oper/load/run.go
+++ b/internal/oper/load/run.go
@@ -135,11 +135,15 @@
 	if err != nil {
 		return nil, err
 	}
+	begun, err := fakes.begun()
+	if err != nil {
+		return nil, err
+	}
 	res := r.results
 	report := &Report{
 		Date: time.Now().UTC().Format(time.RFC3339), Seed: r.plan.Seed, Entries: len(r.plan.Entries), Adapters: len(r.plan.Adapters),
 		Rate: r.plan.Rate, DurationMS: r.plan.Duration.Milliseconds(), WarmUpMS: r.plan.WarmUp.Milliseconds(), Refusals: res.refusals, Lost: res.lost, Wrong: res.wrong,
-		Cut: len(res.cuts), CutRequests: res.cuts[:min(len(res.cuts), maxCutRequests)], Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
+		Cut: len(res.cuts), CutRequests: res.cuts[:min(len(res.cuts), maxCutRequests)], RefusedButRan: res.refusedButRan(begun), Examples: res.examples, Unsent: res.unsent, Late: quantiles(res.late), spans: res.spans,
 		Standins: Counters{Counters: subtract(after, before)},
 		Stalls:   StallReport{Requests: int(res.stalls.TotalCount()), Times: quantiles(res.stalls)},
 	}
--- a/internal/oper/load/run_test.go
+++ b/internal/oper/load/run_test.go
@@ -43,16 +43,15 @@
 			service.Handle(ctx)
 			return
 		}
-		if string(ctx.Path()) == "/runs" {
-			service.Handle(ctx)
-			return
-		}
 		e.Handle(ctx)
 	})
 	must.NoError(t, err)
 	defer server.Close()
+	lists, err := reply.Listen("127.0.0.1:0", service.Handle)
+	must.NoError(t, err)
+	defer lists.Close()
 	plan := somePlan()
-	plan.Entries, plan.Engines, plan.Services = []string{server.Address()}, []string{server.Address()}, []string{server.Address()}
+	plan.Entries, plan.Engines, plan.Services = []string{server.Address()}, []string{server.Address()}, []string{lists.Address()}
 	plan.Rate, plan.Duration, plan.RepeatShare = 400, 200*time.Millisecond, 0
 	plan.Adapters = []units.AdapterVersion{braid, {Adapter: "letter", Version: "v1"}}
 	var progress strings.Builder
--- a/internal/oper/load/standins.go
+++ b/internal/oper/load/standins.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"mangostile/internal/core/event"
@@ -75,6 +76,23 @@
 	return sum, nil
 }
 
+// begun returns the requests that an engine began to run, by the ids that the
+// callers gave them.
+func (s *standins) begun() (map[string]bool, error) {
+	all := map[string]bool{}
+	for _, address := range s.engines {
+		var ids []string
+		if err := s.get(address, "/runs", &ids); err != nil {
+			return nil, err
+		}
+		for _, id := range ids {
+			given, _, _ := strings.Cut(id, ".")
+			all[given] = true
+		}
+	}
+	return all, nil
+}
+
 // runs returns how often each key ran. Instances that share a list of runs are
 // counted once.
 func (s *standins) runs() (map[string]int, error) {
