--- a/internal/node/admin/page/saving.js
+++ b/internal/node/admin/page/saving.js
@@ -25,7 +25,7 @@
     }
     const changes = [...this.sheet.changes.values()];
     const lines = changes.slice(0, MAX_LISTED).map((c) => [c.adapter, c.column, c.old || "–", c.value || "–"]);
-    byID("review-body").replaceChildren(listing(["Adapter", "Column", "In force when read", "New"], lines));
+    byID("review-body").replaceChildren(listing(["Adapter", "Column", "As read", "New"], lines));
     byID("review-title").textContent = `Review and save: ${changes.length} ${changes.length === 1 ? "cell" : "cells"}`;
     byID("review-error").textContent = "";
     byID("review").showModal();
