--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -51,7 +51,10 @@
 	// shares divides limits between the entry VMs of the failure domain.
 	shares  admit.Shares
 	limiter admit.Limiter
-	placing placing
+	// backlog is what was last announced of the loads that wait, at backlogAt.
+	backlog   int
+	backlogAt clock.Millis
+	placing   placing
 	// retries bounds what is tried again after a failure.
 	retries retry.Budget
 	// requests holds all requests that have not ended.
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -6,6 +6,9 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/core/retry"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 func (c *Core) askGrant(r *request, out *event.Effects) {
@@ -16,6 +19,8 @@
 		}
 		r.state = stateQueued
 		r.tried = nil
+		r.waits++
+		r.tryAt = c.now + retry.Wait(r.waits, xxhash.Sum64String(string(r.ID)))
 		return
 	}
 	if r.Priority <= 0 && r.attempt == 0 && c.now+choice.QueueWait >= r.Deadline {
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -56,6 +56,10 @@
 	// absent is set if the chosen server neither had nor loaded the adapter when
 	// asked for, stalled if it did not have it.
 	absent, stalled bool
+	// waits counts the times that no server could be chosen; the next try comes
+	// at tryAt.
+	waits int32
+	tryAt clock.Millis
 	// runningAt is the instant of the grant.
 	runningAt clock.Millis
 	grant     units.GrantNumber
@@ -106,7 +110,9 @@
 	for _, r := range c.sortedRequests() {
 		switch r.state {
 		case stateQueued:
-			c.advance(r, out)
+			if c.now >= min(r.tryAt, r.Deadline) {
+				c.advance(r, out)
+			}
 		case stateAsking:
 			c.tickAsking(r, out)
 		case stateIntent:
--- a/internal/core/entry/sharing.go
+++ b/internal/core/entry/sharing.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/admit"
@@ -8,12 +9,24 @@
 )
 
 // loadsKey names the weight store's bounds among the shared limits.
-const loadsKey = "store_loads"
+const loadsKey = "loads"
+
+// backlogPeriod is the time after which a backlog that did not change is
+// announced again.
+const backlogPeriod = 5 * clock.Second
 
 // demands returns the own demands for the heartbeat.
 func (c *Core) demands() []peer.Demand {
-	demands := []peer.Demand{{Key: loadsKey, Rate: float32(c.Owner.Backlog())}}
-	demands = append(demands, c.limiter.Demands(c.now)...)
+	demands := c.limiter.Demands(c.now)
+	backlog := c.Owner.Backlog()
+	if backlog != c.backlog {
+		c.backlog = backlog
+		c.backlogAt = 0
+	}
+	if c.now-c.backlogAt >= backlogPeriod {
+		c.backlogAt = c.now
+		demands = append(demands, peer.Demand{Key: loadsKey, Rate: float32(backlog)})
+	}
 	c.heardDemands(c.Members.SelfID(), demands)
 	c.shares.Prune(c.now, c.Members.Members())
 	return demands
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -16,10 +16,14 @@
 // in the choice of the next load.
 const loadAging = 5 * clock.Second
 
-// urgentWithin is the time left to a deadline from which a request weighs
-// urgentWeight times as much in the choice of the next load.
+// soonWithin is the time in which further requests are expected to come and to be
+// spared a wait by a load.
+const soonWithin = 30 * clock.Second
+
+// urgentLeft is the part of a request's time from which on it weighs urgentWeight
+// times as much in the choice of the next load.
 const (
-	urgentWithin = 12 * clock.Second
+	urgentLeft   = 0.4
 	urgentWeight = 20
 )
 
@@ -102,7 +106,7 @@
 				continue
 			}
 			load := wantedLoad{s, a.Adapter}
-			need := o.needs[load] + a.need(now)
+			need := o.needs[load] + a.need(now) + o.Popularity.Rate(now, a.Adapter)*soonWithin.Duration().Seconds()
 			o.needs[load] = need
 			if need > bestNeed {
 				best, bestNeed = load, need
@@ -115,7 +119,7 @@
 // need weighs a request in the choice of the next load.
 func (a *ask) need(now clock.Millis) float64 {
 	need := math.Exp2(float64(a.Priority)/4) * (1 + float64(now-a.askedAt)/float64(loadAging))
-	if a.deadline-now < urgentWithin {
+	if float64(a.deadline-now) < urgentLeft*float64(a.Within) {
 		need *= urgentWeight
 	}
 	return need
--- /dev/null
+++ b/internal/core/retry/budget_test.go
@@ -0,0 +1,41 @@
+package retry
+
+import (
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/proof"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetBoundsRetries mixes requests and retries at random.
+func TestBudgetBoundsRetries(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		var b Budget
+		requests, retries := 0, 0
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "request") == 0 {
+				b.Request()
+				requests++
+			} else if b.Take() {
+				retries++
+			}
+			must.LessEq(t, reserve+perRequest*float64(requests)+1e-6, float64(retries))
+		}
+	})
+}
+
+func TestWaitDoublesAndHoldsBack(t *testing.T) {
+	proof.Check(t, func(t *rapid.T) {
+		n := rapid.Int32Range(1, 40).Draw(t, "try")
+		wait := Wait(n, rapid.Uint64().Draw(t, "draw"))
+		whole := Wait(n, 0)
+		must.Between(t, whole/2, wait, whole)
+		must.LessEq(t, maxWait, whole)
+		must.LessEq(t, Wait(n+1, 0), whole)
+		must.Eq(t, min(firstWait<<min(n-1, 10), maxWait), whole)
+		must.Less(t, 3*clock.Second, whole)
+	})
+}
--- a/internal/core/route/cost.go
+++ b/internal/core/route/cost.go
@@ -19,7 +19,7 @@
 	// since the load takes a slot and a turn of the weight store.
 	copyCost = 4
 	// crowdCost is the cost of each request that runs beside.
-	crowdCost = 6
+	crowdCost = 1
 	// fillGain is the gain of each request that runs beside under an objective
 	// of 1.
 	fillGain = 12
@@ -64,6 +64,10 @@
 	packingSteps = 24
 	// packingSpread breaks ties by hash.
 	packingSpread = 0.05
+	// homeSpread is added to it under an objective of 0: an adapter that comes
+	// back to the server that it was evicted from finds an owner that has counted
+	// its requests.
+	homeSpread = 0.3
 )
 
 // placing is smaller for a server that an adapter is to be loaded on: one with a
@@ -75,7 +79,7 @@
 	if s.Summary.Spare == 0 && s.taken() < int(s.Summary.Slots) {
 		return packingFill * (r.Objective*s.place + (1-r.Objective)*spread)
 	}
-	return packingFill + (1-packingFill)*min(1, float64(s.Summary.Spare)/packingSteps) + packingSpread*spread
+	return packingFill + (1-packingFill)*min(1, float64(s.Summary.Spare)/packingSteps) + (packingSpread+homeSpread*(1-r.Objective))*spread
 }
 
 func (s *Server) taken() int { return len(s.Summary.Resident) + len(s.Summary.Loading) }
