Run several whole runs at the same time

Change: three go on at once by default (-at-once), with ports handed out once each; a failing check in a run's goroutine no longer leaves the run waiting.

--- a/internal/oper/trials/deployment_test.go
+++ b/internal/oper/trials/deployment_test.go
@@ -115,20 +115,19 @@
 
 // copyExample copies the settings with other ports and reads them.
 func (d *deployment) copyExample(source string) {
-	ports := map[string]string{}
-	taken := map[int]bool{}
+	addresses := map[string]string{}
 	files, err := filepath.Glob(filepath.Join(source, "*"))
 	must.NoError(d.t, err)
 	for _, file := range files {
 		text, err := os.ReadFile(file)
 		must.NoError(d.t, err)
 		text = loopbackPort.ReplaceAllFunc(text, func(address []byte) []byte {
-			if ports[string(address)] == "" {
-				port, err := freePort(taken)
+			if addresses[string(address)] == "" {
+				port, err := freePort()
 				must.NoError(d.t, err)
-				ports[string(address)] = fmt.Sprintf("127.0.0.1:%d", port)
+				addresses[string(address)] = fmt.Sprintf("127.0.0.1:%d", port)
 			}
-			return []byte(ports[string(address)])
+			return []byte(addresses[string(address)])
 		})
 		must.NoError(d.t, os.WriteFile(filepath.Join(d.dir, filepath.Base(file)), text, 0o644))
 	}
--- a/internal/oper/trials/network_test.go
+++ b/internal/oper/trials/network_test.go
@@ -197,19 +197,24 @@
 	}
 }
 
-// freePort returns a free port of loopback below the range that outgoing
-// connections take.
-func freePort(taken map[int]bool) (int, error) {
-	for port := *firstPort; port < 32000; port++ {
-		if taken[port] {
-			continue
-		}
+// ports hands out free ports of loopback below the range that outgoing connections
+// take, each once.
+var ports struct {
+	mu   sync.Mutex
+	next int
+}
+
+func freePort() (int, error) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	for ports.next = max(ports.next, *firstPort); ports.next < 32000; {
+		port := ports.next
+		ports.next++
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
 		_ = listener.Close()
-		taken[port] = true
 		return port, nil
 	}
 	return 0, fmt.Errorf("no free port")
--- a/internal/oper/trials/wholerun_test.go
+++ b/internal/oper/trials/wholerun_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 )
 
 var (
+	atOnce    = flag.Int("at-once", 3, "`number` of whole runs at the same time")
 	recordDir = flag.String("record", "", "`directory` to write whole-runs.json and whole-runs.md to")
 	firstPort = flag.Int("port", 22000, "first `port` to use, so that two of these commands may run at once")
 	seed      = flag.Uint64("seed", 20261204, "seed of the schedules")
@@ -64,8 +66,12 @@
 var tokens = map[string]string{"guild": "village-app-token", "kanoride": "store-app-token"}
 
 func TestWholeRun(t *testing.T) {
+	places := make(chan struct{}, *atOnce)
 	for _, run := range trials {
 		t.Run(run.name, func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
 			result := runTrial(t, run)
 			if *recordDir != "" {
 				must.NoError(t, writeRecord(*recordDir, result))
@@ -92,11 +98,11 @@
 	ctx, cancel := context.WithTimeout(t.Context(), plan.Duration+plan.Deadline+time.Minute)
 	defer cancel()
 	go func() {
-		if run.during == nil {
-			notes <- nil
-			return
+		// A check that fails ends the goroutine, and with it the run's notes.
+		defer close(notes)
+		if run.during != nil {
+			notes <- run.during(ctx, d)
 		}
-		notes <- run.during(ctx, d)
 	}()
 	report, err := load.Run(ctx, plan, testWriter{t})
 	must.NoError(t, err)
@@ -146,8 +152,12 @@
 
 var _ io.Writer = testWriter{}
 
+var recordMu sync.Mutex
+
 // writeRecord replaces the run's part of the record.
 func writeRecord(dir string, result *outcome) error {
+	recordMu.Lock()
+	defer recordMu.Unlock()
 	path := filepath.Join(dir, "whole-runs.json")
 	var all []*outcome
 	if body, err := os.ReadFile(path); err == nil {
@@ -179,7 +189,8 @@
 
 Written by the command below; each run starts one process for the stand-ins and
 one for each of the 7 entry VMs, with the settings of examples/, on loopback and
-with the delays between failure domains and regions of the brief.
+with the delays between failure domains and regions of the brief. Three runs go on
+at the same time unless -at-once says otherwise; all together take about 7 minutes.
 
     go test -tags wholerun -count 1 -timeout 30m ./internal/oper/trials -args -record ../../../docs/measurements
 
