Send on what the own failure domain can't serve

Cause: a request that reached an entry VM whose failure domain had no usable engine of the base model, or no instance of the service, waited until its deadline while other failure domains could have served it.

Change: after 1 s it is sent to an entry VM of another failure domain, own region first, as a caller would send it. It is not sent on twice; an action only before its intent is placed here, and to a third place only after ran: no. What crosses to another region is bounded by a share of the link and counted by region. Off with TLS on the callers' address.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -70,11 +70,16 @@
 }
 
 func (c *Core) advanceService(r *request, out *event.Effects) {
-	if !r.Idempotent && !r.intent.won {
+	choice := c.Router.Service(c.now, r.Service, r.tried)
+	// An action whose intent was placed here must not be sent on: the intent of
+	// another entry VM would come second.
+	if choice.Server == nil && r.intent.appends == 0 && c.forward(r, c.Router.HasService(r.Service), out) {
+		return
+	}
+	if !r.Idempotent && !r.intent.won && (choice.Server != nil || r.intent.appends > 0) {
 		c.placeIntent(r, out)
 		return
 	}
-	choice := c.Router.Service(c.now, r.Service, r.tried)
 	if choice.Server == nil {
 		r.state = stateQueued
 		r.tried = nil
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/core/owner"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/place"
+	"mangostile/internal/core/relay"
 	"mangostile/internal/core/retry"
 	"mangostile/internal/core/route"
 	"mangostile/internal/core/table"
@@ -55,6 +56,10 @@
 	backlog   int
 	backlogAt clock.Millis
 	placing   placing
+	// relay sends requests to other failure domains.
+	relay relay.Relay
+	// forwardedAt holds the last instant for each base model and service.
+	forwardedAt map[string]clock.Millis
 	// retries bounds what is tried again after a failure.
 	retries retry.Budget
 	// requests holds all requests that have not ended.
@@ -87,12 +92,13 @@
 
 // New returns a core that has seen no event.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, requests: map[units.RequestID]*request{}, edits: map[units.RecordID]*pendingEdit{}, outcomes: map[units.RecordID]*pendingOutcome{}}
+	c := &Core{cfg: cfg, requests: map[units.RequestID]*request{}, edits: map[units.RecordID]*pendingEdit{}, forwardedAt: map[string]clock.Millis{}, outcomes: map[units.RecordID]*pendingOutcome{}}
 	c.Members.Self = cfg.Self
 	c.Owner.Self = units.EntryVMID(cfg.Self.ID)
 	c.Owner.Incarnation = cfg.Incarnation
 	c.Owner.Objective = cfg.Policy.Objective
 	c.Owner.Budget.Policy = cfg.Policy
+	c.relay.BytesPerSecond = cfg.Policy.LinkBytesPerSecond
 	c.Owner.Copies = c.Router.Copies
 	c.Router.Objective = cfg.Policy.Objective
 	return c
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -26,6 +26,10 @@
 	if kind.Ran() == errs.RanUnknown {
 		r.ran = errs.RanUnknown
 	}
+	if r.forwardedTo != "" {
+		c.forwardDone(r, ev.Result, out)
+		return
+	}
 	if !r.Idempotent {
 		c.actionDone(r, ev.Result, out)
 		return
--- /dev/null
+++ b/internal/core/entry/forward_test.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/errs"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/shoenig/test/must"
+)
+
+// farVM is an entry VM of another failure domain.
+var farVM = event.VM{
+	ID: "entry-9", Address: "127.0.0.1:9", ServeAddress: "127.0.0.1:99", FailureDomain: "matara", Region: "south", Entry: true, State: event.VMLive,
+}
+
+func modelRequest(id units.RequestID) event.Request {
+	return event.Request{ID: id, Caller: "guild", Adapter: units.AdapterVersion{Adapter: "braid"}, Idempotent: true}
+}
+
+// dispatches returns the dispatches among the effects and drops all effects.
+func dispatches(out *event.Effects) []event.Dispatch {
+	var found []event.Dispatch
+	for _, effect := range out.List {
+		if d, ok := effect.(event.Dispatch); ok {
+			found = append(found, d)
+		}
+	}
+	out.Reset()
+	return found
+}
+
+func refusals(out *event.Effects) []*errs.Refusal {
+	var found []*errs.Refusal
+	for _, effect := range out.List {
+		if r, ok := effect.(event.Refuse); ok {
+			found = append(found, r.Refusal)
+		}
+	}
+	return found
+}
+
+// TestForwardOnlyWhatTheOwnFailureDomainCantServe lets the only engine of the
+// failure domain go out of use.
+func TestForwardOnlyWhatTheOwnFailureDomainCantServe(t *testing.T) {
+	c, out := startCore(t)
+	c.Step(3010, event.VMsListed{VMs: []event.VM{farVM}}, out)
+	c.Step(3011, event.RequestArrived{Request: modelRequest("kept")}, out)
+	must.SliceEmpty(t, dispatches(out))
+
+	c.Router.Avoid("engine-1", clock.Hour)
+	c.Step(3020, event.RequestArrived{Request: modelRequest("waits")}, out)
+	must.SliceEmpty(t, dispatches(out))
+	c.Step(3020+forwardAfter, event.Tick{}, out)
+	sent := dispatches(out)
+	must.SliceLen(t, 1, sent)
+	must.True(t, sent[0].Forward)
+	must.Eq(t, "127.0.0.1:99", sent[0].Address)
+	must.Eq(t, units.AdapterVersion{Adapter: "braid", Version: "v1"}, sent[0].Adapter)
+
+	c.Step(3020+forwardAfter+1, event.RequestArrived{Request: modelRequest("follows")}, out)
+	must.SliceLen(t, 1, dispatches(out))
+
+	request := modelRequest("came_from_elsewhere")
+	request.Forwarded = true
+	c.Step(4500, event.RequestArrived{Request: request}, out)
+	c.Step(9000, event.Tick{}, out)
+	must.SliceEmpty(t, dispatches(out))
+}
+
+// TestForwardedActionIsNeverSentTwiceWithoutWord checks that an action goes on to
+// another place only while it surely did not run, and never once its intent was
+// placed here.
+func TestForwardedActionIsNeverSentTwiceWithoutWord(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		kind  event.ResultKind
+		again bool
+		ran   errs.Ran
+	}{
+		{"not reached", event.ResultNotSent, true, ""},
+		{"refused there", event.ResultNotRun, true, ""},
+		{"broke off", event.ResultBroken, false, errs.RanUnknown},
+		{"timed out", event.ResultTimeout, false, errs.RanUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			other := farVM
+			other.ID, other.FailureDomain = "entry-8", "kandy"
+			c := New(Config{
+				Self: event.VM{ID: "entry-1", FailureDomain: "galle", Region: "south", Entry: true}, Incarnation: 1,
+				VMs: []event.VM{farVM, other}, Services: map[units.ServiceName]Service{"ledger": {}},
+			})
+			out := &event.Effects{}
+			c.Step(1000, event.RecordsRead{Stream: event.ConfigStream}, out)
+			key := "1780000000000-a"
+			c.Step(1001, event.RequestArrived{Request: event.Request{ID: "r", Caller: "guild", Service: "ledger", Key: key}}, out)
+			first := dispatches(out)
+			must.SliceLen(t, 1, first)
+			c.Step(1002, event.DispatchDone{Request: "r", Attempt: 1, Result: event.DispatchResult{Kind: tc.kind}}, out)
+			refused := refusals(out)
+			second := dispatches(out)
+			must.Eq(t, tc.again, len(second) == 1)
+			must.Eq(t, !tc.again, len(refused) == 1)
+			if tc.again {
+				must.NotEq(t, first[0].Server, second[0].Server)
+				return
+			}
+			must.Eq(t, tc.ran, refused[0].Ran)
+		})
+	}
+}
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -49,10 +49,14 @@
 	// attempt counts the servers chosen so far.
 	attempt int32
 	// sent counts the attempts that were sent to a server.
-	sent    int32
-	server  units.BackendServerID
-	owner   units.EntryVMID
-	askedAt clock.Millis
+	sent   int32
+	server units.BackendServerID
+	owner  units.EntryVMID
+	// forwardedTo is set while an attempt runs in another failure domain.
+	forwardedTo units.EntryVMID
+	// notForwarded is the last reason for which the request stayed.
+	notForwarded string
+	askedAt      clock.Millis
 	// absent is set if the chosen server neither had nor loaded the adapter when
 	// asked for, stalled if it did not have it.
 	absent, stalled bool
--- a/internal/core/event/effect.go
+++ b/internal/core/event/effect.go
@@ -45,6 +45,8 @@
 	// Forward is set if Address belongs to an entry VM of another failure
 	// domain.
 	Forward bool
+	// Link is the region that a forwarded request goes to.
+	Link units.Region
 }
 
 // Refuse answers a caller with a refusal. It ends the request.
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -14,6 +14,10 @@
 	// Shares is the number of equal shares that the bounds are cut into, one for
 	// each failure domain; 0 is 1.
 	Shares int32
+	// LinkBytesPerSecond bounds what one entry VM sends to and takes from other
+	// regions; 0 is the default of the relay package, less than 0 sends nothing
+	// to other failure domains.
+	LinkBytesPerSecond float64
 }
 
 // DefaultLoadsInFlight is the number of loads that the weight store serves at
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -137,6 +137,17 @@
 // Servers returns all servers sorted by id.
 func (r *Router) Servers() []*Server { return r.order }
 
+// HasEngine reports whether any engine of a base model is known, usable or not.
+func (r *Router) HasEngine(base units.ModelName) bool {
+	return slices.ContainsFunc(r.order, func(s *Server) bool { return s.Spec.Kind == event.KindEngine && s.Spec.Base == base })
+}
+
+// HasService reports whether any instance of a plain service is known, usable or
+// not.
+func (r *Router) HasService(service units.ServiceName) bool {
+	return slices.ContainsFunc(r.order, func(s *Server) bool { return s.Spec.Kind == event.KindService && s.Spec.Service == service })
+}
+
 // Copies returns the number of servers that have av or load it.
 func (r *Router) Copies(av units.AdapterVersion) int { return len(r.copies.places[av]) }
 
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -68,7 +68,7 @@
 // is on its way to the caller.
 func (e *Edge) attempt(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch) bool {
 	req := fasthttp.AcquireRequest()
-	err := fillRequest(req, x, d)
+	err := e.fillRequest(req, x, d)
 	now := e.options.Clock.Now()
 	if err != nil || now >= d.Deadline || d.NotAfter != 0 && now+dialMillis > d.NotAfter {
 		fasthttp.ReleaseRequest(req)
@@ -145,7 +145,7 @@
 	}
 }
 
-func fillRequest(req *fasthttp.Request, x *exchange, d event.Dispatch) error {
+func (e *Edge) fillRequest(req *fasthttp.Request, x *exchange, d event.Dispatch) error {
 	req.Header.SetMethod(x.method)
 	req.SetRequestURI("http://" + d.Address + x.path)
 	req.Header.Set(HeaderRequestID, string(x.request.ID))
@@ -153,6 +153,9 @@
 		req.Header.Set(HeaderKey, x.request.Key)
 	}
 	req.Header.SetContentType(cmp.Or(x.contentType, "application/json"))
+	if d.Forward {
+		e.fillForward(req, x, d)
+	}
 	if x.request.Service != "" {
 		req.SetBody(x.body)
 		return nil
@@ -207,6 +210,7 @@
 		e.done(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
 	}
+	e.noteForwarded(d, len(body))
 	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
 	e.answerHeaders(ctx, x, d)
 	ctx.SetStatusCode(resp.StatusCode())
--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -110,8 +110,12 @@
 	return b.send(req, time.Now().Add(timeout), false)
 }
 
-// cancel tells an engine to stop a request. Whether it does is not known.
+// cancel tells an engine to stop a request. Whether it does is not known. An
+// entry VM that a request was sent on to sees the closed connection.
 func (b *backendClients) cancel(d event.Dispatch) {
+	if d.Forward {
+		return
+	}
 	body := struct {
 		RequestID units.RequestID `json:"request_id"`
 	}{d.Request}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -26,9 +26,12 @@
 
 // Headers of requests and answers.
 const (
-	HeaderRequestID     = "X-Request-Id"
-	HeaderDeadline      = "X-Deadline-Ms"
-	HeaderPriority      = "X-Priority"
+	HeaderRequestID = "X-Request-Id"
+	HeaderDeadline  = "X-Deadline-Ms"
+	HeaderPriority  = "X-Priority"
+	// HeaderForwardedBy names the entry VM that sent the request on. Such a
+	// request is not sent on again.
+	HeaderForwardedBy   = "X-Forwarded-By-Entry-Vm"
 	HeaderAdapter       = "X-Adapter"
 	HeaderBackendServer = "X-Backend-Server"
 	HeaderEntryVM       = "X-Entry-Vm"
@@ -193,11 +196,17 @@
 
 func (e *Edge) readHeaders(ctx *fasthttp.RequestCtx, x *exchange) *errs.Refusal {
 	header := &ctx.Request.Header
-	id, refusal := uniqueRequestID(string(header.Peek(HeaderRequestID)))
+	x.request.Forwarded = len(header.Peek(HeaderForwardedBy)) > 0
+	longest := maxCallerRequestID
+	if x.request.Forwarded {
+		longest = maxForwardedRequestID
+	}
+	id, refusal := uniqueRequestID(string(header.Peek(HeaderRequestID)), longest)
 	if refusal != nil {
 		return refusal
 	}
 	x.request.ID = id
+	x.authorization = string(header.Peek(fasthttp.HeaderAuthorization))
 	if text := string(header.Peek(HeaderDeadline)); text != "" {
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || n < 1 || n > int64(clock.Hour) {
@@ -219,18 +228,22 @@
 	return nil
 }
 
-// maxCallerRequestID is the greatest length of an id that a caller chooses.
-const maxCallerRequestID = 128
+// Greatest lengths of ids that a caller chooses, and of those that another entry
+// VM has made longer.
+const (
+	maxCallerRequestID    = 128
+	maxForwardedRequestID = 256
+)
 
 // uniqueRequestID returns an id that no other request has, anywhere. It begins
 // with the caller's own id if there is one: two requests may bring the same.
-func uniqueRequestID(given string) (units.RequestID, *errs.Refusal) {
+func uniqueRequestID(given string, longest int) (units.RequestID, *errs.Refusal) {
 	unique := uuid.NewString()
 	if given == "" {
 		return units.RequestID(unique), nil
 	}
-	if len(given) > maxCallerRequestID || strings.ContainsFunc(given, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return "", errs.Refuse(errs.CodeBadRequest, "%s must be at most %d printable characters without blanks", HeaderRequestID, maxCallerRequestID)
+	if len(given) > longest || strings.ContainsFunc(given, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", errs.Refuse(errs.CodeBadRequest, "%s must be at most %d printable characters without blanks", HeaderRequestID, longest)
 	}
 	return units.RequestID(given + "." + unique), nil
 }
--- a/internal/node/edge/exchange.go
+++ b/internal/node/edge/exchange.go
@@ -21,7 +21,10 @@
 	method      string
 	path        string
 	contentType string
-	body        []byte
+	// authorization is the caller's, for an entry VM that the request is sent on
+	// to. It is never logged.
+	authorization string
+	body          []byte
 	// commands holds the core's effects for this request, in order.
 	commands chan event.Effect
 	// canceled is closed once the attempt on its way is to be given up.
--- /dev/null
+++ b/internal/node/edge/forward.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	"strconv"
+
+	"mangostile/internal/core/event"
+
+	"github.com/valyala/fasthttp"
+)
+
+// servicesPath is where plain services are reached at an entry VM.
+const servicesPath = "/services/"
+
+// fillForward makes req a request to an entry VM of another failure domain.
+func (e *Edge) fillForward(req *fasthttp.Request, x *exchange, d event.Dispatch) {
+	header := &req.Header
+	if x.request.Service != "" {
+		req.SetRequestURI("http://" + d.Address + servicesPath + string(x.request.Service) + x.path)
+	}
+	if x.authorization != "" {
+		header.Set(fasthttp.HeaderAuthorization, x.authorization)
+	}
+	header.Set(HeaderForwardedBy, string(e.options.EntryVM))
+	header.Set(HeaderDeadline, strconv.FormatInt(int64(d.Deadline-e.options.Clock.Now()), 10))
+	if x.request.Priority != 0 {
+		header.Set(HeaderPriority, strconv.Itoa(int(x.request.Priority)))
+	}
+	e.options.Meter.Forwarded(string(d.Link), len(x.body))
+}
+
+// noteForwarded counts the bytes of an answer that came over a link.
+func (e *Edge) noteForwarded(d event.Dispatch, bytes int) {
+	if d.Forward {
+		e.options.Meter.Forwarded(string(d.Link), bytes)
+	}
+}
--- a/internal/node/edge/request_id_test.go
+++ b/internal/node/edge/request_id_test.go
@@ -22,9 +22,9 @@
 		{"too long", strings.Repeat("x", maxCallerRequestID+1), false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			first, refusal := uniqueRequestID(tc.given)
+			first, refusal := uniqueRequestID(tc.given, maxCallerRequestID)
 			must.Eq(t, tc.ok, refusal == nil)
-			second, _ := uniqueRequestID(tc.given)
+			second, _ := uniqueRequestID(tc.given, maxCallerRequestID)
 			must.Eq(t, tc.ok, first != second)
 			must.True(t, !tc.ok || strings.HasPrefix(string(first), tc.given))
 		})
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -41,6 +41,8 @@
 	// tokens counts events other than the end mark.
 	tokens  int
 	resumes int
+	// bytes counts all that was read.
+	bytes int
 }
 
 // streamEvent is the part of an event that is checked.
@@ -102,6 +104,7 @@
 
 // check checks the event in buf.
 func (s *answerStream) check() (end bool, err error) {
+	s.bytes += len(s.buf)
 	data, ok := bytes.CutPrefix(s.buf, dataPrefix)
 	if !ok {
 		return false, nil
@@ -214,6 +217,7 @@
 // endStream tells the core how a stream ended, and the caller if it broke off.
 func (e *Edge) endStream(w *bufio.Writer, s *answerStream, kind event.ResultKind) {
 	defer e.exchanges.remove(s.x.request.ID)
+	e.noteForwarded(s.d, s.bytes)
 	e.done(s.d, event.DispatchResult{Kind: kind, CallerGotBytes: true})
 	switch kind {
 	case event.ResultServed:
--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// Forwarded counts bytes of requests sent on to a region and of their answers.
+func (m *Meter) Forwarded(region string, bytes int) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"region": region}).Counter("forwarded_bytes_total").Inc(int64(bytes))
+	}
+}
+
 // Set sets a gauge. Tags are names and values in turn.
 func (m *Meter) Set(name string, value float64, tags ...string) {
 	if m == nil {
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -152,9 +152,15 @@
 		Policy: place.Policy{
 			Objective: settings.Policy.Objective, LoadsPerSecond: settings.Policy.LoadsPerSecond,
 			LoadsInFlight: settings.Policy.LoadsInFlight, Shares: settings.Policy.FailureDomains,
+			LinkBytesPerSecond: settings.Policy.LinkBytesPerSecond,
 		},
 		Services: map[units.ServiceName]entry.Service{},
 	}
+	if settings.TLS.ServeCertificateFile != "" {
+		// The caller's token must not leave the VM unencrypted, and a certificate
+		// can't be checked by an IP number.
+		cfg.Policy.LinkBytesPerSecond = -1
+	}
 	for _, s := range settings.Services {
 		cfg.Services[s.Name] = entry.Service{Deadline: s.DeadlineMS}
 	}
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -73,13 +73,17 @@
 	if p.FailureDomains < 0 || p.FailureDomains > maxFailureDomains {
 		c.fault("policy.failure_domains", errorOutOfRange, p.FailureDomains, 0, maxFailureDomains)
 	}
+	if math.IsNaN(p.LinkBytesPerSecond) || p.LinkBytesPerSecond < 0 && p.LinkBytesPerSecond != -1 || p.LinkBytesPerSecond > maxLinkBytesPerSecond {
+		c.fault("policy.link_bytes_per_second", errorOutOfRange, p.LinkBytesPerSecond, 0, int64(maxLinkBytesPerSecond))
+	}
 }
 
 // Bounds of the policy.
 const (
-	maxLoadsPerSecond = 10000
-	maxLoadsInFlight  = 10000
-	maxFailureDomains = 1000
+	maxLoadsPerSecond     = 10000
+	maxLoadsInFlight      = 10000
+	maxFailureDomains     = 1000
+	maxLinkBytesPerSecond = 1_000_000_000
 )
 
 func checkPrincipals(array string, principals []Principal, c *checker) {
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -39,6 +39,10 @@
 	// FailureDomains is the number of failure domains that share the store, each
 	// with an equal part; 0 is 1.
 	FailureDomains int32 `toml:"failure_domains"`
+	// LinkBytesPerSecond bounds what this entry VM sends to and takes from other
+	// regions for requests that its own failure domain can't serve; 0 is 65536,
+	// -1 keeps all requests in the own failure domain.
+	LinkBytesPerSecond float64 `toml:"link_bytes_per_second"`
 }
 
 // EntryVM describes the own entry VM.
