Make the HTTP clients that never retry in one place

Cause: the edge and the system each built such a client and told apart what was not sent, in two ways. Change: package call does both. Measured: the tests of the edge and the system that break kept connections pass. Conclusion: one rule says what was not sent.

--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"strings"
 	"time"
 
@@ -10,6 +9,7 @@
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/plat/call"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -18,12 +18,10 @@
 // Bounds of the connections to one backend server.
 const (
 	maxConnsPerServer = 2048
-	maxIdleConn       = 30 * time.Second
-	dialTimeout       = time.Second
 	cancelTimeout     = time.Second
 	// dialMillis is the longest time from the check of a right to send up to the
 	// first byte.
-	dialMillis = clock.Millis(dialTimeout / time.Millisecond)
+	dialMillis = clock.Millis(call.DialTimeout / time.Millisecond)
 )
 
 // backendClients holds the connections to backend servers. Its clients never repeat a
@@ -38,39 +36,10 @@
 }
 
 func (b *backendClients) init() {
-	b.pooled = newClient()
-	b.fresh = newClient()
-}
-
-func newClient() fasthttp.Client {
-	return fasthttp.Client{
-		Name:                      "mangostile",
-		MaxConnsPerHost:           maxConnsPerServer,
-		MaxIdleConnDuration:       maxIdleConn,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		StreamResponseBody:        true,
-		Dial:                      dial,
-	}
-}
-
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
-// dialError tells that no connection could be opened, so that no byte was sent.
-type dialError struct{ err error }
-
-// Error implements error.
-func (e *dialError) Error() string { return "dial: " + e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.err }
-
-func dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, dialTimeout)
-	if err != nil {
-		return nil, &dialError{err}
-	}
-	return conn, nil
+	b.pooled = call.NewClient(maxConnsPerServer)
+	b.fresh = call.NewClient(maxConnsPerServer)
+	b.pooled.StreamResponseBody = true
+	b.fresh.StreamResponseBody = true
 }
 
 // send sends req once and waits for the head of the answer.
@@ -157,8 +126,7 @@
 // resultOfError classifies an error of a call. Only errors before the first byte
 // of the request may say that it was not sent.
 func resultOfError(err error) event.ResultKind {
-	var notDialed *dialError
-	if errors.As(err, &notDialed) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if call.NotSent(err) {
 		return event.ResultNotSent
 	}
 	var timeout interface{ Timeout() bool }
--- a/internal/plat/system/real_system.go
+++ b/internal/plat/system/real_system.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/plat/call"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -35,7 +35,10 @@
 
 // DialTimeout is the longest time between the call of a method and the first byte
 // that it sends.
-const DialTimeout = clock.Second
+const DialTimeout = clock.Millis(call.DialTimeout / time.Millisecond)
+
+// maxConnsPerAddress bounds the connections to one address.
+const maxConnsPerAddress = 256
 
 // Timeouts of calls.
 const (
@@ -49,20 +52,10 @@
 func NewRealSystem(logAddress, vmListAddress string) *RealSystem {
 	return &RealSystem{
 		LogAddress: logAddress, VMListAddress: vmListAddress,
-		client: fasthttp.Client{
-			Name:                      "mangostile",
-			MaxConnsPerHost:           256,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, DialTimeout.Duration())
-			},
-		},
+		client: call.NewClient(maxConnsPerAddress),
 	}
 }
 
-func neverRetry(_ *fasthttp.Request, _ int, _ error) (resetTimeout, retry bool) { return false, false }
-
 // AppendRecords implements System.
 func (s *RealSystem) AppendRecords(ctx context.Context, stream units.StreamName, records []NewRecord) (units.Offset, error) {
 	request := struct {
@@ -213,8 +206,7 @@
 
 // wrapCallError tells calls that surely were not sent from all others.
 func wrapCallError(what string, err error) error {
-	var opError *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &opError) && opError.Op == "dial" || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if call.NotSent(err) {
 		return &NotTakenError{What: what, Err: err}
 	}
 	return errors.Wrap(err, what)
