Learn no service time from answers of other failure domains

Cause: a request that was sent on has no instant of its own grant, so its end taught the router the entry VM's whole uptime as an engine's service time; new requests would then be refused as overloaded.

Change: the end of a forwarded attempt teaches nothing.

Measured: the new test saw a queue wait above a minute before, and passes now.

--- a/internal/core/entry/admission.go
+++ b/internal/core/entry/admission.go
@@ -62,5 +62,6 @@
 	if r.Deadline == 0 {
 		r.Deadline = c.now + row.Deadline
 	}
+	c.asked.Note(c.now, r.adapter)
 	return c.limit(r)
 }
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -60,6 +60,11 @@
 	relay relay.Relay
 	// forwardedAt holds the last instant for each base model and service.
 	forwardedAt map[string]clock.Millis
+	// asked counts the requests that came to this entry VM.
+	asked         place.Popularity
+	askedPrunedAt clock.Millis
+	// engines counts those of the own region by base model.
+	engines map[units.ModelName]relay.Engines
 	// retries bounds what is tried again after a failure.
 	retries retry.Budget
 	// requests holds all requests that have not ended.
@@ -237,6 +242,7 @@
 	c.summarize(out)
 	c.placeCopies(out)
 	c.tickRequests(out)
+	c.pruneAsked()
 	c.tickEdits(out)
 	c.tickOutcomes(out)
 }
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -40,7 +40,7 @@
 // noteEnd tells the router of the end of an attempt.
 func (c *Core) noteEnd(r *request, kind event.ResultKind) {
 	var service clock.Millis
-	if kind == event.ResultServed && r.Service == "" {
+	if kind == event.ResultServed && r.Service == "" && r.forwardedTo == "" {
 		service = c.now - r.runningAt
 	}
 	c.Router.Ended(r.server, service)
--- a/internal/core/entry/forward.go
+++ b/internal/core/entry/forward.go
@@ -5,6 +5,7 @@
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/member"
 	"mangostile/internal/core/relay"
 )
 
@@ -33,20 +34,25 @@
 		c.noteNotForwarded(r, choice.Reason, out)
 		return false
 	}
+	c.forwardedAt[forwardKind(r)] = c.now
+	c.sendOn(r, choice.Peer, choice.Reason, out)
+	return true
+}
+
+// sendOn dispatches a request to an entry VM of another failure domain.
+func (c *Core) sendOn(r *request, to *member.Peer, reason string, out *event.Effects) {
 	r.attempt++
 	r.sent++
 	r.state = stateRunning
-	r.server = units.BackendServerID(choice.Peer.ID)
-	r.forwardedTo = choice.Peer.ID
-	c.forwardedAt[forwardKind(r)] = c.now
-	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(choice.Peer.ID), Reason: choice.Reason, Pairs: []any{
-		"failure_domain", choice.Peer.FailureDomain, "region", choice.Peer.Region, "attempt", r.attempt,
+	r.server = units.BackendServerID(to.ID)
+	r.forwardedTo = to.ID
+	out.Add(event.Decision{Area: "route", Request: r.ID, Choice: string(to.ID), Reason: reason, Pairs: []any{
+		"failure_domain", to.FailureDomain, "region", to.Region, "attempt", r.attempt,
 	}})
 	out.Add(event.Dispatch{
-		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: choice.Peer.ServeAddress, Adapter: r.adapter,
-		Deadline: r.Deadline, Forward: true, Link: choice.Peer.Region,
+		Request: r.ID, Attempt: r.attempt, Server: r.server, Address: to.ServeAddress, Adapter: r.adapter,
+		Deadline: r.Deadline, Forward: true, Link: to.Region,
 	})
-	return true
 }
 
 // waitsForOwn reports whether a request should wait for the own failure domain
--- a/internal/core/entry/forward_test.go
+++ b/internal/core/entry/forward_test.go
@@ -7,6 +7,7 @@
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/peer"
 
 	"github.com/shoenig/test/must"
 )
@@ -111,3 +112,22 @@
 		})
 	}
 }
+
+// TestForwardedAnswerTeachesNoServiceTime checks that the time of an answer from
+// another failure domain does not count as the time that own engines take.
+func TestForwardedAnswerTeachesNoServiceTime(t *testing.T) {
+	c, out := startCore(t)
+	c.Step(clock.Hour, event.VMsListed{VMs: []event.VM{farVM}}, out)
+	c.Router.Avoid("engine-1", 2*clock.Hour)
+	c.Step(clock.Hour+1, event.RequestArrived{Request: modelRequest("r")}, out)
+	c.Step(clock.Hour+1+forwardAfter, event.Tick{}, out)
+	must.SliceLen(t, 1, dispatches(out))
+	c.Step(clock.Hour+2+forwardAfter, event.DispatchDone{Request: "r", Attempt: 1, Result: event.DispatchResult{Kind: event.ResultServed}}, out)
+	must.MapEmpty(t, c.requests)
+
+	now := 3 * clock.Hour
+	c.Router.Summarize(now, peer.ServerSummary{Server: "engine-1", Fence: 9, Running: 8, BatchMax: 4, Slots: 2, Usable: true})
+	choice := c.Router.Engine(now, "straw-7b", units.AdapterVersion{Adapter: "braid", Version: "v1"}, nil)
+	must.NotNil(t, choice.Server)
+	must.Less(t, clock.Minute, choice.QueueWait)
+}
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -16,6 +16,9 @@
 	if choice.Server == nil && c.forward(r, c.Router.HasEngine(r.row.Base), out) {
 		return
 	}
+	if choice.Absent && c.sendHome(r, out) {
+		return
+	}
 	if choice.Server == nil {
 		if r.state != stateQueued || r.attempt == 0 && c.now == r.arrivedAt {
 			out.Add(event.Decision{Area: "route", Request: r.ID, Choice: "wait", Reason: "no_backend_server", Pairs: []any{"refused", choice.Refused.String()}})
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -28,6 +28,7 @@
 	}
 	c.Members.Learn(c.now, all)
 	c.Router.SetServers(backend)
+	c.countEngines(all)
 	c.assignServers(out)
 }
 
--- /dev/null
+++ b/internal/core/relay/home.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"math"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+	"mangostile/internal/core/member"
+)
+
+// Engines counts the model engines of one base model in each failure domain of a
+// region.
+type Engines map[units.FailureDomain]int
+
+// Home returns the failure domain of a region that an adapter which is seldom
+// asked for is loaded in, or "" if there is none. Each has a part of the
+// adapters according to its engines, and all entry VMs agree.
+func (e Engines) Home(av units.AdapterVersion) units.FailureDomain {
+	var home units.FailureDomain
+	best := math.Inf(-1)
+	for domain, engines := range e {
+		if engines == 0 {
+			continue
+		}
+		// A rank from 0 to 1, to the power of 1/engines: weighted rendezvous.
+		uniform := (float64(rank(string(domain), av.String())>>11) + 0.5) / (1 << 53)
+		if score := math.Log(uniform) / float64(engines); score > best || score == best && domain < home {
+			home, best = domain, score
+		}
+	}
+	return home
+}
+
+// ChooseIn chooses an entry VM of one failure domain in the own region, or
+// returns nil if none is known that can be reached.
+func (r *Relay) ChooseIn(now clock.Millis, own event.VM, domain units.FailureDomain, peers []*member.Peer, request units.RequestID) *member.Peer {
+	if r.BytesPerSecond < 0 {
+		return nil
+	}
+	var best *member.Peer
+	for _, p := range peers {
+		if p.FailureDomain != domain || p.Region != own.Region || p.ServeAddress == "" || p.Leaving {
+			continue
+		}
+		if now < r.avoidUntil[p.ID] {
+			return nil
+		}
+		if best == nil || rank(string(p.ID), string(request)) < rank(string(best.ID), string(request)) {
+			best = p
+		}
+	}
+	return best
+}
