Leave an unreachable server alone for a second

Change: after an order that did not reach a server, or an eviction that it refused, nothing is loaded or evicted there for a second; a release looks for a load only where one was blocked; wanted copies need the right to order.

--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -32,6 +32,9 @@
 		o.reply(last.from, &last.GrantAsk, 0, errs.Refuse(errs.CodeOverloaded, "too many requests wait for backend server %s: send it again later", m.Server).After(clock.Second), out)
 	}
 	o.serve(now, s, out)
+	if s.copies[m.Adapter] == nil {
+		o.pump(now, out)
+	}
 }
 
 // Release gives a grant back or withdraws an ask.
@@ -50,6 +53,9 @@
 		return a.from == from && a.Request == m.Request && a.Attempt == m.Attempt
 	})
 	o.serve(now, s, out)
+	if s.blocked {
+		o.pump(now, out)
+	}
 }
 
 // Renew prolongs the grants that from still uses and takes over those that an
@@ -95,17 +101,17 @@
 	s.asks = nil
 }
 
-// serve grants what can be granted and starts the loads that asks wait for.
+// serve grants what can be granted.
 func (o *Owner) serve(now clock.Millis, s *server, out *event.Effects) {
 	if !s.mayGrant(now) {
 		return
 	}
-	if !o.gathering(now, s) {
-		s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
-			return o.tooLate(now, s, a, out) || o.tryGrant(now, s, a, out)
-		})
+	if o.gathering(now, s) {
+		return
 	}
-	o.pump(now, out)
+	s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
+		return o.tooLate(now, s, a, out) || o.tryGrant(now, s, a, out)
+	})
 }
 
 // tooLate refuses a request that can't be answered within its deadline any
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -56,6 +56,9 @@
 func (o *Owner) loadFailed(now clock.Millis, s *server, ev event.OrderDone, out *event.Effects) {
 	av := ev.Order.Adapter
 	delete(s.copies, av)
+	if ev.Result.Kind != event.OrderRefused {
+		s.retryAt = now + RetryPeriod
+	}
 	if ev.Result.Kind != event.OrderRefused || !o.Failures.Failed(now, av) {
 		return
 	}
@@ -98,7 +101,12 @@
 	var best wantedLoad
 	bestNeed := 0.0
 	for _, s := range o.order {
-		if len(s.asks) == 0 || s.unloading > 0 || !s.mayOrder(now) || !s.hasRoom(now) {
+		s.blocked = false
+		if len(s.asks) == 0 || !s.takesLoads(now) {
+			continue
+		}
+		if !s.hasRoom(now) {
+			s.blocked = true
 			continue
 		}
 		for _, a := range s.asks {
@@ -125,6 +133,11 @@
 	return need
 }
 
+// takesLoads reports whether a load or an eviction before one may be ordered now.
+func (s *server) takesLoads(now clock.Millis) bool {
+	return s.unloading == 0 && now >= s.retryAt && s.mayOrder(now)
+}
+
 // hasRoom reports whether an adapter could be loaded now, if need be after an
 // eviction.
 func (s *server) hasRoom(now clock.Millis) bool {
@@ -254,7 +267,7 @@
 	bestFree := 0
 	for _, s := range o.order {
 		free := s.slots() - len(s.copies)
-		if s.mayOrder(now) && free > bestFree {
+		if s.takesLoads(now) && free > bestFree {
 			best, bestFree = s, free
 		}
 	}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -108,6 +108,7 @@
 	o.renew(now, s, ev, out)
 	o.claim(now, s, out)
 	o.serve(now, s, out)
+	o.pump(now, out)
 }
 
 // ReportFailed notes that a server did not report.
@@ -143,10 +144,14 @@
 		o.loadDone(now, s, ev, out)
 	case event.OrderUnload:
 		s.unloading = max(0, s.unloading-1)
+		if ev.Result.Kind != event.OrderTaken {
+			s.retryAt = now + RetryPeriod
+		}
 		s.unloadDone(now, ev)
 	case event.OrderRole:
 	}
 	o.serve(now, s, out)
+	o.pump(now, out)
 }
 
 // Tick polls servers, lapses grants and refuses asks whose deadline has passed.
@@ -166,6 +171,7 @@
 		o.claim(now, s, out)
 		o.serve(now, s, out)
 	}
+	o.pump(now, out)
 }
 
 func (o *Owner) sorted() []*server {
--- a/internal/core/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -252,3 +252,31 @@
 	b.deliverOrder(0, event.OrderTaken)
 	must.Positive(t, b.replies[1].Grant)
 }
+
+// TestUnreachableServerIsNotPressed lets every order fail to be sent.
+func TestUnreachableServerIsNotPressed(t *testing.T) {
+	for _, resident := range []int{0, 2} {
+		b := newBench(t)
+		for n := range resident {
+			b.resident[version(n)] = true
+		}
+		b.report()
+		b.ask(5)
+		orders := 0
+		for range 40 {
+			for len(b.orders) > 0 {
+				orders++
+				order := b.orders[0]
+				b.orders = b.orders[1:]
+				b.do(func(out *event.Effects) {
+					b.owner.OrderDone(b.now, event.OrderDone{Server: "engine-1", Order: order.Order, Result: event.OrderResult{Kind: event.OrderNotSent}}, out)
+				})
+				must.Less(t, 20, orders)
+			}
+			b.now += 50
+			b.report()
+			b.do(func(out *event.Effects) { b.owner.Tick(b.now, out) })
+		}
+		must.Between(t, 2, orders, 3)
+	}
+}
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -119,7 +119,12 @@
 	fairness fairness
 	// unloading counts orders to unload on their way.
 	unloading int
-	pace      pace
+	// retryAt is the instant before which nothing is loaded or evicted, after an
+	// order that did not reach the server or was refused.
+	retryAt clock.Millis
+	// blocked is set if a load found no copy that may be evicted.
+	blocked bool
+	pace    pace
 }
 
 func (s *server) id() units.BackendServerID { return units.BackendServerID(s.spec.ID) }
--- a/internal/core/owner/want.go
+++ b/internal/core/owner/want.go
@@ -36,7 +36,7 @@
 func (o *Owner) loadWanted(now clock.Millis, out *event.Effects) bool {
 	for _, want := range o.wants {
 		s := o.servers[want.Server]
-		if s == nil || s.copies[want.Adapter] != nil || s.unloading > 0 || !s.mayGrant(now) || o.Failures.Waits(now, want.Adapter) {
+		if s == nil || s.copies[want.Adapter] != nil || !s.takesLoads(now) || o.Failures.Waits(now, want.Adapter) {
 			continue
 		}
 		if len(s.copies) >= s.slots() && !o.yields(now, s, want.Pinned) {
