Record the whole runs

Change: docs/measurements/whole-runs.md and .json, written by the command that they name; a run notes the machine's load.

--- a/internal/oper/trials/wholerun_test.go
+++ b/internal/oper/trials/wholerun_test.go
@@ -61,6 +61,18 @@
 	PeerBytes   float64 `json:"peer_bytes_per_s"`
 	RegionBytes float64 `json:"region_bytes_per_s"`
 	LogBytes    float64 `json:"log_bytes_per_s"`
+	// MachineLoad is the machine's load average over a minute at the end of the
+	// run, with the run's own part.
+	MachineLoad float64 `json:"machine_load,omitempty"`
+}
+
+// machineLoad returns the load average over a minute, or 0 where it is not known.
+func machineLoad() (load float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err == nil {
+		_, _ = fmt.Sscanf(string(text), "%f", &load)
+	}
+	return load
 }
 
 var tokens = map[string]string{"guild": "village-app-token", "kanoride": "store-app-token"}
@@ -106,7 +118,7 @@
 	}()
 	report, err := load.Run(ctx, plan, testWriter{t})
 	must.NoError(t, err)
-	result := &outcome{Name: run.name, Example: run.example, What: run.what, Report: report, Notes: <-notes}
+	result := &outcome{Name: run.name, Example: run.example, What: run.what, Report: report, Notes: <-notes, MachineLoad: machineLoad()}
 	took := time.Since(began).Seconds()
 	after, regionAfter := d.network.traffic()
 	for _, id := range d.entryIDs() {
@@ -197,15 +209,16 @@
 Times are in milliseconds and count from the instant at which a request had to be
 sent. A load stall is a chat whose first token took 200 ms or more. CPU is the
 entry VM with the most, as a share of a core with all serving; memory is resident;
-peer links are the bytes a second of the busiest entry VM.
+peer links are the bytes a second of the busiest entry VM; the machine's load is the
+average over a minute at the end of the run, that of other work included.
 
 `
 
 func recordPage(all []*outcome) string {
 	var page strings.Builder
 	page.WriteString(recordHead)
-	page.WriteString("| run | date | sent | first p50 | p95 | p99 | gap p50 | p95 | p99 | stalls | stall p95 | batch | refused | lost | wrong | cut | CPU | MB | peer B/s | region B/s |\n")
-	page.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	page.WriteString("| run | date | sent | first p50 | p95 | p99 | gap p50 | p95 | p99 | stalls | stall p95 | batch | refused | lost | wrong | cut | CPU | MB | peer B/s | region B/s | machine load |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, o := range all {
 		page.WriteString(recordLine(o))
 	}
@@ -226,9 +239,16 @@
 			chat = k
 		}
 	}
-	return fmt.Sprintf("| %s | %s | %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f%% | %.0f | %.3f | %d | %d | %d | %d | %.3f | %.0f | %.0f | %.0f |\n",
+	return fmt.Sprintf("| %s | %s | %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.1f%% | %.0f | %.3f | %d | %d | %d | %d | %.3f | %.0f | %.0f | %.0f | %s |\n",
 		o.Name, r.Date, sent, chat.First.P50, chat.First.P95, chat.First.P99, chat.Gaps.P50, chat.Gaps.P95, chat.Gaps.P99, 100*r.Stalls.Share,
-		r.Stalls.Times.P95, r.BatchEfficiency, refused, r.Lost, r.Wrong, r.Cut, o.CPUShare, o.MemoryMB, o.PeerBytes, o.RegionBytes)
+		r.Stalls.Times.P95, r.BatchEfficiency, refused, r.Lost, r.Wrong, r.Cut, o.CPUShare, o.MemoryMB, o.PeerBytes, o.RegionBytes, loadText(o.MachineLoad))
+}
+
+func loadText(load float64) string {
+	if load == 0 {
+		return "not noted"
+	}
+	return fmt.Sprintf("%.0f", load)
 }
 
 func recordDetails(o *outcome) string {
