Isolate and quarantine requests that crash backend servers

Cause: A request that crashed each server that ran it was retried up to four times, each time beside others, and again whenever its caller sent it.

Change: Owners name what ran at a crash, members mark it, suspects run alone and one by one on one server, and the second crash quarantines: by messages in the failure domain, by the log beyond. Two servers that break off under one request end it. Operators' orders to lift a quarantine are carried out.

--- a/internal/core/entry/beat.go
+++ b/internal/core/entry/beat.go
@@ -138,6 +138,9 @@
 	}
 	c.heardDemands(from, m.Demand)
 	pb := c.beats.of(from)
+	if pb.incarnation != m.Incarnation {
+		c.tellQuarantines(from, out)
+	}
 	if pb.take(m) {
 		c.summarized(pb.servers)
 	}
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/core/owner"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/place"
+	"mangostile/internal/core/poison"
 	"mangostile/internal/core/relay"
 	"mangostile/internal/core/retry"
 	"mangostile/internal/core/route"
@@ -49,6 +50,7 @@
 	Owner   owner.Owner
 	Router  route.Router
 	Ledger  once.Ledger
+	Poison  poison.Book
 	// shares divides limits between the entry VMs of the failure domain.
 	shares  admit.Shares
 	limiter admit.Limiter
@@ -121,6 +123,7 @@
 	}
 	first := len(out.List)
 	c.handle(ev, out)
+	c.tellCrashes(out)
 	c.loopBack(first, out)
 	c.leaveIfDone(out)
 	c.countRefusals(out.List[first:])
@@ -174,6 +177,7 @@
 	case event.EditProposed:
 		c.propose(ev.Edit, out)
 	case event.QuarantineLifted:
+		c.liftQuarantine(ev.Fingerprint, out)
 	case event.LeaveRequested:
 		c.leave(out)
 	}
@@ -225,6 +229,7 @@
 	case *peer.DomainSummary:
 		c.domainSummarized(m, out)
 	case *peer.PoisonMark:
+		c.marked(m, out)
 	}
 }
 
@@ -236,6 +241,7 @@
 	c.pollServices(out)
 	if c.now-c.beatAt >= member.HeartbeatPeriod {
 		c.beatAt = c.now
+		c.Poison.Tick(c.now)
 		c.beat(out)
 	}
 	c.tickFeed(out)
@@ -253,6 +259,8 @@
 		c.configRead(ev, out)
 	case event.SnapshotStream:
 		c.snapshotRead(ev, out)
+	case event.PoisonStream:
+		c.marksRead(ev, out)
 	case c.Owner.LeaseStream():
 		c.Owner.LeasesRead(c.now, ev, out)
 	default:
--- a/internal/core/entry/dispatch.go
+++ b/internal/core/entry/dispatch.go
@@ -15,6 +15,9 @@
 	}
 	kind := ev.Result.Kind
 	c.noteEnd(r, kind)
+	if r.Service == "" {
+		c.noteRun(r, kind)
+	}
 	if r.grant != 0 {
 		c.release(r.owner, r.ID, r.attempt, r.server, r.grant, kind == event.ResultBroken, out)
 		r.grant = 0
@@ -56,6 +59,8 @@
 		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "backend server %s broke off the answer: send the request again", r.server), out)
 	case !c.retries.Take():
 		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "backend server %s failed and too much is being tried again: send the request again later", r.server).After(clock.Second), out)
+	case r.broken >= maxBroken:
+		c.refuse(r, errs.Refuse(errs.CodeServerFailed, "%d backend servers broke off while they ran the request: it may be what makes them fail; change it before you send it again", r.broken), out)
 	default:
 		r.tried = append(r.tried, r.server)
 		c.advance(r, out)
--- a/internal/core/entry/feed.go
+++ b/internal/core/entry/feed.go
@@ -54,6 +54,9 @@
 	fromPeers snapshotParts
 	fromLog   snapshotParts
 	writer    snapshotWriter
+	// marksFrom is the offset in the stream of quarantines before which records
+	// are of the past or were taken, or -1 before the first read.
+	marksFrom units.Offset
 }
 
 // tickFeed chooses where the config stream is read and asks for what is missing.
@@ -78,10 +81,15 @@
 		f.tailing = false
 		f.unreachable = false
 		out.Add(event.StopTail{Stream: event.ConfigStream})
+		out.Add(event.StopTail{Stream: event.PoisonStream})
 	}
 }
 
 func (c *Core) tailConfig(out *event.Effects) {
+	if !c.feed.tailing {
+		c.feed.marksFrom = -1
+		out.Add(event.TailStream{Stream: event.PoisonStream})
+	}
 	c.feed.tailing = true
 	c.feed.tailedAt = c.now
 	out.Add(event.TailStream{Stream: event.ConfigStream, From: c.Table.Next()})
--- a/internal/core/entry/granting.go
+++ b/internal/core/entry/granting.go
@@ -7,16 +7,25 @@
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/retry"
+	"mangostile/internal/core/route"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// sendElsewhere sends a request to another failure domain where the own one can't
+// serve it or lacks the adapter.
+func (c *Core) sendElsewhere(r *request, choice route.Choice, out *event.Effects) bool {
+	return choice.Server == nil && c.forward(r, c.Router.HasEngine(r.row.Base), out) || choice.Absent && c.sendHome(r, out)
+}
+
 func (c *Core) askGrant(r *request, out *event.Effects) {
-	choice := c.Router.Engine(c.now, r.row.Base, r.adapter, r.tried)
-	if choice.Server == nil && c.forward(r, c.Router.HasEngine(r.row.Base), out) {
+	if refusal := c.refuseQuarantined(r); refusal != nil {
+		c.refuse(r, refusal, out)
 		return
 	}
-	if choice.Absent && c.sendHome(r, out) {
+	choice := c.chooseEngine(r)
+	suspected := c.Poison.Suspected(c.now, r.Digest)
+	if !suspected && c.sendElsewhere(r, choice, out) {
 		return
 	}
 	if choice.Server == nil {
@@ -46,6 +55,7 @@
 	out.Add(event.SendPeer{To: r.owner, Message: &peer.GrantAsk{
 		Request: r.ID, Attempt: r.attempt, Server: r.server, Adapter: r.adapter, Priority: r.Priority, Weight: r.row.Weight, Within: r.Deadline - c.now,
 		Fingerprint: r.Digest, Prefix: r.Prefix, Tokens: r.PromptTokens + r.MaxTokens,
+		Isolated: suspected,
 	}})
 }
 
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -70,6 +70,8 @@
 	// renewed is the last renewal of grant.
 	renewed renewal
 	tried   []units.BackendServerID
+	// broken counts the servers that broke the connection.
+	broken int
 	// ran is RanUnknown once an attempt may have run.
 	ran errs.Ran
 	// intent is the progress of an action.
--- a/internal/core/owner/grant.go
+++ b/internal/core/owner/grant.go
@@ -44,7 +44,9 @@
 		return
 	}
 	if g := s.grants[m.Grant]; g != nil && g.holder == from {
-		if !m.ServerDied {
+		if m.ServerDied {
+			s.noteBroken(now, g)
+		} else {
 			s.pace.note(now-g.grantedAt, g.tokens)
 		}
 		o.drop(now, s, g)
@@ -72,9 +74,7 @@
 			continue
 		}
 		if g == nil {
-			g = &grant{number: h.Grant, holder: from, request: h.Request, attempt: h.Attempt, adapter: h.Adapter}
-			s.grants[h.Grant] = g
-			s.copy(h.Adapter).grants++
+			g = s.takeOver(from, h)
 		}
 		g.until = now + GrantTerm
 	}
@@ -109,6 +109,7 @@
 	if o.gathering(now, s) {
 		return
 	}
+	s.chooseIsolated(now)
 	s.asks = slices.DeleteFunc(s.asks, func(a *ask) bool {
 		return o.tooLate(now, s, a, out) || o.tryGrant(now, s, a, out)
 	})
@@ -133,13 +134,13 @@
 	if c == nil || c.loading || c.unloading || len(s.grants) >= s.batchMax() {
 		return false
 	}
-	if a.Isolated && len(s.grants) > 0 {
+	if s.mustWait(a) {
 		return false
 	}
 	o.lastGrant = max(o.lastGrant+1, o.firstGrant())
 	g := &grant{
 		number: o.lastGrant, holder: a.from, request: a.Request, attempt: a.Attempt, adapter: a.Adapter, until: now + GrantTerm,
-		grantedAt: now, tokens: a.Tokens,
+		grantedAt: now, tokens: a.Tokens, fingerprint: a.Fingerprint, isolated: a.Isolated,
 	}
 	s.grants[g.number] = g
 	c.grants++
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -45,6 +45,7 @@
 	needs    map[wantedLoad]float64
 	prunedAt clock.Millis
 	leasing  leasing
+	crashes  []Crash
 }
 
 // SetServers takes up the servers in specs and gives up all others. Asks that
@@ -100,6 +101,9 @@
 		return
 	}
 	restarted := s.reported && s.report.Start != ev.Report.Start
+	if restarted {
+		o.crashed(now, s, out)
+	}
 	s.report, s.reported = ev.Report, true
 	if restarted {
 		s.forget()
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -58,6 +58,10 @@
 	// earlier owner gave the grant.
 	grantedAt clock.Millis
 	tokens    units.Tokens
+	// fingerprint is 0 if an earlier owner gave the grant.
+	fingerprint units.Fingerprint
+	// isolated is set if nothing else may run beside the request.
+	isolated bool
 }
 
 // copyState is one adapter on a server.
@@ -115,7 +119,11 @@
 	copies     map[units.AdapterVersion]*copyState
 	grants     map[units.GrantNumber]*grant
 	// asks is sorted by rank.
-	asks     []*ask
+	asks []*ask
+	// emptiedFor is the request for which no other is let onto the server.
+	emptiedFor *ask
+	// broken holds requests whose connection broke lately.
+	broken   []brokenRun
 	fairness fairness
 	// unloading counts orders to unload on their way.
 	unloading int
