--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -80,7 +80,8 @@
 }
 
 // cancel tells an engine to stop a request. Whether it does is not known. An
-// entry VM that a request was sent on to sees the closed connection.
+// entry VM that a request was sent on to sees the closed connection of a stream;
+// a whole answer runs there to its end.
 func (b *backendClients) cancel(d event.Dispatch) {
 	if d.Forward {
 		return
