--- /dev/null
+++ b/internal/core/entry/home_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/event"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestColdAdapterGoesHome checks that an adapter that is seldom asked for and not
+// loaded here is asked for at its home, is loaded here if the home refuses, and
+// is loaded here once it is asked for often.
+func TestColdAdapterGoesHome(t *testing.T) {
+	c, out := startCore(t)
+	c.cfg.Self.Region = "south"
+	far := event.VM{ID: "engine-9", FailureDomain: "matara", Region: "south", Kind: event.KindEngine, Base: "straw-7b", State: event.VMLive}
+	c.Step(3010, event.VMsListed{VMs: []event.VM{farVM, far}}, out)
+	out.Reset()
+
+	c.Step(3011, event.RequestArrived{Request: modelRequest("first")}, out)
+	sent := dispatches(out)
+	must.SliceLen(t, 1, sent)
+	must.Eq(t, "127.0.0.1:99", sent[0].Address)
+	must.Eq(t, units.AdapterVersion{Adapter: "braid", Version: "v1"}, sent[0].Adapter)
+
+	c.Step(3012, event.DispatchDone{Request: "first", Attempt: 1, Result: event.DispatchResult{Kind: event.ResultNotRun}}, out)
+	must.Eq(t, "braid", findOrder(t, out, event.OrderLoad).Adapter.Adapter)
+}
+
+func TestAdapterAskedForOftenIsLoadedHere(t *testing.T) {
+	c, out := startCore(t)
+	far := event.VM{ID: "engine-9", FailureDomain: "matara", Kind: event.KindEngine, Base: "straw-7b", State: event.VMLive}
+	near := farVM
+	near.Region = ""
+	c.Step(3010, event.VMsListed{VMs: []event.VM{near, far}}, out)
+	for range 10 {
+		c.asked.Note(3010, units.AdapterVersion{Adapter: "braid", Version: "v1"})
+	}
+	out.Reset()
+	c.Step(3011, event.RequestArrived{Request: modelRequest("often")}, out)
+	must.Eq(t, "braid", findOrder(t, out, event.OrderLoad).Adapter.Adapter)
+	must.SliceEmpty(t, dispatches(out))
+}
