Give owners with urgent loads more of the store under the batch objective

Cause: with all engines cold, requests missed their deadlines at owners with many loads waiting, while other owners loaded for requests that had just come. Change: under an objective of 1 a load whose request runs out of time counts five times in the announced backlog, by which the weight store is shared.

--- a/internal/core/entry/sharing.go
+++ b/internal/core/entry/sharing.go
@@ -18,7 +18,7 @@
 // demands returns the own demands for the heartbeat.
 func (c *Core) demands() []peer.Demand {
 	demands := c.limiter.Demands(c.now)
-	backlog := c.Owner.Backlog()
+	backlog := c.Owner.Backlog(c.now)
 	if backlog != c.backlog {
 		c.backlog = backlog
 		c.backlogAt = 0
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -23,8 +23,9 @@
 // urgentLeft is the part of a request's time from which on it weighs urgentWeight
 // times as much in the choice of the next load.
 const (
-	urgentLeft   = 0.4
-	urgentWeight = 20
+	urgentLeft    = 0.4
+	urgentWeight  = 20
+	urgentBacklog = 5
 )
 
 // wantedLoad names a load that could start.
@@ -127,12 +128,17 @@
 // need weighs a request in the choice of the next load.
 func (a *ask) need(now clock.Millis) float64 {
 	need := math.Exp2(float64(a.Priority)/4) * (1 + float64(now-a.askedAt)/float64(loadAging))
-	if float64(a.deadline-now) < urgentLeft*float64(a.Within) {
+	if a.urgent(now) {
 		need *= urgentWeight
 	}
 	return need
 }
 
+// urgent reports whether a has little of its time left.
+func (a *ask) urgent(now clock.Millis) bool {
+	return float64(a.deadline-now) < urgentLeft*float64(a.Within)
+}
+
 // takesLoads reports whether a load or an eviction before one may be ordered now.
 func (s *server) takesLoads(now clock.Millis) bool {
 	return s.unloading == 0 && now >= s.retryAt && s.mayOrder(now)
@@ -284,13 +290,20 @@
 	return false
 }
 
-// Backlog counts the loads that requests wait for.
-func (o *Owner) Backlog() int {
+// Backlog counts the loads that requests wait for. A load that a request waits for
+// which is running out of time counts up to urgentBacklog times under an objective
+// of 1, where deadlines go before stalls: its owner has a greater part of the
+// weight store.
+func (o *Owner) Backlog(now clock.Millis) int {
 	n := o.Budget.InFlight()
 	for _, s := range o.order {
 		for i, a := range s.asks {
-			if s.copies[a.Adapter] == nil && !slices.ContainsFunc(s.asks[:i], func(b *ask) bool { return b.Adapter == a.Adapter }) {
-				n++
+			if s.copies[a.Adapter] != nil || slices.ContainsFunc(s.asks[:i], func(b *ask) bool { return b.Adapter == a.Adapter }) {
+				continue
+			}
+			n++
+			if a.urgent(now) {
+				n += int(o.Objective * (urgentBacklog - 1))
 			}
 		}
 	}
