Show and lift quarantines

Cause: operators could neither see which requests are quarantined nor let one run again.

Change: status and the page's status view list marks; quarantine lift and POST /admin/quarantine/lift end one. A script sends a request that crashes engines until it is refused, looks and lifts.

Conclusion: quarantine begins at the second crash that was noticed; a request that is repeated faster than an owner's poll may crash one server more.

--- a/internal/core/entry/look.go
+++ b/internal/core/entry/look.go
@@ -6,6 +6,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/poison"
 )
 
 // Now returns the instant of the last event.
@@ -41,6 +42,9 @@
 	return counts
 }
 
+// Marks returns the marks in force against requests.
+func (c *Core) Marks() []poison.Entry { return c.Poison.List(c.now) }
+
 // Refusals counts the requests that the core refused since it began, by code.
 func (c *Core) Refusals() map[errs.Code]int64 { return maps.Clone(c.refusals) }
 
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -71,10 +71,12 @@
 		a.history(ctx)
 	case "/admin/members":
 		a.members(ctx)
+	case "/admin/quarantine/lift":
+		a.lift(ctx)
 	case "/admin/status":
 		a.status(ctx)
 	default:
-		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/explain, /admin/history, /admin/members or /admin/status")
+		fail(ctx, fasthttp.StatusNotFound, "use /admin/table, /admin/edits, /admin/explain, /admin/history, /admin/members, /admin/quarantine/lift or /admin/status")
 	}
 }
 
--- a/internal/node/admin/edit.go
+++ b/internal/node/admin/edit.go
@@ -49,17 +49,12 @@
 
 const editTimeout = 30 * time.Second
 
-// editType is the type of an edit's body. Pages of other origins can't send it
+// editType is the type of bodies that change something. Pages of other origins can't send it
 // without asking first, and are not answered.
 const editType = "application/json"
 
 func (a *api) edit(ctx *fasthttp.RequestCtx, operator string) {
-	if !ctx.IsPost() {
-		fail(ctx, fasthttp.StatusMethodNotAllowed, "use POST")
-		return
-	}
-	if mediaType, _, _ := mime.ParseMediaType(string(ctx.Request.Header.ContentType())); mediaType != editType {
-		fail(ctx, fasthttp.StatusUnsupportedMediaType, "send the edit with Content-Type: "+editType)
+	if !takesJSON(ctx) {
 		return
 	}
 	var request EditRequest
@@ -90,6 +85,19 @@
 	render.JSON(ctx, fasthttp.StatusOK, answer)
 }
 
+// takesJSON reports whether the call is a POST of JSON, and answers it if not.
+func takesJSON(ctx *fasthttp.RequestCtx) bool {
+	if !ctx.IsPost() {
+		fail(ctx, fasthttp.StatusMethodNotAllowed, "use POST")
+		return false
+	}
+	if mediaType, _, _ := mime.ParseMediaType(string(ctx.Request.Header.ContentType())); mediaType != editType {
+		fail(ctx, fasthttp.StatusUnsupportedMediaType, "send the body with Content-Type: "+editType)
+		return false
+	}
+	return true
+}
+
 // allCells returns Cells and then those of Rows.
 func (r *EditRequest) allCells() ([]event.Cell, error) {
 	cells := r.Cells
--- a/internal/node/admin/page/status.js
+++ b/internal/node/admin/page/status.js
@@ -62,7 +62,7 @@
         figure("rows", status.adapters), figure("revision", status.revision), figure("running here", counts.running),
         figure("queued here", counts.queued), figure("asking an owner", counts.asking), figure("waiting for the log", counts.intent),
         figure("waiting at owners", waiting), figure("loads on their way", loading)),
-      ...refusals(status),
+      ...refusals(status), ...marks(status),
       element("h2", {}, "Entry VMs"),
       cardTable(["Entry VM", "Failure domain", "State", "Revision", "Heard"], status.entry_vms.map((m) => memberRow(m, status.failure_domain))),
       ...otherDomains(status),
@@ -83,6 +83,17 @@
   return [element("h2", {}, "Refusals since the start"), cardTable(["Code", "Count"], counts)];
 }
 
+function marks(status) {
+  const list = status.marks || [];
+  if (list.length === 0) {
+    return [];
+  }
+  const rows = list.map((m) => [
+    m.fingerprint, mark(m.quarantined ? "quarantined" : "runs alone", false), m.crashes, m.backend_server || "–", Math.round(m.left_ms / 1000) + " s",
+  ]);
+  return [element("h2", {}, "Requests that ran at crashes"), cardTable(["Request", "State", "Crashes", "Backend server", "For"], rows)];
+}
+
 function otherDomains(status) {
   const words = status.failure_domains || [];
   if (words.length === 0) {
--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -5,6 +5,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
+	"mangostile/internal/core/poison"
 	"mangostile/internal/node/render"
 
 	"github.com/valyala/fasthttp"
@@ -25,10 +26,20 @@
 	EntryVMs []Member            `json:"entry_vms"`
 	// Domains is the last word of other failure domains; see Members.
 	Domains []DomainWord `json:"failure_domains,omitempty"`
+	// Marks are those against requests that ran when backend servers crashed.
+	Marks []MarkStatus `json:"marks,omitempty"`
 	// Servers are the backend servers of the own failure domain.
 	Servers []ServerStatus `json:"backend_servers"`
 }
 
+// MarkStatus describes a mark against a request.
+type MarkStatus struct {
+	poison.Entry
+	// Fingerprint is the request's in hexadecimal digits, as in log lines. It
+	// goes before the number in Entry.
+	Fingerprint string `json:"fingerprint"`
+}
+
 // ServerStatus describes one backend server of the own failure domain.
 type ServerStatus struct {
 	ID      units.BackendServerID `json:"id"`
@@ -64,6 +75,9 @@
 		Adapters: c.Table.Len(), Requests: c.CountRequests(), Refusals: c.Refusals(), EntryVMs: describeMembers(c),
 		Domains: describeDomains(c), Servers: []ServerStatus{},
 	}
+	for _, mark := range c.Marks() {
+		status.Marks = append(status.Marks, MarkStatus{Entry: mark, Fingerprint: mark.Fingerprint.String()})
+	}
 	for _, s := range c.Router.Servers() {
 		server := ServerStatus{
 			ID: s.ID(), Kind: s.Spec.Kind, Service: s.Spec.Service, Base: s.Spec.Base, Leaving: s.Leaving, Drained: c.Table.ServerLeaving(s.ID()),
--- a/internal/oper/client/client.go
+++ b/internal/oper/client/client.go
@@ -95,6 +95,12 @@
 	return &history, c.call(ctx, fasthttp.MethodGet, "/admin/history", nil, &history, callTimeout)
 }
 
+// Lift ends the quarantine of a request.
+func (c *Client) Lift(ctx context.Context, fingerprint string) error {
+	var answer admin.LiftRequest
+	return c.call(ctx, fasthttp.MethodPost, "/admin/quarantine/lift", admin.LiftRequest{Fingerprint: fingerprint}, &answer, callTimeout)
+}
+
 // EditOf returns the edit that makes changes, read at a revision. Rows hold the
 // cells, so that many take little room.
 func EditOf(changes []sheet.Change, readAt units.Offset, dryRun bool) *admin.EditRequest {
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -71,6 +71,7 @@
 			newExperimentCmd(),
 			newExplainCmd(),
 			newLoadCmd(),
+			newQuarantineCmd(),
 			newServeCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
--- a/internal/oper/cmds/script_test.go
+++ b/internal/oper/cmds/script_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,10 +30,11 @@
 		Dir:   "testdata/script",
 		Setup: startScriptNodes,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"complete":   completeInScript,
-			"logfaults":  setLogFaults,
-			"mangostile": runScriptCommand,
-			"writerows":  writeRows,
+			"complete":      completeInScript,
+			"completeuntil": completeUntil,
+			"logfaults":     setLogFaults,
+			"mangostile":    runScriptCommand,
+			"writerows":     writeRows,
 		},
 		RequireUniqueNames: true,
 	})
@@ -107,27 +109,59 @@
 	}
 }
 
-// completeInScript asks for a completion: complete ADDRESS REQUEST_ID MODEL. It
+// fingerprintText finds the fingerprint in the refusal of a quarantined request.
+var fingerprintText = regexp.MustCompile(`fingerprint ([0-9a-f]{16})`)
+
+// completeInScript asks for a completion: complete ADDRESS REQUEST_ID MODEL
+// [PROMPT]. It
 // prints the status and the backend server and sets REQUEST to the request's whole
-// id.
+// id, and FINGERPRINT if the refusal names one.
 func completeInScript(ts *testscript.TestScript, neg bool, args []string) {
+	status, body := askInScript(ts, args)
+	if neg == (status != fasthttp.StatusOK) {
+		return
+	}
+	for _, s := range ts.Value("demo").(*demo).servers {
+		lines, _ := s.Explain(units.RequestID(ts.Getenv("REQUEST")))
+		ts.Logf("%+v", lines)
+	}
+	ts.Fatalf("status %d: %s", status, body)
+}
+
+func askInScript(ts *testscript.TestScript, args []string) (status int, body string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	prompt := "x"
+	if len(args) > 3 {
+		prompt = args[3]
+	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + args[0] + "/v1/completions")
 	req.Header.Set(edge.HeaderRequestID, args[1])
-	req.SetBodyString(`{"model":"` + args[2] + `","prompt":"x","max_tokens":2}`)
+	req.SetBodyString(`{"model":"` + args[2] + `","prompt":"` + prompt + `","max_tokens":2}`)
 	ts.Check(fasthttp.DoTimeout(req, resp, 20*time.Second))
 	ts.Setenv("REQUEST", string(resp.Header.Peek(edge.HeaderRequestID)))
+	if found := fingerprintText.FindSubmatch(resp.Body()); found != nil {
+		ts.Setenv("FINGERPRINT", string(found[1]))
+	}
 	fmt.Fprintf(ts.Stdout(), "%d %s\n", resp.StatusCode(), resp.Header.Peek(edge.HeaderBackendServer))
-	if neg != (resp.StatusCode() != fasthttp.StatusOK) {
-		for _, s := range ts.Value("demo").(*demo).servers {
-			lines, _ := s.Explain(units.RequestID(ts.Getenv("REQUEST")))
-			ts.Logf("%+v", lines)
+	return resp.StatusCode(), string(resp.Body())
+}
+
+// maxTries bounds the requests of completeUntil.
+const maxTries = 10
+
+// completeUntil repeats a completion until it has a status: completeuntil STATUS
+// and then as complete.
+func completeUntil(ts *testscript.TestScript, _ bool, args []string) {
+	for range maxTries {
+		status, _ := askInScript(ts, args[1:])
+		if fmt.Sprint(status) == args[0] {
+			return
 		}
-		ts.Fatalf("status %d: %s", resp.StatusCode(), resp.Body())
 	}
+	ts.Fatalf("no status %s in %d tries", args[0], maxTries)
 }
 
 // setLogFaults sets the failures of the log service: logfaults [down]
--- a/internal/oper/cmds/statuscmd.go
+++ b/internal/oper/cmds/statuscmd.go
@@ -9,6 +9,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/node/admin"
@@ -82,9 +83,25 @@
 		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d/%d\t%s\n", b.ID, orDash(string(b.Base)+string(b.Service)), orDash(string(b.Owner)),
 			serverState(b), b.Running, b.BatchMax, b.Waiting, len(b.Resident), b.Slots, orDash(joinVersions(b.Loading)))
 	}
+	printMarks(out, s.Marks)
 	return errors.Wrap(out.Flush(), "write status")
 }
 
+func printMarks(out io.Writer, marks []admin.MarkStatus) {
+	if len(marks) == 0 {
+		return
+	}
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, "request\tstate\tcrashes\tbackend_server\tfor")
+	for _, m := range marks {
+		state := "runs_alone"
+		if m.Quarantined {
+			state = "quarantined"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%d\t%s\t%d s\n", m.Fingerprint, state, m.Crashes, orDash(string(m.Server)), m.Left/clock.Second)
+	}
+}
+
 func printDomains(out io.Writer, domains []admin.DomainWord) {
 	if len(domains) == 0 {
 		return
