Leave an adapter alone whose eviction may still be carried out

Cause: An order to unload whose answer was lost freed the copy for new requests, under which it could still be carried out.

Change: Nothing is granted on the copy until a report asked for 5 s later still shows it.

--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -72,6 +72,9 @@
 	// unloading is set from the decision to evict on, so that nothing is granted
 	// in between.
 	unloading bool
+	// lostAt is the instant at which the answer to an order to unload was lost,
+	// or 0.
+	lostAt clock.Millis
 	// grants counts live grants. An adapter with grants is never evicted.
 	grants int
 	// lapsedAt is the instant at which a grant last lapsed without a release, or
--- a/internal/core/owner/sync.go
+++ b/internal/core/owner/sync.go
@@ -37,12 +37,16 @@
 	for _, r := range s.report.Resident {
 		resident[r.AdapterVersion] = true
 		c := s.copy(r.AdapterVersion)
+		if c.lostAt > 0 && sentAt >= c.lostAt+lostOrderTerm {
+			c.unloading, c.lostAt = false, 0
+		}
 		if r.Running == 0 {
 			c.idleReportAt = max(c.idleReportAt, sentAt)
 		}
 	}
 	for av, c := range s.copies {
-		if !resident[av] && !c.loading && !c.unloading && c.grants == 0 && c.usedAt < sentAt {
+		ordered := c.loading || c.unloading && c.lostAt == 0
+		if !resident[av] && !ordered && c.grants == 0 && c.usedAt < sentAt && c.lostAt < sentAt {
 			delete(s.copies, av)
 		}
 	}
@@ -72,8 +76,13 @@
 	}
 }
 
-// unloadDone takes the result of an order to unload. A lost or refused order
-// leaves the copy as it was until a report tells.
+// lostOrderTerm is how long after its answer was lost an order may still be
+// carried out.
+const lostOrderTerm = 5 * clock.Second
+
+// unloadDone takes the result of an order to unload. A refused order leaves the
+// copy as it was. If the answer was lost, nothing is granted on the copy until a
+// report asked for lostOrderTerm later still shows it.
 func (s *server) unloadDone(now clock.Millis, ev event.OrderDone) {
 	c := s.copies[ev.Order.Adapter]
 	if c == nil || !c.unloading {
@@ -83,6 +92,10 @@
 		delete(s.copies, ev.Order.Adapter)
 		return
 	}
+	if ev.Result.Kind == event.OrderLost {
+		c.lostAt = now
+		return
+	}
 	c.unloading = false
 	c.usedAt = now
 }
