Let one member of a large failure domain follow each action stream

Cause: at 340 nodes each entry VM would follow all 16 action streams: 13 KB/s and 26 MB, over the budget of 5 KB/s.

Change: with 8 members or more an action goes, before its intent is placed, to the member that rendezvous hashing names for its stream, over the way for requests to other failure domains. Not reached, it is placed where it is. Streams not needed for 10 min are dropped. Replay and retry headers pass.

Worked out for 24 members: 0.55 KB/s a node on average. Not run with 24 processes.

Conclusion: the log still decides alone; today's deployments see no hop.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -76,6 +76,9 @@
 	if choice.Server == nil && r.intent.appends == 0 && c.forward(r, c.Router.HasService(r.Service), out) {
 		return
 	}
+	if choice.Server != nil && c.sendToFollower(r, out) {
+		return
+	}
 	if !r.Idempotent && !r.intent.won && (choice.Server != nil || r.intent.appends > 0) {
 		c.placeIntent(r, out)
 		return
@@ -103,7 +106,7 @@
 // records of the same intent change nothing.
 func (c *Core) placeIntent(r *request, out *event.Effects) {
 	key := actionKey(r)
-	c.Ledger.Follow(key, r.ID, out)
+	c.Ledger.Follow(c.now, key, r.ID, out)
 	r.state = stateIntent
 	r.intent.appends++
 	r.intent.retryAt = c.now + intentRetry
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -65,6 +65,8 @@
 	// asked counts the requests that came to this entry VM.
 	asked         place.Popularity
 	askedPrunedAt clock.Millis
+	// streamsDroppedAt is the last look for idle action streams.
+	streamsDroppedAt clock.Millis
 	// engines counts those of the own region by base model.
 	engines map[units.ModelName]relay.Engines
 	// retries bounds what is tried again after a failure.
@@ -249,6 +251,7 @@
 	c.placeCopies(out)
 	c.tickRequests(out)
 	c.pruneAsked()
+	c.dropIdleStreams(out)
 	c.tickEdits(out)
 	c.tickOutcomes(out)
 }
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -158,6 +158,12 @@
 	return units.EntryVMID(v.ring.Lookup(string(server)))
 }
 
+// FollowerOf returns the member that follows a stream on behalf of the failure
+// domain, or "" if there is no member.
+func (v *View) FollowerOf(stream units.StreamName) units.EntryVMID {
+	return v.OwnerOf(units.BackendServerID(stream))
+}
+
 func (v *View) refresh(now clock.Millis) bool {
 	var members []units.EntryVMID
 	if !v.leaving {
--- a/internal/core/once/fuzz_test.go
+++ b/internal/core/once/fuzz_test.go
@@ -22,8 +22,8 @@
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		var ledger Ledger
 		var out event.Effects
-		ledger.Follow(key, "a", &out)
-		ledger.Follow(key, "b", &out)
+		ledger.Follow(0, key, "a", &out)
+		ledger.Follow(0, key, "b", &out)
 		records := []peer.Record{{Offset: 0, ID: "1", At: 0x0199a1f00000, Body: first}, {Offset: 1, ID: "2", At: 0x0199a1f00000, Body: second}}
 		ledger.Fold(event.RecordsRead{Stream: StreamOf(key), Records: records, Next: 2, End: 2}, &out)
 		a, _ := ledger.Judge(key, 1, "a")
--- a/internal/core/once/ledger.go
+++ b/internal/core/once/ledger.go
@@ -5,7 +5,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 
@@ -81,7 +84,8 @@
 
 // watch is the search for one intent.
 type watch struct {
-	found bool
+	stream units.StreamName
+	found  bool
 	// void is VerdictTooOld or VerdictAhead if the intent does not count.
 	void Verdict
 }
@@ -93,22 +97,39 @@
 
 // Follow starts to follow the stream of key unless it is followed already, and
 // watches for the intent of request.
-func (l *Ledger) Follow(key string, request units.RequestID, out *event.Effects) {
+func (l *Ledger) Follow(now clock.Millis, key string, request units.RequestID, out *event.Effects) {
 	if l.partitions == nil {
 		l.partitions = map[units.StreamName]*partition{}
 		l.watched = map[units.RequestID]*watch{}
 	}
+	stream := StreamOf(key)
 	if l.watched[request] == nil {
-		l.watched[request] = &watch{}
+		l.watched[request] = &watch{stream: stream}
 	}
-	stream := StreamOf(key)
-	if l.partitions[stream] != nil {
+	if p := l.partitions[stream]; p != nil {
+		p.neededAt = now
 		return
 	}
-	l.partitions[stream] = &partition{states: map[string]*state{}, notRun: map[units.RequestID]bool{}}
+	l.partitions[stream] = &partition{neededAt: now, states: map[string]*state{}, notRun: map[units.RequestID]bool{}}
 	out.Add(event.TailStream{Stream: stream})
 }
 
+// DropIdle stops following streams that were not needed since an instant. A
+// stream that is needed again is read anew from its oldest record.
+func (l *Ledger) DropIdle(since clock.Millis, out *event.Effects) {
+	watched := map[units.StreamName]bool{}
+	for _, w := range l.watched {
+		watched[w.stream] = true
+	}
+	for _, stream := range slices.Sorted(maps.Keys(l.partitions)) {
+		if watched[stream] || l.partitions[stream].neededAt >= since {
+			continue
+		}
+		delete(l.partitions, stream)
+		out.Add(event.StopTail{Stream: stream})
+	}
+}
+
 // Forget ends the watch for the intent of request.
 func (l *Ledger) Forget(request units.RequestID) { delete(l.watched, request) }
 
--- a/internal/core/once/ledger_test.go
+++ b/internal/core/once/ledger_test.go
@@ -72,7 +72,7 @@
 			key := rapid.SampledFrom(keys).Draw(t, "key")
 			l := &ledgers[rapid.IntRange(0, len(ledgers)-1).Draw(t, "ledger")]
 			id := units.RequestID(fmt.Sprint("r", i))
-			l.Follow(key, id, &event.Effects{})
+			l.Follow(0, key, id, &event.Effects{})
 			next := int(l.partitions[stream].next)
 			if next < first {
 				l.Skip(event.StreamGap{Stream: stream, Oldest: units.Offset(first)})
@@ -101,17 +101,17 @@
 func TestLedgerForgetsAfterTheWindow(t *testing.T) {
 	var l Ledger
 	key := Scope("guild", "ledger", fmt.Sprintf("%013d-a", epoch))
-	l.Follow(key, "r0", &event.Effects{})
+	l.Follow(0, key, "r0", &event.Effects{})
 	fold := func(offset units.Offset, at clock.Millis, entry Entry) {
 		l.Fold(event.RecordsRead{Stream: StreamOf(key), Records: []peer.Record{{Offset: offset, At: at, Body: Encode(entry)}}}, &event.Effects{})
 	}
 	fold(0, epoch, Entry{Key: key, Request: "r0"})
 	fold(1, epoch, Entry{Key: key, Request: "r0", Outcome: &Outcome{Status: 200, Body: make([]byte, 100)}})
-	l.Follow(key, "r1", &event.Effects{})
+	l.Follow(0, key, "r1", &event.Effects{})
 	fold(2, epoch+KeyWindow, Entry{Key: key, Request: "r1"})
 	verdict, _ := l.Judge(key, 0, "r1")
 	must.Eq(t, VerdictReplay, verdict)
-	l.Follow(key, "r2", &event.Effects{})
+	l.Follow(0, key, "r2", &event.Effects{})
 	fold(3, epoch+KeyWindow+2*clock.Minute, Entry{Key: key, Request: "r2"})
 	verdict, _ = l.Judge(key, 0, "r2")
 	must.Eq(t, VerdictTooOld, verdict)
@@ -123,7 +123,7 @@
 func TestBodiesOfOutcomesAreBounded(t *testing.T) {
 	var l Ledger
 	keys := testKeys()
-	l.Follow(keys[0], "r", &event.Effects{})
+	l.Follow(0, keys[0], "r", &event.Effects{})
 	p := l.partitions[StreamOf(keys[0])]
 	for i := range 3 * maxOutcomeTotal / MaxOutcomeBytes {
 		key := Scope("guild", "ledger", fmt.Sprintf("%013d-%d", epoch, i))
--- a/internal/core/once/partition.go
+++ b/internal/core/once/partition.go
@@ -37,6 +37,8 @@
 
 // partition is the fold of one action stream.
 type partition struct {
+	// neededAt is the last instant at which an action needed the stream.
+	neededAt clock.Millis
 	// next is the offset of the first record that is not folded.
 	next   units.Offset
 	states map[string]*state
--- a/internal/core/relay/home.go
+++ b/internal/core/relay/home.go
@@ -35,7 +35,7 @@
 // ChooseIn chooses an entry VM of one failure domain in the own region, or
 // returns nil if none is known that can be reached.
 func (r *Relay) ChooseIn(now clock.Millis, own event.VM, domain units.FailureDomain, peers []*member.Peer, request units.RequestID) *member.Peer {
-	if r.BytesPerSecond < 0 {
+	if !r.SwitchedOn() {
 		return nil
 	}
 	var best *member.Peer
@@ -43,7 +43,7 @@
 		if p.FailureDomain != domain || p.Region != own.Region || p.ServeAddress == "" || p.Leaving {
 			continue
 		}
-		if now < r.avoidUntil[p.ID] {
+		if r.Avoided(now, p.ID) {
 			return nil
 		}
 		if best == nil || rank(string(p.ID), string(request)) < rank(string(best.ID), string(request)) {
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -59,7 +59,7 @@
 // The own region comes first. A choice in another region is taken off the share
 // of its link.
 func (r *Relay) Choose(now clock.Millis, own event.VM, peers []*member.Peer, ask Ask) Choice {
-	if r.BytesPerSecond < 0 {
+	if !r.SwitchedOn() {
 		return Choice{Reason: "switched_off"}
 	}
 	triedDomains := domainsOf(peers, ask.Tried)
@@ -67,7 +67,7 @@
 	for _, p := range peers {
 		switch {
 		case p.FailureDomain == own.FailureDomain || p.ServeAddress == "" || p.Leaving:
-		case now < r.avoidUntil[p.ID] || triedDomains[p.FailureDomain]:
+		case r.Avoided(now, p.ID) || triedDomains[p.FailureDomain]:
 		case best == nil || compare(p, best, own.Region, ask) < 0:
 			best = p
 		}
@@ -84,6 +84,12 @@
 	}
 }
 
+// SwitchedOn reports whether requests may go to other entry VMs at all.
+func (r *Relay) SwitchedOn() bool { return r.BytesPerSecond >= 0 }
+
+// Avoided reports whether an entry VM could not be reached just now.
+func (r *Relay) Avoided(now clock.Millis, id units.EntryVMID) bool { return now < r.avoidUntil[id] }
+
 // Avoid keeps requests away from an entry VM that could not be reached.
 func (r *Relay) Avoid(now clock.Millis, id units.EntryVMID) {
 	if r.avoidUntil == nil {
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -57,7 +57,7 @@
 		ctx.SetContentType(command.ContentType)
 		ctx.SetBody(command.Body)
 		ctx.Response.Header.Set(HeaderRequestID, string(x.request.ID))
-		ctx.Response.Header.Set("Idempotent-Replay", "true")
+		ctx.Response.Header.Set(headerReplay, "true")
 		return true
 	default:
 		return false
@@ -210,6 +210,9 @@
 		e.done(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
 	}
+	if d.Forward {
+		passHeaders(ctx, resp)
+	}
 	e.noteForwarded(d, len(body))
 	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
 	e.answerHeaders(ctx, x, d)
--- a/internal/node/edge/forward.go
+++ b/internal/node/edge/forward.go
@@ -34,3 +34,15 @@
 		e.options.Meter.Forwarded(string(d.Link), bytes)
 	}
 }
+
+// passHeaders passes on what only the entry VM that served the request knows.
+func passHeaders(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+	for _, name := range []string{headerReplay, fasthttp.HeaderRetryAfter} {
+		if value := resp.Header.Peek(name); len(value) > 0 {
+			ctx.Response.Header.SetBytesV(name, value)
+		}
+	}
+}
+
+// headerReplay marks the recorded answer of an earlier request with the same key.
+const headerReplay = "Idempotent-Replay"
--- a/internal/oper/slopes/slopes_test.go
+++ b/internal/oper/slopes/slopes_test.go
@@ -261,7 +261,7 @@
 		total := 0
 		var records []peer.Record
 		key := once.Scope("village-app", "ledger", "0199a1f0-0000-7000-8000-000000000000")
-		ledger.Follow(key, "r", &out)
+		ledger.Follow(0, key, "r", &out)
 		stream := once.StreamOf(key)
 		for i := range actions {
 			own := once.Scope("village-app", "ledger", fmt.Sprintf("0199a1f0-0000-7000-8000-%012d", i))
