Hold callers to limits of their own

Cause: a caller could be held to no limit over all adapters; only rows had limits.

Change: callers in the settings may have requests and tokens a second and concurrency, counted over adapters and services by the code that keeps rows' limits and shared between entry VMs by demand in the same way. A request that was sent on counts where it came in.

Conclusion: the limits stand with the caller's token, not in the table.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -32,7 +32,7 @@
 		for second := range seconds {
 			now := clock.Millis(second) * clock.Second
 			for i := range n {
-				part := shares[i].Part(LimitKey("a"), members[i], members)
+				part := shares[i].Part("a", members[i], members)
 				for k := range rapid.IntRange(0, 120).Draw(t, "asked") {
 					verdict := limiters[i].Admit(now+clock.Millis(k*8), "a", Limits{RequestsPerSecond: rate}, part, 1, 0)
 					if verdict.Limit == "" {
--- a/internal/core/admit/limiter.go
+++ b/internal/core/admit/limiter.go
@@ -17,29 +17,29 @@
 	demandHalfLife = 5 * clock.Second
 	// maxAnnounced bounds the demands of one heartbeat.
 	maxAnnounced = 4
-	// forgetAfter is the time after which an adapter that was not asked for has
-	// no limits to keep.
+	// forgetAfter is the time after which a key that was not asked for has no
+	// limits to keep.
 	forgetAfter = clock.Minute
 )
 
-// Limits are those of one adapter's row; 0 is none.
+// Limits are those of one adapter's row or of one caller; 0 is none.
 type Limits struct {
 	RequestsPerSecond float64
 	TokensPerSecond   float64
 	Concurrency       int32
 }
 
-// Limiter keeps the limits of adapters at one entry VM. An entry VM holds to its
+// Limiter keeps the limits of adapters and callers at one entry VM. An entry VM holds to its
 // part of each limit, so that all together exceed a rate by no more than a burst
 // of one second of it, and at least one request each. The zero value has seen no
 // request.
 type Limiter struct {
-	adapters map[units.AdapterName]*usage
-	// announced is the adapter that was announced last.
-	announced units.AdapterName
+	uses map[Key]*usage
+	// announced is the key that was announced last.
+	announced Key
 }
 
-// usage is the use of one adapter's limits.
+// usage is the use of the limits of one key.
 type usage struct {
 	requests bucket
 	tokens   bucket
@@ -58,9 +58,9 @@
 
 // Admit counts a request with a number of tokens against the limits, of which
 // the entry VM has a part, and tells whether it may run. running is the number
-// of requests for the adapter that run already.
-func (l *Limiter) Admit(now clock.Millis, adapter units.AdapterName, limits Limits, part float64, tokens units.Tokens, running int) Verdict {
-	u := l.use(now, adapter)
+// of requests under the key that run already.
+func (l *Limiter) Admit(now clock.Millis, key Key, limits Limits, part float64, tokens units.Tokens, running int) Verdict {
+	u := l.use(now, key)
 	u.count(now)
 	if limits.Concurrency > 0 && running >= max(1, int(math.Ceil(float64(limits.Concurrency)*part))) {
 		return Verdict{Limit: "concurrency", Wait: clock.Second}
@@ -77,14 +77,14 @@
 	return Verdict{}
 }
 
-func (l *Limiter) use(now clock.Millis, adapter units.AdapterName) *usage {
-	if l.adapters == nil {
-		l.adapters = map[units.AdapterName]*usage{}
+func (l *Limiter) use(now clock.Millis, key Key) *usage {
+	if l.uses == nil {
+		l.uses = map[Key]*usage{}
 	}
-	u := l.adapters[adapter]
+	u := l.uses[key]
 	if u == nil {
 		u = &usage{askedAt: now}
-		l.adapters[adapter] = u
+		l.uses[key] = u
 	}
 	return u
 }
@@ -98,32 +98,38 @@
 	u.askedAt = now
 }
 
-// Demands returns the demands for the next heartbeat: a few adapters in turn, so
+// Demands returns the demands for the next heartbeat: a few keys in turn, so
 // that the size of a heartbeat is bounded.
 func (l *Limiter) Demands(now clock.Millis) []peer.Demand {
-	var names []units.AdapterName
-	for name, u := range l.adapters {
+	var names []Key
+	for name, u := range l.uses {
 		if now-u.askedAt >= forgetAfter {
-			delete(l.adapters, name)
+			delete(l.uses, name)
 			continue
 		}
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	first, _ := slices.BinarySearchFunc(names, l.announced, func(name, last units.AdapterName) int {
+	first, _ := slices.BinarySearchFunc(names, l.announced, func(name, last Key) int {
 		return cmp.Or(cmp.Compare(name, last), -1)
 	})
 	var demands []peer.Demand
 	for i := range min(len(names), maxAnnounced) {
 		name := names[(first+i)%len(names)]
 		l.announced = name
-		demands = append(demands, peer.Demand{Key: LimitKey(name), Rate: float32(l.adapters[name].decayed(now))})
+		demands = append(demands, peer.Demand{Key: string(name), Rate: float32(l.uses[name].decayed(now))})
 	}
 	return demands
 }
 
-// LimitKey names an adapter's limits among the shared ones.
-func LimitKey(adapter units.AdapterName) string { return "adapter:" + string(adapter) }
+// Key names the limits of one adapter or one caller.
+type Key string
+
+// AdapterKey names the limits of an adapter.
+func AdapterKey(adapter units.AdapterName) Key { return Key("adapter:" + adapter) }
+
+// CallerKey names the limits of a caller over all adapters and services.
+func CallerKey(caller units.Caller) Key { return Key("caller:" + caller) }
 
 // bucket is a token bucket that may fall below 0 by the cost of one request. The
 // zero value is full.
--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -50,7 +50,7 @@
 			r.Deadline = c.now + defaultServiceDeadline
 		}
 	}
-	return nil
+	return c.limit(r)
 }
 
 // checkKey refuses keys whose age can't be told, before anything is appended.
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -29,6 +29,8 @@
 	VMs []event.VM
 	// Policy weighs the decisions on routing, placement and loads.
 	Policy place.Policy
+	// Callers holds the limits of callers that have any.
+	Callers map[units.Caller]admit.Limits
 	// Services are the plain services by name.
 	Services map[units.ServiceName]Service
 }
--- a/internal/core/entry/sharing.go
+++ b/internal/core/entry/sharing.go
@@ -40,28 +40,58 @@
 	budget.SetShare(c.shares.Left(loadsKey, self, members, budget.Capacity()), c.shares.Part(loadsKey, self, members), len(members))
 }
 
-// limit counts a request against the limits of its adapter.
+// limit counts a request against the limits of its caller and of its adapter.
 func (c *Core) limit(r *request) *errs.Refusal {
-	limits := admit.Limits{RequestsPerSecond: r.row.RequestsPerSecond, TokensPerSecond: r.row.TokensPerSecond, Concurrency: r.row.Concurrency}
-	if limits == (admit.Limits{}) {
+	if refusal := c.limitCaller(r); refusal != nil {
+		return refusal
+	}
+	if r.row == nil {
 		return nil
 	}
-	running := 0
-	if limits.Concurrency > 0 {
-		running = c.countRequests(r.row.Adapter)
+	limits := admit.Limits{RequestsPerSecond: r.row.RequestsPerSecond, TokensPerSecond: r.row.TokensPerSecond, Concurrency: r.row.Concurrency}
+	running := func() int {
+		return c.countRequests(func(other *request) bool { return other.row != nil && other.row.Adapter == r.row.Adapter })
 	}
-	part := c.shares.Part(admit.LimitKey(r.row.Adapter), c.Members.SelfID(), c.Members.Members())
-	verdict := c.limiter.Admit(c.now, r.row.Adapter, limits, part, r.PromptTokens+r.MaxTokens, running)
+	verdict := c.under(r, admit.AdapterKey(r.row.Adapter), limits, running)
 	if verdict.Limit == "" {
 		return nil
 	}
 	return errs.Refuse(errs.CodeLimited, "adapter %s is at its limit %s: send the request again later, or ask an operator to raise it", r.row.Adapter, verdict.Limit).After(verdict.Wait)
 }
 
-func (c *Core) countRequests(adapter units.AdapterName) int {
+// limitCaller counts a request against the limits of its caller. A request that
+// another failure domain sent on was counted there.
+func (c *Core) limitCaller(r *request) *errs.Refusal {
+	if r.Forwarded {
+		return nil
+	}
+	running := func() int {
+		return c.countRequests(func(other *request) bool { return other.Caller == r.Caller && !other.Forwarded })
+	}
+	verdict := c.under(r, admit.CallerKey(r.Caller), c.cfg.Callers[r.Caller], running)
+	if verdict.Limit == "" {
+		return nil
+	}
+	return errs.Refuse(errs.CodeLimited, "caller %s is at its limit %s: send the request again later, or ask an operator to raise it in the settings", r.Caller, verdict.Limit).After(verdict.Wait)
+}
+
+// under counts a request against the own part of some limits.
+func (c *Core) under(r *request, key admit.Key, limits admit.Limits, running func() int) admit.Verdict {
+	if limits == (admit.Limits{}) {
+		return admit.Verdict{}
+	}
+	n := 0
+	if limits.Concurrency > 0 {
+		n = running()
+	}
+	part := c.shares.Part(string(key), c.Members.SelfID(), c.Members.Members())
+	return c.limiter.Admit(c.now, key, limits, part, r.PromptTokens+r.MaxTokens, n)
+}
+
+func (c *Core) countRequests(counts func(*request) bool) int {
 	n := 0
 	for _, r := range c.requests {
-		if r.row != nil && r.row.Adapter == adapter {
+		if counts(r) {
 			n++
 		}
 	}
--- a/internal/oper/cmds/democmd.go
+++ b/internal/oper/cmds/democmd.go
@@ -151,7 +151,7 @@
 		})
 		settings[i].Platform = config.Platform{LogAddress: d.standin.LogAddress, VMListAddress: d.standin.VMListAddress}
 		for name, token := range d.tokens {
-			settings[i].Callers = append(settings[i].Callers, config.Principal{Name: name, TokenSHA256: tokenDigest(token)})
+			settings[i].Callers = append(settings[i].Callers, config.Caller{Name: name, TokenSHA256: tokenDigest(token)})
 		}
 		settings[i].Services = []config.Service{{Name: "ledger", NotRepeatable: []string{"POST /release"}}}
 	}
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/token"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/admit"
 	"mangostile/internal/core/entry"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/place"
@@ -154,6 +155,7 @@
 			LoadsInFlight: settings.Policy.LoadsInFlight, Shares: settings.Policy.FailureDomains,
 			LinkBytesPerSecond: settings.Policy.LinkBytesPerSecond,
 		},
+		Callers:  map[units.Caller]admit.Limits{},
 		Services: map[units.ServiceName]entry.Service{},
 	}
 	if settings.TLS.ServeCertificateFile != "" {
@@ -161,6 +163,11 @@
 		// can't be checked by an IP number.
 		cfg.Policy.LinkBytesPerSecond = -1
 	}
+	for _, caller := range settings.Callers {
+		cfg.Callers[units.Caller(caller.Name)] = admit.Limits{
+			RequestsPerSecond: caller.RequestsPerSecond, TokensPerSecond: caller.TokensPerSecond, Concurrency: caller.Concurrency,
+		}
+	}
 	for _, s := range settings.Services {
 		cfg.Services[s.Name] = entry.Service{Deadline: s.DeadlineMS}
 	}
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -30,7 +30,7 @@
 	}
 	checkLimits(&s.Limits, c)
 	checkPolicy(&s.Policy, c)
-	checkPrincipals("callers", s.Callers, c)
+	checkCallers(s.Callers, c)
 	checkPrincipals("operators", s.Operators, c)
 	checkServices(s.Services, c)
 	checkVMs(s.VMs, true, c)
@@ -83,9 +83,25 @@
 	maxLoadsPerSecond     = 10000
 	maxLoadsInFlight      = 10000
 	maxFailureDomains     = 1000
+	maxConcurrency        = 1_000_000
+	maxRate               = 1_000_000_000
 	maxLinkBytesPerSecond = 1_000_000_000
 )
 
+func checkCallers(callers []Caller, c *checker) {
+	var principals []Principal
+	for i, caller := range callers {
+		principals = append(principals, Principal{Name: caller.Name, TokenSHA256: caller.TokenSHA256})
+		at := fmt.Sprintf("callers[%d]", i)
+		c.rate(at+".requests_per_second", caller.RequestsPerSecond)
+		c.rate(at+".tokens_per_second", caller.TokensPerSecond)
+		if caller.Concurrency < 0 || caller.Concurrency > maxConcurrency {
+			c.fault(at+".concurrency", errorOutOfRange, caller.Concurrency, 0, maxConcurrency)
+		}
+	}
+	checkPrincipals("callers", principals, c)
+}
+
 func checkPrincipals(array string, principals []Principal, c *checker) {
 	var names []string
 	hashes := map[string]bool{}
--- a/internal/oper/config/checker.go
+++ b/internal/oper/config/checker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -120,6 +121,13 @@
 	}
 }
 
+// rate checks a limit of something a second.
+func (c *checker) rate(key string, rate float64) {
+	if math.IsNaN(rate) || rate < 0 || rate > maxRate {
+		c.fault(key, errorOutOfRange, rate, 0, maxRate)
+	}
+}
+
 // names checks that names are given once each.
 func (c *checker) names(array, key string, names []string) {
 	seen := map[string]bool{}
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -10,7 +10,7 @@
 // Settings is one entry VM's settings file.
 type Settings struct {
 	// Callers may send requests.
-	Callers []Principal `toml:"callers"`
+	Callers []Caller `toml:"callers"`
 	// EntryVM is the own entry VM.
 	EntryVM EntryVM `toml:"entry_vm"`
 	Limits  Limits  `toml:"limits"`
@@ -81,7 +81,18 @@
 	VMListAddress string `toml:"vm_list_address"`
 }
 
-// Principal is a caller or an operator.
+// Caller is a caller with its limits over all adapters and services, in each
+// failure domain; 0 is none.
+type Caller struct {
+	Name string `toml:"name"`
+	// TokenSHA256 is the SHA-256 of the bearer token in hexadecimal digits.
+	TokenSHA256       string  `toml:"token_sha256"`
+	Concurrency       int32   `toml:"concurrency"`
+	RequestsPerSecond float64 `toml:"requests_per_second"`
+	TokensPerSecond   float64 `toml:"tokens_per_second"`
+}
+
+// Principal is someone who shows a token.
 type Principal struct {
 	Name string `toml:"name"`
 	// TokenSHA256 is the SHA-256 of the bearer token in hexadecimal digits.
