Notice at once that another entry VM has closed a connection

Cause: a sender never read from its connection, so the first message after the other side was replaced went into a dead one, the second failed and the third opened a new one: heartbeats reached a replaced entry VM only after 2 to 3 s.

Change: each opened connection is watched for its end; a message whose write fails is tried once more over a new connection.

Conclusion: a joining entry VM hears its members within a heartbeat.

--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -245,41 +245,81 @@
 }
 
 // sendAll writes the messages of one queue, over one connection as long as it
-// holds. A message whose write fails is lost.
+// holds. A message that can't be written over a second one either is lost.
 func (l *Links) sendAll(ctx context.Context, s *sender) {
-	var conn net.Conn
-	defer func() {
-		if conn != nil {
-			l.untrack(conn)
-		}
-	}()
-	var buf []byte
-	var dialedAt time.Time
+	o := outgoing{links: l, sender: s}
+	defer o.drop()
 	for {
 		m, ok := s.queue.Pop(ctx)
 		if !ok {
 			return
 		}
-		if conn == nil {
-			if time.Since(dialedAt) < redialPause {
-				continue
-			}
-			dialedAt = time.Now()
-			if conn = l.dial(s); conn == nil {
-				continue
-			}
-		}
-		var err error
-		if buf, err = frame.Append(buf[:0], tagOf(m), m); err != nil {
-			continue
+		if !o.write(m) {
+			o.write(m)
 		}
-		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := conn.Write(buf); err != nil {
-			l.untrack(conn)
-			conn = nil
-			continue
-		}
-		l.sent.add(len(buf))
+	}
+}
+
+// outgoing is the connection to one other entry VM.
+type outgoing struct {
+	links  *Links
+	sender *sender
+	// conn is nil while there is none.
+	conn net.Conn
+	buf  []byte
+	// dialedAt is the time of the last dial that failed.
+	dialedAt time.Time
+}
+
+// write sends one message. It reports false if a connection broke, so that
+// another one may be tried.
+func (o *outgoing) write(m peer.Message) bool {
+	l := o.links
+	if o.conn == nil && !o.dial() {
+		return true
+	}
+	var err error
+	if o.buf, err = frame.Append(o.buf[:0], tagOf(m), m); err != nil {
+		return true
+	}
+	_ = o.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := o.conn.Write(o.buf); err != nil {
+		o.drop()
+		return false
+	}
+	l.sent.add(len(o.buf))
+	return true
+}
+
+func (o *outgoing) dial() bool {
+	if time.Since(o.dialedAt) < redialPause {
+		return false
+	}
+	if o.conn = o.links.dial(o.sender); o.conn == nil {
+		o.dialedAt = time.Now()
+		return false
+	}
+	conn := o.conn
+	o.links.group.Go(func() error {
+		watch(conn)
+		return nil
+	})
+	return true
+}
+
+// watch closes a connection once the other side has, so that the next write
+// fails and no message goes to an entry VM that is gone. Nothing is ever read
+// from a connection that was opened here.
+func watch(conn net.Conn) {
+	var buf [1]byte
+	_, _ = conn.Read(buf[:])
+	_ = conn.Close()
+}
+
+func (o *outgoing) drop() {
+	if o.conn != nil {
+		o.links.untrack(o.conn)
+		o.conn = nil
 	}
 }
 
--- a/internal/node/links/links_test.go
+++ b/internal/node/links/links_test.go
@@ -146,3 +146,50 @@
 		})
 	}
 }
+
+// TestReplacedEntryVMHearsTheNextMessage replaces the receiving side at the same
+// address. The first message sent after that must reach it.
+func TestReplacedEntryVMHearsTheNextMessage(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	sender := startSide(t, "entry-1", nil)
+	for range 3 {
+		received := make(chan event.PeerReceived, 8)
+		receiver := New(Options{Self: "entry-2", Deliver: func(ev event.PeerReceived) bool {
+			received <- ev
+			return true
+		}})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- receiver.Run(ctx, listener) }()
+		waitConns(sender, 0)
+		for !sender.links.Send("entry-2", address, &peer.ConfigAsk{From: 7}) {
+			time.Sleep(time.Millisecond)
+		}
+		must.Eq(t, "entry-1", (<-received).From)
+		cancel()
+		must.NoError(t, <-done)
+		listener, err = net.Listen("tcp", address)
+		must.NoError(t, err)
+	}
+	must.NoError(t, listener.Close())
+}
+
+// waitConns waits until the other side's end of a connection was noticed.
+func waitConns(s *side, wanted int) {
+	for {
+		s.links.mu.Lock()
+		open := 0
+		for conn := range s.links.conns {
+			if conn.SetWriteDeadline(time.Time{}) == nil {
+				open++
+			}
+		}
+		s.links.mu.Unlock()
+		if open == wanted {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
