Let a starting entry VM listen before it owns anything

Cause: the rolling replacement's logs showed that each entry VM that started claimed all 6 engines of its failure domain within 100 ms, since it had heard nobody yet; owners that served lost their numbers, and 14 s without evictions followed. A swap of one member for another between two heartbeats was also missed, since only their number was compared.

Change: it joins once it has heard every listed member, at the longest after 3 s; heartbeats say so; members are compared by a revision.

TestStartingEntryVMTakesNothingFromOthers fails without the change. TestFaults, 300 cases each, passes.

--- a/internal/core/entry/beat.go
+++ b/internal/core/entry/beat.go
@@ -104,7 +104,7 @@
 	summaries := c.Owner.Summaries(c.now)
 	changed, dropped := b.changes(summaries)
 	base := peer.Heartbeat{
-		Incarnation: c.cfg.Incarnation, Leaving: c.leaving, ConfigOffset: c.Table.Next(), LogUnreachable: c.feed.unreachable,
+		Incarnation: c.cfg.Incarnation, Leaving: c.leaving, Joining: c.Members.Joining(), ConfigOffset: c.Table.Next(), LogUnreachable: c.feed.unreachable,
 		Sequence: b.sequence, Loads: loads(summaries), Demand: c.demands(),
 	}
 	held := c.heldByOwner()
@@ -129,12 +129,12 @@
 
 // heartbeat takes a heartbeat of a member.
 func (c *Core) heartbeat(from units.EntryVMID, m *peer.Heartbeat, out *event.Effects) {
-	before := len(c.Members.Members())
+	before := c.Members.Revision()
 	if !c.Members.Heard(c.now, from, m) {
 		return
 	}
-	if len(c.Members.Members()) != before {
-		c.assignServers(out)
+	if c.Members.Revision() != before {
+		c.membersChanged(out)
 	}
 	c.heardDemands(from, m.Demand)
 	pb := c.beats.of(from)
--- a/internal/core/entry/core.go
+++ b/internal/core/entry/core.go
@@ -27,6 +27,8 @@
 	Incarnation units.Incarnation
 	// VMs are those known from the settings. The platform's list is added.
 	VMs []event.VM
+	// ListsVMs tells that the platform has a list of VMs.
+	ListsVMs bool
 	// Policy weighs the decisions on routing, placement and loads.
 	Policy place.Policy
 	// Callers holds the limits of callers that have any.
@@ -94,8 +96,11 @@
 	// configSeen is set once the config stream was read to its end, or as far as
 	// any peer has it while the log service can't be read.
 	configSeen bool
-	leaving    bool
-	leavingAt  clock.Millis
+	// joined is set once the others were told that the entry VM takes part in
+	// ownership.
+	joined    bool
+	leaving   bool
+	leavingAt clock.Millis
 	// refusals counts refused requests by code.
 	refusals map[errs.Code]int64
 	left     bool
@@ -136,6 +141,7 @@
 
 func (c *Core) start(out *event.Effects) {
 	c.started = true
+	c.Members.Join(c.now, c.cfg.ListsVMs)
 	c.learnVMs(out)
 	c.feed.startedAt = c.now
 	c.tailConfig(out)
@@ -178,6 +184,7 @@
 		c.Owner.ReportFailed(ev, out)
 	case event.VMsListed:
 		c.listed = ev.VMs
+		c.Members.Listed()
 		c.learnVMs(out)
 	case event.EditProposed:
 		c.propose(ev.Edit, out)
@@ -242,7 +249,7 @@
 
 func (c *Core) tick(out *event.Effects) {
 	if c.Members.Tick(c.now) {
-		c.assignServers(out)
+		c.membersChanged(out)
 	}
 	c.Owner.Tick(c.now, out)
 	c.pollServices(out)
--- a/internal/core/entry/members.go
+++ b/internal/core/entry/members.go
@@ -32,6 +32,16 @@
 	c.assignServers(out)
 }
 
+// membersChanged divides the engines anew. An entry VM that has just joined says
+// so at once, so that the others hand over what is its own now.
+func (c *Core) membersChanged(out *event.Effects) {
+	c.assignServers(out)
+	if joined := !c.Members.Joining(); joined && !c.joined {
+		c.joined = true
+		c.beat(out)
+	}
+}
+
 // assignServers takes up the engines that the own entry VM owns.
 func (c *Core) assignServers(out *event.Effects) {
 	var owned []event.VM
--- a/internal/core/entry/owner_test.go
+++ b/internal/core/entry/owner_test.go
@@ -195,3 +195,32 @@
 		w.check(t)
 	}
 }
+
+// TestStartingEntryVMTakesNothingFromOthers starts an entry VM again beside others
+// that serve, and looks at who orders their engines about.
+func TestStartingEntryVMTakesNothingFromOthers(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newTestNet(seed)
+		w.addDomain("galle", 3, 6, 0)
+		w.startAll()
+		w.runFor(10 * clock.Second)
+		w.nodes["entry-galle-1"].dead = true
+		w.runFor(10 * clock.Second)
+		claims := map[units.BackendServerID]int{}
+		for id, e := range w.engines {
+			claims[id] = len(e.holders)
+		}
+		w.start("entry-galle-1")
+		w.runFor(5 * clock.Second)
+		mine := 0
+		for id, e := range w.engines {
+			if w.nodes["entry-galle-0"].core.Members.OwnerOf(id) == "entry-galle-1" {
+				mine++
+				must.Eq(t, 1, len(e.holders)-claims[id], must.Sprintf("claims of %s", id))
+				continue
+			}
+			must.Eq(t, claims[id], len(e.holders), must.Sprintf("claims of %s", id))
+		}
+		must.Positive(t, mine)
+	}
+}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -34,7 +34,9 @@
 	// HeardAt is the instant of the last heartbeat of Incarnation.
 	HeardAt clock.Millis
 	// Leaving is set if the peer or the platform's list said so.
-	Leaving      bool
+	Leaving bool
+	// Joining is set while the peer listens and owns nothing.
+	Joining      bool
 	ConfigOffset units.Offset
 	// listed is set while the last list of VMs names the peer.
 	listed bool
@@ -51,7 +53,46 @@
 	// part in ownership, Self included unless it is leaving.
 	members []units.EntryVMID
 	ring    *rendezvous.Rendezvous
-	leaving bool
+	// revision counts the changes of members.
+	revision uint64
+	leaving  bool
+	// joining is set while the own entry VM listens before it takes part in
+	// ownership, at the longest until joinBy.
+	joining bool
+	joinBy  clock.Millis
+	// listPending is set until the platform's list has come.
+	listPending bool
+}
+
+// Join makes the own entry VM listen until it has heard all listed members of
+// its failure domain, or for SuspectAfter. Otherwise it would take itself for the
+// owner of everything and take it from those who serve. listPending tells that
+// the list of VMs is still to come.
+func (v *View) Join(now clock.Millis, listPending bool) {
+	v.joining, v.joinBy, v.listPending = true, now+SuspectAfter, listPending
+}
+
+// Joining reports whether the own entry VM still listens.
+func (v *View) Joining() bool { return v.joining }
+
+// Listed notes that the platform's list has come.
+func (v *View) Listed() { v.listPending = false }
+
+// Revision returns a number that grows with each change of the members.
+func (v *View) Revision() uint64 { return v.revision }
+
+// heardAll reports whether every listed entry VM of the own failure domain was
+// heard.
+func (v *View) heardAll() bool {
+	if v.listPending {
+		return false
+	}
+	for _, p := range v.peers {
+		if p.listed && p.FailureDomain == v.Self.FailureDomain && p.Incarnation == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // SelfID returns the id of the own entry VM.
@@ -104,7 +145,7 @@
 	}
 	p.Incarnation = heartbeat.Incarnation
 	p.HeardAt = now
-	p.Leaving = heartbeat.Leaving
+	p.Leaving, p.Joining = heartbeat.Leaving, heartbeat.Joining
 	p.ConfigOffset = heartbeat.ConfigOffset
 	p.LogUnreachable = heartbeat.LogUnreachable
 	v.refresh(now)
@@ -166,11 +207,14 @@
 
 func (v *View) refresh(now clock.Millis) bool {
 	var members []units.EntryVMID
-	if !v.leaving {
+	if v.joining && (now >= v.joinBy || v.heardAll()) {
+		v.joining = false
+	}
+	if !v.leaving && !v.joining {
 		members = append(members, v.SelfID())
 	}
 	for _, p := range v.peers {
-		if p.FailureDomain == v.Self.FailureDomain && !p.Leaving && now-p.HeardAt < SuspectAfter {
+		if p.FailureDomain == v.Self.FailureDomain && !p.Leaving && !p.Joining && now-p.HeardAt < SuspectAfter {
 			members = append(members, p.ID)
 		}
 	}
@@ -179,6 +223,7 @@
 		return false
 	}
 	v.members = members
+	v.revision++
 	names := make([]string, len(members))
 	for i, id := range members {
 		names[i] = string(id)
--- a/internal/core/peer/message.go
+++ b/internal/core/peer/message.go
@@ -19,6 +19,8 @@
 type Heartbeat struct {
 	Incarnation units.Incarnation `msgpack:"i"`
 	Leaving     bool              `msgpack:"l,omitempty"`
+	// Joining tells that the sender listens and owns nothing yet.
+	Joining bool `msgpack:"j,omitempty"`
 	// ConfigOffset is the first offset of the config stream that the sender has
 	// not applied.
 	ConfigOffset units.Offset `msgpack:"o"`
