Name the package of whole runs apart from the experiment's

Cause: internal/oper/trial played policies in virtual time and internal/oper/trials ran whole deployments; the names told nothing apart.

--- a/internal/oper/trials/memory_test.go
+++ b/internal/oper/whole/memory_test.go
@@ -1,6 +1,6 @@
 //go:build wholerun
 
-package trials
+package whole
 
 import (
 	"fmt"
--- a/internal/oper/trials/wholerun_test.go
+++ b/internal/oper/whole/wholerun_test.go
@@ -1,6 +1,6 @@
 //go:build wholerun
 
-package trials
+package whole
 
 import (
 	"context"
@@ -204,7 +204,7 @@
 with the delays between failure domains and regions of the brief. Three runs go on
 at the same time unless -at-once says otherwise; all together take about 7 minutes.
 
-    go test -tags wholerun -count 1 -timeout 30m ./internal/oper/trials -args -record ../../../docs/measurements
+    go test -tags wholerun -count 1 -timeout 30m ./internal/oper/whole -args -record ../../../docs/measurements
 
 Times are in milliseconds and count from the instant at which a request had to be
 sent. A load stall is a chat whose first token took 200 ms or more. CPU is the
