Add a thin path through the users' platform

Cause: the users want the product on their platform.

Change: the adapter in platform/, cores for routes, leases, homes and choices, the duties round them and the command that runs them. Nothing measured yet.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -4,6 +4,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is an instant or a length of time in milliseconds. An instant counts
@@ -58,6 +60,20 @@
 	return FromDuration(time.Since(processStart)) + Hour
 }
 
+// BootNow returns the present instant on a clock that goes on while the machine is
+// suspended. Its instants must not be compared with those of Now.
+func (c Clock) BootNow() Millis {
+	if c.manual != nil {
+		return c.Now()
+	}
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// A kernel without this clock does not suspend processes unseen.
+		return c.Now()
+	}
+	return Millis(now.Nano() / int64(time.Millisecond))
+}
+
 // Advance moves a manual clock forward by d. It does nothing to the machine's
 // clock.
 func (c Clock) Advance(d Millis) {
--- /dev/null
+++ b/internal/core/choose/core.go
@@ -0,0 +1,257 @@
+// Package choose decides, for one entry VM, which backend server gets a request,
+// whether the request waits, is refused, or is tried again.
+package choose
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+)
+
+// Config is what a Core knows from the settings.
+type Config struct {
+	Self   units.EntryVMID
+	Domain units.FailureDomain
+	Region units.Region
+	Policy Policy
+}
+
+// Policy holds the settings of a Core. Zero fields take the defaults.
+type Policy struct {
+	// PrefillPerMS is the number of prompt tokens that an engine reads in a
+	// millisecond, until it is known better.
+	PrefillPerMS float64
+	// RetryRatio and RetryReserve bound second sends: RetryRatio of the requests
+	// for a service and RetryReserve in RetryWindow, over all entry VMs.
+	RetryRatio   float64
+	RetryReserve float64
+	RetryWindow  clock.Millis
+	// VersionTerm is the time after the announcement of a version in which older
+	// copies may still be used.
+	VersionTerm clock.Millis
+}
+
+// Defaults of Policy.
+const (
+	defaultPrefillPerMS = 30
+	defaultRetryRatio   = 0.1
+	defaultRetryReserve = 20
+	defaultRetryWindow  = 10 * clock.Second
+	defaultVersionTerm  = 3 * clock.Second
+)
+
+func (p Policy) withDefaults() Policy {
+	if p.PrefillPerMS == 0 {
+		p.PrefillPerMS = defaultPrefillPerMS
+	}
+	if p.RetryRatio == 0 {
+		p.RetryRatio = defaultRetryRatio
+	}
+	if p.RetryReserve == 0 {
+		p.RetryReserve = defaultRetryReserve
+	}
+	if p.RetryWindow == 0 {
+		p.RetryWindow = defaultRetryWindow
+	}
+	if p.VersionTerm == 0 {
+		p.VersionTerm = defaultVersionTerm
+	}
+	return p
+}
+
+// Part is one part of a prompt. Requests that begin with the same parts share
+// what an engine keeps of them.
+type Part struct {
+	ID     uint64
+	Tokens units.Tokens
+}
+
+// Request is what is known of one client attempt.
+type Request struct {
+	ID      units.RequestID
+	Route   *topo.Route
+	Service units.ServiceName
+	// Adapter is the full name, MODEL/ADAPTER or MODEL, empty for plain services.
+	Adapter      units.AdapterName
+	PromptTokens units.Tokens
+	MaxTokens    units.Tokens
+	Parts        []Part
+	Arrived      clock.Millis
+	// Deadline is the instant after which the answer is of no use.
+	Deadline clock.Millis
+	// Tried lists backend servers that the request was meant for.
+	Tried []units.BackendServerID
+	// Sends counts those that it reached.
+	Sends int
+	// waited is set while the request counts among those that want its adapter.
+	waited bool
+}
+
+func (r *Request) tried(id units.BackendServerID) bool {
+	for _, t := range r.Tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// view is what a Core knows of one backend server.
+type view struct {
+	*topo.Server
+	engine *topo.Engine
+	models []units.ModelName
+	copies map[units.AdapterName]copyView
+	// placed is set once a placer told of it.
+	placed bool
+	// others are the requests of other entry VMs, as the placer added them up.
+	others use
+	own    use
+	// reported is own as it was last reported to the placer.
+	reported use
+	adapters map[units.AdapterName]*adapterUse
+	health   health
+	prefixes prefixes
+}
+
+// copyView is an adapter at a backend server.
+type copyView struct {
+	revision topo.AdapterRevision
+	readyAt  clock.Millis
+}
+
+// use counts requests at a backend server.
+type use struct {
+	active  int32
+	prefill units.Tokens
+	tokens  units.Tokens
+}
+
+type adapterUse struct{ active, arrived int32 }
+
+// Core is the state of an entry VM's choices. Make it with New. It does no input
+// or output; calls must not overlap.
+type Core struct {
+	cfg      Config
+	now      clock.Millis
+	config   *topo.Config
+	servers  map[units.BackendServerID]*view
+	byName   map[units.ServiceName][]*view
+	shards   map[string]*shard
+	wants    map[units.AdapterName]*want
+	versions map[units.AdapterName]version
+	budgets  map[units.ServiceName]*budget
+	missing  []peer.Missing
+	members  int32
+}
+
+type version struct {
+	revision topo.AdapterRevision
+	at       clock.Millis
+}
+
+// shard is what is known of a placer.
+type shard struct {
+	fence    units.Fence
+	sequence uint64
+	wantFull bool
+	heardAt  clock.Millis
+	loadWait clock.Millis
+}
+
+// want is an adapter that requests wait for.
+type want struct {
+	count, arrived int32
+	rank           int8
+	since          clock.Millis
+	// changed is closed when a copy appears.
+	changed chan struct{}
+}
+
+// New returns a core that knows nothing.
+func New(cfg Config) *Core {
+	cfg.Policy = cfg.Policy.withDefaults()
+	return &Core{
+		cfg: cfg, servers: map[units.BackendServerID]*view{}, byName: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
+		wants: map[units.AdapterName]*want{}, versions: map[units.AdapterName]version{}, budgets: map[units.ServiceName]*budget{},
+	}
+}
+
+// Config returns the newest configuration, nil before one is known.
+func (c *Core) Config() *topo.Config { return c.config }
+
+// SetConfig takes a configuration if it is newer and reports whether it is.
+func (c *Core) SetConfig(cfg *topo.Config) bool {
+	if c.config != nil && cfg.Version <= c.config.Version {
+		return false
+	}
+	c.config = cfg
+	c.index()
+	return true
+}
+
+// SetServers takes the list of backend servers.
+func (c *Core) SetServers(list []*topo.Server) {
+	seen := map[units.BackendServerID]bool{}
+	for _, s := range list {
+		seen[s.ID] = true
+		v := c.servers[s.ID]
+		if v == nil || s.Born > v.Born {
+			v = newView(s)
+			c.servers[s.ID] = v
+		}
+		v.Server = s
+		if !v.placed {
+			v.listed()
+		}
+	}
+	for id, v := range c.servers {
+		if !seen[id] && v.own.active == 0 {
+			delete(c.servers, id)
+		} else if !seen[id] {
+			gone := *v.Server
+			gone.Draining = true
+			v.Server = &gone
+		}
+	}
+	c.index()
+}
+
+func newView(s *topo.Server) *view {
+	return &view{Server: s, copies: map[units.AdapterName]copyView{}, adapters: map[units.AdapterName]*adapterUse{}}
+}
+
+// listed takes models and adapters from the server's entry.
+func (v *view) listed() {
+	v.models = v.Models
+	clear(v.copies)
+	for _, held := range v.Copies {
+		v.copies[held.Adapter] = copyView{revision: held.Revision}
+	}
+}
+
+func (c *Core) index() {
+	clear(c.byName)
+	for _, v := range c.servers {
+		v.engine = nil
+		if c.config != nil && c.config.Services[v.Service] != nil {
+			v.engine = c.config.Services[v.Service].Engine
+		}
+		c.byName[v.Service] = append(c.byName[v.Service], v)
+	}
+	for _, list := range c.byName {
+		sortViews(list)
+	}
+}
+
+// Announce tells of a version of an adapter that was named.
+func (c *Core) Announce(now clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
+	if c.versions[adapter].revision < revision {
+		c.versions[adapter] = version{revision: revision, at: now}
+	}
+}
+
+// Ready reports whether requests can be taken: a configuration and a backend
+// server are known.
+func (c *Core) Ready() bool { return c.config != nil && len(c.servers) > 0 }
--- /dev/null
+++ b/internal/core/claim/claim.go
@@ -0,0 +1,275 @@
+// Package claim decides who may order the backend servers of a shard about. The
+// right is a lease in a partition of the platform's log: every record is appended
+// on the condition that the partition ends where its writer has read to.
+package claim
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+)
+
+// Kind is the kind of a Record.
+type Kind string
+
+// Kinds of records.
+const (
+	KindClaim   Kind = "claim"
+	KindRenew   Kind = "renew"
+	KindRelease Kind = "release"
+)
+
+// Record is one record of a shard's partition.
+type Record struct {
+	Kind   Kind            `msgpack:"k"`
+	Holder units.EntryVMID `msgpack:"h"`
+	// Address is where the holder takes messages of other entry VMs.
+	Address string            `msgpack:"a"`
+	Run     units.Incarnation `msgpack:"r"`
+	// Hold is how much longer the holder gives no orders, counted from the
+	// sending of the record.
+	Hold clock.Millis `msgpack:"w,omitempty"`
+}
+
+// Bounds of the lease.
+const (
+	// Term is how long the right holds after the sending of a record.
+	Term = 1500 * clock.Millis(1)
+	// RenewPeriod is the time between two renewals.
+	RenewPeriod = 500 * clock.Millis(1)
+	// Silence is how long a partition must not grow before somebody else claims.
+	// It exceeds Term by more than clocks drift apart in that time.
+	Silence = 1700 * clock.Millis(1)
+	// answerTerm is how long the answer to an append is waited for.
+	answerTerm = 700 * clock.Millis(1)
+)
+
+// Lease is the view that one entry VM has of one shard. All methods must be called
+// from one goroutine, with a clock that counts suspended time.
+type Lease struct {
+	Self    units.EntryVMID
+	Address string
+	Run     units.Incarnation
+	// Turn is the least time between orders of two holders.
+	Turn clock.Millis
+	// Standby is added to Silence; entry VMs that should claim later have more.
+	Standby clock.Millis
+
+	// read is set once the partition was read to its end; next is then that end.
+	read bool
+	next units.Offset
+	// last is the last record, nil if none was found; grewAt when it was read.
+	last   *Record
+	grewAt clock.Millis
+	fence  units.Fence
+	// right ends at rightUntil; orders are given from orderFrom on.
+	rightUntil clock.Millis
+	orderFrom  clock.Millis
+	// pending is the append that was not answered yet.
+	pending  *Append
+	renewAt  clock.Millis
+	released bool
+}
+
+// Append is a record to be appended if the partition ends at At.
+type Append struct {
+	At     units.Offset
+	Record Record
+	SentAt clock.Millis
+}
+
+// Next returns the offset to read from.
+func (l *Lease) Next() units.Offset { return l.next }
+
+// Holder returns the entry VM that holds the lease as last read, and its address.
+func (l *Lease) Holder() (units.EntryVMID, string) {
+	if l.last == nil || l.last.Kind == KindRelease {
+		return "", ""
+	}
+	return l.last.Holder, l.last.Address
+}
+
+// Fence returns the number that orders of the current holder carry.
+func (l *Lease) Fence() units.Fence { return l.fence }
+
+// Holds reports whether the right holds at an instant.
+func (l *Lease) Holds(now clock.Millis) bool { return !l.released && now < l.rightUntil }
+
+// Until returns the end of the right.
+func (l *Lease) Until() clock.Millis { return l.rightUntil }
+
+// Pending reports whether the answer to an append is awaited.
+func (l *Lease) Pending() bool { return l.pending != nil }
+
+// MayOrder reports whether an order may be sent at an instant.
+func (l *Lease) MayOrder(now clock.Millis) bool { return l.Holds(now) && now >= l.orderFrom }
+
+// Fold takes records read from the offset from on; end is the end of the
+// partition. Records before Next are passed over; a later start is a gap.
+func (l *Lease) Fold(now clock.Millis, from units.Offset, records []Record, end units.Offset) {
+	if !l.read || from > l.next {
+		l.grewAt = now
+	}
+	for i := range records {
+		offset := from + units.Offset(i)
+		if offset < l.next && l.read {
+			continue
+		}
+		l.fold(now, offset, &records[i])
+	}
+	if end > l.next || !l.read {
+		l.next = max(end, from+units.Offset(len(records)))
+	}
+	l.read = true
+}
+
+func (l *Lease) fold(now clock.Millis, offset units.Offset, r *Record) {
+	if l.pending != nil && l.pending.At == offset && r.Holder == l.Self && r.Run == l.Run {
+		l.accepted(*l.pending)
+		return
+	}
+	if r.Holder != l.Self || r.Run != l.Run {
+		l.lost()
+	}
+	l.note(now, offset, r)
+}
+
+// note takes over a record that counts.
+func (l *Lease) note(now clock.Millis, offset units.Offset, r *Record) {
+	if r.Kind == KindClaim || l.fence == 0 {
+		l.fence = units.Fence(offset) + 1
+	}
+	l.last, l.grewAt, l.next = r, now, offset+1
+}
+
+func (l *Lease) lost() {
+	l.rightUntil = 0
+	if l.pending != nil && l.pending.At < l.next {
+		l.pending = nil
+	}
+}
+
+// Gap tells that records before an offset have expired unread.
+func (l *Lease) Gap(now clock.Millis, oldest units.Offset) {
+	if oldest > l.next {
+		l.next, l.grewAt, l.rightUntil = oldest, now, 0
+	}
+}
+
+// Due returns the record to append now, or nil. The caller sends it at once and
+// reports with Answered.
+func (l *Lease) Due(now clock.Millis) *Append {
+	if l.released || !l.read {
+		return nil
+	}
+	if l.pending != nil {
+		if now < l.pending.SentAt+answerTerm {
+			return nil
+		}
+		l.pending = nil
+	}
+	var record Record
+	switch {
+	case l.Holds(now):
+		if now < l.renewAt {
+			return nil
+		}
+		record = l.record(KindRenew, now)
+	case l.claimable(now):
+		l.orderFrom = l.orderFromAfterClaim(now)
+		record = l.record(KindClaim, now)
+	default:
+		return nil
+	}
+	l.pending = &Append{At: l.next, Record: record, SentAt: now}
+	return l.pending
+}
+
+func (l *Lease) record(kind Kind, now clock.Millis) Record {
+	return Record{Kind: kind, Holder: l.Self, Address: l.Address, Run: l.Run, Hold: max(0, l.orderFrom-now)}
+}
+
+func (l *Lease) claimable(now clock.Millis) bool {
+	switch {
+	case l.last == nil && l.next == 0:
+		return now >= l.grewAt+l.Standby
+	case l.last != nil && l.last.Holder == l.Self:
+		return true
+	case l.last != nil && l.last.Kind == KindRelease:
+		return now >= l.grewAt+l.Standby
+	default:
+		return now >= l.grewAt+Silence+l.Standby
+	}
+}
+
+// orderFromAfterClaim keeps orders of two holders Turn apart.
+func (l *Lease) orderFromAfterClaim(now clock.Millis) clock.Millis {
+	switch {
+	case l.last == nil && l.next == 0:
+		return now
+	case l.last != nil && l.last.Holder == l.Self:
+		return max(l.orderFrom, now+l.last.Hold)
+	case l.last != nil && l.last.Kind == KindRelease:
+		return max(l.orderFrom, l.grewAt+l.Turn+l.last.Hold)
+	default:
+		return max(l.orderFrom, l.grewAt+Term+l.Turn)
+	}
+}
+
+// Result is the answer to an append.
+type Result uint8
+
+// Results of an append.
+const (
+	Accepted Result = iota + 1
+	// Conflict tells that the partition ended elsewhere.
+	Conflict
+	// Refused tells that nothing was appended and nothing will be.
+	Refused
+	// Unknown tells that the record may be appended now or later.
+	Unknown
+)
+
+// Answered takes the result of an append.
+func (l *Lease) Answered(a Append, result Result) {
+	if l.pending == nil || *l.pending != a {
+		// The answer came late; the record is found by reading.
+		return
+	}
+	switch result {
+	case Accepted:
+		l.accepted(a)
+	case Conflict:
+		l.pending = nil
+		l.rightUntil = 0
+	case Refused:
+		l.pending = nil
+	case Unknown:
+		// The record is looked for until answerTerm has passed.
+	}
+}
+
+func (l *Lease) accepted(a Append) {
+	l.pending = nil
+	if a.At < l.next {
+		return
+	}
+	record := a.Record
+	l.note(a.SentAt, a.At, &record)
+	if record.Kind == KindRelease {
+		l.rightUntil = 0
+		return
+	}
+	l.rightUntil = a.SentAt + Term
+	l.renewAt = a.SentAt + RenewPeriod
+}
+
+// Release ends the right and returns the record that tells so, or nil if there
+// was no right.
+func (l *Lease) Release(now clock.Millis) *Append {
+	held := l.Holds(now)
+	l.released, l.rightUntil = true, 0
+	if !held {
+		return nil
+	}
+	return &Append{At: l.next, Record: l.record(KindRelease, now), SentAt: now}
+}
--- /dev/null
+++ b/internal/core/homes/news.go
@@ -0,0 +1,83 @@
+package homes
+
+import (
+	"sort"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+)
+
+// News returns the homes that changed since the last call, or all of them.
+func (p *Placer) News(now clock.Millis, shard string, fence units.Fence, full bool) *peer.Homes {
+	p.now = max(p.now, now)
+	if !full {
+		p.sequence++
+	}
+	m := &peer.Homes{Shard: shard, Fence: fence, Sequence: p.sequence, Full: full, LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage))}
+	for _, id := range p.order {
+		s := p.servers[id]
+		if full || s.changed {
+			m.Servers = append(m.Servers, p.homesOf(s))
+		}
+		if !full {
+			s.changed = false
+		}
+	}
+	if !full {
+		for _, id := range p.gone {
+			m.Servers = append(m.Servers, peer.ServerHomes{Server: id, Gone: true})
+		}
+		p.gone = nil
+	}
+	return m
+}
+
+// Changed reports whether copies have changed since the last News.
+func (p *Placer) Changed() bool {
+	if len(p.gone) > 0 {
+		return true
+	}
+	for _, s := range p.servers {
+		if s.changed {
+			return true
+		}
+	}
+	return false
+}
+
+// MarkAll makes the next News tell of all backend servers' loads.
+func (p *Placer) MarkAll() {
+	for _, s := range p.servers {
+		s.changed = true
+	}
+}
+
+func (p *Placer) homesOf(s *server) peer.ServerHomes {
+	h := peer.ServerHomes{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens}
+	if p.now >= s.modelReadyAt {
+		for m := range s.models {
+			h.Models = append(h.Models, m)
+		}
+		sort.Slice(h.Models, func(i, j int) bool { return h.Models[i] < h.Models[j] })
+	}
+	for adapter, c := range s.copies {
+		if c.state != copyLoading && c.state != copyReady {
+			continue
+		}
+		h.Copies = append(h.Copies, peer.HomeCopy{Adapter: adapter, Revision: int64(c.revision), Ready: max(0, c.readyAt-p.now)})
+	}
+	sort.Slice(h.Copies, func(i, j int) bool { return h.Copies[i].Adapter < h.Copies[j].Adapter })
+	return h
+}
+
+// loadWait estimates how long a load that is asked for now waits.
+func (p *Placer) loadWait() clock.Millis {
+	queued := 0
+	for _, w := range p.wants {
+		if p.now < w.seenAt+wantTerm {
+			queued++
+		}
+	}
+	return clock.Millis(float64(queued) / p.maxLoadsInFlight() * float64(p.policy.AdapterLoad))
+}
--- /dev/null
+++ b/internal/core/homes/orders.go
@@ -0,0 +1,221 @@
+package homes
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/topo"
+)
+
+// OrderKind is the kind of an Order.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+)
+
+// Order is an order to a backend server.
+type Order struct {
+	Kind    OrderKind
+	Server  units.BackendServerID
+	Address string
+	Model   units.ModelName
+	// Adapter is the full name, empty for an order about the model itself.
+	Adapter  units.AdapterName
+	Revision topo.AdapterRevision
+	// Expected is the number of orders that the backend server has accepted; it
+	// refuses if that differs.
+	Expected int64
+	// Reason is for the log.
+	Reason string
+}
+
+// Result is the answer to an order.
+type Result uint8
+
+// Results of orders.
+const (
+	// Taken tells that the order is being carried out.
+	Taken Result = iota + 1
+	// Done tells that what was ordered holds.
+	Done
+	// Conflicts tells that the count of orders differs or another order is under
+	// way; nothing was done.
+	Conflicts
+	// Refused tells that the order can't be carried out.
+	Refused
+	// Lost tells that no answer came: the order may be carried out now or later.
+	Lost
+	// NotSent tells that no byte of the order left.
+	NotSent
+)
+
+// String returns the name of r in log lines.
+func (r Result) String() string {
+	switch r {
+	case Taken:
+		return "taken"
+	case Done:
+		return "done"
+	case Conflicts:
+		return "conflicts"
+	case Refused:
+		return "refused"
+	case Lost:
+		return "lost"
+	case NotSent:
+		return "not_sent"
+	default:
+		return "unknown"
+	}
+}
+
+// Ordered takes the answer to an order.
+func (p *Placer) Ordered(now clock.Millis, o Order, result Result) {
+	p.now = max(p.now, now)
+	s := p.servers[o.Server]
+	if s == nil {
+		return
+	}
+	s.waiting, s.orderedAt = false, p.now
+	switch result {
+	case Taken, Done:
+		s.orders = o.Expected + 1
+		p.apply(s, o, result)
+	case Conflicts, Refused, Lost:
+		// A report tells what is so, once reports show the time after the order.
+		p.unload(s, o)
+		s.synced = false
+		s.reportAt = p.now + reportSettles
+	case NotSent:
+		p.unload(s, o)
+	}
+	s.changed = true
+}
+
+// unload forgets the copy that a load was to bring.
+func (p *Placer) unload(s *server, o Order) {
+	if c := s.copies[o.Adapter]; o.Kind == OrderLoad && c != nil && c.state == copyLoading {
+		delete(s.copies, o.Adapter)
+	}
+}
+
+func (p *Placer) apply(s *server, o Order, result Result) {
+	switch {
+	case o.Adapter == "" && o.Kind == OrderLoad:
+		model := s.engine.Model(o.Model)
+		s.models[o.Model] = true
+		if model != nil && result == Taken {
+			s.modelReadyAt = p.now + model.Load
+		}
+		s.reportAt = s.modelReadyAt + reportSettles
+	case o.Kind == OrderLoad:
+		p.applyLoad(s, o, result)
+	case result == Done:
+		delete(s.copies, o.Adapter)
+		s.held[o.Adapter] = p.now
+	default:
+		if c := s.copies[o.Adapter]; c != nil {
+			c.state = copyUnloading
+		}
+		s.reportAt = p.now + reportSettles
+	}
+}
+
+func (p *Placer) applyLoad(s *server, o Order, result Result) {
+	c := s.copies[o.Adapter]
+	if c == nil {
+		c = &heldCopy{}
+		s.copies[o.Adapter] = c
+	}
+	c.state, c.revision, c.usedAt = copyLoading, o.Revision, p.now
+	c.readyAt = p.now
+	if result == Taken {
+		c.readyAt += p.loadTime(s, o.Adapter)
+	}
+	delete(s.held, o.Adapter)
+}
+
+// loadTime is the time that an adapter takes to a backend server.
+func (p *Placer) loadTime(s *server, adapter units.AdapterName) clock.Millis {
+	took := p.policy.AdapterLoad
+	if heldAt, ok := s.held[adapter]; ok && p.now < heldAt+reuseTerm {
+		return took / reuseSpeed
+	}
+	if over := float64(p.loadsInFlight()) / p.maxLoadsInFlight(); over > 1 {
+		took = clock.Millis(float64(took) * over)
+	}
+	return took
+}
+
+// Reported takes what a backend server said of itself.
+func (p *Placer) Reported(now clock.Millis, id units.BackendServerID, r *topo.Report) {
+	p.now = max(p.now, now)
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.reporting, s.reportedAt = false, p.now
+	s.reportAt = p.now + reportPeriod
+	if r.Born > s.Born {
+		s.Born = r.Born
+		s.orders = 0
+		s.copies, s.models = map[units.AdapterName]*heldCopy{}, map[units.ModelName]bool{}
+	}
+	if s.waiting || s.synced && (p.now < s.orderedAt+reportSettles || r.Orders < s.orders) {
+		return
+	}
+	if !s.synced && s.orderedAt > 0 && p.now < s.orderedAt+reportSettles {
+		s.reportAt = s.orderedAt + reportSettles
+		return
+	}
+	p.sync(s, r)
+}
+
+// sync takes over what a report says.
+func (p *Placer) sync(s *server, r *topo.Report) {
+	s.synced, s.orders, s.changed = true, r.Orders, true
+	s.models = map[units.ModelName]bool{}
+	for _, m := range r.Models {
+		s.models[m] = true
+	}
+	copies := map[units.AdapterName]*heldCopy{}
+	for _, held := range r.Copies {
+		c := s.copies[held.Adapter]
+		if c == nil {
+			c = &heldCopy{state: copyReady, usedAt: p.now}
+		}
+		if c.state == copyLoading {
+			c.state = copyReady
+		}
+		c.revision = held.Revision
+		copies[held.Adapter] = c
+	}
+	for _, coming := range r.Coming {
+		if copies[coming.Adapter] == nil {
+			copies[coming.Adapter] = &heldCopy{state: copyLoading, revision: coming.Revision, readyAt: p.now + p.policy.AdapterLoad, usedAt: p.now}
+		}
+	}
+	s.copies = copies
+	if r.Busy {
+		s.modelReadyAt = max(s.modelReadyAt, p.now+reportSettles)
+	}
+}
+
+// ReportFailed tells that a backend server did not report.
+func (p *Placer) ReportFailed(now clock.Millis, id units.BackendServerID) {
+	if s := p.servers[id]; s != nil {
+		s.reporting = false
+		s.reportAt = now + reportSettles
+	}
+}
+
+// Resync forgets what is known, for a placer that takes over.
+func (p *Placer) Resync(now clock.Millis) {
+	p.now = max(p.now, now)
+	for _, s := range p.servers {
+		s.synced, s.waiting, s.reporting, s.reportAt, s.changed = false, false, false, p.now, true
+		s.orderedAt = 0
+	}
+}
--- /dev/null
+++ b/internal/core/homes/placer.go
@@ -0,0 +1,318 @@
+// Package homes decides which adapters the backend servers of a shard hold. It is
+// the part of an entry VM that acts while the entry VM is the placer of the shard.
+package homes
+
+import (
+	"sort"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+)
+
+// Policy holds the settings of a Placer. Zero fields take the defaults.
+type Policy struct {
+	// AdapterLoad is the time that an adapter takes from the weight store.
+	AdapterLoad clock.Millis
+	// LoadsPerServer is the number of adapters on the way to the shard at the same
+	// time for each backend server.
+	LoadsPerServer float64
+	// Keep is how long an adapter that was used is not evicted for another that
+	// is not asked for more often.
+	Keep clock.Millis
+	// CopyAt is the number of requests at one copy from which on another copy is
+	// made.
+	CopyAt float64
+}
+
+// Defaults of Policy.
+const (
+	defaultAdapterLoad    = 250 * clock.Millis(1)
+	defaultLoadsPerServer = 0.45
+	defaultKeep           = 1200 * clock.Millis(1)
+	defaultCopyAt         = 6
+)
+
+func (p Policy) withDefaults() Policy {
+	if p.AdapterLoad == 0 {
+		p.AdapterLoad = defaultAdapterLoad
+	}
+	if p.LoadsPerServer == 0 {
+		p.LoadsPerServer = defaultLoadsPerServer
+	}
+	if p.Keep == 0 {
+		p.Keep = defaultKeep
+	}
+	if p.CopyAt == 0 {
+		p.CopyAt = defaultCopyAt
+	}
+	return p
+}
+
+// Times of the placer.
+const (
+	// retireNotice is how long entry VMs have been told not to use a copy before
+	// it is unloaded. It exceeds the time between two usage reports.
+	retireNotice = 260 * clock.Millis(1)
+	// idleBeforeRetire is how long a copy has not been used before it may be
+	// retired.
+	idleBeforeRetire = 300 * clock.Millis(1)
+	// reportSettles is how old the last order must be for a report to tell the
+	// state after it; reports lag.
+	reportSettles = 450 * clock.Millis(1)
+	// reportPeriod is the time between two reports of one server.
+	reportPeriod = 2 * clock.Second
+	// usageTerm is how long a usage report counts.
+	usageTerm = 2 * clock.Second
+	// wantTerm is how long a want counts that is not repeated.
+	wantTerm = 600 * clock.Millis(1)
+	// reuseTerm is how long a backend server loads an adapter that it held faster.
+	reuseTerm = 20 * clock.Second
+	// reuseSpeed is by how much faster.
+	reuseSpeed = 8
+	// minLoadsInFlight is the least bound of adapters on the way to a shard.
+	minLoadsInFlight = 4
+	// maxLoadsPerServer bounds adapters on the way to one backend server, as the
+	// engines do.
+	maxLoadsPerServer = 4
+	// versionGrace is how long after its announcement a new version may wait for
+	// the runs of the old one before it replaces it all the same.
+	versionGrace = 1500 * clock.Millis(1)
+)
+
+// copyState is the state of an adapter at a backend server.
+type copyState uint8
+
+const (
+	// copyLoading is on its way; it can be used from readyAt on.
+	copyLoading copyState = iota + 1
+	copyReady
+	// copyRetired is loaded, but entry VMs have been told not to use it.
+	copyRetired
+	// copyUnloading waits for its last runs; it takes its place until a report
+	// shows it gone.
+	copyUnloading
+)
+
+// heldCopy is one adapter at one backend server.
+type heldCopy struct {
+	state    copyState
+	revision topo.AdapterRevision
+	readyAt  clock.Millis
+	// usedAt is the last time at which a request was known to use it.
+	usedAt    clock.Millis
+	retiredAt clock.Millis
+	active    int32
+}
+
+// server is what the placer knows of one backend server.
+type server struct {
+	topo.Server
+	engine *topo.Engine
+	// synced is set once orders and copies are known; no order is sent before.
+	synced bool
+	orders int64
+	copies map[units.AdapterName]*heldCopy
+	models map[units.ModelName]bool
+	// modelReadyAt is the end of the load of a model.
+	modelReadyAt clock.Millis
+	// waiting is set while the answer to an order is awaited.
+	waiting    bool
+	orderedAt  clock.Millis
+	reportAt   clock.Millis
+	reporting  bool
+	reportedAt clock.Millis
+	active     int32
+	prefill    units.Tokens
+	tokens     units.Tokens
+	// held tells when adapters were unloaded that load faster for it.
+	held    map[units.AdapterName]clock.Millis
+	changed bool
+}
+
+func (s *server) loading(now clock.Millis) int {
+	n := 0
+	for _, c := range s.copies {
+		if c.state == copyLoading && now < c.readyAt {
+			n++
+		}
+	}
+	return n
+}
+
+// usable reports whether adapters may be ordered to s now.
+func (s *server) usable(now clock.Millis) bool {
+	return s.synced && !s.waiting && !s.Draining && s.Leaves == 0 && now >= s.modelReadyAt
+}
+
+// Placer decides for one shard. Make it with New; all methods must be called from
+// one goroutine.
+type Placer struct {
+	policy  Policy
+	now     clock.Millis
+	servers map[units.BackendServerID]*server
+	// order lists the ids of servers in a fixed order.
+	order    []units.BackendServerID
+	services map[units.ServiceName]*topo.Service
+	usage    map[units.EntryVMID]*usage
+	wants    map[units.AdapterName]*want
+	demand   popularity
+	revision map[units.AdapterName]announced
+	sequence uint64
+	gone     []units.BackendServerID
+	lastWant clock.Millis
+	models   modelBudget
+}
+
+type announced struct {
+	revision topo.AdapterRevision
+	at       clock.Millis
+}
+
+type usage struct {
+	at      clock.Millis
+	servers []peer.ServerUse
+}
+
+type want struct {
+	peer.Want
+	// since is when the oldest request began to wait, seenAt the last report.
+	since  clock.Millis
+	seenAt clock.Millis
+	from   map[units.EntryVMID]int32
+}
+
+// New returns a placer that knows no backend server.
+func New(policy Policy) *Placer {
+	return &Placer{
+		policy: policy.withDefaults(), servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usage{},
+		wants: map[units.AdapterName]*want{}, revision: map[units.AdapterName]announced{},
+	}
+}
+
+// SetServers takes the backend servers of the shard that run models.
+func (p *Placer) SetServers(now clock.Millis, list []*topo.Server, services map[units.ServiceName]*topo.Service) {
+	p.now = now
+	p.services = services
+	seen := map[units.BackendServerID]bool{}
+	for _, entry := range list {
+		service := services[entry.Service]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		seen[entry.ID] = true
+		p.setServer(entry, service.Engine)
+	}
+	for id := range p.servers {
+		if !seen[id] {
+			delete(p.servers, id)
+			p.gone = append(p.gone, id)
+		}
+	}
+	p.order = p.order[:0]
+	for id := range p.servers {
+		p.order = append(p.order, id)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i] < p.order[j] })
+}
+
+func (p *Placer) setServer(entry *topo.Server, engine *topo.Engine) {
+	s := p.servers[entry.ID]
+	if s == nil || s.Born != entry.Born && entry.Born > s.Born {
+		s = &server{
+			copies: map[units.AdapterName]*heldCopy{}, models: map[units.ModelName]bool{},
+			held: map[units.AdapterName]clock.Millis{}, reportAt: p.now,
+		}
+		p.servers[entry.ID] = s
+	}
+	s.changed = s.changed || s.Draining != entry.Draining
+	s.Server, s.engine = *entry, engine
+}
+
+// Announce tells of a version of an adapter that was named.
+func (p *Placer) Announce(now clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
+	if p.revision[adapter].revision < revision {
+		p.revision[adapter] = announced{revision: revision, at: now}
+	}
+}
+
+// Used takes a usage report of an entry VM.
+func (p *Placer) Used(now clock.Millis, from units.EntryVMID, u *peer.Usage) {
+	p.now = max(p.now, now)
+	p.usage[from] = &usage{at: p.now, servers: u.Servers}
+	for i := range u.Servers {
+		for _, a := range u.Servers[i].Adapters {
+			p.demand.add(p.now, a.Adapter, float64(a.Arrived))
+		}
+	}
+	for i := range u.Wants {
+		p.want(from, &u.Wants[i])
+	}
+	for _, m := range u.Missing {
+		p.missing(m)
+	}
+	p.addUp()
+}
+
+func (p *Placer) want(from units.EntryVMID, asked *peer.Want) {
+	w := p.wants[asked.Adapter]
+	if w == nil {
+		w = &want{since: p.now, from: map[units.EntryVMID]int32{}}
+		p.wants[asked.Adapter] = w
+	}
+	w.since = min(w.since, p.now-asked.Waited)
+	w.seenAt = p.now
+	w.from[from] = asked.Count
+	w.Adapter, w.Rank = asked.Adapter, asked.Rank
+	p.demand.add(p.now, asked.Adapter, float64(asked.Arrived))
+	p.lastWant = p.now
+}
+
+// missing forgets a copy that a backend server says it does not hold, and has it
+// asked what it holds.
+func (p *Placer) missing(m peer.Missing) {
+	s := p.servers[m.Server]
+	if s == nil {
+		return
+	}
+	if c := s.copies[m.Adapter]; c != nil && c.state == copyReady && p.now > c.readyAt+reportSettles {
+		s.synced, s.changed = false, true
+		s.reportAt = min(s.reportAt, p.now)
+	}
+}
+
+// addUp adds up what entry VMs have reported.
+func (p *Placer) addUp() {
+	for _, s := range p.servers {
+		s.active, s.prefill, s.tokens = 0, 0, 0
+		for _, c := range s.copies {
+			c.active = 0
+		}
+	}
+	for id, u := range p.usage {
+		if p.now > u.at+usageTerm {
+			delete(p.usage, id)
+			continue
+		}
+		for i := range u.servers {
+			p.addUse(&u.servers[i])
+		}
+	}
+}
+
+func (p *Placer) addUse(u *peer.ServerUse) {
+	s := p.servers[u.Server]
+	if s == nil {
+		return
+	}
+	s.active += u.Active
+	s.prefill += u.Prefill
+	s.tokens += u.Tokens
+	for _, a := range u.Adapters {
+		if c := s.copies[a.Adapter]; c != nil && a.Active+a.Arrived > 0 {
+			c.active += a.Active
+			c.usedAt = p.now
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/fleet/placing.go
@@ -0,0 +1,428 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/ring"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/claim"
+	"mangostile/internal/core/homes"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+
+	"github.com/pkg/errors"
+)
+
+// placing is the duty that places adapters in one shard while the entry VM holds
+// the shard's lease. Only its own goroutine touches lease and placer.
+type placing struct {
+	node   *Node
+	shard  string
+	inputs *ring.Ring[placingInput]
+	lease  claim.Lease
+	placer *homes.Placer
+	// holding is set while the lease is held.
+	holding bool
+	// heard holds when and from where entry VMs last reported.
+	heard  map[units.EntryVMID]listener
+	newsAt clock.Millis
+	fullTo map[units.EntryVMID]bool
+	// reading is set while the lease is being read; readAt is when to read it.
+	reading bool
+	readAt  clock.Millis
+	// reads takes requests to read the lease.
+	reads chan units.Offset
+	// known is the holder as last read, for other goroutines.
+	known atomic.Pointer[holderKnown]
+}
+
+type holderKnown struct {
+	id      units.EntryVMID
+	address string
+}
+
+// holder returns the entry VM that holds the lease as last read.
+func (p *placing) holder() (units.EntryVMID, string) {
+	if known := p.known.Load(); known != nil {
+		return known.id, known.address
+	}
+	return "", ""
+}
+
+func (p *placing) noteHolder() {
+	id, address := p.lease.Holder()
+	if known := p.known.Load(); known == nil || known.id != id || known.address != address {
+		p.known.Store(&holderKnown{id: id, address: address})
+	}
+}
+
+type listener struct {
+	address string
+	region  units.Region
+	at      clock.Millis
+	// toldAt is when it was last sent homes.
+	toldAt clock.Millis
+}
+
+// placingInput is something that happened. The set of implementations is sealed.
+type placingInput interface{ placingInput() }
+
+type usedInput struct {
+	from  units.EntryVMID
+	usage *peer.Usage
+}
+
+type serversInput struct {
+	servers  []*topo.Server
+	services map[units.ServiceName]*topo.Service
+}
+
+type versionInput struct{ NamedVersion }
+
+type orderedInput struct {
+	order  homes.Order
+	result homes.Result
+}
+
+type reportedInput struct {
+	server units.BackendServerID
+	// report is nil if there was none.
+	report *topo.Report
+}
+
+type leaseInput struct {
+	records *LeaseRecords
+	// oldest is set instead if records have expired.
+	oldest units.Offset
+	err    error
+}
+
+type appendedInput struct {
+	append claim.Append
+	result claim.Result
+}
+
+type releaseInput struct{}
+
+func (usedInput) placingInput()     {}
+func (serversInput) placingInput()  {}
+func (versionInput) placingInput()  {}
+func (orderedInput) placingInput()  {}
+func (reportedInput) placingInput() {}
+func (leaseInput) placingInput()    {}
+func (appendedInput) placingInput() {}
+func (releaseInput) placingInput()  {}
+
+// Times of a placer's duty.
+const (
+	placingRing = 2048
+	stepPeriod  = 25 * time.Millisecond
+	// newsPeriod is the time between two messages with loads; newsAtOnce the least
+	// one between two with changed copies, to the own region and to others.
+	newsPeriod     = 250 * clock.Millis(1)
+	newsAtOnce     = 20 * clock.Millis(1)
+	farNewsPeriod  = 400 * clock.Millis(1)
+	listenerTerm   = 3 * clock.Second
+	leaseReadPause = 450 * clock.Millis(1)
+	// placerSilence is how long nothing is heard of another placer before the
+	// lease is read.
+	placerSilence = 900 * clock.Millis(1)
+	// farStandby delays claims on shards of other regions, nearStandby spreads
+	// claims of the own region.
+	farStandby  = 4 * clock.Second
+	nearStandby = 20 * clock.Millis(1)
+)
+
+func newPlacing(n *Node, shard string) *placing {
+	p := &placing{
+		node: n, shard: shard, inputs: ring.New[placingInput](placingRing), placer: homes.New(n.settings.Homes),
+		heard: map[units.EntryVMID]listener{}, fullTo: map[units.EntryVMID]bool{}, reads: make(chan units.Offset, 1),
+	}
+	standby := nearStandby
+	if shard != string(n.settings.Region) {
+		standby = farStandby
+	}
+	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Run: n.run, Turn: n.settings.Turn, Standby: standby}
+	return p
+}
+
+func (p *placing) run(ctx context.Context) error {
+	ticker := time.NewTicker(stepPeriod)
+	defer ticker.Stop()
+	inputs := make(chan placingInput)
+	go func() {
+		defer close(inputs)
+		for {
+			in, ok := p.inputs.Pop(ctx)
+			if !ok {
+				return
+			}
+			select {
+			case inputs <- in:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case in, ok := <-inputs:
+			if !ok {
+				return nil
+			}
+			p.take(ctx, in)
+			p.step(ctx)
+		case <-ticker.C:
+			p.step(ctx)
+		}
+	}
+}
+
+func (p *placing) take(ctx context.Context, in placingInput) {
+	now := p.node.clock.Now()
+	switch in := in.(type) {
+	case usedInput:
+		p.used(now, in)
+	case serversInput:
+		var own []*topo.Server
+		for _, s := range in.servers {
+			if string(s.Region) == p.shard {
+				own = append(own, s)
+			}
+		}
+		p.placer.SetServers(now, own, in.services)
+	case versionInput:
+		p.placer.Announce(now, in.Adapter, in.Revision)
+	case orderedInput:
+		p.node.log.Info("order_answered", "shard", p.shard, "server", in.order.Server, "order", in.order.Kind, "adapter", in.order.Adapter,
+			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "reason", in.order.Reason)
+		p.placer.Ordered(now, in.order, in.result)
+	case reportedInput:
+		if in.report == nil {
+			p.placer.ReportFailed(now, in.server)
+		} else {
+			p.placer.Reported(now, in.server, in.report)
+		}
+	case leaseInput:
+		p.leaseRead(in)
+	case appendedInput:
+		p.lease.Answered(in.append, in.result)
+	case releaseInput:
+		if a := p.lease.Release(p.node.clock.BootNow()); a != nil {
+			go p.node.system.AppendLease(context.WithoutCancel(ctx), p.shard, *a)
+		}
+	}
+}
+
+func (p *placing) used(now clock.Millis, in usedInput) {
+	if !p.holding {
+		return
+	}
+	l := p.heard[in.from]
+	l.address, l.region, l.at = in.usage.Address, in.usage.Region, now
+	if in.usage.WantFull {
+		p.fullTo[in.from] = true
+	}
+	p.heard[in.from] = l
+	p.placer.Used(now, in.from, in.usage)
+}
+
+func (p *placing) leaseRead(in leaseInput) {
+	p.reading = false
+	boot := p.node.clock.BootNow()
+	switch {
+	case in.oldest > 0:
+		p.lease.Gap(boot, in.oldest)
+		p.readAt = boot
+	case in.err == nil:
+		p.lease.Fold(boot, in.records.From, in.records.Records, in.records.End)
+	}
+}
+
+// step lets time pass.
+func (p *placing) step(ctx context.Context) {
+	now, boot := p.node.clock.Now(), p.node.clock.BootNow()
+	p.readLease(now, boot)
+	if due := p.lease.Due(boot); due != nil {
+		a := *due
+		go func() {
+			result := p.node.system.AppendLease(ctx, p.shard, a)
+			p.inputs.Push(appendedInput{append: a, result: result})
+		}()
+	}
+	p.noteHolder()
+	p.noteHolding(now, p.lease.Holds(boot))
+	if !p.holding {
+		return
+	}
+	p.carry(ctx, p.placer.Step(now, p.lease.MayOrder(boot)))
+	p.tell(now)
+}
+
+// noteHolding follows the change of the right to place.
+func (p *placing) noteHolding(now clock.Millis, holds bool) {
+	if holds == p.holding {
+		return
+	}
+	p.holding = holds
+	holder, _ := p.lease.Holder()
+	p.node.log.Info("placer_changed", "shard", p.shard, "placing", holds, "holder", holder, "fence", uint64(p.lease.Fence()), "from_offset", p.lease.Next())
+	if holds {
+		p.placer.Resync(now)
+		clear(p.heard)
+	}
+}
+
+// readLease has the lease read while nothing else tells who holds it.
+func (p *placing) readLease(now, boot clock.Millis) {
+	p.node.mu.Lock()
+	heardAt := p.node.core.PlacerHeard(p.shard)
+	p.node.mu.Unlock()
+	quiet := now >= heardAt+placerSilence
+	if p.reading || boot < p.readAt || !quiet || p.lease.Holds(boot) && !p.lease.Pending() {
+		return
+	}
+	p.reading, p.readAt = true, boot+leaseReadPause
+	select {
+	case p.reads <- p.lease.Next():
+	default:
+		p.reading = false
+	}
+}
+
+// followLease reads the lease when it is asked to.
+func (p *placing) followLease(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case from := <-p.reads:
+			records, err := p.node.system.ReadLease(ctx, p.shard, from)
+			in := leaseInput{records: records, err: err}
+			var expired *ExpiredError
+			if errors.As(err, &expired) {
+				in.oldest = expired.Oldest
+			}
+			p.inputs.Push(in)
+		}
+	}
+}
+
+func (p *placing) carry(ctx context.Context, plan homes.Plan) {
+	holder := Holder{ID: p.node.settings.ID, Fence: p.lease.Fence(), NotAfter: p.lease.Until()}
+	for _, o := range plan.Orders {
+		go func() {
+			result := p.node.system.Order(ctx, o, holder)
+			p.inputs.Push(orderedInput{order: o, result: result})
+		}()
+	}
+	for _, a := range plan.Asks {
+		go func() {
+			report, err := p.node.system.Report(ctx, a)
+			if err != nil {
+				p.node.log.Warn("report_failed", "server", a.Server, "error", err)
+			}
+			p.inputs.Push(reportedInput{server: a.Server, report: report})
+		}()
+	}
+}
+
+// tell sends homes to the entry VMs that report.
+func (p *placing) tell(now clock.Millis) {
+	since := now - p.newsAt
+	if since < newsAtOnce || since < newsPeriod && !p.placer.Changed() && len(p.fullTo) == 0 {
+		return
+	}
+	if since >= newsPeriod {
+		p.placer.MarkAll()
+	}
+	p.newsAt = now
+	if len(p.fullTo) > 0 {
+		p.tellFull()
+	}
+	news := p.placer.News(now, p.shard, p.lease.Fence(), false)
+	p.node.homes(news)
+	for id, l := range p.heard {
+		if now > l.at+listenerTerm {
+			delete(p.heard, id)
+			continue
+		}
+		if id != p.node.settings.ID {
+			p.node.links.Send(id, l.address, news)
+		}
+	}
+}
+
+func (p *placing) tellFull() {
+	full := p.placer.News(p.node.clock.Now(), p.shard, p.lease.Fence(), true)
+	for id := range p.fullTo {
+		if id == p.node.settings.ID {
+			p.node.homes(full)
+		} else {
+			p.node.links.Send(id, p.heard[id].address, full)
+		}
+	}
+	clear(p.fullTo)
+}
+
+// usagePeriod is the time between two usage reports; farUsagePeriod that to
+// placers of other regions.
+const (
+	usagePeriod    = 200 * time.Millisecond
+	farUsagePeriod = time.Second
+	// kickSpacing is the least time between two reports of which one was asked for.
+	kickSpacing = 10 * time.Millisecond
+)
+
+// reportUsage tells placers what the entry VM uses.
+func (n *Node) reportUsage(ctx context.Context) error {
+	ticker := time.NewTicker(usagePeriod)
+	defer ticker.Stop()
+	var farAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-n.kick:
+			sleep(ctx, kickSpacing)
+		}
+		far := time.Since(farAt) >= farUsagePeriod
+		if far {
+			farAt = time.Now()
+		}
+		for shard, p := range n.placers {
+			if far || shard == string(n.settings.Region) {
+				n.reportTo(p)
+			}
+		}
+	}
+}
+
+func (n *Node) reportTo(p *placing) {
+	holder, address := p.holder()
+	if holder == "" {
+		return
+	}
+	n.mu.Lock()
+	usage := n.core.Usage(n.clock.Now(), p.shard, n.settings.PeerAddress)
+	n.mu.Unlock()
+	if holder == n.settings.ID {
+		p.inputs.Push(usedInput{from: holder, usage: usage})
+		return
+	}
+	n.links.Send(holder, address, usage)
+}
+
+// wanted asks for a report at once.
+func (n *Node) wanted() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -22,6 +22,8 @@
 	tagPoisonMark
 	tagDomainSummary
 	tagHandover
+	tagUsage
+	tagHomes
 )
 
 // hello is the first frame of a connection.
@@ -61,6 +63,10 @@
 		return tagDomainSummary
 	case *peer.Handover:
 		return tagHandover
+	case *peer.Usage:
+		return tagUsage
+	case *peer.Homes:
+		return tagHomes
 	default:
 		return 0
 	}
@@ -88,6 +94,10 @@
 		return &peer.DomainSummary{}
 	case tagHandover:
 		return &peer.Handover{}
+	case tagUsage:
+		return &peer.Usage{}
+	case tagHomes:
+		return &peer.Homes{}
 	default:
 		return nil
 	}
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -15,6 +15,7 @@
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/node/certs"
+	"mangostile/internal/plat/call"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -325,7 +326,7 @@
 
 func (l *Links) dial(s *sender) net.Conn {
 	address, _ := s.address.Load().(string)
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := call.Dial(address, dialTimeout)
 	if err != nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/oper/cmds/platformcmd.go
@@ -0,0 +1,70 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/node/fleet"
+	"mangostile/internal/node/lines"
+	"mangostile/internal/node/meter"
+	"mangostile/platform"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+func newPlatformCmd() *cli.Command {
+	return &cli.Command{
+		Name:      "platform",
+		Usage:     "run one entry VM on the users' platform",
+		UsageText: examples("mangostile platform", "mangostile platform --settings node.conf"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` that the platform writes", Value: platform.SettingsPath()},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := platform.ReadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runPlatform(ctx, settings)
+		},
+	}
+}
+
+// memoryShare is the part of the machine's memory that the garbage collector
+// tries to stay under.
+const memoryShare = 0.7
+
+func runPlatform(ctx context.Context, settings *platform.Settings) error {
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	}
+	out := lines.New(os.Stdout)
+	logger := hclog.New(&hclog.LoggerOptions{Name: "mangostile", Level: hclog.Info, Output: out})
+	node := fleet.New(fleet.Options{
+		Settings: settings.Settings, System: platform.NewSystem(settings), Logger: logger, Meter: meter.New(),
+		Run: units.Incarnation(clock.WallNow()),
+	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	go func() {
+		<-signals
+		node.Stop()
+	}()
+	group, linesCtx := errgroup.WithContext(context.WithoutCancel(ctx))
+	linesCtx, stopLines := context.WithCancel(linesCtx)
+	group.Go(func() error { return out.Run(linesCtx) })
+	err := node.Run(ctx)
+	stopLines()
+	if linesErr := group.Wait(); err == nil {
+		err = linesErr
+	}
+	return err
+}
--- a/internal/oper/cmds/root.go
+++ b/internal/oper/cmds/root.go
@@ -73,6 +73,7 @@
 			newLoadCmd(),
 			newQuarantineCmd(),
 			newServeCmd(),
+			newPlatformCmd(),
 			newSettingsCmd(),
 			newStandinCmd(),
 			newStatusCmd(),
--- a/internal/plat/call/client.go
+++ b/internal/plat/call/client.go
@@ -42,7 +42,7 @@
 func (e *dialError) Unwrap() error { return e.err }
 
 func dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, DialTimeout)
+	conn, err := Dial(address, DialTimeout)
 	if err != nil {
 		return nil, &dialError{err}
 	}
