Stop appending to a lease after a conflict until it was read

Ruled out: the reads that wait for news, which a trial with a line for each read showed at one in 1.5 s.

Change: nothing is appended after a conflict until the partition was read, nor within 300 ms of a refusal.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -41,6 +41,8 @@
 	Silence = 1700 * clock.Millis(1)
 	// answerTerm is how long the answer to an append is waited for.
 	answerTerm = 700 * clock.Millis(1)
+	// refusedPause is the time between two appends of which the first was refused.
+	refusedPause = 300 * clock.Millis(1)
 )
 
 // Lease is the view that one entry VM has of one shard. All methods must be called
@@ -68,6 +70,10 @@
 	pending  *Append
 	renewAt  clock.Millis
 	released bool
+	// stale is set after a conflict, until the partition was read again.
+	stale bool
+	// retryAt is the earliest next append after one that was refused.
+	retryAt clock.Millis
 }
 
 // Append is a record to be appended if the partition ends at At.
@@ -100,6 +106,9 @@
 // Pending reports whether the answer to an append is awaited.
 func (l *Lease) Pending() bool { return l.pending != nil }
 
+// Stale reports whether the partition must be read before anything is appended.
+func (l *Lease) Stale() bool { return l.stale }
+
 // MayOrder reports whether an order may be sent at an instant.
 func (l *Lease) MayOrder(now clock.Millis) bool { return l.Holds(now) && now >= l.orderFrom }
 
@@ -119,7 +128,7 @@
 	if end > l.next || !l.read {
 		l.next = max(end, from+units.Offset(len(records)))
 	}
-	l.read = true
+	l.read, l.stale = true, false
 }
 
 func (l *Lease) fold(now clock.Millis, offset units.Offset, r *Record) {
@@ -158,7 +167,7 @@
 // Due returns the record to append now, or nil. The caller sends it at once and
 // reports with Answered.
 func (l *Lease) Due(now clock.Millis) *Append {
-	if l.released || !l.read {
+	if l.released || !l.read || l.stale || now < l.retryAt {
 		return nil
 	}
 	if l.pending != nil {
@@ -239,10 +248,11 @@
 	case Accepted:
 		l.accepted(a)
 	case Conflict:
-		l.pending = nil
+		l.pending, l.stale = nil, true
 		l.rightUntil = 0
 	case Refused:
 		l.pending = nil
+		l.retryAt = a.SentAt + refusedPause
 	case Unknown:
 		// The record is looked for until answerTerm has passed.
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -283,7 +283,7 @@
 	p.node.mu.Lock()
 	heardAt := p.node.core.PlacerHeard(p.shard)
 	p.node.mu.Unlock()
-	quiet := now >= heardAt+placerSilence
+	quiet := now >= heardAt+placerSilence || p.lease.Stale()
 	if p.reading || boot < p.readAt || !quiet || p.lease.Holds(boot) && !p.lease.Pending() {
 		return
 	}
