Load first what can still be in time

Served oldest first, each waits as long as the queue, so nearly all first events came late, and each load was spent on a late answer.

Change: wants say within which time their adapter is of full use; those that can be in time are loaded first, the others as far as room is left. A request waits for an adapter two targets at most.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -71,6 +71,8 @@
 	// waitShare bounds a wait for an adapter to a part of the time that the
 	// request had.
 	waitShare = 0.4
+	// waitTargets bounds it in times of the route's target.
+	waitTargets = 2
 	// comeBack and comeBackFull are the times after which refused callers return.
 	comeBack     = 700 * clock.Millis(1)
 	comeBackFull = 500 * clock.Millis(1)
@@ -128,7 +130,7 @@
 // wait keeps a request whose adapter is nowhere in the own region, as long as a
 // load would be in time. other is a backend server elsewhere that holds it.
 func (c *Core) wait(r *Request, other *view, ways int) Choice {
-	until := r.Arrived + clock.Millis(waitShare*float64(r.Deadline-r.Arrived))
+	until := r.Arrived + min(clock.Millis(waitShare*float64(r.Deadline-r.Arrived)), waitTargets*r.Route.Target)
 	placer := c.placer(string(c.cfg.Region))
 	if c.now >= until || placer == nil || c.now+placer.loadWait > until {
 		if other != nil {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -165,6 +165,9 @@
 	count, arrived int32
 	rank           int8
 	since          clock.Millis
+	// inTimeUntil is when the adapter must be there for the latest request to have
+	// its first event in time.
+	inTimeUntil clock.Millis
 	// changed is closed when a copy appears.
 	changed chan struct{}
 }
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -157,6 +157,8 @@
 		w.count++
 		w.arrived++
 		w.rank = min(w.rank, int8(r.Route.Rank))
+		prefill := clock.Millis(float64(r.PromptTokens) / c.cfg.Policy.PrefillPerMS)
+		w.inTimeUntil = max(w.inTimeUntil, r.Arrived+r.Route.Target-prefill)
 	}
 	return w
 }
@@ -211,7 +213,7 @@
 
 func (c *Core) addWants(u *peer.Usage) {
 	for adapter, w := range c.wants {
-		u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since})
+		u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, InTime: w.inTimeUntil - c.now})
 		w.arrived = 0
 	}
 	sort.Slice(u.Wants, func(i, j int) bool { return u.Wants[i].Adapter < u.Wants[j].Adapter })
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -197,6 +197,8 @@
 	// since is when the oldest request began to wait, seenAt the last report.
 	since  clock.Millis
 	seenAt clock.Millis
+	// inTimeUntil is when the adapter must be there for a request to be in time.
+	inTimeUntil clock.Millis
 	from   map[units.EntryVMID]int32
 }
 
@@ -283,6 +285,7 @@
 	}
 	w.since = min(w.since, p.now-asked.Waited)
 	w.seenAt = p.now
+	w.inTimeUntil = max(w.inTimeUntil, p.now+asked.InTime)
 	w.from[from] = asked.Count
 	w.Adapter, w.Rank = asked.Adapter, asked.Rank
 	p.demand.add(p.now, asked.Adapter, float64(asked.Arrived))
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -231,7 +231,9 @@
 	}
 }
 
-// serveWants loads adapters that requests wait for, the most urgent first.
+// serveWants loads adapters that requests wait for. Those whose requests can still
+// be in time come first: oldest first, all would be late once more are wanted than
+// can be loaded.
 func (p *Placer) serveWants(plan *Plan) {
 	for _, w := range p.sortedWants() {
 		if p.heldAnywhere(w.Adapter) || p.revive(w.Adapter) {
@@ -255,6 +257,9 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
+		if inTimeA, inTimeB := p.inTime(a), p.inTime(b); inTimeA != inTimeB {
+			return inTimeA
+		}
 		if a.Count != b.Count {
 			return a.Count > b.Count
 		}
@@ -266,6 +271,9 @@
 	return list
 }
 
+// inTime reports whether a load that begins now ends in time for w.
+func (p *Placer) inTime(w *want) bool { return p.now+p.policy.AdapterLoad <= w.inTimeUntil }
+
 // heldAnywhere reports whether an adapter can be used now or soon.
 func (p *Placer) heldAnywhere(adapter units.AdapterName) bool {
 	for _, s := range p.servers {
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -51,6 +51,9 @@
 	Rank int8 `msgpack:"k,omitempty"`
 	// Waited is the time that the oldest request has waited.
 	Waited clock.Millis `msgpack:"t,omitempty"`
+	// InTime is the time within which the adapter must be there for the latest
+	// request to have its first event in time. It is negative if that is past.
+	InTime clock.Millis `msgpack:"i,omitempty"`
 }
 
 // Missing is a copy that a backend server does not hold although it was told so.
