Use an adapter where another region holds it

Cause: an adapter that stood ready in the other region was loaded again in the own one, although loads bind and each costs more than the bytes of a prompt.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -124,18 +124,20 @@
 	if !topo.IsAdapter(r.Adapter) {
 		return c.refuse(r, "no backend server holds the model", comeBack)
 	}
-	return c.wait(r, best, ways)
+	if best != nil {
+		// Sending the prompt to another region costs less than a load.
+		c.elsewhere[r.Adapter]++
+		return c.send(r, best, ways)
+	}
+	return c.wait(r)
 }
 
-// wait keeps a request whose adapter is nowhere in the own region, as long as a
-// load would be in time. other is a backend server elsewhere that holds it.
-func (c *Core) wait(r *Request, other *view, ways int) Choice {
+// wait keeps a request whose adapter is nowhere, as long as a load would be in
+// time.
+func (c *Core) wait(r *Request) Choice {
 	until := r.Arrived + min(clock.Millis(waitShare*float64(r.Deadline-r.Arrived)), waitTargets*r.Route.Target)
 	placer := c.placer(string(c.cfg.Region))
 	if c.now >= until || placer == nil || c.now+placer.loadWait > until {
-		if other != nil {
-			return c.send(r, other, ways)
-		}
 		if placer == nil {
 			return c.refuse(r, "adapter is not loaded and nobody loads any", comeBack)
 		}
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -216,6 +216,12 @@
 		u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, InTime: w.inTimeUntil - c.now})
 		w.arrived = 0
 	}
+	for adapter, n := range c.elsewhere {
+		if c.wants[adapter] == nil {
+			u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Arrived: n})
+		}
+	}
+	clear(c.elsewhere)
 	sort.Slice(u.Wants, func(i, j int) bool { return u.Wants[i].Adapter < u.Wants[j].Adapter })
 }
 
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -236,6 +236,9 @@
 // can be loaded.
 func (p *Placer) serveWants(plan *Plan) {
 	for _, w := range p.sortedWants() {
+		if w.Count == 0 && p.demand.of(p.now, w.Adapter) < worthFetching {
+			continue
+		}
 		if p.heldAnywhere(w.Adapter) || p.revive(w.Adapter) {
 			continue
 		}
@@ -271,6 +274,10 @@
 	return list
 }
 
+// worthFetching is the count of recent requests from which on an adapter that
+// another region serves is loaded in the own one as well.
+const worthFetching = 3
+
 // inTime reports whether a load that begins now ends in time for w.
 func (p *Placer) inTime(w *want) bool { return p.now+p.policy.AdapterLoad <= w.inTimeUntil }
 
