--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -49,7 +49,7 @@
 	activeCost = 4
 	// otherDomainCost and otherRegionCost prefer backend servers that are near.
 	otherDomainCost = 3
-	otherRegionCost = 600
+	otherRegionCost = 200
 	// failureCost is that of a backend server at which every request fails.
 	failureCost = 2000
 	// avoidedCost is that of one whose last connection broke.
