Notice adapters that take longer to load than expected

Loads take longer while many run over all shards, which one placer doesn't see.

Change: a copy that a backend server misses soon after its load counts as loading for 120 ms more, and later loads are expected to take 12 % longer, which wears off as loads end in time. Attempts log what was taken to be at the server.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -21,6 +21,13 @@
 	Cost clock.Millis
 	// Ways is the number of backend servers that were weighed.
 	Ways int
+	// Active, Prefill and Tokens are the requests that were taken to be at the
+	// backend server, their prompt tokens not yet read, and all their tokens.
+	Active  int32
+	Prefill units.Tokens
+	Tokens  units.Tokens
+	// Cached is the part of the prompt that the backend server was taken to keep.
+	Cached units.Tokens
 }
 
 // Wait keeps the request until Changed is closed or an instant comes, and then
@@ -263,8 +270,13 @@
 		return c.refuse(r, "no retry is left in the budget", comeBack)
 	}
 	c.unwant(r)
+	choice := Send{
+		Server: v.ID, Address: v.Address, Region: v.Region, Cost: expected, Ways: ways,
+		Active: v.own.active + v.others.active, Prefill: v.own.prefill + v.others.prefill, Tokens: v.own.tokens + v.others.tokens,
+		Cached: v.prefixes.cached(r),
+	}
 	c.sent(r, v)
-	return Send{Server: v.ID, Address: v.Address, Region: v.Region, Cost: expected, Ways: ways}
+	return choice
 }
 
 func (c *Core) refuse(r *Request, reason string, after clock.Millis) Choice {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -146,7 +146,7 @@
 	// elsewhere counts requests whose adapter was used in another region, by
 	// adapter, since the last report.
 	elsewhere map[units.AdapterName]int32
-	members  int32
+	members   int32
 }
 
 type version struct {
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -139,7 +139,7 @@
 
 // loadTime is the time that an adapter takes to a backend server.
 func (p *Placer) loadTime(s *server, adapter units.AdapterName) clock.Millis {
-	took := p.policy.AdapterLoad
+	took := clock.Millis(float64(p.policy.AdapterLoad) * p.slowness)
 	if _, ok := s.held[adapter]; ok {
 		return took / reuseSpeed
 	}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -77,6 +77,14 @@
 	// maxLoadsPerServer bounds adapters on the way to one backend server, as the
 	// engines do.
 	maxLoadsPerServer = 4
+	// lateLoad is how long after its expected end a load may still be under way.
+	lateLoad = 1500 * clock.Millis(1)
+	// loadAgain is the time until a copy that was not there yet is tried again.
+	loadAgain = 120 * clock.Millis(1)
+	// slowerBy, fasterBy and maxSlowness follow the time that loads take.
+	slowerBy    = 1.12
+	fasterBy    = 0.985
+	maxSlowness = 4
 	// versionGrace is how long after its announcement a new version may wait for
 	// the runs of the old one before it replaces it all the same.
 	versionGrace = 1500 * clock.Millis(1)
@@ -180,6 +188,8 @@
 	gone     []units.BackendServerID
 	lastWant clock.Millis
 	models   modelBudget
+	// slowness is by how much loads take longer than the policy says, at least 1.
+	slowness float64
 }
 
 type announced struct {
@@ -199,13 +209,13 @@
 	seenAt clock.Millis
 	// inTimeUntil is when the adapter must be there for a request to be in time.
 	inTimeUntil clock.Millis
-	from   map[units.EntryVMID]int32
+	from        map[units.EntryVMID]int32
 }
 
 // New returns a placer that knows no backend server.
 func New(policy Policy) *Placer {
 	return &Placer{
-		policy: policy.withDefaults(), servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usage{},
+		policy: policy.withDefaults(), slowness: 1, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usage{},
 		wants: map[units.AdapterName]*want{}, revision: map[units.AdapterName]announced{},
 	}
 }
@@ -292,14 +302,24 @@
 	p.lastWant = p.now
 }
 
-// missing forgets a copy that a backend server says it does not hold, and has it
-// asked what it holds.
+// missing takes that a backend server does not hold a copy. A load that should just
+// have ended takes longer than expected, and so will others; otherwise the backend
+// server is asked what it holds.
 func (p *Placer) missing(m peer.Missing) {
 	s := p.servers[m.Server]
 	if s == nil {
 		return
 	}
-	if c := s.copies[m.Adapter]; c != nil && c.state == copyReady && p.now > c.readyAt+reportSettles {
+	c := s.copies[m.Adapter]
+	switch {
+	case c == nil || c.state != copyReady && c.state != copyLoading:
+	case p.now <= c.readyAt+lateLoad:
+		if c.state == copyReady {
+			p.slowness = min(maxSlowness, p.slowness*slowerBy)
+		}
+		c.state, c.readyAt = copyLoading, p.now+loadAgain
+		s.changed = true
+	default:
 		s.synced, s.changed = false, true
 		s.reportAt = min(s.reportAt, p.now)
 	}
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -44,6 +44,7 @@
 		for _, c := range s.copies {
 			if c.state == copyLoading && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
+				p.slowness = max(1, p.slowness*fasterBy)
 			}
 		}
 	}
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -124,11 +124,14 @@
 	n.mu.Lock()
 	n.core.Ended(n.clock.Now(), &c.req, to.Server, a.began, end)
 	n.mu.Unlock()
-	c.log("attempt_ended", "server", to.Server, "ways", to.Ways, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
+	c.log("attempt_ended", "server", to.Server, "ways", to.Ways, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
 		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", int64(a.firstAt-sentAt), "end", end, "status", a.status, "why", a.why, "sends", c.req.Sends, "events", a.events)
 	if over {
 		return true
 	}
+	if end == choose.EndMissing {
+		n.wanted()
+	}
 	if a.mayHaveRun {
 		c.ran++
 	}
