Let the right to place last through short outages of the store

Cause: nothing is loaded while the right lapses.

Change: the right lasts 5 s, renewed each second; others claim after 5.4 s of silence.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -35,13 +35,14 @@
 
 // Bounds of the lease.
 const (
-	// Term is how long the right holds after the sending of a record.
-	Term = 1500 * clock.Millis(1)
+	// Term is how long the right holds after the sending of a record. It outlasts
+	// most outages of the store, in which nobody could take over.
+	Term = 5 * clock.Second
 	// RenewPeriod is the time between two renewals.
-	RenewPeriod = 500 * clock.Millis(1)
+	RenewPeriod = clock.Second
 	// Silence is how long a partition must not grow before somebody else claims.
 	// It exceeds Term by more than clocks drift apart in that time.
-	Silence = 1700 * clock.Millis(1)
+	Silence = Term + 400*clock.Millis(1)
 	// answerTerm is how long the answer to an append is waited for.
 	answerTerm = 700 * clock.Millis(1)
 	// refusedPause is the time between two appends of which the first was refused.
