Copy adapters from crowded to idle servers only

Copies were made of whatever had 6 requests, crowded or not.

Change: a copy is made only from a server with 24,000 or more waiting prompt tokens while another has little to do, one in 250 ms.

--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -188,6 +188,8 @@
 	gone     []units.BackendServerID
 	lastWant clock.Millis
 	models   modelBudget
+	// copiedAt is when the last copy was made of an adapter that has one.
+	copiedAt clock.Millis
 	// slowness is by how much loads take longer than the policy says, at least 1.
 	slowness float64
 }
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -402,31 +402,74 @@
 	return 0
 }
 
-// addCopies loads adapters once more whose copies have many requests.
+// addCopies loads an adapter once more whose requests pile up at its only copies
+// while another backend server has little to do.
 func (p *Placer) addCopies(plan *Plan) {
-	if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
+	if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() || p.now < p.copiedAt+copyPause || !p.hasIdle() {
 		return
 	}
-	copies, active := map[units.AdapterName]int{}, map[units.AdapterName]int32{}
+	var most *server
+	for _, id := range p.order {
+		if s := p.servers[id]; s.synced && s.prefill >= crowdedPrefill && (most == nil || s.prefill > most.prefill) {
+			most = s
+		}
+	}
+	if most == nil {
+		return
+	}
+	if name := p.crowding(most); name != "" && p.place(plan, name, most, "copy of one that crowds its server") {
+		p.copiedAt = p.now
+	}
+}
+
+// Bounds of copies.
+const (
+	// crowdedPrefill is the number of waiting prompt tokens from which on a backend
+	// server is crowded, and idlePrefill that up to which it has little to do.
+	crowdedPrefill = 24000
+	idlePrefill    = 5000
+	// minCrowding is the number of requests at one copy from which on another may
+	// be made.
+	minCrowding = 4
+	// copyPause is the time between two copies.
+	copyPause = 250 * clock.Millis(1)
+)
+
+func (p *Placer) hasIdle() bool {
 	for _, s := range p.servers {
-		for name, c := range s.copies {
-			if c.state == copyReady || c.state == copyLoading {
-				copies[name]++
-				active[name] += c.active
-			}
+		if s.usable(p.now) && s.prefill <= idlePrefill {
+			return true
 		}
 	}
-	var hottest units.AdapterName
-	most := 0.0
-	for name, n := range copies {
-		each := float64(active[name]) / float64(n)
-		if each > most || each == most && name < hottest {
-			hottest, most = name, each
+	return false
+}
+
+// crowding returns the adapter with the most requests at s that has no copy at a
+// backend server with less to do, empty if there is none.
+func (p *Placer) crowding(s *server) units.AdapterName {
+	var most units.AdapterName
+	for _, name := range sortedCopies(s) {
+		c := s.copies[name]
+		if c.state != copyReady || c.active < minCrowding || p.isOld(name, c) || most != "" && c.active <= s.copies[most].active {
+			continue
+		}
+		if !p.hasRoomElsewhere(name) {
+			most = name
 		}
 	}
-	if hottest != "" && most >= p.policy.CopyAt {
-		p.place(plan, hottest, nil, "copy of one with many requests")
+	return most
+}
+
+// hasRoomElsewhere reports whether an adapter has a copy, there or on its way, at a
+// backend server that is not crowded.
+func (p *Placer) hasRoomElsewhere(name units.AdapterName) bool {
+	for _, s := range p.servers {
+		c := s.copies[name]
+		if c != nil && (c.state == copyLoading || c.state == copyReady && s.prefill < crowdedPrefill/2) {
+			return true
+		}
 	}
+	return false
 }
 
 // retireSpares keeps one place on each backend server ready for a new adapter, as
