--- /dev/null
+++ b/internal/core/choose/choose_test.go
@@ -0,0 +1,258 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+
+	"github.com/shoenig/test/must"
+)
+
+func testConfig() *topo.Config {
+	return &topo.Config{Version: 1, Services: map[units.ServiceName]*topo.Service{
+		"llm":   {Name: "llm", Engine: &topo.Engine{Slots: 64, KVTokens: 200000, AdapterSlots: 8, Models: []topo.Model{{Name: "m"}}}},
+		"plain": {Name: "plain"},
+	}}
+}
+
+func testServer(id string, service units.ServiceName, region units.Region, domain units.FailureDomain) *topo.Server {
+	return &topo.Server{ID: units.BackendServerID(id), Service: service, Address: id, Region: region, Domain: domain, Slots: 6, Models: []units.ModelName{"m"}}
+}
+
+func newTestCore() *Core {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
+	c.SetConfig(testConfig())
+	c.SetServers([]*topo.Server{
+		testServer("n1", "llm", "near", "d1"), testServer("n2", "llm", "near", "d2"), testServer("f1", "llm", "far", "d3"),
+		testServer("p1", "plain", "near", "d1"), testServer("p2", "plain", "near", "d2"), testServer("p3", "plain", "far", "d3"),
+	})
+	return c
+}
+
+var streamRoute = &topo.Route{Kind: topo.KindStream, Target: 800, MaxAttempts: 2, Resumable: true}
+
+func testRequest(id, adapter string, now clock.Millis) *Request {
+	service := units.ServiceName("llm")
+	if adapter == "" {
+		service = "plain"
+	}
+	return &Request{
+		ID: units.RequestID(id), Route: streamRoute, Service: service, Adapter: units.AdapterName(adapter),
+		PromptTokens: 1000, MaxTokens: 100, Arrived: now, Deadline: now + 6000,
+	}
+}
+
+// tell sends homes of one server.
+func tell(c *Core, now clock.Millis, shard string, sequence uint64, h peer.ServerHomes) {
+	if h.Models == nil {
+		h.Models = []units.ModelName{"m"}
+	}
+	c.Homes(now, &peer.Homes{Shard: shard, Fence: 1, Sequence: sequence, Servers: []peer.ServerHomes{h}})
+}
+
+func held(adapter string, ready clock.Millis) peer.HomeCopy {
+	return peer.HomeCopy{Adapter: units.AdapterName(adapter), Ready: ready}
+}
+
+func sendTo(t *testing.T, choice Choice) units.BackendServerID {
+	t.Helper()
+	send, ok := choice.(Send)
+	must.True(t, ok, must.Sprintf("%#v", choice))
+	return send.Server
+}
+
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup func(c *Core)
+		check func(t *testing.T, c *Core, choice Choice)
+	}{
+		{
+			name:  "a copy of the own region is used",
+			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n2", Copies: []peer.HomeCopy{held("m/a", 0)}}) },
+			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, "n2", sendTo(t, choice)) },
+		},
+		{
+			name:  "a copy of another region is used where the own has none",
+			setup: func(c *Core) { tell(c, 1000, "far", 1, peer.ServerHomes{Server: "f1", Copies: []peer.HomeCopy{held("m/a", 0)}}) },
+			check: func(t *testing.T, c *Core, choice Choice) {
+				must.Eq(t, "f1", sendTo(t, choice))
+				must.SliceLen(t, 1, c.Usage(1000, "near", "a").Wants)
+			},
+		},
+		{
+			name:  "a copy on its way is waited for",
+			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 200)}}) },
+			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, 1200, choice.(Wait).Until) },
+		},
+		{
+			name:  "an adapter that is nowhere is wanted from the placer",
+			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1"}) },
+			check: func(t *testing.T, c *Core, choice Choice) {
+				must.NotNil(t, choice.(Wait).Changed)
+				must.True(t, c.Wanted())
+			},
+		},
+		{
+			name:  "without a placer an adapter that is nowhere is refused at once",
+			setup: func(*Core) {},
+			check: func(t *testing.T, _ *Core, choice Choice) { must.Positive(t, choice.(Refuse).After) },
+		},
+		{
+			name: "an old version is not used once its time is over",
+			setup: func(c *Core) {
+				c.Announce(1000-defaultVersionTerm, "m/a", 2)
+				tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { _, waits := choice.(Wait); must.True(t, waits) },
+		},
+		{
+			name: "a server that leaves gets nothing",
+			setup: func(c *Core) {
+				tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+				leaving := testServer("n1", "llm", "near", "d1")
+				leaving.Draining = true
+				c.SetServers([]*topo.Server{leaving})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { _, sent := choice.(Send); must.False(t, sent) },
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTestCore()
+			tc.setup(c)
+			tc.check(t, c, c.Choose(1000, testRequest("r", "m/a", 1000)))
+		})
+	}
+}
+
+// TestPromptsSpreadOverCopies sends many large prompts at once to an adapter with two
+// copies: no server gets more than its half, give or take a request.
+func TestPromptsSpreadOverCopies(t *testing.T) {
+	c := newTestCore()
+	for i, id := range []units.BackendServerID{"n1", "n2"} {
+		tell(c, 1000, "near", uint64(i+1), peer.ServerHomes{Server: id, Copies: []peer.HomeCopy{held("m/a", 0)}})
+	}
+	got := map[units.BackendServerID]int{}
+	for i := range 20 {
+		got[sendTo(t, c.Choose(1000, testRequest(fmt.Sprint(i), "m/a", 1000)))]++
+	}
+	must.Between(t, 9, got["n1"], 11)
+}
+
+func TestBrokenServerIsAvoidedForATime(t *testing.T) {
+	c := newTestCore()
+	r := testRequest("r", "", 1000)
+	r.Route = &topo.Route{Kind: topo.KindIdempotent, MaxAttempts: 2, Target: 300}
+	first := sendTo(t, c.Choose(1000, r))
+	c.Ended(1010, r, first, false, EndBroken)
+	for i := range 10 {
+		must.NotEq(t, first, sendTo(t, c.Choose(1020, testRequest(fmt.Sprint(i), "", 1020))))
+	}
+}
+
+func TestUnsentIsNoRetryForTheBudget(t *testing.T) {
+	c := newTestCore()
+	r := testRequest("r", "", 1000)
+	for range 3 {
+		server := sendTo(t, c.Choose(1000, r))
+		c.Ended(1000, r, server, false, EndUnsent)
+	}
+	must.Zero(t, r.Sends)
+}
+
+// TestRetriesStayWithinTheSharedBudget fails every request, as when all backend
+// servers of a service fail part of their requests: second sends of eight entry VMs
+// together stay under the bound.
+func TestRetriesStayWithinTheSharedBudget(t *testing.T) {
+	const requests, ratio, reserve, vms = 300, 0.2, 54, 8
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1", Policy: Policy{RetryRatio: ratio, RetryReserve: reserve}})
+	c.SetConfig(testConfig())
+	c.SetServers([]*topo.Server{testServer("p1", "plain", "near", "d1"), testServer("p2", "plain", "near", "d2")})
+	extras := 0
+	for i := range requests {
+		now := clock.Millis(10000 + 30*i)
+		r := testRequest(fmt.Sprint(i), "", now)
+		c.Arrived(now, "plain")
+		c.Ended(now, r, sendTo(t, c.Choose(now, r)), false, EndFailed)
+		if second, ok := c.Choose(now, r).(Send); ok {
+			extras++
+			c.Ended(now, r, second.Server, false, EndFailed)
+		}
+	}
+	must.LessEq(t, int(ratio*requests+reserve/vms), extras)
+	must.Positive(t, extras)
+}
+
+func TestBusyServersRefuseWhatCantBeServedInTime(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}, Prefill: 400000, Active: 50})
+	refuse, ok := c.Choose(1000, testRequest("r", "m/a", 1000)).(Refuse)
+	must.True(t, ok)
+	must.Positive(t, refuse.After)
+}
+
+func TestCountsReturnToZero(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	r := testRequest("r", "m/a", 1000)
+	server := sendTo(t, c.Choose(1000, r))
+	must.Eq(t, use{active: 1, prefill: 1000, tokens: 1100}, c.servers[server].own)
+	c.Began(r, server)
+	c.Ended(1100, r, server, true, EndServed)
+	must.Eq(t, use{}, c.servers[server].own)
+}
+
+func TestMissedNewsAsksForAll(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 5, peer.ServerHomes{Server: "n1"})
+	must.True(t, c.Usage(1000, "near", "a").WantFull)
+	must.False(t, c.Usage(1000, "near", "a").WantFull)
+	tell(c, 1000, "near", 7, peer.ServerHomes{Server: "n1"})
+	must.True(t, c.Usage(1000, "near", "a").WantFull)
+}
+
+func TestEarlierPlacersNewsIsPassedOver(t *testing.T) {
+	c := newTestCore()
+	c.Homes(1000, &peer.Homes{Shard: "near", Fence: 9, Sequence: 1})
+	tell(c, 1000, "near", 2, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	must.MapEmpty(t, c.servers["n1"].copies)
+}
+
+func TestOlderConfigurationIsPassedOver(t *testing.T) {
+	c := newTestCore()
+	must.False(t, c.SetConfig(testConfig()))
+	newer := testConfig()
+	newer.Version = 7
+	must.True(t, c.SetConfig(newer))
+}
+
+// BenchmarkChoose measures a choice among 60 engines that hold 10,000 adapters'
+// worth of requests.
+func BenchmarkChoose(b *testing.B) {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
+	c.SetConfig(testConfig())
+	var list []*topo.Server
+	for i := range 60 {
+		list = append(list, testServer(fmt.Sprint("s", i), "llm", "near", "d1"))
+	}
+	c.SetServers(list)
+	for i := range 60 {
+		h := peer.ServerHomes{Server: units.BackendServerID(fmt.Sprint("s", i))}
+		for j := range 8 {
+			h.Copies = append(h.Copies, held(fmt.Sprint("m/a", i*8+j), 0))
+		}
+		tell(c, 1000, "near", uint64(i+1), h)
+	}
+	r := testRequest("r", "m/a77", 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Tried, r.Sends = r.Tried[:0], 0
+		send := c.Choose(1000, r).(Send)
+		c.Ended(1000, r, send.Server, false, EndServed)
+	}
+}
