Stand in for the users' platform and test whole entry VMs on it

Change: internal/fake/keylog speaks the store's calls, internal/fake/grid the replicas' and the operator's, and counts what must never happen. Tests run one to three entry VMs on them over loopback: streams resumed, actions sent once, lookups tried elsewhere, store outages, lost history, stops, callers that leave, smuggled requests, a placer that is replaced. Tests of connections and of decoding, and a fuzz test.

The tests found that an entry VM refused adapters in the first half second after it was ready, before the first placer had claimed its shard; such requests now wait.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -73,6 +73,8 @@
 const (
 	// silentPlacer is how long nothing is heard of a placer that is up.
 	silentPlacer = 1500 * clock.Millis(1)
+	// firstPlacer is the time after the start in which a first placer is awaited.
+	firstPlacer = 1500 * clock.Millis(1)
 	// minRest is the time before the deadline at which a request is not begun.
 	minRest = 150 * clock.Millis(1)
 	// waitShare bounds a wait for an adapter to a part of the time that the
@@ -144,10 +146,12 @@
 func (c *Core) wait(r *Request) Choice {
 	until := r.Arrived + min(clock.Millis(waitShare*float64(r.Deadline-r.Arrived)), waitTargets*r.Route.Target)
 	placer := c.placer(string(c.cfg.Region))
-	if c.now >= until || placer == nil || c.now+placer.loadWait > until {
-		if placer == nil {
-			return c.refuse(r, "adapter is not loaded and nobody loads any", comeBack)
-		}
+	switch {
+	case placer == nil && c.readyAt > 0 && c.now < c.readyAt+firstPlacer:
+		// The first placer has just claimed its shard, or is about to.
+	case placer == nil:
+		return c.refuse(r, "adapter is not loaded and nobody loads any", comeBack)
+	case c.now >= until || c.now+placer.loadWait > until:
 		return c.refuse(r, "adapter can't be loaded in time", max(comeBackFull, placer.loadWait))
 	}
 	w := c.want(r)
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -72,21 +72,27 @@
 		check func(t *testing.T, c *Core, choice Choice)
 	}{
 		{
-			name:  "a copy of the own region is used",
-			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n2", Copies: []peer.HomeCopy{held("m/a", 0)}}) },
+			name: "a copy of the own region is used",
+			setup: func(c *Core) {
+				tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n2", Copies: []peer.HomeCopy{held("m/a", 0)}})
+			},
 			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, "n2", sendTo(t, choice)) },
 		},
 		{
-			name:  "a copy of another region is used where the own has none",
-			setup: func(c *Core) { tell(c, 1000, "far", 1, peer.ServerHomes{Server: "f1", Copies: []peer.HomeCopy{held("m/a", 0)}}) },
+			name: "a copy of another region is used where the own has none",
+			setup: func(c *Core) {
+				tell(c, 1000, "far", 1, peer.ServerHomes{Server: "f1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+			},
 			check: func(t *testing.T, c *Core, choice Choice) {
 				must.Eq(t, "f1", sendTo(t, choice))
 				must.SliceLen(t, 1, c.Usage(1000, "near", "a").Wants)
 			},
 		},
 		{
-			name:  "a copy on its way is waited for",
-			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 200)}}) },
+			name: "a copy on its way is waited for",
+			setup: func(c *Core) {
+				tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 200)}})
+			},
 			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, 1200, choice.(Wait).Until) },
 		},
 		{
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -133,9 +133,11 @@
 // Core is the state of an entry VM's choices. Make it with New. It does no input
 // or output; calls must not overlap.
 type Core struct {
-	cfg      Config
-	now      clock.Millis
-	config   *topo.Config
+	cfg    Config
+	now    clock.Millis
+	config *topo.Config
+	// readyAt is when the first request could be taken.
+	readyAt  clock.Millis
 	servers  map[units.BackendServerID]*view
 	byName   map[units.ServiceName][]*view
 	shards   map[string]*shard
@@ -267,4 +269,10 @@
 
 // Ready reports whether requests can be taken: a configuration and a backend
 // server are known.
-func (c *Core) Ready() bool { return c.config != nil && len(c.servers) > 0 }
+func (c *Core) Ready(now clock.Millis) bool {
+	ready := c.config != nil && len(c.servers) > 0
+	if ready && c.readyAt == 0 {
+		c.readyAt = now
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/fake/keylog/store.go
@@ -0,0 +1,215 @@
+// Package keylog is a stand-in of the platform's store: a log with topics, of which
+// those whose names begin with "keyed." keep the newest record of each key.
+package keylog
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Store is the stand-in. The zero value is empty and serves.
+type Store struct {
+	// Down makes every call answer 503.
+	Down atomic.Bool
+	// Calls counts calls.
+	Calls atomic.Int64
+
+	mu    sync.Mutex
+	parts map[string]*partition
+}
+
+type partition struct {
+	first   int
+	records [][]byte
+	newest  map[string]item
+	grown   chan struct{}
+}
+
+type item struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int    `json:"offset"`
+}
+
+func (s *Store) partition(topic, part string) *partition {
+	if s.parts == nil {
+		s.parts = map[string]*partition{}
+	}
+	p := s.parts[topic+"/"+part]
+	if p == nil {
+		p = &partition{newest: map[string]item{}, grown: make(chan struct{})}
+		s.parts[topic+"/"+part] = p
+	}
+	return p
+}
+
+func (p *partition) end() int { return p.first + len(p.records) }
+
+func (p *partition) append(record []byte) {
+	p.records = append(p.records, record)
+	close(p.grown)
+	p.grown = make(chan struct{})
+}
+
+// Put writes a record under a key; an empty value drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, "0")
+	record := append([]byte{byte(len(key))}, key...)
+	if len(value) == 0 {
+		delete(p.newest, key)
+	} else {
+		p.newest[key] = item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: p.end()}
+	}
+	p.append(append(record, value...))
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, "0")
+	p.first, p.records = p.end(), nil
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Calls.Add(1)
+	if s.Down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "POST /log-append":
+		s.handleAppend(w, r)
+	case "GET /log-read":
+		s.handleRead(w, r)
+	case "GET /log-newest":
+		s.handleNewest(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var records [][]byte
+	for {
+		var length [4]byte
+		if _, err := readFull(r, length[:]); err != nil {
+			break
+		}
+		record := make([]byte, binary.BigEndian.Uint32(length[:]))
+		if _, err := readFull(r, record); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		records = append(records, record)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(r.URL.Query().Get("topic"), r.URL.Query().Get("part"))
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(p.end()) {
+		answerJSON(w, http.StatusPreconditionFailed, map[string]int{"end": p.end()})
+		return
+	}
+	offset := p.end()
+	for _, record := range records {
+		p.append(record)
+	}
+	answerJSON(w, http.StatusOK, map[string]int{"offset": offset, "end": p.end()})
+}
+
+func readFull(r *http.Request, buf []byte) (int, error) {
+	n := 0
+	for n < len(buf) {
+		m, err := r.Body.Read(buf[n:])
+		n += m
+		if err != nil && n < len(buf) {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	// Numbers that are missing count as 0, as the platform takes them.
+	from, _ := strconv.Atoi(query.Get("from"))
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for waited := wait == 0; ; {
+		s.mu.Lock()
+		p := s.partition(query.Get("topic"), query.Get("part"))
+		if from < p.first {
+			first := p.first
+			s.mu.Unlock()
+			answerJSON(w, http.StatusGone, map[string]int{"first": first})
+			return
+		}
+		if from < p.end() || waited {
+			body := p.read(from)
+			s.mu.Unlock()
+			_, _ = w.Write(body)
+			return
+		}
+		grown := p.grown
+		s.mu.Unlock()
+		select {
+		case <-grown:
+		case <-timer.C:
+			waited = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *partition) read(from int) []byte {
+	body := binary.BigEndian.AppendUint64(nil, uint64(p.end()))
+	body = binary.BigEndian.AppendUint64(body, uint64(p.first))
+	for i := max(0, from-p.first); i < len(p.records); i++ {
+		body = binary.BigEndian.AppendUint32(body, uint32(len(p.records[i])))
+		body = append(body, p.records[i]...)
+	}
+	return body
+}
+
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(r.URL.Query().Get("topic"), r.URL.Query().Get("part"))
+	after := r.URL.Query().Get("after")
+	items := []item{}
+	for key, it := range p.newest {
+		if strings.Compare(key, after) > 0 {
+			items = append(items, it)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > maxItems
+	if more {
+		items = items[:maxItems]
+	}
+	answerJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "end": p.end()})
+}
+
+// maxItems bounds a page. It is small so that tests meet several pages.
+const maxItems = 5
+
+func answerJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		return
+	}
+}
--- /dev/null
+++ b/internal/node/conns/conns_test.go
@@ -0,0 +1,223 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// serveRaw answers connections with f until the test ends.
+func serveRaw(t *testing.T, f func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				f(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request with its body.
+func readRequest(r *bufio.Reader) (*http.Request, string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(req.Body)
+	return req, string(body), err
+}
+
+func request(body string) *Request {
+	return &Request{
+		Method: http.MethodPost, Target: "/a/b?x=1", Host: "h.example", Header: http.Header{"Id": {"one"}}, Body: []byte(body),
+		Fits: func(resp *http.Response) bool { return resp.Header.Get("Id") == "one" },
+	}
+}
+
+// do makes one exchange and returns its body.
+func do(t *testing.T, p *Pool, address string, r *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	conn, err := p.Get(address, false)
+	if err != nil {
+		return "", err
+	}
+	e, err := p.Do(ctx, conn, r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(e)
+	e.Done()
+	return string(body), err
+}
+
+func TestExchange(t *testing.T) {
+	var broken *BrokenError
+	var noAnswer *NoAnswerError
+	tests := []struct {
+		name   string
+		answer string
+		want   string
+		err    any
+		failed bool
+		kept   bool
+	}{
+		{name: "sized", answer: "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nok", want: "ok", kept: true},
+		{name: "chunked", answer: "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", want: "ok", kept: true},
+		{name: "closing", answer: "HTTP/1.1 200 OK\r\nId: one\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", want: "ok"},
+		{name: "without length", answer: "HTTP/1.1 200 OK\r\nId: one\r\nConnection: close\r\n\r\nok", want: "ok"},
+		{name: "cut short", answer: "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 9\r\n\r\nok", want: "ok", failed: true},
+		{name: "chunks cut short", answer: "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", want: "ok", failed: true},
+		{name: "no answer", answer: "garbage that is no answer\r\n\r\n", err: &noAnswer},
+		{name: "closed", answer: "", err: &broken},
+		{name: "late answer to another", answer: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbadHTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nok", want: "ok", kept: true},
+		{name: "second answer behind", answer: "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 3\r\n\r\nbad", want: "ok"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, tc.answer)
+				if tc.kept || strings.Contains(tc.name, "behind") {
+					_, _ = r.Peek(1)
+				}
+			})
+			var p Pool
+			got, err := do(t, &p, address, request("body"))
+			switch {
+			case tc.err != nil:
+				must.True(t, errors.As(err, tc.err), must.Sprint(err))
+			case tc.failed:
+				must.Error(t, err)
+			default:
+				must.NoError(t, err)
+				must.Eq(t, tc.want, got)
+			}
+			must.Eq(t, tc.kept, len(p.idle[address]) == 1)
+		})
+	}
+}
+
+func TestRequestIsWrittenAsItCame(t *testing.T) {
+	seen := make(chan string, 1)
+	address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+		req, body, err := readRequest(r)
+		if err == nil {
+			seen <- req.Method + " " + req.RequestURI + " " + req.Host + " " + body
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nId: one\r\n\r\n")
+	})
+	var p Pool
+	_, err := do(t, &p, address, request("body"))
+	must.NoError(t, err)
+	must.Eq(t, "POST /a/b?x=1 h.example body", <-seen)
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	var p Pool
+	_, err := p.Get("127.0.0.1:1", false)
+	var unsent *NotSentError
+	must.True(t, errors.As(err, &unsent))
+	must.True(t, unsent.Refused)
+}
+
+// TestClosedIdleConnectionIsNotUsed closes a kept connection from the other side, as
+// backend servers do after a time-out.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	var p Pool
+	for range 5 {
+		_, err := do(t, &p, address, request("body"))
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestStrayBytesEndAKeptConnection sends a second answer while the connection is idle;
+// it must not be taken for the next request's.
+func TestStrayBytesEndAKeptConnection(t *testing.T) {
+	address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nok")
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 3\r\n\r\nbad")
+		}
+	})
+	var p Pool
+	for range 3 {
+		got, err := do(t, &p, address, request("body"))
+		must.NoError(t, err)
+		must.Eq(t, "ok", got)
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// TestEarlyAnswerEndsTheConnection answers before a long body was read: the rest of
+// it must not be read as the next request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(200 * time.Millisecond)
+	})
+	var p Pool
+	_, err := do(t, &p, address, request(strings.Repeat("x", 32<<20)))
+	must.NoError(t, err)
+	must.MapEmpty(t, p.idle)
+}
+
+func TestCancelEndsTheExchange(t *testing.T) {
+	closed := make(chan struct{})
+	address := serveRaw(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	var p Pool
+	conn, err := p.Get(address, false)
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = p.Do(ctx, conn, request("body"))
+	var broken *BrokenError
+	must.True(t, errors.As(err, &broken))
+	<-closed
+}
+
+func TestKeepAliveTimeIsKept(t *testing.T) {
+	c := &Conn{keepFor: maxIdle}
+	c.keepAlive("max=5, timeout=3")
+	must.Eq(t, 1500, c.keepFor)
+	c.keepAlive("timeout=1")
+	must.Zero(t, c.keepFor)
+}
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -158,7 +158,7 @@
 // updated tells everyone of a new configuration or list.
 func (n *Node) updated() {
 	n.mu.Lock()
-	ready := n.core.Ready()
+	ready := n.core.Ready(n.clock.Now())
 	cfg := n.core.Config()
 	servers := n.servers.All()
 	n.mu.Unlock()
--- /dev/null
+++ b/internal/node/fleet/fleet_test.go
@@ -0,0 +1,397 @@
+package fleet_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/fake/grid"
+	"mangostile/internal/node/fleet"
+	"mangostile/platform"
+
+	"github.com/shoenig/test/must"
+)
+
+const testTurn = 600 * time.Millisecond
+
+// deployment is entry VMs before a stand-in of the platform.
+type deployment struct {
+	*grid.Grid
+	engines []*grid.Replica
+	plains  []*grid.Replica
+	vms     []*vm
+}
+
+type vm struct {
+	*fleet.Node
+	settings fleet.Settings
+	kill     context.CancelFunc
+	ended    chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func deploy(t *testing.T, vms int) *deployment {
+	t.Helper()
+	g, err := grid.New(testTurn)
+	must.NoError(t, err)
+	d := &deployment{Grid: g}
+	t.Cleanup(d.close)
+	for i := range 2 {
+		engine := &grid.Replica{ID: fmt.Sprint("e", i), Service: "llm", Zone: "z", Model: "m", AdapterSlots: 3, Load: 40 * time.Millisecond, Events: 10, Pace: 5 * time.Millisecond}
+		plain := &grid.Replica{ID: fmt.Sprint("p", i), Service: "plain", Zone: "z"}
+		must.NoError(t, g.Start(engine))
+		must.NoError(t, g.Start(plain))
+		d.engines, d.plains = append(d.engines, engine), append(d.plains, plain)
+	}
+	must.NoError(t, g.Configure(testConfig(1)))
+	for i := range vms {
+		d.startVM(t, fmt.Sprint("vm", i))
+	}
+	for _, v := range d.vms {
+		v.awaitReady(t)
+	}
+	return d
+}
+
+func testConfig(version int) map[string]any {
+	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": path, "host": "h.example", "pathPrefix": path, "kind": kind, "service": service, "timeoutMs": 5000.0,
+			"targetLatencyMs": 900, "maxAttempts": attempts, "resumable": resumable, "gapAimMs": 400, "unknown": "field",
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("/stream/", "stream", "llm", 2, true), route("/once/", "non_idempotent", "plain", 1, false),
+			route("/look/", "idempotent", "plain", 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "plain"},
+			map[string]any{"name": "llm", "engine": map[string]any{
+				"slots": 8, "kvCapacityTokens": 100000, "weightsMb": 35000, "adapterSlots": 3, "loadsPerS": 4,
+				"models": []any{map[string]any{"name": "m", "weightsMb": 34000, "adapterMb": 40, "loadS": 0.6, "adapters": 100}},
+			}},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+	}
+}
+
+func (d *deployment) startVM(t *testing.T, id string) *vm {
+	t.Helper()
+	settings := fleet.Settings{
+		ID: units.EntryVMID(id), Domain: "z", Region: "r", Regions: map[units.FailureDomain]units.Region{"z": "r"},
+		FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		Grace: 8 * clock.Second, Turn: clock.FromDuration(testTurn), Choose: choose.Policy{RetryRatio: 1, RetryReserve: 100},
+	}
+	system := platform.NewSystem(&platform.Settings{Settings: settings, StoreAddress: d.StoreAddress()})
+	v := &vm{settings: settings, ended: make(chan error, 1)}
+	v.Node = fleet.New(fleet.Options{Settings: settings, System: system, Run: units.Incarnation(time.Now().UnixMilli())})
+	ctx, kill := context.WithCancel(context.Background())
+	v.kill = kill
+	go func() { v.ended <- v.Run(ctx) }()
+	d.vms = append(d.vms, v)
+	return v
+}
+
+func (d *deployment) close() {
+	for _, v := range d.vms {
+		v.kill()
+		<-v.ended
+	}
+	d.Close()
+}
+
+func (v *vm) ready() bool {
+	resp, err := http.Get("http://" + v.settings.ReadyAddress + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (v *vm) awaitReady(t *testing.T) {
+	t.Helper()
+	await(t, "ready", 5*time.Second, v.ready)
+}
+
+func await(t *testing.T, what string, within time.Duration, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", within, what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request.
+func (v *vm) ask(ctx context.Context, path, id, model string) answer {
+	method := http.MethodPost
+	if strings.HasPrefix(path, "/look/") {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.settings.FrontAddress+path, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Hold", "forged")
+	if model != "" {
+		req.Header.Set("Model", model)
+		req.Header.Set("Token-Counts", "100,40")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// wholeStream is the body of a whole stream of a request.
+func wholeStream(id string) string {
+	var b strings.Builder
+	for i := 1; i <= 10; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+func TestRequestsOfAllKindsAreServed(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3)
+	var group sync.WaitGroup
+	for i := range 60 {
+		group.Go(func() {
+			v, id := d.vms[i%3], fmt.Sprint("request-", i)
+			switch i % 3 {
+			case 0:
+				got := v.ask(t.Context(), "/stream/x", id, fmt.Sprint("m/a", i%5))
+				must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body, got.err))
+				must.Eq(t, wholeStream(id), got.body)
+				must.StrHasPrefix(t, "stamp-e", got.header.Get("Server-Stamp"))
+			case 1:
+				must.Eq(t, "done "+id, v.ask(t.Context(), "/once/x", id, "").body)
+				must.Eq(t, 1, d.Runs(id, "POST/once/x"))
+			default:
+				must.Eq(t, "done "+id, v.ask(t.Context(), "/look/x", id, "").body)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+	must.SliceEmpty(t, d.Wrongs())
+}
+
+func TestMoreAdaptersThanPlacesAreServedInTurn(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	for i := range 24 {
+		id := fmt.Sprint("request-", i)
+		got := d.vms[i%2].ask(t.Context(), "/stream/x", id, fmt.Sprint("m/a", i))
+		must.Eq(t, wholeStream(id), got.body, must.Sprint(i, got.status, got.body))
+	}
+	must.SliceEmpty(t, d.Wrongs())
+}
+
+func TestBrokenStreamIsResumed(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "first", "m/a").status)
+	for _, e := range d.engines {
+		e.BreakAfter.Store(4)
+	}
+	got := d.vms[0].ask(t.Context(), "/stream/x", "second", "m/a")
+	must.NoError(t, got.err)
+	must.Eq(t, wholeStream("second"), got.body)
+}
+
+func TestActionWithoutAnswerIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, p := range d.plains {
+		p.Mute.Store(true)
+	}
+	got := d.vms[0].ask(t.Context(), "/once/x", "action", "")
+	must.Eq(t, http.StatusGatewayTimeout, got.status)
+	must.Eq(t, 1, d.Runs("action", "POST/once/x"))
+}
+
+func TestMuteServerIsLeftForAnother(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	d.plains[0].Mute.Store(true)
+	for i := range 4 {
+		id := fmt.Sprint("look-", i)
+		must.Eq(t, "done "+id, d.vms[0].ask(t.Context(), "/look/x", id, "").body)
+	}
+}
+
+func TestFailureIsPassedOnIfAllFail(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, p := range d.plains {
+		p.Fail.Store(true)
+	}
+	got := d.vms[0].ask(t.Context(), "/look/x", "look", "")
+	must.Eq(t, http.StatusInternalServerError, got.status)
+	must.StrHasPrefix(t, "stamp-p", got.header.Get("Server-Stamp"))
+	must.Eq(t, 2, d.Runs("look", "GET/look/x"))
+}
+
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	must.Eq(t, http.StatusNotFound, d.vms[0].ask(t.Context(), "/nowhere/x", "r", "").status)
+	for _, e := range d.engines {
+		d.SetState(e, "gone")
+	}
+	await(t, "refusal with a time to return", 4*time.Second, func() bool {
+		got := d.vms[0].ask(t.Context(), "/stream/x", "r", "m/a")
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	})
+}
+
+func TestLeavingServerGetsNothing(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	d.SetState(d.plains[0], "draining")
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 10 {
+		got := d.vms[0].ask(t.Context(), "/look/x", fmt.Sprint("look-", i), "")
+		must.Eq(t, "stamp-p1", got.header.Get("Server-Stamp"))
+	}
+}
+
+// TestStoreOutage has the store go away: what is known serves on, and an entry VM
+// that starts says that it is not ready.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "first", "m/a").status)
+	d.Store.Down.Store(true)
+	time.Sleep(time.Second)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "second", "m/a").status)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/once/x", "third", "").status)
+	late := d.startVM(t, "late")
+	time.Sleep(500 * time.Millisecond)
+	must.False(t, late.ready())
+	must.Eq(t, http.StatusServiceUnavailable, late.ask(t.Context(), "/look/x", "fourth", "").status)
+	d.Store.Down.Store(false)
+	late.awaitReady(t)
+}
+
+func TestConfigurationIsFollowedThroughLostHistory(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	cfg := testConfig(9)
+	cfg["routes"] = cfg["routes"].([]any)[:2]
+	must.NoError(t, d.Configure(cfg))
+	d.Store.Forget("keyed.op")
+	d.Store.Put("keyed.op", "version/m.a1", []byte("not a version"))
+	await(t, "the route is gone", 3*time.Second, func() bool {
+		return d.vms[0].ask(t.Context(), "/look/x", "look", "").status == http.StatusNotFound
+	})
+}
+
+func TestStopLetsStreamsEnd(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "first", "m/a").status)
+	for _, e := range d.engines {
+		e.Pace = 100 * time.Millisecond
+	}
+	done := make(chan answer, 1)
+	go func() { done <- d.vms[0].ask(t.Context(), "/stream/x", "long", "m/a") }()
+	time.Sleep(200 * time.Millisecond)
+	d.vms[0].Stop()
+	must.False(t, d.vms[0].ready())
+	must.Eq(t, wholeStream("long"), (<-done).body)
+}
+
+// TestCallerGoneEndsTheRun closes the caller's connection during a stream.
+func TestCallerGoneEndsTheRun(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "first", "m/a").status)
+	conn, err := net.Dial("tcp4", d.vms[0].settings.FrontAddress)
+	must.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: gone\r\nModel: m/a\r\nContent-Length: 0\r\n\r\n")
+	must.NoError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	must.NoError(t, err)
+	must.StrContains(t, line, "200")
+	must.NoError(t, conn.Close())
+	await(t, "no run is left", time.Second, func() bool { return d.Running() == 0 })
+}
+
+// TestSmuggledRequestIsNotRun sends a body that looks like a second request, under
+// both a length and chunks.
+func TestSmuggledRequestIsNotRun(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	inner := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+	outer := fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: outer\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	both := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: both\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
+	for _, raw := range []string{outer, both} {
+		conn, err := net.Dial("tcp4", d.vms[0].settings.FrontAddress)
+		must.NoError(t, err)
+		_, err = io.WriteString(conn, raw)
+		must.NoError(t, err)
+		_, err = bufio.NewReader(conn).ReadString('\n')
+		must.NoError(t, err)
+		must.NoError(t, conn.Close())
+	}
+	must.Zero(t, d.Runs("smuggled", "POST/once/x"))
+}
+
+// TestPlacerIsReplaced ends the entry VM that places adapters; another takes over,
+// and the engines see no two holders in turn.
+func TestPlacerIsReplaced(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	must.Eq(t, http.StatusOK, d.vms[0].ask(t.Context(), "/stream/x", "first", "m/a").status)
+	placer, other := d.vms[0], d.vms[1]
+	if d.Holder() != placer.settings.ID {
+		placer, other = other, placer
+	}
+	placer.kill()
+	must.NoError(t, <-placer.ended)
+	placer.ended <- nil
+	await(t, "a new adapter is served", 15*time.Second, func() bool {
+		return other.ask(t.Context(), "/stream/x", fmt.Sprint("again-", time.Now().UnixNano()), "m/b").status == http.StatusOK
+	})
+	must.Eq(t, other.settings.ID, d.Holder())
+	must.SliceEmpty(t, d.Wrongs())
+}
