Ask another region's placer while the own one is silent

Change: wants carry the shard they are asked of; while the own placer is silent they go to the one with the least to load.

Ruled out (trial): asking the other region's placer whenever its queue is shorter by 300 ms.

Conclusion: kept for the gap that it closes; no gain in worth is claimed.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -109,13 +109,14 @@
 
 func (c *Core) chooseEngine(r *Request) Choice {
 	var soonest clock.Millis
+	shard := c.askedShard(r)
 	usable := func(v *view) bool {
 		readyAt, ok := c.holds(v, r.Adapter)
 		if !ok {
 			return false
 		}
 		if readyAt > c.now {
-			if v.Region == c.cfg.Region && (soonest == 0 || readyAt < soonest) {
+			if string(v.Region) == shard && !v.Draining && (soonest == 0 || readyAt < soonest) {
 				soonest = readyAt
 			}
 			return false
@@ -138,23 +139,54 @@
 		c.elsewhere[r.Adapter]++
 		return c.send(r, best, ways)
 	}
-	return c.wait(r)
+	return c.wait(r, shard)
+}
+
+// askedShard returns the shard whose placer is asked for the adapter of r: that of
+// the own region, or while its placer is silent the one that has the least to load.
+// It is empty if no placer is up.
+func (c *Core) askedShard(r *Request) string {
+	own := string(c.cfg.Region)
+	if c.placer(own) != nil || c.readyAt > 0 && c.now < c.readyAt+firstPlacer {
+		return own
+	}
+	best := ""
+	for name := range c.shards {
+		s := c.placer(name)
+		if s == nil || !c.hasServers(r.Service, name) {
+			continue
+		}
+		if best == "" || s.loadWait < c.shards[best].loadWait || s.loadWait == c.shards[best].loadWait && name < best {
+			best = name
+		}
+	}
+	return best
+}
+
+func (c *Core) hasServers(service units.ServiceName, shard string) bool {
+	for _, v := range c.byName[service] {
+		if string(v.Region) == shard && !v.Draining {
+			return true
+		}
+	}
+	return false
 }
 
 // wait keeps a request whose adapter is nowhere, as long as a load would be in
 // time.
-func (c *Core) wait(r *Request) Choice {
+func (c *Core) wait(r *Request, shard string) Choice {
 	until := r.Arrived + min(clock.Millis(waitShare*float64(r.Deadline-r.Arrived)), waitTargets*r.Route.Target)
-	placer := c.placer(string(c.cfg.Region))
-	switch {
-	case placer == nil && c.readyAt > 0 && c.now < c.readyAt+firstPlacer:
-		// The first placer has just claimed its shard, or is about to.
-	case placer == nil:
+	if shard == "" {
 		return c.refuse(r, "adapter is not loaded and nobody loads any", comeBack)
-	case c.now >= until || c.now+placer.loadWait > until:
-		return c.refuse(r, "adapter can't be loaded in time", max(comeBackFull, placer.loadWait))
 	}
-	w := c.want(r)
+	loadWait := clock.Millis(0)
+	if placer := c.placer(shard); placer != nil {
+		loadWait = placer.loadWait
+	}
+	if c.now >= until || c.now+loadWait > until {
+		return c.refuse(r, "adapter can't be loaded in time", max(comeBackFull, loadWait))
+	}
+	w := c.want(r, shard)
 	return Wait{Changed: w.changed, Until: until, Reason: "adapter is not loaded"}
 }
 
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -100,7 +100,17 @@
 			setup: func(c *Core) { tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1"}) },
 			check: func(t *testing.T, c *Core, choice Choice) {
 				must.NotNil(t, choice.(Wait).Changed)
-				must.True(t, c.Wanted())
+				must.True(t, c.Wanted("near"))
+			},
+		},
+		{
+			name:  "while the own placer is silent another region's is asked",
+			setup: func(c *Core) { tell(c, 1000, "far", 1, peer.ServerHomes{Server: "f1"}) },
+			check: func(t *testing.T, c *Core, choice Choice) {
+				must.NotNil(t, choice.(Wait).Changed)
+				must.True(t, c.Wanted("far"))
+				must.SliceLen(t, 1, c.Usage(1000, "far", "a").Wants)
+				must.SliceEmpty(t, c.Usage(1000, "near", "a").Wants)
 			},
 		},
 		{
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -167,6 +167,8 @@
 
 // want is an adapter that requests wait for.
 type want struct {
+	// shard is that of the placer that is asked.
+	shard          string
 	count, arrived int32
 	rank           int8
 	since          clock.Millis
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -146,12 +146,16 @@
 }
 
 // want counts r among the requests that wait for their adapter.
-func (c *Core) want(r *Request) *want {
+func (c *Core) want(r *Request, shard string) *want {
 	w := c.wants[r.Adapter]
 	if w == nil {
-		w = &want{since: c.now, changed: make(chan struct{}), rank: int8(r.Route.Rank)}
+		w = &want{shard: shard, since: c.now, changed: make(chan struct{}), rank: int8(r.Route.Rank)}
 		c.wants[r.Adapter] = w
 	}
+	if w.shard != shard {
+		// The placer that was asked has gone silent, or the own one is back.
+		w.shard, w.arrived = shard, w.count
+	}
 	if !r.waited {
 		r.waited = true
 		w.count++
@@ -196,9 +200,7 @@
 		}
 	}
 	sort.Slice(u.Servers, func(i, j int) bool { return u.Servers[i].Server < u.Servers[j].Server })
-	if shard == string(c.cfg.Region) {
-		c.addWants(u)
-	}
+	c.addWants(u, shard)
 	kept := c.missing[:0]
 	for _, m := range c.missing {
 		if v := c.servers[m.Server]; v != nil && string(v.Region) == shard {
@@ -211,11 +213,17 @@
 	return u
 }
 
-func (c *Core) addWants(u *peer.Usage) {
+func (c *Core) addWants(u *peer.Usage, shard string) {
 	for adapter, w := range c.wants {
+		if w.shard != shard {
+			continue
+		}
 		u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, InTime: w.inTimeUntil - c.now})
 		w.arrived = 0
 	}
+	if shard != string(c.cfg.Region) {
+		return
+	}
 	for adapter, n := range c.elsewhere {
 		if c.wants[adapter] == nil {
 			u.Wants = append(u.Wants, peer.Want{Adapter: adapter, Arrived: n})
@@ -241,10 +249,11 @@
 	return u, v.own.active > 0 || len(u.Adapters) > 0
 }
 
-// Wanted reports whether requests wait for adapters that no report has told of.
-func (c *Core) Wanted() bool {
+// Wanted reports whether requests wait for adapters that no report has told the
+// placer of a shard.
+func (c *Core) Wanted(shard string) bool {
 	for _, w := range c.wants {
-		if w.arrived > 0 {
+		if w.arrived > 0 && w.shard == shard {
 			return true
 		}
 	}
@@ -305,7 +314,7 @@
 func (c *Core) wakeWaiters() {
 	for adapter, w := range c.wants {
 		for _, v := range c.servers {
-			if _, ok := c.holds(v, adapter); ok && !v.Draining && v.Region == c.cfg.Region {
+			if _, ok := c.holds(v, adapter); ok && !v.Draining {
 				close(w.changed)
 				w.changed = make(chan struct{})
 				break
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -422,7 +422,10 @@
 			farAt = time.Now()
 		}
 		for shard, p := range n.placers {
-			if far || shard == string(n.settings.Region) {
+			n.mu.Lock()
+			wanted := n.core.Wanted(shard)
+			n.mu.Unlock()
+			if far || wanted || shard == string(n.settings.Region) {
 				n.reportTo(p)
 			}
 		}
