Keep placing until the process ends and let its successor go on

Change: a stopping placer places until its process ends, then releases; a released lease waits 2 s for its machine's next process, which orders at once. Others lose nothing, as they may not order within 3 s. A stopping entry VM serves what is likely to end in time and closes idle connections 2.2 s after the request to stop. Store calls end with their context, so that the process is not held up by one.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -43,6 +43,10 @@
 	// Silence is how long a partition must not grow before somebody else claims.
 	// It exceeds Term by more than clocks drift apart in that time.
 	Silence = Term + 400*clock.Millis(1)
+	// returnTerm is how long a lease that was released waits for its machine's next
+	// process, which may order at once. Others lose nothing: they may not order
+	// before Turn has passed.
+	returnTerm = 2 * clock.Second
 	// answerTerm is how long the answer to an append is waited for.
 	answerTerm = 700 * clock.Millis(1)
 	// refusedPause is the time between two appends of which the first was refused.
@@ -210,7 +214,7 @@
 	case l.last != nil && l.last.Holder == l.Self:
 		return true
 	case l.last != nil && l.last.Kind == KindRelease:
-		return now >= l.grewAt+l.Standby
+		return now >= l.grewAt+min(returnTerm, l.Turn)+l.Standby
 	default:
 		return now >= l.grewAt+Silence+l.Standby
 	}
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -32,9 +32,11 @@
 	defaultWithin = 30 * clock.Second
 	// writeTimeout is the time for a caller to take a part of an answer.
 	writeTimeout = 10 * time.Second
-	// lateStop is the time after the request to stop from which on new requests
-	// are refused, since they may not end in time.
-	lateStop = 2900 * clock.Millis(1)
+	// lateStop is the time after the request to stop from which on streams that may
+	// not end before the process are refused, slowToken the time of one of their
+	// tokens.
+	lateStop  = 2900 * clock.Millis(1)
+	slowToken = 15 * clock.Millis(1)
 	// notReadyReturn is when callers come back to an entry VM that starts or stops.
 	notReadyReturn = 300 * clock.Millis(1)
 )
@@ -124,10 +126,6 @@
 		c.refuse("no configuration is known yet", notReadyReturn)
 		return false
 	}
-	if n.stopping.Load() && n.clock.Now() > clock.Millis(n.stoppedAt.Load())+lateStop {
-		c.refuse("the entry VM is stopping", notReadyReturn)
-		return false
-	}
 	c.version = cfg.Version
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = cfg.Match(c.r.Host, path)
@@ -141,9 +139,28 @@
 		return false
 	}
 	c.head = head
+	if !c.endsInTime() {
+		c.refuse("the entry VM is stopping", notReadyReturn)
+		return false
+	}
 	return c.readBody(cfg.Limits) && c.describe()
 }
 
+// endsInTime reports whether a request that begins now is likely to end before a
+// process that was asked to stop.
+func (c *exchange) endsInTime() bool {
+	n := c.node
+	if !n.stopping.Load() {
+		return true
+	}
+	since := n.clock.Now() - clock.Millis(n.stoppedAt.Load())
+	left := n.settings.Grace - clock.FromDuration(stopReserve) - since
+	if c.route.Kind == topo.KindStream {
+		return since < lateStop || clock.Millis(c.head.MaxTokens)*slowToken+c.route.Target < left
+	}
+	return left > c.route.Target
+}
+
 func (c *exchange) readBody(limits topo.Limits) bool {
 	limit := limits.BodyBytes
 	if limit == 0 {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -121,7 +121,8 @@
 		return errors.Wrap(err, "listen for other entry VMs: choose a free address")
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	n.serve(ctx, group, callerListener{front}, n.frontServer())
+	frontServer := n.frontServer()
+	n.serve(ctx, group, callerListener{front}, frontServer)
 	n.serve(ctx, group, ready, &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout})
 	if n.settings.MetricsAddress != "" {
 		metrics, err := listenConfig.Listen(ctx, "tcp4", n.settings.MetricsAddress)
@@ -139,7 +140,7 @@
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
 	}
-	group.Go(func() error { return n.awaitStop(ctx, cancel) })
+	group.Go(func() error { return n.awaitStop(ctx, cancel, frontServer) })
 	n.log.Info("entry_vm_started", "entry_vm", n.settings.ID, "domain", n.settings.Domain, "region", n.settings.Region, "run", n.run)
 	err = group.Wait()
 	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "error", err)
@@ -206,6 +207,9 @@
 	// stopNotice is how long a stopping entry VM takes connections, until the
 	// balancer has seen that it is not ready.
 	stopNotice = 2500 * time.Millisecond
+	// stopKeptAlive is when kept connections are closed that are idle, so that
+	// callers send their next request to another entry VM.
+	stopKeptAlive = 2200 * time.Millisecond
 	// stopReserve is what is left of the grace when the process ends at the latest.
 	stopReserve = 400 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
@@ -216,13 +220,10 @@
 	if n.stopping.CompareAndSwap(false, true) {
 		n.stoppedAt.Store(int64(n.clock.Now()))
 		n.log.Info("entry_vm_stopping", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load())
-		for _, p := range n.placers {
-			p.inputs.Push(releaseInput{})
-		}
 	}
 }
 
-func (n *Node) awaitStop(ctx context.Context, cancel func()) error {
+func (n *Node) awaitStop(ctx context.Context, cancel func(), front *http.Server) error {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for {
@@ -235,6 +236,9 @@
 			continue
 		}
 		since := (n.clock.Now() - clock.Millis(n.stoppedAt.Load())).Duration()
+		if since >= stopKeptAlive {
+			front.SetKeepAlivesEnabled(false)
+		}
 		if since >= stopNotice && n.inFlight.Load() == 0 || since >= n.settings.Grace.Duration()-stopReserve {
 			cancel()
 			return nil
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -107,8 +107,6 @@
 	result claim.Result
 }
 
-type releaseInput struct{}
-
 type policyInput struct {
 	policy homes.Policy
 	turn   clock.Millis
@@ -121,7 +119,6 @@
 func (reportedInput) placingInput() {}
 func (leaseInput) placingInput()    {}
 func (appendedInput) placingInput() {}
-func (releaseInput) placingInput()  {}
 func (policyInput) placingInput()   {}
 
 // Times of a placer's duty.
@@ -179,12 +176,14 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.release()
 			return nil
 		case in, ok := <-inputs:
 			if !ok {
+				p.release()
 				return nil
 			}
-			p.take(ctx, in)
+			p.take(in)
 			p.step(ctx)
 		case <-ticker.C:
 			p.step(ctx)
@@ -192,7 +191,22 @@
 	}
 }
 
-func (p *placing) take(ctx context.Context, in placingInput) {
+// releaseTimeout bounds the release of a lease by a process that ends.
+const releaseTimeout = 250 * time.Millisecond
+
+// release gives the lease up, so that others need not wait until it lapses.
+func (p *placing) release() {
+	a := p.lease.Release(p.node.clock.BootNow())
+	if a == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	result := p.node.system.AppendLease(ctx, p.shard, *a)
+	p.node.log.Info("placer_released", "shard", p.shard, "fence", uint64(p.lease.Fence()), "accepted", result == claim.Accepted)
+}
+
+func (p *placing) take(in placingInput) {
 	now := p.node.clock.Now()
 	switch in := in.(type) {
 	case usedInput:
@@ -224,10 +238,6 @@
 	case policyInput:
 		p.placer.SetPolicy(in.policy)
 		p.lease.Turn = in.turn
-	case releaseInput:
-		if a := p.lease.Release(p.node.clock.BootNow()); a != nil {
-			go p.node.system.AppendLease(context.WithoutCancel(ctx), p.shard, *a)
-		}
 	}
 }
 
