Pass on what the placer reads of the store

Change: the placer of a region passes the records that changed on to the entry VMs that report to it. Entry VMs claim a shard one after the other within 0.8 s, so that few appends fail at a start.

--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -54,6 +54,9 @@
 	config  atomic.Pointer[topo.Config]
 	ready   atomic.Bool
 
+	configFeed  feed
+	serversFeed feed
+
 	pool    conns.Pool
 	links   *links.Links
 	placers map[string]*placing
@@ -72,8 +75,8 @@
 	}
 	n := &Node{
 		settings: o.Settings, system: o.System, clock: o.Clock, log: o.Logger, meter: o.Meter, run: o.Run,
-		core: choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
-		pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placing{}, kick: make(chan struct{}, 1),
+		core:       choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
+		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placing{}, kick: make(chan struct{}, 1),
 	}
 	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, Logger: o.Logger})
 	for _, region := range o.Settings.Regions {
@@ -93,6 +96,8 @@
 		}
 	case *peer.Homes:
 		n.homes(m)
+	case *peer.FeedNews:
+		n.takeRelayed(m)
 	}
 	return true
 }
@@ -132,8 +137,8 @@
 		n.serve(ctx, group, metrics, &http.Server{Handler: http.HandlerFunc(n.answerMetrics), ReadHeaderTimeout: headerTimeout})
 	}
 	group.Go(func() error { return n.links.Run(ctx, peers) })
-	group.Go(func() error { return n.followConfig(ctx) })
-	group.Go(func() error { return n.followServers(ctx) })
+	group.Go(func() error { return n.follow(ctx, &n.configFeed, configWait, 0, n.takeConfig) })
+	group.Go(func() error { return n.follow(ctx, &n.serversFeed, 0, serversPeriod, n.takeServers) })
 	group.Go(func() error { return n.reportUsage(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
 	for _, p := range n.placers {
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -37,6 +37,8 @@
 	readAt  clock.Millis
 	// reads takes requests to read the lease.
 	reads chan units.Offset
+	// relays is set while the lease is held and the shard is the own region's.
+	relays atomic.Bool
 	// known is the holder as last read, for other goroutines.
 	known atomic.Pointer[holderKnown]
 }
@@ -107,6 +109,9 @@
 	result claim.Result
 }
 
+// relayInput is news of the store that others are to be told.
+type relayInput struct{ news *peer.FeedNews }
+
 type policyInput struct {
 	policy homes.Policy
 	turn   clock.Millis
@@ -119,6 +124,7 @@
 func (reportedInput) placingInput() {}
 func (leaseInput) placingInput()    {}
 func (appendedInput) placingInput() {}
+func (relayInput) placingInput()    {}
 func (policyInput) placingInput()   {}
 
 // Times of a placer's duty.
@@ -133,13 +139,15 @@
 	listenerTerm   = 3 * clock.Second
 	statePeriod    = clock.Second
 	leaseReadPause = 450 * clock.Millis(1)
+	// farReadPause is added for shards of other regions.
+	farReadPause = clock.Second
 	// placerSilence is how long nothing is heard of another placer before the
 	// lease is read.
 	placerSilence = 900 * clock.Millis(1)
 	// farStandby delays claims on shards of other regions, nearStandby spreads
 	// claims of the own region.
 	farStandby  = 4 * clock.Second
-	nearStandby = 20 * clock.Millis(1)
+	nearStandby = 800 * clock.Millis(1)
 )
 
 func newPlacing(n *Node, shard string) *placing {
@@ -147,9 +155,10 @@
 		node: n, shard: shard, inputs: ring.New[placingInput](placingRing), placer: homes.New(n.settings.Homes),
 		heard: map[units.EntryVMID]listener{}, fullTo: map[units.EntryVMID]bool{}, reads: make(chan units.Offset, 1),
 	}
-	standby := nearStandby
+	// Entry VMs claim one after the other, so that few appends fail.
+	standby := clock.Millis(hashID(units.RequestID(n.settings.ID)) % uint64(nearStandby))
 	if shard != string(n.settings.Region) {
-		standby = farStandby
+		standby += farStandby
 	}
 	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Run: n.run, Turn: n.settings.Turn, Standby: standby}
 	return p
@@ -235,6 +244,12 @@
 		p.leaseRead(in)
 	case appendedInput:
 		p.lease.Answered(in.append, in.result)
+	case relayInput:
+		for id, l := range p.heard {
+			if p.holding && id != p.node.settings.ID && l.region == p.node.settings.Region {
+				p.node.links.Send(id, l.address, in.news)
+			}
+		}
 	case policyInput:
 		p.placer.SetPolicy(in.policy)
 		p.lease.Turn = in.turn
@@ -292,6 +307,7 @@
 		return
 	}
 	p.holding = holds
+	p.relays.Store(holds && p.shard == string(p.node.settings.Region))
 	holder, _ := p.lease.Holder()
 	p.node.log.Info("placer_changed", "shard", p.shard, "placing", holds, "holder", holder, "fence", uint64(p.lease.Fence()), "from_offset", p.lease.Next())
 	if holds {
@@ -310,6 +326,9 @@
 		return
 	}
 	p.reading, p.readAt = true, boot+leaseReadPause
+	if p.shard != string(p.node.settings.Region) {
+		p.readAt += farReadPause
+	}
 	select {
 	case p.reads <- p.lease.Next():
 	default:
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -9,6 +9,7 @@
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/homes"
+	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 )
 
@@ -57,6 +58,8 @@
 	Next units.Offset
 	// Bad counts entries that could not be read and were passed over.
 	Bad int
+	// Records are the records as read, by key; an empty value drops the key.
+	Records map[string][]byte
 }
 
 // Feed is one of the two sources of News.
@@ -90,6 +93,8 @@
 	// ReadNews returns what came from an offset on, and waits for it up to wait.
 	// The error is an ExpiredError if a part has expired.
 	ReadNews(ctx context.Context, feed Feed, from units.Offset, wait clock.Millis) (*News, error)
+	// DecodeNews returns what records say, as News would.
+	DecodeNews(feed Feed, records []peer.FeedRecord) *News
 	// ReadLease returns the records of a shard's lease from an offset on.
 	ReadLease(ctx context.Context, shard string, from units.Offset) (*LeaseRecords, error)
 	// AppendLease appends a record if the lease ends where it says.
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -24,6 +24,7 @@
 	tagHandover
 	tagUsage
 	tagHomes
+	tagFeedNews
 )
 
 // hello is the first frame of a connection.
@@ -67,6 +68,8 @@
 		return tagUsage
 	case *peer.Homes:
 		return tagHomes
+	case *peer.FeedNews:
+		return tagFeedNews
 	default:
 		return 0
 	}
@@ -98,6 +101,8 @@
 		return &peer.Usage{}
 	case tagHomes:
 		return &peer.Homes{}
+	case tagFeedNews:
+		return &peer.FeedNews{}
 	default:
 		return nil
 	}
