Leave servers that can't be reached out at once

Change: a backend server to which no connection could be had does not count as holding anything for 0.4 to 3 s; the placer is told, asks it for its report and, if there is none, loads its adapters elsewhere. Placers pass news on to all regions, so that the cut of one does not send its whole region to the store.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -112,7 +112,7 @@
 	shard := c.askedShard(r)
 	usable := func(v *view) bool {
 		readyAt, ok := c.holds(v, r.Adapter)
-		if !ok {
+		if !ok || c.now < v.health.downUntil {
 			return false
 		}
 		if readyAt > c.now {
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -171,6 +171,17 @@
 	}
 }
 
+// TestCrashedServersAdapterIsWanted answers a crashed engine that alone holds an adapter.
+func TestCrashedServersAdapterIsWanted(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	r := testRequest("r", "m/a", 1000)
+	c.Ended(1000, r, sendTo(t, c.Choose(1000, r)), false, EndUnsent)
+	_, waits := c.Choose(1001, r).(Wait)
+	must.True(t, waits)
+	must.Eq(t, []units.BackendServerID{"n1"}, c.Usage(1001, "near", "a").Unreached)
+}
+
 func TestUnsentIsNoRetryForTheBudget(t *testing.T) {
 	c := newTestCore()
 	r := testRequest("r", "", 1000)
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -145,6 +145,9 @@
 	versions map[units.AdapterName]version
 	budgets  map[units.ServiceName]*budget
 	missing  []peer.Missing
+	// unreached holds backend servers to which no connection could be had, until
+	// the placer is told.
+	unreached map[units.BackendServerID]bool
 	// elsewhere counts requests whose adapter was used in another region, by
 	// adapter, since the last report.
 	elsewhere map[units.AdapterName]int32
@@ -184,7 +187,7 @@
 	cfg.Policy = cfg.Policy.withDefaults()
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byName: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
-		wants: map[units.AdapterName]*want{}, versions: map[units.AdapterName]version{}, elsewhere: map[units.AdapterName]int32{}, budgets: map[units.ServiceName]*budget{},
+		wants: map[units.AdapterName]*want{}, versions: map[units.AdapterName]version{}, elsewhere: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{},
 	}
 }
 
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -139,8 +139,11 @@
 			delete(v.copies, r.Adapter)
 			c.missing = append(c.missing, peer.Missing{Server: server, Adapter: r.Adapter})
 		}
-	case EndBroken, EndUnsent:
+	case EndBroken:
 		v.health.broke(c.now)
+	case EndUnsent:
+		v.health.unreached(c.now)
+		c.unreached[server] = true
 	case EndCanceled:
 	}
 }
@@ -201,6 +204,13 @@
 	}
 	sort.Slice(u.Servers, func(i, j int) bool { return u.Servers[i].Server < u.Servers[j].Server })
 	c.addWants(u, shard)
+	for id := range c.unreached {
+		if v := c.servers[id]; v == nil || string(v.Region) == shard {
+			u.Unreached = append(u.Unreached, id)
+			delete(c.unreached, id)
+		}
+	}
+	sort.Slice(u.Unreached, func(i, j int) bool { return u.Unreached[i] < u.Unreached[j] })
 	kept := c.missing[:0]
 	for _, m := range c.missing {
 		if v := c.servers[m.Server]; v != nil && string(v.Region) == shard {
--- a/internal/core/choose/health.go
+++ b/internal/core/choose/health.go
@@ -13,6 +13,8 @@
 	row int
 	// avoidUntil is when the server is chosen again before others.
 	avoidUntil clock.Millis
+	// downUntil is when a server is tried again that could not be reached.
+	downUntil clock.Millis
 	// slow is a moving ratio of the time to an answer and the expected one.
 	slow float64
 }
@@ -32,7 +34,7 @@
 func (h *health) succeeded() {
 	h.failures -= h.failures * failureWeight
 	h.row = 0
-	h.avoidUntil = 0
+	h.avoidUntil, h.downUntil = 0, 0
 }
 
 func (h *health) failed() { h.failures += (1 - h.failures) * failureWeight }
@@ -43,6 +45,12 @@
 	h.row++
 }
 
+// unreached takes that no connection could be had.
+func (h *health) unreached(now clock.Millis) {
+	h.broke(now)
+	h.downUntil = h.avoidUntil
+}
+
 // prefixes remembers which beginnings of prompts a backend server has read. The
 // zero value remembers nothing.
 type prefixes struct {
--- a/internal/core/homes/news.go
+++ b/internal/core/homes/news.go
@@ -55,6 +55,9 @@
 
 func (p *Placer) homesOf(s *server) peer.ServerHomes {
 	h := peer.ServerHomes{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens}
+	if s.down {
+		return h
+	}
 	if p.now >= s.modelReadyAt {
 		for m := range s.models {
 			h.Models = append(h.Models, m)
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -157,6 +157,8 @@
 		return
 	}
 	s.reporting, s.reportedAt = false, p.now
+	s.changed = s.changed || s.down
+	s.down = false
 	s.reportAt = p.now + reportPeriod
 	if r.Born > s.Born {
 		s.Born = r.Born
@@ -206,7 +208,8 @@
 // ReportFailed tells that a backend server did not report.
 func (p *Placer) ReportFailed(now clock.Millis, id units.BackendServerID) {
 	if s := p.servers[id]; s != nil {
-		s.reporting = false
+		s.changed = s.changed || !s.down
+		s.reporting, s.down = false, true
 		s.reportAt = now + reportSettles
 	}
 }
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -121,6 +121,9 @@
 	engine *topo.Engine
 	// synced is set once orders and copies are known; no order is sent before.
 	synced bool
+	// down is set while the backend server does not answer; what it holds may be
+	// there still, but nobody is sent there.
+	down   bool
 	orders int64
 	copies map[units.AdapterName]*heldCopy
 	models map[units.ModelName]bool
@@ -168,7 +171,7 @@
 
 // usable reports whether adapters may be ordered to s now.
 func (s *server) usable(now clock.Millis) bool {
-	return s.synced && !s.waiting && !s.Draining && s.Leaves == 0 && now >= s.modelReadyAt
+	return s.synced && !s.down && !s.waiting && !s.Draining && s.Leaves == 0 && now >= s.modelReadyAt
 }
 
 // Placer decides for one shard. Make it with New; all methods must be called from
@@ -286,6 +289,12 @@
 	for _, m := range u.Missing {
 		p.missing(m)
 	}
+	for _, id := range u.Unreached {
+		if s := p.servers[id]; s != nil {
+			// The placer's own question tells whether the server is down.
+			s.reportAt = min(s.reportAt, p.now)
+		}
+	}
 	p.addUp()
 }
 
--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -245,6 +245,24 @@
 	must.MapEmpty(t, f.servers["s1"].copies)
 }
 
+// TestAdapterOfServerThatIsDownIsLoadedElsewhere answers a crashed engine: requests for
+// the adapters that only it held went there in vain until its entry lapsed.
+func TestAdapterOfServerThatIsDownIsLoadedElsewhere(t *testing.T) {
+	f := newFleet(8, "s1", "s2")
+	f.wants(1200, 500, "a1")
+	f.run(1200, 1600)
+	home := f.orders[0].Server
+	f.Used(1610, "vm", &peer.Usage{Shard: "r", Address: "a", Unreached: []units.BackendServerID{home}})
+	must.SliceContains(t, f.Step(1610, true).Asks, Ask{Server: home, Address: string(home)})
+	f.ReportFailed(1620, home)
+	f.wants(1630, 500, "a1")
+	orders := f.Step(1640, true).Orders
+	must.SliceLen(t, 1, orders)
+	must.NotEq(t, home, orders[0].Server)
+	f.Reported(2200, home, f.shelf.report(home))
+	must.False(t, f.servers[home].down)
+}
+
 // TestEngineWithoutModelGetsOne gives a new engine its model, with loads from the
 // weight store kept apart.
 func TestEngineWithoutModelGetsOne(t *testing.T) {
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -285,6 +285,9 @@
 // heldAnywhere reports whether an adapter can be used now or soon.
 func (p *Placer) heldAnywhere(adapter units.AdapterName) bool {
 	for _, s := range p.servers {
+		if s.down {
+			continue
+		}
 		c := s.copies[adapter]
 		if c != nil && !s.Draining && s.Leaves == 0 && (c.state == copyReady || c.state == copyLoading) && !p.isOld(adapter, c) {
 			return true
@@ -465,7 +468,7 @@
 func (p *Placer) hasRoomElsewhere(name units.AdapterName) bool {
 	for _, s := range p.servers {
 		c := s.copies[name]
-		if c != nil && (c.state == copyLoading || c.state == copyReady && s.prefill < crowdedPrefill/2) {
+		if c != nil && !s.down && (c.state == copyLoading || c.state == copyReady && s.prefill < crowdedPrefill/2) {
 			return true
 		}
 	}
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -20,6 +20,8 @@
 	Wants []Want `msgpack:"w,omitempty"`
 	// Missing lists copies that backend servers said they do not hold.
 	Missing []Missing `msgpack:"m,omitempty"`
+	// Unreached lists backend servers to which no connection could be had.
+	Unreached []units.BackendServerID `msgpack:"x,omitempty"`
 }
 
 // ServerUse is what one entry VM uses of one backend server.
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -129,7 +129,7 @@
 	if over {
 		return true
 	}
-	if end == choose.EndMissing {
+	if end == choose.EndMissing || end == choose.EndUnsent {
 		n.wanted()
 	}
 	if a.mayHaveRun {
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -246,7 +246,7 @@
 		p.lease.Answered(in.append, in.result)
 	case relayInput:
 		for id, l := range p.heard {
-			if p.holding && id != p.node.settings.ID && l.region == p.node.settings.Region {
+			if p.holding && id != p.node.settings.ID {
 				p.node.links.Send(id, l.address, in.news)
 			}
 		}
