Copy hot adapters as fast as the shard is large

Change: the pause between two copies shrinks with the number of servers, and the next crowded server is looked at if the fullest has nothing to copy.

--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -408,21 +408,27 @@
 // addCopies loads an adapter once more whose requests pile up at its only copies
 // while another backend server has little to do.
 func (p *Placer) addCopies(plan *Plan) {
-	if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() || p.now < p.copiedAt+copyPause || !p.hasIdle() {
+	if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() || p.now < p.copiedAt+p.copyPause() || !p.hasIdle() {
 		return
 	}
-	var most *server
-	for _, id := range p.order {
-		if s := p.servers[id]; s.synced && s.prefill >= crowdedPrefill && (most == nil || s.prefill > most.prefill) {
-			most = s
+	for _, s := range p.crowded() {
+		if name := p.crowding(s); name != "" && p.place(plan, name, s, "copy of one that crowds its server") {
+			p.copiedAt = p.now
+			return
 		}
 	}
-	if most == nil {
-		return
-	}
-	if name := p.crowding(most); name != "" && p.place(plan, name, most, "copy of one that crowds its server") {
-		p.copiedAt = p.now
+}
+
+// crowded returns the crowded backend servers, the fullest first.
+func (p *Placer) crowded() []*server {
+	var list []*server
+	for _, id := range p.order {
+		if s := p.servers[id]; s.synced && !s.down && s.prefill >= crowdedPrefill {
+			list = append(list, s)
+		}
 	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].prefill > list[j].prefill })
+	return list
 }
 
 // Bounds of copies.
@@ -434,10 +440,13 @@
 	// minCrowding is the number of requests at one copy from which on another may
 	// be made.
 	minCrowding = 4
-	// copyPause is the time between two copies.
-	copyPause = 250 * clock.Millis(1)
+	// copyPause is the time between two copies for each backend server of the shard:
+	// a larger shard has as many more hot adapters to spread.
+	copyPause = 2400 * clock.Millis(1)
 )
 
+func (p *Placer) copyPause() clock.Millis { return copyPause / clock.Millis(max(1, len(p.servers))) }
+
 func (p *Placer) hasIdle() bool {
 	for _, s := range p.servers {
 		if s.usable(p.now) && s.prefill <= idlePrefill {
