Explain requests from logs, check the platform's settings, count what entry VMs do

Cause: on-call has logs and metrics only; the explain command asked running entry VMs, settings check knew only the product's own files, and the new duties had no metrics.

--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -65,6 +65,7 @@
 			continue
 		}
 		from, news, err := n.read(ctx, f, wait)
+		n.meter.StoreRead(string(f.name), err == nil)
 		n.note(ctx, f, err)
 		if err != nil {
 			sleep(ctx, retryPause)
@@ -179,6 +180,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.config.Store(news.Config)
+		n.meter.ConfigVersion(news.Config.Version)
 		n.log.Info("config_in_force", "version", news.Config.Version, "routes", len(news.Config.Routes), "services", len(news.Config.Services))
 	}
 	for _, v := range news.Versions {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -65,6 +65,7 @@
 func (c *exchange) wait(ctx context.Context, choice choose.Wait) bool {
 	n := c.node
 	n.wanted()
+	c.log("request_waits", "reason", choice.Reason, "adapter", c.req.Adapter, "until_ms", int64(choice.Until-n.clock.Now()))
 	timer := time.NewTimer(max(time.Millisecond, (choice.Until - n.clock.Now()).Duration()))
 	defer timer.Stop()
 	select {
@@ -97,6 +98,7 @@
 // giveUp ends the request without an answer of a backend server, or with a
 // failure of one that was held back.
 func (c *exchange) giveUp(reason string, after clock.Millis) {
+	c.node.meter.GivenUp(reason)
 	switch {
 	case c.began:
 		c.log("stream_broken_off", "reason", reason, "last_event", c.lastEvent)
@@ -124,7 +126,12 @@
 	n.mu.Lock()
 	n.core.Ended(n.clock.Now(), &c.req, to.Server, a.began, end)
 	n.mu.Unlock()
-	c.log("attempt_ended", "server", to.Server, "ways", to.Ways, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
+	n.meter.AttemptEnded(end.String())
+	if a.began && c.req.Sends == 1 {
+		n.meter.Waited((sentAt - c.arrived).Duration())
+		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
+	}
+	c.log("attempt_ended", "adapter", c.req.Adapter, "server", to.Server, "ways", to.Ways, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
 		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", int64(a.firstAt-sentAt), "end", end, "status", a.status, "why", a.why, "sends", c.req.Sends, "events", a.events)
 	if over {
 		return true
@@ -137,7 +144,7 @@
 	}
 	if c.ran > 0 && (!c.route.Repeatable() || c.ran >= c.route.MaxAttempts) {
 		if !c.gone(ctx) {
-			c.giveUp("the backend server failed: "+a.why, 0)
+			c.giveUp("the backend server failed", 0)
 		}
 		return true
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -231,6 +231,7 @@
 	case versionInput:
 		p.placer.Announce(now, in.Adapter, in.Revision)
 	case orderedInput:
+		p.node.meter.OrderAnswered(string(in.order.Kind), in.result.String())
 		p.node.log.Info("order_answered", "shard", p.shard, "server", in.order.Server, "order", in.order.Kind, "adapter", in.order.Adapter,
 			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "reason", in.order.Reason)
 		p.placer.Ordered(now, in.order, in.result)
@@ -307,6 +308,7 @@
 		return
 	}
 	p.holding = holds
+	p.node.meter.Placing(p.shard, holds)
 	p.relays.Store(holds && p.shard == string(p.node.settings.Region))
 	holder, _ := p.lease.Holder()
 	p.node.log.Info("placer_changed", "shard", p.shard, "placing", holds, "holder", holder, "fence", uint64(p.lease.Fence()), "from_offset", p.lease.Next())
--- /dev/null
+++ b/internal/node/meter/fleet.go
@@ -0,0 +1,68 @@
+package meter
+
+import "time"
+
+// AttemptEnded counts an attempt at a backend server by how it ended.
+func (m *Meter) AttemptEnded(end string) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"end": end}).Counter("attempts_total").Inc(1)
+	}
+}
+
+// GivenUp counts a request that ended without an answer of a backend server, by
+// reason.
+func (m *Meter) GivenUp(reason string) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"reason": reason}).Counter("given_up_total").Inc(1)
+	}
+}
+
+// FirstEvent records the time from a request's arrival to its first event or answer.
+func (m *Meter) FirstEvent(took time.Duration) {
+	if m != nil {
+		m.firstToken.RecordDuration(took)
+	}
+}
+
+// Waited records the time that a request waited for its adapter.
+func (m *Meter) Waited(took time.Duration) {
+	if m != nil {
+		m.loadStall.RecordDuration(took)
+	}
+}
+
+// OrderAnswered counts an order to a backend server by kind and answer.
+func (m *Meter) OrderAnswered(kind, result string) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"kind": kind, "result": result}).Counter("orders_total").Inc(1)
+	}
+}
+
+// StoreRead counts a read of a feed from the store.
+func (m *Meter) StoreRead(feed string, ok bool) {
+	if m != nil {
+		answer := "ok"
+		if !ok {
+			answer = "failed"
+		}
+		m.scope.Tagged(map[string]string{"feed": feed, "answer": answer}).Counter("store_reads_total").Inc(1)
+	}
+}
+
+// Placing shows whether the entry VM places adapters of a shard.
+func (m *Meter) Placing(shard string, placing bool) {
+	if m != nil {
+		value := 0.0
+		if placing {
+			value = 1
+		}
+		m.scope.Tagged(map[string]string{"shard": shard}).Gauge("placing").Update(value)
+	}
+}
+
+// ConfigVersion shows the configuration in force.
+func (m *Meter) ConfigVersion(version int64) {
+	if m != nil {
+		m.scope.Gauge("config_version").Update(float64(version))
+	}
+}
--- a/internal/oper/cmds/explaincmd.go
+++ b/internal/oper/cmds/explaincmd.go
@@ -22,12 +22,26 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "print the decisions on one request",
-		UsageText: "mangostile explain --entry ADDRESS,ADDRESS REQUEST_ID",
-		Flags:     append(operatorFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON"}),
-		Action:    withClients(explainRequest),
+		UsageText: "mangostile explain --entry ADDRESS,ADDRESS REQUEST_ID\nmangostile explain --log FILE,FILE REQUEST_ID",
+		Flags: append(operatorFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON"},
+			&cli.StringSliceFlag{Name: "log", Usage: "read the logs of entry VMs in `FILE`s instead of asking them; - is standard input"}),
+		Action: explainAction,
 	}
 }
 
+// explainAction reads logs where they are named and asks entry VMs otherwise.
+func explainAction(ctx context.Context, cmd *cli.Command) error {
+	files := cmd.StringSlice("log")
+	if len(files) == 0 {
+		return withClients(explainRequest)(ctx, cmd)
+	}
+	args, err := arguments(cmd, "REQUEST_ID")
+	if err != nil {
+		return err
+	}
+	return explainLogs(cmd.Root().Writer, files, args[0])
+}
+
 // explainedLine is a decision with the entry VM that made it.
 type explainedLine struct {
 	EntryVM units.EntryVMID `json:"entry_vm"`
--- /dev/null
+++ b/internal/oper/cmds/explainlog.go
@@ -0,0 +1,106 @@
+package cmds
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// logInstantBytes is the length of the instant that begins each log line.
+const logInstantBytes = len("2006-01-02T15:04:05.000Z")
+
+// loggedLine is one line of an entry VM's log.
+type loggedLine struct {
+	at   string
+	from string
+	text string
+}
+
+// explainLogs prints the lines about one request, or a backend server, an adapter or a
+// shard, of several logs in the order of their instants. "-" names standard input.
+func explainLogs(w io.Writer, files []string, id string) error {
+	var lines []loggedLine
+	for _, file := range files {
+		found, err := linesOf(file, id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return errors.Errorf("no line on %s in %s: name the logs of all entry VMs with --log, and of the time in question", id, strings.Join(files, ", "))
+	}
+	slices.SortStableFunc(lines, func(a, b loggedLine) int { return strings.Compare(a.at, b.at) })
+	for _, line := range lines {
+		if _, err := fmt.Fprintf(w, "%s  %s  %s\n", line.at, line.from, line.text); err != nil {
+			return errors.Wrap(err, "write lines")
+		}
+	}
+	return nil
+}
+
+// linesOf returns the lines of a file that have id as the value of a key.
+func linesOf(file, id string) ([]loggedLine, error) {
+	in := os.Stdin
+	if file != "-" {
+		opened, err := os.Open(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "read log: name readable files")
+		}
+		defer func() { _ = opened.Close() }()
+		in = opened
+	}
+	var lines []loggedLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if line, ok := parseLogLine(scanner.Text(), id); ok {
+			if line.from == "" {
+				line.from = file
+			}
+			lines = append(lines, line)
+		}
+	}
+	return lines, errors.Wrapf(scanner.Err(), "read log %s", file)
+}
+
+// maxLogLine bounds a line, in bytes.
+const maxLogLine = 1 << 20
+
+// parseLogLine finds the instant in a line and what comes before it, the name of the
+// machine where logs were gathered.
+func parseLogLine(text, id string) (loggedLine, bool) {
+	if !hasValue(text, id) {
+		return loggedLine{}, false
+	}
+	before, after, ok := strings.Cut(text, " [")
+	if !ok || len(before) < logInstantBytes {
+		return loggedLine{text: text}, true
+	}
+	at := before[len(before)-logInstantBytes:]
+	fields := strings.Fields(before[:len(before)-logInstantBytes])
+	line := loggedLine{at: at, text: strings.TrimSpace(after[strings.IndexByte(after, ']')+1:])}
+	if len(fields) > 0 {
+		line.from = fields[len(fields)-1]
+	}
+	return line, true
+}
+
+// hasValue reports whether a line has id as the whole value of a key.
+func hasValue(text, id string) bool {
+	for rest := text; ; {
+		at := strings.Index(rest, "="+id)
+		if at < 0 {
+			return false
+		}
+		rest = rest[at+1+len(id):]
+		if rest == "" || rest[0] == ' ' {
+			return true
+		}
+	}
+}
--- a/internal/oper/cmds/settingscmd.go
+++ b/internal/oper/cmds/settingscmd.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"mangostile/internal/oper/config"
+	"mangostile/platform"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -48,7 +49,17 @@
 	}
 }
 
+// platformSuffix ends the names of the settings files that the users' platform writes.
+const platformSuffix = ".conf"
+
 func checkSettingsFile(w io.Writer, path string, standin bool) error {
+	if strings.HasSuffix(path, platformSuffix) {
+		if err := platform.Check(path); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(w, "%s: no fault\n", path)
+		return errors.Wrap(err, "write verdict")
+	}
 	var err error
 	if standin {
 		_, err = config.ReadStandin(path)
