Keep the last of the retry budget for streams that broke

Change: a request that has had a part of its answer may use 92 % of the budget's ratio and 90 % of its reserve, others 75 % and 65 %. Lines on attempts say -1 where there was no first event and name the end of the time as the cause.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -302,7 +302,7 @@
 	if c.now+expected >= r.Deadline {
 		return c.refuse(r, "backend servers are too busy", comeBackFull)
 	}
-	if r.Sends > 0 && !c.takeExtra(r.Service) {
+	if r.Sends > 0 && !c.takeExtra(r) {
 		return c.refuse(r, "no retry is left in the budget", comeBack)
 	}
 	c.unwant(r)
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -215,6 +215,22 @@
 	must.Positive(t, extras)
 }
 
+// TestBrokenStreamsHaveTheLastOfTheBudget answers connections that are all reset at
+// once: streams were broken off for want of a retry that others had used.
+func TestBrokenStreamsHaveTheLastOfTheBudget(t *testing.T) {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1", Policy: Policy{RetryRatio: 0.2, RetryReserve: 54}})
+	c.SetConfig(testConfig())
+	c.SetServers([]*topo.Server{testServer("p1", "plain", "near", "d1")})
+	for range 100 {
+		c.Arrived(10000, "plain")
+	}
+	plain, begun := testRequest("r", "", 10000), testRequest("s", "", 10000)
+	begun.Begun = true
+	for c.takeExtra(plain) {
+	}
+	must.True(t, c.takeExtra(begun))
+}
+
 func TestBusyServersRefuseWhatCantBeServedInTime(t *testing.T) {
 	c := newTestCore()
 	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}, Prefill: 400000, Active: 50})
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -84,6 +84,8 @@
 	Tried []units.BackendServerID
 	// Sends counts those that it reached.
 	Sends int
+	// Begun is set once a part of the answer was passed on.
+	Begun bool
 	// waited is set while the request counts among those that want its adapter.
 	waited bool
 }
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -70,18 +70,25 @@
 	return b
 }
 
-// Shares of the retry budget that one entry VM takes, so that all together stay
-// under the bound although they count apart.
+// Shares of the retry budget that one entry VM takes, so that all together stay under
+// the bound although they count apart. The rest is for streams that broke: their
+// callers lose what they have.
 const (
-	ratioShare   = 0.7
-	reserveShare = 0.6
+	ratioShare    = 0.75
+	reserveShare  = 0.65
+	urgentRatio   = 0.92
+	urgentReserve = 0.9
 	// unknownMembers is assumed before a placer told how many entry VMs there are.
 	unknownMembers = 8
 )
 
-func (c *Core) takeExtra(service units.ServiceName) bool {
+func (c *Core) takeExtra(r *Request) bool {
+	ratio, reserve := ratioShare, reserveShare
+	if r.Begun {
+		ratio, reserve = urgentRatio, urgentReserve
+	}
 	members := max(c.members, unknownMembers)
-	return c.budget(service).take(c.now, ratioShare*c.cfg.Policy.RetryRatio, reserveShare*c.cfg.Policy.RetryReserve/float64(members))
+	return c.budget(r.Service).take(c.now, ratio*c.cfg.Policy.RetryRatio, reserve*c.cfg.Policy.RetryReserve/float64(members))
 }
 
 func (c *Core) sent(r *Request, v *view) {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -38,6 +38,7 @@
 	ctx, cancel := context.WithTimeout(parent, left)
 	defer cancel()
 	for len(c.req.Tried) <= maxSends {
+		c.req.Begun = c.began
 		n.mu.Lock()
 		choice := n.core.Choose(n.clock.Now(), &c.req)
 		n.mu.Unlock()
@@ -132,7 +133,7 @@
 		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
 	}
 	c.log("attempt_ended", "adapter", c.req.Adapter, "server", to.Server, "ways", to.Ways, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
-		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", int64(a.firstAt-sentAt), "end", end, "status", a.status, "why", a.why, "sends", c.req.Sends, "events", a.events)
+		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.why, "sends", c.req.Sends, "events", a.events)
 	if over {
 		return true
 	}
@@ -201,15 +202,26 @@
 	}
 }
 
+// firstMS is the time from the send to the first event or answer in milliseconds, -1
+// if there was none.
+func (a *attempt) firstMS(sentAt clock.Millis) int64 {
+	if !a.began {
+		return -1
+	}
+	return int64(a.firstAt - sentAt)
+}
+
 // endOf returns what an error tells of the backend server.
 func (a *attempt) endOf(err error) choose.End {
 	var noAnswer *conns.NoAnswerError
 	switch {
 	case a.exchange.r.Context().Err() != nil:
+		a.why = "the caller left"
 		return choose.EndCanceled
 	case errors.As(err, &noAnswer):
 		return choose.EndFailed
 	case a.ctx.Err() != nil:
+		a.why = "the time for this attempt is over"
 		return choose.EndFailed
 	default:
 		return choose.EndBroken
