Tell other regions of changed homes less often

Change: entry VMs of other regions get changed copies after 150 ms and loads after 700 ms, with offsets of their own.

--- a/internal/core/homes/news.go
+++ b/internal/core/homes/news.go
@@ -8,48 +8,62 @@
 	"mangostile/internal/core/peer"
 )
 
-// News returns the homes that changed since the last call, or all of them.
-func (p *Placer) News(now clock.Millis, shard string, fence units.Fence, full bool) *peer.Homes {
+// Reach tells apart the entry VMs of the placer's own region from those of others,
+// which get news less often.
+type Reach uint8
+
+// Reaches.
+const (
+	Near Reach = iota
+	Far
+	reaches
+)
+
+// News returns the homes that changed since the last call for a reach, or all of
+// them.
+func (p *Placer) News(now clock.Millis, reach Reach, shard string, fence units.Fence, full bool) *peer.Homes {
 	p.now = max(p.now, now)
 	if !full {
-		p.sequence++
+		p.sequence[reach]++
+	}
+	m := &peer.Homes{
+		Shard: shard, Fence: fence, Sequence: p.sequence[reach], Full: full, LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage)),
 	}
-	m := &peer.Homes{Shard: shard, Fence: fence, Sequence: p.sequence, Full: full, LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage))}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if full || s.changed {
+		if full || s.changed[reach] {
 			m.Servers = append(m.Servers, p.homesOf(s))
 		}
 		if !full {
-			s.changed = false
+			s.changed[reach] = false
 		}
 	}
 	if !full {
-		for _, id := range p.gone {
+		for _, id := range p.gone[reach] {
 			m.Servers = append(m.Servers, peer.ServerHomes{Server: id, Gone: true})
 		}
-		p.gone = nil
+		p.gone[reach] = nil
 	}
 	return m
 }
 
-// Changed reports whether copies have changed since the last News.
-func (p *Placer) Changed() bool {
-	if len(p.gone) > 0 {
+// Changed reports whether copies have changed since the last News for a reach.
+func (p *Placer) Changed(reach Reach) bool {
+	if len(p.gone[reach]) > 0 {
 		return true
 	}
 	for _, s := range p.servers {
-		if s.changed {
+		if s.changed[reach] {
 			return true
 		}
 	}
 	return false
 }
 
-// MarkAll makes the next News tell of all backend servers' loads.
-func (p *Placer) MarkAll() {
+// MarkAll makes the next News for a reach tell of all backend servers' loads.
+func (p *Placer) MarkAll(reach Reach) {
 	for _, s := range p.servers {
-		s.changed = true
+		s.changed[reach] = true
 	}
 }
 
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -91,7 +91,7 @@
 	case NotSent:
 		p.unload(s, o)
 	}
-	s.changed = true
+	s.change()
 }
 
 // unload forgets the copy that a load was to bring.
@@ -157,7 +157,9 @@
 		return
 	}
 	s.reporting, s.reportedAt = false, p.now
-	s.changed = s.changed || s.down
+	if s.down {
+		s.change()
+	}
 	s.down = false
 	s.reportAt = p.now + reportPeriod
 	if r.Born > s.Born {
@@ -177,7 +179,8 @@
 
 // sync takes over what a report says.
 func (p *Placer) sync(s *server, r *topo.Report) {
-	s.synced, s.orders, s.changed = true, r.Orders, true
+	s.synced, s.orders = true, r.Orders
+	s.change()
 	s.models = map[units.ModelName]bool{}
 	for _, m := range r.Models {
 		s.models[m] = true
@@ -208,7 +211,9 @@
 // ReportFailed tells that a backend server did not report.
 func (p *Placer) ReportFailed(now clock.Millis, id units.BackendServerID) {
 	if s := p.servers[id]; s != nil {
-		s.changed = s.changed || !s.down
+		if !s.down {
+			s.change()
+		}
 		s.reporting, s.down = false, true
 		s.reportAt = now + reportSettles
 	}
@@ -218,7 +223,8 @@
 func (p *Placer) Resync(now clock.Millis) {
 	p.now = max(p.now, now)
 	for _, s := range p.servers {
-		s.synced, s.waiting, s.reporting, s.reportAt, s.changed = false, false, false, p.now, true
+		s.synced, s.waiting, s.reporting, s.reportAt = false, false, false, p.now
+		s.change()
 		s.orderedAt = 0
 	}
 }
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -140,10 +140,13 @@
 	tokens     units.Tokens
 	// held tells when adapters were unloaded that load faster for it, at most
 	// maxHeld.
-	held    map[units.AdapterName]clock.Millis
-	changed bool
+	held map[units.AdapterName]clock.Millis
+	// changed tells, for each reach, whether copies changed since its last news.
+	changed [reaches]bool
 }
 
+func (s *server) change() { s.changed = [reaches]bool{true, true} }
+
 // keep notes that an adapter was unloaded that stays in the memory of s.
 func (s *server) keep(now clock.Millis, adapter units.AdapterName) {
 	s.held[adapter] = now
@@ -187,8 +190,8 @@
 	wants    map[units.AdapterName]*want
 	demand   popularity
 	revision map[units.AdapterName]announced
-	sequence uint64
-	gone     []units.BackendServerID
+	sequence [reaches]uint64
+	gone     [reaches][]units.BackendServerID
 	lastWant clock.Millis
 	models   modelBudget
 	// copiedAt is when the last copy was made of an adapter that has one.
@@ -244,7 +247,9 @@
 	for id := range p.servers {
 		if !seen[id] {
 			delete(p.servers, id)
-			p.gone = append(p.gone, id)
+			for reach := range p.gone {
+				p.gone[reach] = append(p.gone[reach], id)
+			}
 		}
 	}
 	p.order = p.order[:0]
@@ -263,7 +268,9 @@
 		}
 		p.servers[entry.ID] = s
 	}
-	s.changed = s.changed || s.Draining != entry.Draining
+	if s.Draining != entry.Draining {
+		s.change()
+	}
 	s.Server, s.engine = *entry, engine
 }
 
@@ -329,9 +336,10 @@
 			p.slowness = min(maxSlowness, p.slowness*slowerBy)
 		}
 		c.state, c.readyAt = copyLoading, p.now+loadAgain
-		s.changed = true
+		s.change()
 	default:
-		s.synced, s.changed = false, true
+		s.synced = false
+		s.change()
 		s.reportAt = min(s.reportAt, p.now)
 	}
 }
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -228,7 +228,7 @@
 func (p *Placer) retire(s *server, c *heldCopy) {
 	if c.state == copyReady {
 		c.state, c.retiredAt = copyRetired, p.now
-		s.changed = true
+		s.change()
 	}
 }
 
@@ -305,7 +305,8 @@
 		s := p.servers[id]
 		c := s.copies[adapter]
 		if c != nil && c.state == copyRetired && !s.waiting && !p.isOld(adapter, c) && s.usable(p.now) {
-			c.state, c.usedAt, s.changed = copyReady, p.now, true
+			c.state, c.usedAt = copyReady, p.now
+			s.change()
 			return true
 		}
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -27,8 +27,9 @@
 	// holding is set while the lease is held.
 	holding bool
 	// heard holds when and from where entry VMs last reported.
-	heard  map[units.EntryVMID]listener
-	newsAt clock.Millis
+	heard map[units.EntryVMID]listener
+	// newsAt is the time of the last news for each reach.
+	newsAt [2]clock.Millis
 	// loggedAt is the time of the last line on the state.
 	loggedAt clock.Millis
 	fullTo   map[units.EntryVMID]bool
@@ -67,8 +68,6 @@
 	address string
 	region  units.Region
 	at      clock.Millis
-	// toldAt is when it was last sent homes.
-	toldAt clock.Millis
 }
 
 // placingInput is something that happened. The set of implementations is sealed.
@@ -131,11 +130,12 @@
 const (
 	placingRing = 2048
 	stepPeriod  = 25 * time.Millisecond
-	// newsPeriod is the time between two messages with loads; newsAtOnce the least
-	// one between two with changed copies, to the own region and to others.
+	// newsPeriod is the time between two messages with loads, newsAtOnce the least
+	// time between two with changed copies; the others are for other regions.
 	newsPeriod     = 250 * clock.Millis(1)
 	newsAtOnce     = 20 * clock.Millis(1)
-	farNewsPeriod  = 400 * clock.Millis(1)
+	farNewsPeriod  = 700 * clock.Millis(1)
+	farNewsAtOnce  = 150 * clock.Millis(1)
 	listenerTerm   = 3 * clock.Second
 	statePeriod    = clock.Second
 	leaseReadPause = 450 * clock.Millis(1)
@@ -380,31 +380,73 @@
 
 // tell sends homes to the entry VMs that report.
 func (p *placing) tell(now clock.Millis) {
-	since := now - p.newsAt
-	if since < newsAtOnce || since < newsPeriod && !p.placer.Changed() && len(p.fullTo) == 0 {
+	p.logState(now)
+	p.tellReach(now, homes.Near, newsAtOnce, newsPeriod)
+	p.tellReach(now, homes.Far, farNewsAtOnce, farNewsPeriod)
+}
+
+// tellReach sends news to the entry VMs of a reach: loads each period, changed copies
+// as soon as atOnce has passed since the last news.
+func (p *placing) tellReach(now clock.Millis, reach homes.Reach, atOnce, period clock.Millis) {
+	since := now - p.newsAt[reach]
+	wantsFull := p.wantsFull(reach)
+	if since < atOnce || since < period && !p.placer.Changed(reach) && !wantsFull {
 		return
 	}
-	if since >= newsPeriod {
-		p.placer.MarkAll()
+	if since >= period {
+		p.placer.MarkAll(reach)
 	}
-	p.logState(now)
-	p.newsAt = now
-	if len(p.fullTo) > 0 {
-		p.tellFull()
+	p.newsAt[reach] = now
+	if wantsFull {
+		p.tellFull(reach)
+	}
+	news := p.placer.News(now, reach, p.shard, p.lease.Fence(), false)
+	if reach == p.reachOf(p.node.settings.Region) {
+		p.node.homes(news)
 	}
-	news := p.placer.News(now, p.shard, p.lease.Fence(), false)
-	p.node.homes(news)
 	for id, l := range p.heard {
 		if now > l.at+listenerTerm {
 			delete(p.heard, id)
 			continue
 		}
-		if id != p.node.settings.ID {
+		if id != p.node.settings.ID && p.reachOf(l.region) == reach {
 			p.node.links.Send(id, l.address, news)
 		}
 	}
 }
 
+func (p *placing) reachOf(region units.Region) homes.Reach {
+	if string(region) == p.shard {
+		return homes.Near
+	}
+	return homes.Far
+}
+
+func (p *placing) wantsFull(reach homes.Reach) bool {
+	for id := range p.fullTo {
+		if p.reachOf(p.heard[id].region) == reach {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *placing) tellFull(reach homes.Reach) {
+	full := p.placer.News(p.node.clock.Now(), reach, p.shard, p.lease.Fence(), true)
+	for id := range p.fullTo {
+		l := p.heard[id]
+		if p.reachOf(l.region) != reach {
+			continue
+		}
+		delete(p.fullTo, id)
+		if id == p.node.settings.ID {
+			p.node.homes(full)
+		} else {
+			p.node.links.Send(id, l.address, full)
+		}
+	}
+}
+
 // logState tells once a second how the shard fares.
 func (p *placing) logState(now clock.Millis) {
 	if now < p.loggedAt+statePeriod {
@@ -417,18 +459,6 @@
 		"wants", st.Wants, "waiting", st.Waiting, "loads_in_flight", st.InFlight, "entry_vms", len(p.heard))
 }
 
-func (p *placing) tellFull() {
-	full := p.placer.News(p.node.clock.Now(), p.shard, p.lease.Fence(), true)
-	for id := range p.fullTo {
-		if id == p.node.settings.ID {
-			p.node.homes(full)
-		} else {
-			p.node.links.Send(id, p.heard[id].address, full)
-		}
-	}
-	clear(p.fullTo)
-}
-
 // usagePeriod is the time between two usage reports; farUsagePeriod that to
 // placers of other regions.
 const (
