Know the end of a holder's right from the holder

Change: a placer tells with its news how much longer its right holds and where the lease ends. Whoever finds the end unchanged may claim once that time is over; if the right was renewed, the append fails.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -79,6 +79,9 @@
 	appends  uint32
 	renewAt  clock.Millis
 	released bool
+	// The holder said that its right ends at toldUntil if toldNext stays the end.
+	toldNext  units.Offset
+	toldUntil clock.Millis
 	// stale is set after a conflict, until the partition was read again.
 	stale bool
 	// retryAt is the earliest next append after one that was refused.
@@ -173,8 +176,26 @@
 	}
 }
 
-// Heard tells that the holder is known to act, without a look at the partition.
-func (l *Lease) Heard(now clock.Millis) { l.grewAt = max(l.grewAt, now) }
+// Told takes what the holder itself says: its right ends after left unless the
+// partition grows beyond next.
+func (l *Lease) Told(now clock.Millis, holder Record, fence units.Fence, next units.Offset, left clock.Millis) {
+	if next < l.next || l.Holds(now) {
+		return
+	}
+	if next > l.next || l.last == nil {
+		l.last, l.fence, l.next = &holder, fence, next
+	}
+	l.read, l.stale = true, false
+	l.grewAt = max(l.grewAt, now)
+	l.toldNext, l.toldUntil = next, now+left
+}
+
+// toldMargin covers how far clocks drift apart in the time that a holder says is left.
+const toldMargin = 100 * clock.Millis(1)
+
+// told reports whether the end of the holder's right is known from the holder. An
+// append at that offset fails if the holder has renewed its right since.
+func (l *Lease) told() bool { return l.toldNext > 0 && l.toldNext == l.next }
 
 // Due returns the record to append now, or nil. The caller sends it at once and
 // reports with Answered.
@@ -218,6 +239,8 @@
 		return true
 	case l.last != nil && l.last.Kind == KindRelease:
 		return now >= l.grewAt+min(returnTerm, l.Turn)+l.Standby
+	case l.told():
+		return now >= l.toldUntil+toldMargin+l.Standby
 	default:
 		return now >= l.grewAt+Silence+l.Standby
 	}
@@ -232,6 +255,8 @@
 		return max(l.orderFrom, now+l.last.Hold)
 	case l.last != nil && l.last.Kind == KindRelease:
 		return max(l.orderFrom, l.grewAt+l.Turn+l.last.Hold)
+	case l.told():
+		return max(l.orderFrom, l.toldUntil+toldMargin+l.Turn)
 	default:
 		return max(l.orderFrom, l.grewAt+Term+l.Turn)
 	}
@@ -251,6 +276,20 @@
 	Unknown
 )
 
+// String returns the name of r in log lines.
+func (r Result) String() string {
+	switch r {
+	case Accepted:
+		return "accepted"
+	case Conflict:
+		return "conflict"
+	case Refused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
 // Answered takes the result of an append.
 func (l *Lease) Answered(a Append, result Result) {
 	if l.pending == nil || *l.pending != a {
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -76,6 +76,10 @@
 	LoadWait clock.Millis `msgpack:"w,omitempty"`
 	// EntryVMs counts those that report to the placer.
 	EntryVMs int32 `msgpack:"e,omitempty"`
+	// LeaseNext is the end of the shard's lease as the placer has read it; Left is how
+	// much longer its right holds unless it is renewed from there on.
+	LeaseNext units.Offset `msgpack:"o,omitempty"`
+	Left      clock.Millis `msgpack:"l,omitempty"`
 }
 
 // ServerHomes is what one backend server holds.
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -96,6 +96,9 @@
 		}
 	case *peer.Homes:
 		n.homes(m)
+		if p := n.placers[m.Shard]; p != nil {
+			return p.inputs.Push(toldInput{from: ev.From, news: m})
+		}
 	case *peer.FeedNews:
 		n.takeRelayed(m)
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -108,6 +108,12 @@
 	result claim.Result
 }
 
+// toldInput is news of the shard's placer.
+type toldInput struct {
+	from units.EntryVMID
+	news *peer.Homes
+}
+
 // relayInput is news of the store that others are to be told.
 type relayInput struct{ news *peer.FeedNews }
 
@@ -123,6 +129,7 @@
 func (reportedInput) placingInput() {}
 func (leaseInput) placingInput()    {}
 func (appendedInput) placingInput() {}
+func (toldInput) placingInput()     {}
 func (relayInput) placingInput()    {}
 func (policyInput) placingInput()   {}
 
@@ -244,7 +251,18 @@
 	case leaseInput:
 		p.leaseRead(in)
 	case appendedInput:
+		if in.append.Record.Kind == claim.KindClaim || in.result != claim.Accepted {
+			p.node.log.Info("lease_append", "shard", p.shard, "kind", in.append.Record.Kind, "offset", in.append.At, "result", in.result)
+		}
 		p.lease.Answered(in.append, in.result)
+	case toldInput:
+		holder := claim.Record{Kind: claim.KindRenew, Holder: in.from}
+		if known, address := p.holder(); known == in.from {
+			holder.Address = address
+		}
+		if holder.Address != "" && in.news.Left > 0 {
+			p.lease.Told(p.node.clock.BootNow(), holder, in.news.Fence, in.news.LeaseNext, in.news.Left)
+		}
 	case relayInput:
 		for id, l := range p.heard {
 			if p.holding && id != p.node.settings.ID {
@@ -323,9 +341,6 @@
 	p.node.mu.Lock()
 	heardAt := p.node.core.PlacerHeard(p.shard)
 	p.node.mu.Unlock()
-	if heardAt > 0 && now < heardAt+placerSilence && !p.lease.Holds(boot) {
-		p.lease.Heard(boot)
-	}
 	quiet := now >= heardAt+placerSilence || p.lease.Stale()
 	if p.reading || boot < p.readAt || !quiet || p.lease.Holds(boot) && !p.lease.Pending() {
 		return
@@ -401,6 +416,7 @@
 		p.tellFull(reach)
 	}
 	news := p.placer.News(now, reach, p.shard, p.lease.Fence(), false)
+	news.LeaseNext, news.Left = p.lease.Next(), max(0, p.lease.Until()-p.node.clock.BootNow())
 	if reach == p.reachOf(p.node.settings.Region) {
 		p.node.homes(news)
 	}
