--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -6,6 +6,8 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/topo"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Choice is what to do with a request. The set of implementations is sealed.
@@ -278,7 +280,7 @@
 	}
 	prompt := float64(r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r)))
 	prefill := float64(v.own.prefill+v.others.prefill) + prompt
-	cost := prefill/c.cfg.Policy.PrefillPerMS*max(1, v.health.slow) + active*activeCost
+	cost := prefill/c.cfg.Policy.PrefillPerMS + active*activeCost
 	if kv := float64(v.engine.KVTokens); kv > 0 {
 		used := float64(v.own.tokens+v.others.tokens) + float64(r.PromptTokens+r.MaxTokens)
 		cost += memoryCost * max(0, used/kv-memoryFill)
@@ -326,7 +328,6 @@
 
 // spread returns a number from 0 to 1 that differs by request and server.
 func spread(request units.RequestID, server units.BackendServerID) float64 {
-	x := adapterSeed(units.AdapterName(request))
-	x = chain(x, adapterSeed(units.AdapterName(server)))
+	x := chain(xxhash.Sum64String(string(request)), xxhash.Sum64String(string(server)))
 	return float64(x>>11) / (1 << 53)
 }
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -20,7 +20,7 @@
 // Policy holds the settings of a Core. Zero fields take the defaults.
 type Policy struct {
 	// PrefillPerMS is the number of prompt tokens that an engine reads in a
-	// millisecond, until it is known better.
+	// millisecond.
 	PrefillPerMS float64
 	// RetryRatio and RetryReserve bound second sends: RetryRatio of the requests
 	// for a service and RetryReserve in RetryWindow, over all entry VMs.
--- a/internal/core/choose/health.go
+++ b/internal/core/choose/health.go
@@ -3,6 +3,8 @@
 import (
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // health is how a backend server has fared lately. The zero value is healthy.
@@ -15,14 +17,11 @@
 	avoidUntil clock.Millis
 	// downUntil is when a server is tried again that could not be reached.
 	downUntil clock.Millis
-	// slow is a moving ratio of the time to an answer and the expected one.
-	slow float64
 }
 
 // Weights of health.
 const (
 	failureWeight = 0.15
-	slowWeight    = 0.1
 	// brokenPause is how long a server is avoided after a connection to it broke
 	// or could not be opened; it doubles with each in a row.
 	brokenPause    = 400 * clock.Millis(1)
@@ -67,13 +66,7 @@
 	return x * 0xbf58476d1ce4e5b9
 }
 
-func adapterSeed(adapter units.AdapterName) uint64 {
-	x := uint64(14695981039346656037)
-	for i := 0; i < len(adapter); i++ {
-		x = (x ^ uint64(adapter[i])) * 1099511628211
-	}
-	return x
-}
+func adapterSeed(adapter units.AdapterName) uint64 { return xxhash.Sum64String(string(adapter)) }
 
 // cached returns how many tokens of a prompt a server is likely to keep.
 func (p *prefixes) cached(r *Request) units.Tokens {
--- /dev/null
+++ b/internal/core/homes/models.go
@@ -0,0 +1,66 @@
+package homes
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/topo"
+)
+
+// modelBudget bounds loads of models from the weight store. The zero value allows
+// a first load at once.
+type modelBudget struct {
+	nextAt clock.Millis
+}
+
+// take reports whether a load may begin.
+func (b *modelBudget) take(now clock.Millis, perSecond float64) bool {
+	if now < b.nextAt {
+		return false
+	}
+	if perSecond > 0 {
+		b.nextAt = now + clock.Millis(modelLoadSpacing*float64(clock.Second)/perSecond)
+	}
+	return true
+}
+
+// modelLoadSpacing stretches the time between two loads of models, since the
+// placers of other shards load from the same weight store.
+const modelLoadSpacing = 2
+
+// loadModels gives a model to backend servers that hold none.
+func (p *Placer) loadModels(plan *Plan) {
+	for _, id := range p.order {
+		s := p.servers[id]
+		if !s.usable(p.now) || len(s.models) > 0 || len(s.engine.Models) == 0 || !p.models.take(p.now, s.engine.LoadsPerSecond) {
+			continue
+		}
+		model := p.scarcestModel(s.engine)
+		if model.WeightMB > s.engine.WeightMB {
+			continue
+		}
+		p.send(plan, s, Order{Kind: OrderLoad, Model: model.Name, Reason: "holds no model"})
+	}
+}
+
+// scarcestModel returns the model with the most demand for each backend server
+// that holds it.
+func (p *Placer) scarcestModel(engine *topo.Engine) *topo.Model {
+	demand := map[units.ModelName]float64{}
+	for adapter, c := range p.demand.counts {
+		demand[topo.ModelOf(adapter)] += c.value(p.now)
+	}
+	best, bestNeed := &engine.Models[0], -1.0
+	for i := range engine.Models {
+		m := &engine.Models[i]
+		holders := 0
+		for _, s := range p.servers {
+			if s.models[m.Name] {
+				holders++
+			}
+		}
+		if need := (demand[m.Name] + 1) / float64(holders+1); need > bestNeed {
+			best, bestNeed = m, need
+		}
+	}
+	return best
+}
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -34,7 +34,7 @@
 // feed is the state of following one of the two feeds.
 type feed struct {
 	name Feed
-	// mu guards the fields below.
+	// mu guards the offsets and instants.
 	mu      sync.Mutex
 	next    units.Offset
 	wholeAt clock.Millis
@@ -42,11 +42,19 @@
 	known bool
 	// relayedAt is when the placer last passed news on that fit.
 	relayedAt clock.Millis
-	failed    bool
-	// source is where news came from last, for the log.
+	// failed and source belong to the goroutine that follows the feed: whether its
+	// last read failed, and where news came from last.
+	failed bool
 	source string
 }
 
+// offset returns the offset to read on from.
+func (f *feed) offset() units.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
 // relayed reports whether the placer passes fresh news on.
 func (f *feed) relayed(now clock.Millis) bool {
 	f.mu.Lock()
@@ -84,7 +92,7 @@
 func (n *Node) noteSource(f *feed, relayed bool) {
 	if source := sourceOf(relayed); f.source != source {
 		f.source = source
-		n.log.Info("feed_source", "feed", f.name, "source", source, "next", f.next)
+		n.log.Info("feed_source", "feed", f.name, "source", source, "next", f.offset())
 	}
 }
 
@@ -163,7 +171,7 @@
 	case err != nil && !f.failed:
 		n.log.Warn("dependency_lost", "dependency", "store", "feed", f.name, "error", err)
 	case err == nil && f.failed:
-		n.log.Info("dependency_regained", "dependency", "store", "feed", f.name, "next", f.next)
+		n.log.Info("dependency_regained", "dependency", "store", "feed", f.name, "next", f.offset())
 	}
 	f.failed = err != nil
 }
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -125,10 +125,10 @@
 	a := attempt{exchange: c, to: to, ctx: ctx}
 	end, over := a.run()
 	n.mu.Lock()
-	n.core.Ended(n.clock.Now(), &c.req, to.Server, a.began, end)
+	n.core.Ended(n.clock.Now(), &c.req, to.Server, a.answerCame, end)
 	n.mu.Unlock()
 	n.meter.AttemptEnded(end.String())
-	if a.began && c.req.Sends == 1 {
+	if a.answerCame && c.req.Sends == 1 {
 		n.meter.Waited((sentAt - c.arrived).Duration())
 		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
 	}
@@ -166,12 +166,12 @@
 	*exchange
 	to  choose.Send
 	ctx context.Context
-	// began is set once the answer or its first event came, at firstAt.
-	began   bool
-	firstAt clock.Millis
-	status  int
-	events  int
-	why     string
+	// answerCame is set once the answer or its first event came, at firstAt.
+	answerCame bool
+	firstAt    clock.Millis
+	status     int
+	events     int
+	why        string
 	// mayHaveRun is set unless it is sure that the backend server did not run it.
 	mayHaveRun bool
 }
@@ -205,7 +205,7 @@
 // firstMS is the time from the send to the first event or answer in milliseconds, -1
 // if there was none.
 func (a *attempt) firstMS(sentAt clock.Millis) int64 {
-	if !a.began {
+	if !a.answerCame {
 		return -1
 	}
 	return int64(a.firstAt - sentAt)
@@ -253,7 +253,7 @@
 	if lastEvent == "" {
 		lastEvent = a.head.LastEvent
 	}
-	a.node.system.WriteAttempt(header, Attempt{
+	a.node.system.WriteAttempt(header, AttemptHead{
 		Server: a.to.Server, Within: max(1, a.req.Deadline-a.node.clock.Now()), Rank: a.route.Rank, Engine: a.req.Adapter != "", LastEvent: lastEvent,
 	})
 	return &conns.Request{Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: header, Body: a.body, Fits: a.fits}
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -15,6 +15,7 @@
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -101,7 +102,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived clock.Millis
-	head    Head
+	head    RequestHead
 	req     choose.Request
 	route   *topo.Route
 	version int64
@@ -205,13 +206,7 @@
 }
 
 // hashID spreads requests over the services of a split route.
-func hashID(id units.RequestID) uint64 {
-	x := uint64(14695981039346656037)
-	for i := 0; i < len(id); i++ {
-		x = (x ^ uint64(id[i])) * 1099511628211
-	}
-	return x ^ x>>31
-}
+func hashID(id units.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
 
 // refuse answers that the request has not run and will not.
 func (c *exchange) refuse(reason string, after clock.Millis) {
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -77,14 +77,11 @@
 		}
 		return a.endOf(&conns.BrokenError{Err: errors.New(a.why)}), false
 	}
-	a.began, a.firstAt = true, a.node.clock.Now()
-	a.node.mu.Lock()
-	a.node.core.Began(&a.req, a.to.Server)
-	a.node.mu.Unlock()
+	a.noteFirst()
 	held := &heldAnswer{status: answer.StatusCode, header: answer.Header, body: body}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		a.why = "the backend server answered with a failure"
-		if a.exchange.began {
+		if a.began {
 			return choose.EndFailed, false
 		}
 		a.held = held
@@ -94,7 +91,7 @@
 		}
 		return choose.EndFailed, false
 	}
-	if a.exchange.began {
+	if a.began {
 		a.why = "the backend server did not go on with the stream"
 		return choose.EndFailed, false
 	}
@@ -102,6 +99,17 @@
 	return choose.EndServed, true
 }
 
+// noteFirst notes the first event, or the answer as a whole.
+func (a *attempt) noteFirst() {
+	if a.answerCame {
+		return
+	}
+	a.answerCame, a.firstAt = true, a.node.clock.Now()
+	a.node.mu.Lock()
+	a.node.core.Began(&a.req, a.to.Server)
+	a.node.mu.Unlock()
+}
+
 // relay passes the events of a stream on as they come.
 func (a *attempt) relay(answer *conns.Exchange) (choose.End, bool) {
 	control := http.NewResponseController(a.w)
@@ -119,7 +127,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && !events.partial() && (a.exchange.began || events.count > 0) {
+		if errors.Is(err, io.EOF) && !events.partial() && (a.began || events.count > 0) {
 			a.events = events.count
 			return choose.EndServed, true
 		}
@@ -136,14 +144,9 @@
 }
 
 func (a *attempt) pushEvents(control *http.ResponseController, answer *conns.Exchange, out []byte) bool {
+	a.noteFirst()
 	if !a.began {
-		a.began, a.firstAt = true, a.node.clock.Now()
-		a.node.mu.Lock()
-		a.node.core.Began(&a.req, a.to.Server)
-		a.node.mu.Unlock()
-	}
-	if !a.exchange.began {
-		a.exchange.began = true
+		a.began = true
 		copyHeader(a.w.Header(), answer.Header)
 		a.node.meter.Answered(answer.StatusCode)
 		a.w.WriteHeader(answer.StatusCode)
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -116,8 +116,8 @@
 	Report(ctx context.Context, a homes.Ask) (*topo.Report, error)
 }
 
-// Head is what the headers of a request say.
-type Head struct {
+// RequestHead is what the headers of a request say.
+type RequestHead struct {
 	ID units.RequestID
 	// Within is the time that the caller waits; 0 if it does not say.
 	Within       clock.Millis
@@ -130,9 +130,9 @@
 	LastEvent string
 }
 
-// Attempt is what a backend server is told of a request besides what the caller
+// AttemptHead is what a backend server is told of a request besides what the caller
 // sent.
-type Attempt struct {
+type AttemptHead struct {
 	Server units.BackendServerID
 	// Within is the time that is left.
 	Within clock.Millis
@@ -143,8 +143,8 @@
 	LastEvent string
 }
 
-// Answer is what the headers of a backend server's answer say.
-type Answer struct {
+// AnswerHead is what the headers of a backend server's answer say.
+type AnswerHead struct {
 	ID units.RequestID
 	// Stamped tells that the backend server signed the answer.
 	Stamped bool
@@ -156,10 +156,10 @@
 
 // Headers translates the headers of requests and answers.
 type Headers interface {
-	ReadRequest(h http.Header) (Head, error)
+	ReadRequest(h http.Header) (RequestHead, error)
 	// WriteAttempt changes a copy of the caller's headers.
-	WriteAttempt(h http.Header, a Attempt)
-	ReadAnswer(status int, h http.Header) Answer
+	WriteAttempt(h http.Header, a AttemptHead)
+	ReadAnswer(status int, h http.Header) AnswerHead
 }
 
 // System is all that an entry VM needs of the platform.
