Give tests of whole entry VMs listeners that stay theirs

A free port was chosen, closed and opened again, and another test took it in between.

Change: a node takes opened listeners; the tests open them at a port of the kernel's choice and keep them.

--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -19,7 +19,6 @@
 	"mangostile/internal/node/conns"
 	"mangostile/internal/node/links"
 	"mangostile/internal/node/meter"
-	"mangostile/internal/plat/call"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -36,6 +35,9 @@
 	// Meter counts; nil counts nothing. Run closes it.
 	Meter *meter.Meter
 	Run   units.Incarnation
+	// Listeners are opened by Run at the addresses of Settings if they are nil. The
+	// node closes them.
+	Listeners *Listeners
 }
 
 // Node is one entry VM. Make it with New.
@@ -46,6 +48,8 @@
 	log      hclog.Logger
 	meter    *meter.Meter
 	run      units.Incarnation
+	// listeners is nil if Run opens them.
+	listeners *Listeners
 
 	// mu guards core and servers.
 	mu      sync.Mutex
@@ -74,7 +78,7 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	n := &Node{
-		settings: o.Settings, system: o.System, clock: o.Clock, log: o.Logger, meter: o.Meter, run: o.Run,
+		settings: o.Settings, system: o.System, clock: o.Clock, log: o.Logger, meter: o.Meter, run: o.Run, listeners: o.Listeners,
 		core:       choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
 		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placing{}, kick: make(chan struct{}, 1),
 	}
@@ -115,31 +119,21 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	listenConfig := call.ListenConfig()
-	front, err := listenConfig.Listen(ctx, "tcp4", n.settings.FrontAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers: choose a free address")
-	}
-	ready, err := listenConfig.Listen(ctx, "tcp4", n.settings.ReadyAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for the balancer: choose a free address")
-	}
-	peers, err := listenConfig.Listen(ctx, "tcp4", n.settings.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for other entry VMs: choose a free address")
+	opened := n.listeners
+	if opened == nil {
+		var err error
+		if opened, err = Listen(ctx, &n.settings); err != nil {
+			return err
+		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	frontServer := n.frontServer()
-	n.serve(ctx, group, callerListener{front}, frontServer)
-	n.serve(ctx, group, ready, &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout})
-	if n.settings.MetricsAddress != "" {
-		metrics, err := listenConfig.Listen(ctx, "tcp4", n.settings.MetricsAddress)
-		if err != nil {
-			return errors.Wrap(err, "listen for metrics: choose a free address")
-		}
-		n.serve(ctx, group, metrics, &http.Server{Handler: http.HandlerFunc(n.answerMetrics), ReadHeaderTimeout: headerTimeout})
+	n.serve(ctx, group, callerListener{opened.Front}, frontServer)
+	n.serve(ctx, group, opened.Ready, &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout})
+	if opened.Metrics != nil {
+		n.serve(ctx, group, opened.Metrics, &http.Server{Handler: http.HandlerFunc(n.answerMetrics), ReadHeaderTimeout: headerTimeout})
 	}
-	group.Go(func() error { return n.links.Run(ctx, peers) })
+	group.Go(func() error { return n.links.Run(ctx, opened.Peers) })
 	group.Go(func() error { return n.follow(ctx, &n.configFeed, configWait, 0, n.takeConfig) })
 	group.Go(func() error { return n.follow(ctx, &n.serversFeed, 0, serversPeriod, n.takeServers) })
 	group.Go(func() error { return n.reportUsage(ctx) })
@@ -150,7 +144,7 @@
 	}
 	group.Go(func() error { return n.awaitStop(ctx, cancel, frontServer) })
 	n.log.Info("entry_vm_started", "entry_vm", n.settings.ID, "domain", n.settings.Domain, "region", n.settings.Region, "run", n.run)
-	err = group.Wait()
+	err := group.Wait()
 	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "error", err)
 	if closeErr := n.meter.Close(); err == nil {
 		err = closeErr
