Let a repeated action wait for the outcome of the first

Cause: the answer of an action goes to its caller as soon as it is there, and its outcome to the log at the same time. A caller that repeats the request at once through another entry VM can get its intent into the log before the outcome. The ledger then judged "no recorded outcome" and the request got 409 outcome_unknown, although the outcome was on its way. Change: a request whose intent came second waits up to outcomeWait (1 s, or its deadline) for the first one's outcome. One that is recorded as not run is refused at once, as before.

--- a/internal/core/entry/action.go
+++ b/internal/core/entry/action.go
@@ -26,8 +26,17 @@
 	retryAt clock.Millis
 	// won is set once the log shows that the action may run.
 	won bool
+	// secondAt is when the log showed that another request with the key came
+	// first and had no outcome yet.
+	secondAt clock.Millis
 }
 
+// outcomeWait is how long a request waits for the outcome of an earlier one with
+// its key. The caller gets the answer before the log gets the outcome, so the
+// intent of a repeated request may reach the log first. The figure is half of
+// outcomeRetry: a wait beyond it means that an append was lost.
+const outcomeWait = clock.Second
+
 // defaultServiceDeadline is the deadline of a service that sets none.
 const defaultServiceDeadline = 10 * clock.Second
 
@@ -147,6 +156,13 @@
 	case once.VerdictReplay:
 		c.replay(r, outcome, out)
 		return
+	case once.VerdictUnknown:
+		if r.intent.secondAt == 0 {
+			r.intent.secondAt = c.now
+		}
+		if outcome == nil && c.now < min(r.intent.secondAt+outcomeWait, r.Deadline) {
+			return
+		}
 	}
 	if verdict == once.VerdictTooOld || verdict == once.VerdictAhead {
 		// The intent may be the first of its key as others read the log.
@@ -188,6 +204,10 @@
 }
 
 func (c *Core) tickIntent(r *request, out *event.Effects) {
+	if r.intent.secondAt > 0 {
+		c.decideAction(r, out)
+		return
+	}
 	if c.now < r.Deadline {
 		if c.now >= r.intent.retryAt && r.intent.appends < maxIntentAppends {
 			c.placeIntent(r, out)
--- a/internal/core/once/ledger.go
+++ b/internal/core/once/ledger.go
@@ -140,8 +140,8 @@
 	return p != nil && len(p.states) >= maxStates
 }
 
-// Judge returns what is to become of a watched request, with the outcome if it
-// is to be replayed.
+// Judge returns what is to become of a watched request, with the recorded outcome
+// of the first request with the key, if any.
 func (l *Ledger) Judge(key string, digest units.Fingerprint, request units.RequestID) (Verdict, *Outcome) {
 	p, w := l.partitions[StreamOf(key)], l.watched[request]
 	if p == nil || w == nil || !w.found {
@@ -162,7 +162,7 @@
 	case s.outcome != nil && !s.outcome.NotRun:
 		return VerdictReplay, s.outcome
 	default:
-		return VerdictUnknown, nil
+		return VerdictUnknown, s.outcome
 	}
 }
 
