Add a fault soak of entry VM processes before the stand-in

Change: internal/oper/soak starts entry VMs as processes on loopback addresses of their own, before the stand-ins of store and replicas, with relays to the store, to each replica and from callers. Callers keep their connections. The checks look at what callers and replicas saw: runs, answers, order of events, orders in turn, services after a new configuration, servers that leave, planned stops, retry budget, runs whose callers left, recovery, processes that end by themselves. The relay of the whole runs became internal/fake/relay, with resets and refusals; the stand-ins learned crashes, places, slow and late answers. Not covered: cuts between entry VMs (their connections pass no relay) and jumps of the time of day, which the entry VM only reads for the number of its run. TestChecksFindBrokenPromises gives each check a history that it must find.

--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -20,6 +20,9 @@
 	Store *keylog.Store
 	// Turn is the least time between orders of two holders to one replica.
 	Turn time.Duration
+	// Ran is told of each run as it begins; nil is told nothing. It is set before
+	// replicas start.
+	Ran func(Run)
 
 	address  string
 	listener net.Listener
@@ -27,8 +30,10 @@
 	runs     map[string]int
 	wrongs   map[string]int
 	replicas []*Replica
-	stop     chan struct{}
-	group    sync.WaitGroup
+	// excusedUntil is when orders that come in turns count again.
+	excusedUntil time.Time
+	stop         chan struct{}
+	group        sync.WaitGroup
 }
 
 // New starts a store without replicas.
@@ -53,7 +58,7 @@
 // Close ends the grid and its replicas.
 func (g *Grid) Close() {
 	close(g.stop)
-	for _, r := range g.replicas {
+	for _, r := range g.list() {
 		_ = r.server.Close()
 	}
 	g.group.Wait()
@@ -66,8 +71,14 @@
 		return err
 	}
 	r.grid, r.listener, r.born, r.state, r.held = g, listener, time.Now().UnixMilli(), "ready", map[string]time.Time{}
+	r.advertised = r.Address()
+	if r.OnListen != nil {
+		r.advertised = r.OnListen(r.advertised)
+	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Second}
+	g.mu.Lock()
 	g.replicas = append(g.replicas, r)
+	g.mu.Unlock()
 	g.group.Go(func() { _ = r.server.Serve(listener) })
 	g.group.Go(func() { g.beat(r) })
 	return nil
@@ -76,7 +87,7 @@
 func (g *Grid) beat(r *Replica) {
 	ticker := time.NewTicker(beatPeriod)
 	defer ticker.Stop()
-	for {
+	for !r.crashed.Load() {
 		g.announce(r)
 		select {
 		case <-ticker.C:
@@ -84,6 +95,43 @@
 			return
 		}
 	}
+	select {
+	case <-time.After(g.lapse()):
+		g.Store.Put("keyed.servers", r.ID, nil)
+	case <-g.stop:
+	}
+}
+
+// lapseBeats is the time in beats after which the entry of a crashed replica is
+// dropped.
+const lapseBeats = 8
+
+func (g *Grid) lapse() time.Duration { return lapseBeats * beatPeriod }
+
+// Crash ends r at once. Its entry lapses later.
+func (g *Grid) Crash(r *Replica) {
+	r.crashed.Store(true)
+	_ = r.server.Close()
+}
+
+// Excuse leaves orders out of the count of turns for a time: those that were held
+// up by a paused sender or a cut link.
+func (g *Grid) Excuse(term time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.excusedUntil = time.Now().Add(term)
+}
+
+func (g *Grid) excused(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Before(g.excusedUntil)
+}
+
+func (g *Grid) list() []*Replica {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]*Replica(nil), g.replicas...)
 }
 
 func (g *Grid) announce(r *Replica) {
@@ -121,12 +169,28 @@
 	return nil
 }
 
+// Run is one run of a request at a replica.
+type Run struct {
+	ID      string
+	Replica string
+	Service string
+	// Resumed is the last event of an earlier run, empty for a run from the
+	// beginning.
+	Resumed string
+	At      time.Time
+	// Done is closed when the run has ended.
+	Done <-chan struct{}
+}
+
 // ran counts a run of a request.
-func (g *Grid) ran(id, what, resumed string) {
+func (g *Grid) ran(run Run, what string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if resumed == "" {
-		g.runs[id+" "+what]++
+	if run.Resumed == "" {
+		g.runs[run.ID+" "+what]++
+	}
+	if g.Ran != nil {
+		g.Ran(run)
 	}
 }
 
@@ -146,7 +210,7 @@
 // Running returns how many requests run.
 func (g *Grid) Running() int {
 	n := 0
-	for _, r := range g.replicas {
+	for _, r := range g.list() {
 		r.mu.Lock()
 		n += r.running
 		r.mu.Unlock()
@@ -158,7 +222,7 @@
 func (g *Grid) Holder() units.EntryVMID {
 	var holder string
 	var at time.Time
-	for _, r := range g.replicas {
+	for _, r := range g.list() {
 		r.mu.Lock()
 		if r.holderAt.After(at) {
 			holder, at = r.holder, r.holderAt
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -21,7 +21,12 @@
 	Zone    string
 	// Model is empty for a plain service.
 	Model string
-	// Slots bounds the adapters that it holds.
+	// OnListen is given the address at which it listens and returns the one that its
+	// entry names; nil keeps the address.
+	OnListen func(address string) string
+	// Slots bounds the requests that run at a time; 0 is no bound.
+	Slots int
+	// AdapterSlots bounds the adapters that it holds.
 	AdapterSlots int
 	// Load is the time of an adapter's load.
 	Load time.Duration
@@ -35,10 +40,21 @@
 	// Fail makes requests run and answer 500.
 	Fail atomic.Bool
 
+	// Crawl is a time added to each event and answer, in nanoseconds.
+	Crawl atomic.Int64
+	// LoseOrders carries orders out and closes the connection without an answer.
+	LoseOrders atomic.Bool
+	// LateOrders is the time after which orders are carried out, in nanoseconds;
+	// above 0 they get no answer.
+	LateOrders atomic.Int64
+
 	grid     *Grid
 	listener net.Listener
 	server   *http.Server
 	born     int64
+	// advertised is the address that its entry names.
+	advertised string
+	crashed    atomic.Bool
 
 	mu       sync.Mutex
 	orders   int64
@@ -74,7 +90,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entry := map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": r.Zone, "slots": 8, "state": r.state, "sequence": r.orders, "born": r.born,
+		"service": r.Service, "address": r.advertised, "zone": r.Zone, "slots": 8, "state": r.state, "sequence": r.orders, "born": r.born,
 	}
 	if r.Model != "" {
 		adapters, coming := []string{}, []string{}
@@ -106,34 +122,48 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.judge(o)
+	if late := r.LateOrders.Load(); late > 0 {
+		time.AfterFunc(time.Duration(late), func() { r.carryOut(o) })
+		panic(http.ErrAbortHandler)
+	}
+	status := r.carryOut(o)
+	if r.LoseOrders.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+func (r *Replica) carryOut(o order) (status int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.judge(o)
 	if o.Expected != r.orders {
-		w.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict
 	}
 	if o.Operation == "unload" {
 		delete(r.held, o.Adapter)
 		r.orders++
-		w.WriteHeader(http.StatusOK)
-		return
+		return http.StatusOK
 	}
 	if _, ok := r.held[o.Adapter]; ok {
-		w.WriteHeader(http.StatusOK)
-		return
+		return http.StatusOK
 	}
 	r.orders++
 	r.held[o.Adapter] = time.Now().Add(r.Load)
 	if len(r.held) > r.AdapterSlots {
 		r.grid.count("more adapters than places")
 	}
-	w.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted
 }
 
 // judge counts orders of two holders that are too close.
 func (r *Replica) judge(o order) {
 	now := time.Now()
+	if r.grid.excused(now) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.holder != "" && r.holder != o.Holder && now.Before(r.holderAt.Add(r.grid.Turn)) {
 		r.grid.count("two holders in turn")
 	}
@@ -167,16 +197,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.mu.Lock()
-	r.running++
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		r.running--
-		r.mu.Unlock()
-	}()
-	r.grid.ran(id, req.Method+req.RequestURI, req.Header.Get("Last-Event-Id"))
+	if !r.begin() {
+		w.Header().Set("Not-Executed", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	done := make(chan struct{})
+	defer close(done)
+	defer r.end()
+	r.grid.ran(Run{
+		ID: id, Replica: r.ID, Service: r.Service, Resumed: req.Header.Get("Last-Event-Id"), At: time.Now(), Done: done,
+	}, req.Method+req.RequestURI)
 	w.Header().Set("Server-Stamp", "stamp-"+r.ID)
+	crawl := time.Duration(r.Crawl.Load())
 	switch {
 	case r.Mute.Load():
 		<-req.Context().Done()
@@ -185,8 +218,29 @@
 	case r.Model != "":
 		r.stream(w, req)
 	default:
-		_, _ = fmt.Fprintf(w, "done %s", id)
+		select {
+		case <-time.After(r.Pace + crawl):
+			_, _ = fmt.Fprintf(w, "done %s", id)
+		case <-req.Context().Done():
+		}
+	}
+}
+
+// begin takes a place for a run, if there is one.
+func (r *Replica) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Slots > 0 && r.running >= r.Slots {
+		return false
 	}
+	r.running++
+	return true
+}
+
+func (r *Replica) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
 }
 
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request) {
@@ -200,7 +254,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		select {
-		case <-time.After(r.Pace):
+		case <-time.After(r.Pace + time.Duration(r.Crawl.Load())):
 		case <-req.Context().Done():
 			return
 		}
--- a/internal/fake/keylog/store.go
+++ b/internal/fake/keylog/store.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,6 +20,13 @@
 type Store struct {
 	// Down makes every call answer 503.
 	Down atomic.Bool
+	// Slow is a time added to each call, in nanoseconds.
+	Slow atomic.Int64
+	// LoseAppends carries appends out and closes the connection without an answer.
+	LoseAppends atomic.Bool
+	// LateAppends is the time after which appends are carried out, in nanoseconds;
+	// above 0 they get no answer.
+	LateAppends atomic.Int64
 	// Calls counts calls.
 	Calls atomic.Int64
 
@@ -88,6 +96,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	time.Sleep(time.Duration(s.Slow.Load()))
 	switch r.Method + " " + r.URL.Path {
 	case "POST /log-append":
 		s.handleAppend(w, r)
@@ -114,18 +123,31 @@
 		}
 		records = append(records, record)
 	}
+	query := r.URL.Query()
+	if late := s.LateAppends.Load(); late > 0 {
+		time.AfterFunc(time.Duration(late), func() { s.append(query, records) })
+		panic(http.ErrAbortHandler)
+	}
+	status, answer := s.append(query, records)
+	if s.LoseAppends.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	answerJSON(w, status, answer)
+}
+
+// append adds records if the partition ends where the caller says.
+func (s *Store) append(query url.Values, records [][]byte) (status int, answer map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(r.URL.Query().Get("topic"), r.URL.Query().Get("part"))
-	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(p.end()) {
-		answerJSON(w, http.StatusPreconditionFailed, map[string]int{"end": p.end()})
-		return
+	p := s.partition(query.Get("topic"), query.Get("part"))
+	if at := query.Get("at"); at != "" && at != strconv.Itoa(p.end()) {
+		return http.StatusPreconditionFailed, map[string]int{"end": p.end()}
 	}
 	offset := p.end()
 	for _, record := range records {
 		p.append(record)
 	}
-	answerJSON(w, http.StatusOK, map[string]int{"offset": offset, "end": p.end()})
+	return http.StatusOK, map[string]int{"offset": offset, "end": p.end()}
 }
 
 func readFull(r *http.Request, buf []byte) (int, error) {
--- /dev/null
+++ b/internal/oper/soak/callers_test.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+// caller sends one request after another, on a kept connection while it lasts.
+type caller struct {
+	d     *deployment
+	index int
+	r     *rand.Rand
+	vm    *vm
+	conn  net.Conn
+	in    *bufio.Reader
+	sent  int
+}
+
+// leaveShare is the part of streams that their callers leave, in one of so many.
+const leaveShare = 12
+
+func (d *deployment) call(ctx context.Context, index int) {
+	c := &caller{d: d, index: index, r: rand.New(rand.NewPCG(d.plan.seed, uint64(index)))}
+	defer c.close()
+	for ctx.Err() == nil {
+		if c.conn == nil && !c.connect() {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		c.ask()
+		time.Sleep(d.plan.period/2 + time.Duration(c.r.Int64N(int64(d.plan.period))))
+	}
+}
+
+// connect opens a connection to an entry VM that says it is ready.
+func (c *caller) connect() bool {
+	for range len(c.d.vms) {
+		v := c.d.vms[c.r.IntN(len(c.d.vms))]
+		if !v.ready() {
+			continue
+		}
+		conn, err := net.DialTimeout("tcp4", v.front.Address(), time.Second)
+		if err != nil {
+			continue
+		}
+		c.vm, c.conn, c.in, c.sent = v, conn, bufio.NewReader(conn), 0
+		return true
+	}
+	return false
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// ask sends one request and reads its answer.
+func (c *caller) ask() {
+	q := &request{id: fmt.Sprintf("s%d-c%d-%d", c.d.plan.seed, c.index, time.Now().UnixNano()), vm: c.vm.index, kept: c.sent > 0}
+	method, head := http.MethodPost, ""
+	switch c.r.IntN(5) {
+	case 0:
+		q.path = "/once/x"
+	case 1:
+		q.path, method = "/look/x", http.MethodGet
+	default:
+		q.path = "/stream/x"
+		// Low numbers come more often.
+		adapter := int(float64(c.d.plan.adapters) * c.r.Float64() * c.r.Float64())
+		head = fmt.Sprintf("Model: m/a%d\r\nToken-Counts: 100,40\r\n", adapter)
+	}
+	term := requestTerm
+	if q.stream() && c.r.IntN(leaveShare) == 0 {
+		term = time.Duration(c.r.Int64N(int64(streamEvents * streamPace)))
+		q.left = forever
+	}
+	defer c.d.history.add(q)
+	defer func() {
+		q.ended = time.Now()
+		if !q.left.IsZero() {
+			q.left = q.ended
+			c.close()
+		}
+	}()
+	c.sent++
+	q.sent = time.Now()
+	// The entry VM has as long as the caller waits and some time for the way.
+	_ = c.conn.SetDeadline(q.sent.Add(term + time.Second))
+	if !q.left.IsZero() {
+		_ = c.conn.SetDeadline(q.sent.Add(term))
+	}
+	_, q.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nHold: forged\r\n%sContent-Length: 0\r\n\r\n",
+		method, q.path, q.id, requestTerm.Milliseconds(), head)
+	if q.err == nil {
+		c.read(q, method)
+	}
+	if q.err != nil {
+		c.close()
+	}
+}
+
+func (c *caller) read(q *request, method string) {
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+	if err != nil {
+		q.err = err
+		return
+	}
+	q.status, q.stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
+	body, err := io.ReadAll(resp.Body)
+	q.body, q.err, q.whole = string(body), err, err == nil
+	if resp.Close {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/oper/soak/deployment_test.go
@@ -0,0 +1,333 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"mangostile/internal/fake/grid"
+	"mangostile/internal/fake/relay"
+	"mangostile/internal/oper/cmds"
+
+	"github.com/shoenig/test/must"
+)
+
+// entryVariable makes the test binary run as an entry VM.
+const entryVariable = "MANGOSTILE_SOAK_SETTINGS"
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(entryVariable); path != "" {
+		os.Exit(cmds.Main([]string{"mangostile", "platform", "--settings", path}))
+	}
+	os.Exit(m.Run())
+}
+
+// Bounds that the entry VMs are told and that the checks go by.
+const (
+	turn          = 3 * time.Second
+	grace         = 8 * time.Second
+	apply         = 4 * time.Second
+	drain         = 4 * time.Second
+	calmTerm      = 5 * time.Second
+	recoverTerm   = 15 * time.Second
+	thawSlack     = 300 * time.Millisecond
+	retryRatio    = 0.2
+	retryReserve  = 60
+	retryWindow   = 10 * time.Second
+	streamEvents  = 20
+	streamPace    = 15 * time.Millisecond
+	requestTerm   = 3 * time.Second
+	routeTimeout  = 4 * time.Second
+	readinessTerm = 20 * time.Second
+)
+
+// deployment is the stand-in of the platform and the entry VMs before it.
+type deployment struct {
+	*grid.Grid
+	t       *testing.T
+	plan    plan
+	dir     string
+	vms     []*vm
+	history history
+	seen    seen
+
+	mu      sync.Mutex
+	servers []*server
+	// started counts servers, so that each has a name of its own.
+	started int
+	// version is that of the configuration in force.
+	version int
+	began   time.Time
+}
+
+// server is a replica behind a relay.
+type server struct {
+	*grid.Replica
+	relay *relay.Relay
+}
+
+// vm is one entry VM: its process, which may be started again and again, and the
+// relays to the store and from callers.
+type vm struct {
+	index int
+	dir   string
+	ip    string
+	store *relay.Relay
+	front *relay.Relay
+	log   *os.File
+	// harm holds when faults struck this entry VM.
+	harm spans
+
+	mu      sync.Mutex
+	process *process
+}
+
+// process is one run of an entry VM.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+	// asked is set once the harness sent a signal that ends it.
+	asked atomic.Bool
+}
+
+// runs counts deployments, so that those at the same time differ in addresses.
+var runs atomic.Int64
+
+func deploy(t *testing.T, p plan, logs string) *deployment {
+	t.Helper()
+	g, err := grid.New(turn - thawSlack)
+	must.NoError(t, err)
+	d := &deployment{Grid: g, t: t, plan: p, dir: logs, began: time.Now()}
+	g.Ran = d.history.ran
+	for range p.engines {
+		d.startServer("llm")
+	}
+	for i := range 2 * p.plains {
+		d.startServer([]string{"plain", "other"}[i%2])
+	}
+	d.configure()
+	run := runs.Add(1)
+	for i := range p.vms {
+		v := &vm{index: i, dir: logs, ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, run%256, 1+i)}
+		v.store, err = relay.New(d.StoreAddress(), 0)
+		must.NoError(t, err)
+		v.front, err = relay.New(v.frontAddress(), 0)
+		must.NoError(t, err)
+		v.log, err = os.Create(filepath.Join(logs, v.name()+".log"))
+		must.NoError(t, err)
+		must.NoError(t, os.WriteFile(v.settingsPath(), []byte(v.settings()), 0o600))
+		d.vms = append(d.vms, v)
+		must.NoError(t, v.start())
+	}
+	return d
+}
+
+func (d *deployment) startServer(service string) {
+	d.mu.Lock()
+	d.started++
+	r := &grid.Replica{
+		ID: fmt.Sprintf("%s-%d", service, d.started), Service: service, Zone: "z", Slots: d.plan.slots, Pace: 10 * time.Millisecond,
+	}
+	d.mu.Unlock()
+	if service == "llm" {
+		r.Model, r.AdapterSlots, r.Load, r.Events, r.Pace = "m", d.plan.places, 100*time.Millisecond, streamEvents, streamPace
+	}
+	s := &server{Replica: r}
+	// The relay needs the replica's address and the replica's entry the relay's.
+	r.OnListen = func(address string) string {
+		var err error
+		if s.relay, err = relay.New(address, 0); err != nil {
+			return address
+		}
+		return s.relay.Address()
+	}
+	must.NoError(d.t, d.Start(r))
+	must.NotNil(d.t, s.relay)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = append(d.servers, s)
+}
+
+// pick returns the server that a fault's target stands for, among those that live.
+func (d *deployment) pick(target int) *server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.servers[target%len(d.servers)]
+}
+
+func (d *deployment) drop(s *server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.servers {
+		if d.servers[i] == s {
+			d.servers = append(d.servers[:i:i], d.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+// lookService is the service that lookups go to under a version.
+func lookService(version int) string { return []string{"plain", "other"}[version%2] }
+
+// configure writes the next configuration: lookups change their service with each.
+func (d *deployment) configure() {
+	d.mu.Lock()
+	d.version++
+	version := d.version
+	d.mu.Unlock()
+	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": path, "host": "h.example", "pathPrefix": path, "kind": kind, "service": service,
+			"timeoutMs": routeTimeout.Milliseconds(), "targetLatencyMs": 900, "maxAttempts": attempts, "resumable": resumable, "gapAimMs": 400,
+		}
+	}
+	must.NoError(d.t, d.Configure(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("/stream/", "stream", "llm", 2, true), route("/once/", "non_idempotent", "plain", 1, false),
+			route("/look/", "idempotent", lookService(version), 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "plain"},
+			map[string]any{"name": "other"},
+			map[string]any{"name": "llm", "engine": map[string]any{
+				"slots": d.plan.slots, "kvCapacityTokens": 100000, "weightsMb": 35000, "adapterSlots": d.plan.places, "loadsPerS": 4,
+				"models": []any{map[string]any{"name": "m", "weightsMb": 34000, "adapterMb": 40, "loadS": 0.6, "adapters": 100}},
+			}},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+	}))
+	d.history.configured(version)
+}
+
+func (v *vm) name() string         { return fmt.Sprint("vm", v.index) }
+func (v *vm) frontAddress() string { return v.ip + ":8149" }
+func (v *vm) settingsPath() string { return filepath.Join(v.dir, v.name()+".conf") }
+
+func (v *vm) settings() string {
+	return fmt.Sprintf(`nodeName=%s
+zone=z
+region=r
+zones.z=r
+ip=%s
+listen.front=%s
+listen.ready=%s:8141
+internalPorts=7380,7395
+platform.address=%s
+bounds.leaseMs=%d
+bounds.graceS=%d
+bounds.budgetRatio=%g
+bounds.budgetSlack=%d
+bounds.budgetWindowS=%d
+`, v.name(), v.ip, v.frontAddress(), v.ip, v.store.Address(), turn.Milliseconds(), int(grace.Seconds()), retryRatio, retryReserve, int(retryWindow.Seconds()))
+}
+
+// start starts a process unless one runs.
+func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process != nil {
+		return nil
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), entryVariable+"="+v.settingsPath())
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = cmd.Wait()
+	}()
+	v.process = p
+	return nil
+}
+
+func (v *vm) running() *process {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process
+}
+
+// signal sends a signal to the process, if one runs.
+func (v *vm) signal(sig syscall.Signal) {
+	if p := v.running(); p != nil {
+		// A process that has just ended takes no signal, which is no fault here.
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// end sends a signal that ends the process and waits for it. It reports false if
+// the process lives on.
+func (v *vm) end(sig syscall.Signal, within time.Duration) bool {
+	p := v.running()
+	if p == nil {
+		return true
+	}
+	p.asked.Store(true)
+	v.signal(sig)
+	ended := true
+	select {
+	case <-p.done:
+	case <-time.After(within):
+		ended = false
+		v.signal(syscall.SIGKILL)
+		<-p.done
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process == p {
+		v.process = nil
+	}
+	return ended
+}
+
+// ready asks as a balancer does.
+func (v *vm) ready() bool {
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	resp, err := client.Get("http://" + v.ip + ":8141/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *deployment) awaitReady() {
+	for end := time.Now().Add(readinessTerm); ; time.Sleep(50 * time.Millisecond) {
+		n := 0
+		for _, v := range d.vms {
+			if v.ready() {
+				n++
+			}
+		}
+		if n == len(d.vms) {
+			return
+		}
+		if time.Now().After(end) {
+			d.t.Fatalf("seed %d: only %d of %d entry VMs are ready after %s", d.plan.seed, n, len(d.vms), readinessTerm)
+		}
+	}
+}
+
+func (d *deployment) close() {
+	for _, v := range d.vms {
+		v.end(syscall.SIGKILL, time.Second)
+		v.store.Close()
+		v.front.Close()
+		_ = v.log.Close()
+	}
+	d.Close()
+	for _, s := range d.servers {
+		s.relay.Close()
+	}
+}
--- a/internal/oper/whole/deployment_test.go
+++ b/internal/oper/whole/deployment_test.go
@@ -170,7 +170,7 @@
 		}
 		must.NoError(d.t, toml.Unmarshal(text, &own))
 		d.admins[vm.ID] = own.EntryVM.Admin
-		text = bytes.ReplaceAll(text, []byte(`"`+standin.Log+`"`), []byte(`"`+d.network.logs[vm.ID].address()+`"`))
+		text = bytes.ReplaceAll(text, []byte(`"`+standin.Log+`"`), []byte(`"`+d.network.logs[vm.ID].Address()+`"`))
 		text = bytes.ReplaceAll(text, []byte(`"`+standin.List+`"`), []byte(`"`+d.network.views[vm.ID]+`"`))
 		must.NoError(d.t, os.WriteFile(path, text, 0o644))
 	}
--- a/internal/oper/whole/network_test.go
+++ b/internal/oper/whole/network_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mangostile/internal/core/event"
+	"mangostile/internal/fake/relay"
 )
 
 // network joins the entry VMs of a deployment with each other and with the
@@ -20,9 +21,9 @@
 	list    string
 	// peers and serves hold a relay for each ordered pair of entry VMs, logs and
 	// lists one for each entry VM.
-	peers  map[[2]string]*relay
-	serves map[[2]string]*relay
-	logs   map[string]*relay
+	peers  map[[2]string]*relay.Relay
+	serves map[[2]string]*relay.Relay
+	logs   map[string]*relay.Relay
 
 	mu       sync.Mutex
 	listDown map[string]bool
@@ -38,13 +39,13 @@
 
 func newNetwork(entries []event.VM, logAddress, listAddress string) (*network, error) {
 	n := &network{
-		entries: entries, list: listAddress, peers: map[[2]string]*relay{}, serves: map[[2]string]*relay{}, logs: map[string]*relay{},
+		entries: entries, list: listAddress, peers: map[[2]string]*relay.Relay{}, serves: map[[2]string]*relay.Relay{}, logs: map[string]*relay.Relay{},
 		listDown: map[string]bool{}, views: map[string]string{},
 	}
 	home := entries[0].Region
 	for _, from := range entries {
 		var err error
-		if n.logs[from.ID], err = newRelay(logAddress, delayBetween(from.FailureDomain != entries[0].FailureDomain, from.Region != home)); err != nil {
+		if n.logs[from.ID], err = relay.New(logAddress, delayBetween(from.FailureDomain != entries[0].FailureDomain, from.Region != home)); err != nil {
 			return nil, err
 		}
 		for _, to := range entries {
@@ -53,10 +54,10 @@
 			}
 			delay := delayBetween(from.FailureDomain != to.FailureDomain, from.Region != to.Region)
 			pair := [2]string{from.ID, to.ID}
-			if n.peers[pair], err = newRelay(to.Address, delay); err != nil {
+			if n.peers[pair], err = relay.New(to.Address, delay); err != nil {
 				return nil, err
 			}
-			if n.serves[pair], err = newRelay(to.ServeAddress, delay); err != nil {
+			if n.serves[pair], err = relay.New(to.ServeAddress, delay); err != nil {
 				return nil, err
 			}
 		}
@@ -124,7 +125,7 @@
 		vm := &answer.VMs[i]
 		pair := [2]string{id, vm.ID}
 		if vm.Entry && n.peers[pair] != nil {
-			vm.Address, vm.ServeAddress = n.peers[pair].address(), n.serves[pair].address()
+			vm.Address, vm.ServeAddress = n.peers[pair].Address(), n.serves[pair].Address()
 		}
 	}
 	_ = json.NewEncoder(w).Encode(answer)
@@ -137,14 +138,14 @@
 	for _, vm := range n.entries {
 		inside[vm.ID] = string(vm.FailureDomain) == domain
 	}
-	for _, relays := range []map[[2]string]*relay{n.peers, n.serves} {
+	for _, relays := range []map[[2]string]*relay.Relay{n.peers, n.serves} {
 		for pair, r := range relays {
 			switch {
 			case inside[pair[0]] == inside[pair[1]]:
 			case inside[pair[0]]:
-				r.cut(cut, cut && !oneWay)
+				r.Cut(cut, cut && !oneWay)
 			default:
-				r.cut(cut && !oneWay, cut)
+				r.Cut(cut && !oneWay, cut)
 			}
 		}
 	}
@@ -152,7 +153,7 @@
 	defer n.mu.Unlock()
 	for id, r := range n.logs {
 		if inside[id] {
-			r.cut(cut, cut && !oneWay)
+			r.Cut(cut, cut && !oneWay)
 			n.listDown[id] = cut
 		}
 	}
@@ -167,7 +168,7 @@
 		region[vm.ID] = string(vm.Region)
 	}
 	for pair, r := range n.peers {
-		bytes := r.bytes.Load()
+		bytes := r.Bytes()
 		byEntry[pair[0]] += bytes
 		if region[pair[0]] != region[pair[1]] {
 			regions += bytes
@@ -178,19 +179,19 @@
 
 func (n *network) logBytes() (sum int64) {
 	for _, r := range n.logs {
-		sum += r.bytes.Load()
+		sum += r.Bytes()
 	}
 	return sum
 }
 
 func (n *network) close() {
-	for _, relays := range []map[[2]string]*relay{n.peers, n.serves} {
+	for _, relays := range []map[[2]string]*relay.Relay{n.peers, n.serves} {
 		for _, r := range relays {
-			r.close()
+			r.Close()
 		}
 	}
 	for _, r := range n.logs {
-		r.close()
+		r.Close()
 	}
 	for _, server := range n.servers {
 		_ = server.Close()
