Count only the part of a prompt that a server has yet to read

Cause: the prompt tokens waiting at a server were counted whole, although the choice already takes it that the server keeps shared parts. Change: a send is charged with what the server does not keep; Began and Ended give back the same.

--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -160,6 +160,27 @@
 	must.Between(t, 9, got["n1"], 11)
 }
 
+// TestKeptPromptsDoNotCountAsWork answers the pattern of one large shared prompt:
+// the server that keeps it has little to read for each further request and is not
+// left for others as if it read the whole prompt each time.
+func TestKeptPromptsDoNotCountAsWork(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	ask := func(id string, shared uint64) Send {
+		r := testRequest(id, "m/a", 1000)
+		r.PromptTokens = 9000
+		r.Parts = []Part{{ID: shared, Tokens: 8000}}
+		choice := c.Choose(1000, r)
+		sendTo(t, choice)
+		return choice.(Send)
+	}
+	must.Eq(t, 0, ask("1", 7).Prefill)
+	must.Eq(t, 9000, ask("2", 7).Prefill)
+	must.Eq(t, 10000, ask("3", 7).Prefill)
+	must.Eq(t, 11000, ask("4", 8).Prefill)
+	must.Eq(t, 20000, ask("5", 8).Prefill)
+}
+
 func TestBrokenServerIsAvoidedForATime(t *testing.T) {
 	c := newTestCore()
 	r := testRequest("r", "", 1000)
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -86,6 +86,9 @@
 	Sends int
 	// Begun is set once a part of the answer was passed on.
 	Begun bool
+	// charged is the part of the prompt that was taken to be read at the backend
+	// server of the last send: that which the server did not keep.
+	charged units.Tokens
 	// waited is set while the request counts among those that want its adapter.
 	waited bool
 }
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -94,8 +94,9 @@
 func (c *Core) sent(r *Request, v *view) {
 	r.Tried = append(r.Tried, v.ID)
 	r.Sends++
+	r.charged = r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r))
 	v.own.active++
-	v.own.prefill += r.PromptTokens
+	v.own.prefill += r.charged
 	v.own.tokens += r.PromptTokens + r.MaxTokens
 	if r.Adapter != "" {
 		a := v.adapters[r.Adapter]
@@ -112,7 +113,7 @@
 // Began tells that the first event or the answer of a request has come.
 func (c *Core) Began(r *Request, server units.BackendServerID) {
 	if v := c.servers[server]; v != nil {
-		v.own.prefill = max(0, v.own.prefill-r.PromptTokens)
+		v.own.prefill = max(0, v.own.prefill-r.charged)
 	}
 }
 
@@ -129,7 +130,7 @@
 	v.own.active = max(0, v.own.active-1)
 	v.own.tokens = max(0, v.own.tokens-r.PromptTokens-r.MaxTokens)
 	if !began {
-		v.own.prefill = max(0, v.own.prefill-r.PromptTokens)
+		v.own.prefill = max(0, v.own.prefill-r.charged)
 	}
 	if a := v.adapters[r.Adapter]; a != nil {
 		a.active = max(0, a.active-1)
