--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -311,7 +311,7 @@
 }
 
 // TestEnginesNeverGetMoreThanTheyHold loses answers to orders, carries some out
-// seconds later, and lets reports lag. No engine is ever ordered to hold more
+// seconds later, names new versions, and lets reports lag. No engine is ever ordered to hold more
 // adapters than it has places for.
 func TestEnginesNeverGetMoreThanTheyHold(t *testing.T) {
 	proof.Check(t, func(t *rapid.T) {
@@ -324,6 +324,10 @@
 			if rapid.Bool().Draw(t, "wants") {
 				f.wants(now, 600, fmt.Sprint("a", rapid.IntRange(0, 12).Draw(t, "adapter")))
 			}
+			if rapid.IntRange(0, 9).Draw(t, "new version") == 0 {
+				adapter := adapterName(fmt.Sprint("a", rapid.IntRange(0, 12).Draw(t, "of adapter")))
+				f.Announce(now, adapter, f.revision[adapter].revision+1)
+			}
 			reports := map[units.BackendServerID]*topo.Report{"s1": f.shelf.report("s1"), "s2": f.shelf.report("s2")}
 			lagging = append(lagging, reports)
 			plan := f.Step(now, true)
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -215,8 +215,26 @@
 	// stopReserve is what is left of the grace when the process ends at the latest.
 	stopReserve = 400 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
+	// stopQuiet is the number of polls in a row without a request after which a
+	// stopping process ends.
+	stopQuiet = 6
 )
 
+// quiet counts polls without a request. The zero value has counted none.
+type quiet int
+
+// poll reports whether requests have been gone for long enough. It goes by polls and
+// not by time: between two polls a process that was short of processor time has come
+// to read what has arrived.
+func (q *quiet) poll(inFlight int64) bool {
+	if inFlight > 0 {
+		*q = 0
+		return false
+	}
+	*q++
+	return *q >= stopQuiet
+}
+
 // Stop makes the entry VM finish what it has and end.
 func (n *Node) Stop() {
 	if n.stopping.CompareAndSwap(false, true) {
@@ -228,6 +246,7 @@
 func (n *Node) awaitStop(ctx context.Context, cancel func(), front *http.Server) error {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
+	var left quiet
 	for {
 		select {
 		case <-ctx.Done():
@@ -241,7 +260,7 @@
 		if since >= stopKeptAlive {
 			front.SetKeepAlivesEnabled(false)
 		}
-		if since >= stopNotice && n.inFlight.Load() == 0 || since >= n.settings.Grace.Duration()-stopReserve {
+		if since >= stopNotice && left.poll(n.inFlight.Load()) || since >= n.settings.Grace.Duration()-stopReserve {
 			cancel()
 			return nil
 		}
