--- /dev/null
+++ b/internal/node/conns/fuzz_test.go
@@ -0,0 +1,63 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// FuzzAnswer has a backend server answer with any bytes. An answer of which all was
+// read is as long as its head says, and a connection is kept only after one.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nConnection: close\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nno length"))
+	f.Add([]byte("\x16\x03\x01"))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(f, err)
+	f.Cleanup(func() { _ = listener.Close() })
+	f.Fuzz(func(t *testing.T, data []byte) {
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1024))
+			_, _ = conn.Write(data)
+			_ = conn.Close()
+		}()
+		var p Pool
+		conn, err := p.Get(listener.Addr().String(), false)
+		must.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		e, err := p.Do(ctx, conn, &Request{Method: http.MethodGet, Target: "/x", Host: "h"})
+		if err != nil {
+			var broken *BrokenError
+			var none *NoAnswerError
+			var unsent *NotSentError
+			must.True(t, errors.As(err, &broken) || errors.As(err, &none) || errors.As(err, &unsent))
+			return
+		}
+		body, err := io.ReadAll(e)
+		must.NoError(t, ctx.Err())
+		if err == nil && e.ContentLength >= 0 {
+			must.Eq(t, e.ContentLength, int64(len(body)))
+		}
+		whole := e.whole
+		must.Eq(t, err == nil, whole)
+		e.Done()
+		if !whole {
+			must.Nil(t, p.take(listener.Addr().String()))
+		}
+	})
+}
