--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -88,6 +88,8 @@
 type orderedInput struct {
 	order  homes.Order
 	result homes.Result
+	// err tells why the order was not sent or got no answer.
+	err error
 }
 
 type reportedInput struct {
@@ -106,6 +108,8 @@
 type appendedInput struct {
 	append claim.Append
 	result claim.Result
+	// err tells why the store did not accept, unless it said so itself.
+	err error
 }
 
 // toldInput is news of the shard's placer.
@@ -218,8 +222,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	result := p.node.system.AppendLease(ctx, p.shard, *a)
-	p.node.log.Info("placer_released", "shard", p.shard, "fence", uint64(p.lease.Fence()), "accepted", result == claim.Accepted)
+	result, err := p.node.system.AppendLease(ctx, p.shard, *a)
+	p.node.log.Info("placer_released", "shard", p.shard, "fence", uint64(p.lease.Fence()), "accepted", result == claim.Accepted, "error", err)
 }
 
 func (p *placing) take(in placingInput) {
@@ -240,7 +244,7 @@
 	case orderedInput:
 		p.node.meter.OrderAnswered(string(in.order.Kind), in.result.String())
 		p.node.log.Info("order_answered", "shard", p.shard, "server", in.order.Server, "order", in.order.Kind, "adapter", in.order.Adapter,
-			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "reason", in.order.Reason)
+			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "reason", in.order.Reason, "error", in.err)
 		p.placer.Ordered(now, in.order, in.result)
 	case reportedInput:
 		if in.report == nil {
@@ -252,7 +256,7 @@
 		p.leaseRead(in)
 	case appendedInput:
 		if in.append.Record.Kind == claim.KindClaim || in.result != claim.Accepted {
-			p.node.log.Info("lease_append", "shard", p.shard, "kind", in.append.Record.Kind, "offset", in.append.At, "result", in.result)
+			p.node.log.Info("lease_append", "shard", p.shard, "kind", in.append.Record.Kind, "offset", in.append.At, "result", in.result, "error", in.err)
 		}
 		p.lease.Answered(in.append, in.result)
 	case toldInput:
@@ -307,8 +311,8 @@
 	if due := p.lease.Due(boot); due != nil {
 		a := *due
 		go func() {
-			result := p.node.system.AppendLease(ctx, p.shard, a)
-			p.inputs.Push(appendedInput{append: a, result: result})
+			result, err := p.node.system.AppendLease(ctx, p.shard, a)
+			p.inputs.Push(appendedInput{append: a, result: result, err: err})
 		}()
 	}
 	p.noteHolder()
@@ -378,8 +382,8 @@
 	holder := Holder{ID: p.node.settings.ID, Fence: p.lease.Fence(), NotAfter: p.lease.Until()}
 	for _, o := range plan.Orders {
 		go func() {
-			result := p.node.system.Order(ctx, o, holder)
-			p.inputs.Push(orderedInput{order: o, result: result})
+			result, err := p.node.system.Order(ctx, o, holder)
+			p.inputs.Push(orderedInput{order: o, result: result, err: err})
 		}()
 	}
 	for _, a := range plan.Asks {
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -97,8 +97,9 @@
 	DecodeNews(feed Feed, records []peer.FeedRecord) *News
 	// ReadLease returns the records of a shard's lease from an offset on.
 	ReadLease(ctx context.Context, shard string, from units.Offset) (*LeaseRecords, error)
-	// AppendLease appends a record if the lease ends where it says.
-	AppendLease(ctx context.Context, shard string, a claim.Append) claim.Result
+	// AppendLease appends a record if the lease ends where it says. The error tells
+	// why a result other than claim.Accepted came, nil if the store said so itself.
+	AppendLease(ctx context.Context, shard string, a claim.Append) (claim.Result, error)
 }
 
 // Holder is who gives orders.
@@ -112,7 +113,8 @@
 
 // Engines gives orders to backend servers that run models.
 type Engines interface {
-	Order(ctx context.Context, o homes.Order, h Holder) homes.Result
+	// Order sends an order. The error tells why it was not sent or got no answer.
+	Order(ctx context.Context, o homes.Order, h Holder) (homes.Result, error)
 	Report(ctx context.Context, a homes.Ask) (*topo.Report, error)
 }
 
