Tell entry VMs only what changed; act on reports together

Cause: a placer told each entry VM of all backend servers' copies and loads four times a second, entry VMs reported ten times a second even without requests, and each report had the placer add up all servers and step. Change: news carry copies only where they changed, and loads of others only where those changed; entry VMs keep what was told of servers that they do not know yet. Reports without content go out twice a second. Usage is added up once a step, and steps are 3 ms apart. A server that was said not to hold a copy is told of again, since whoever missed the copy struck it off.

--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -271,6 +271,20 @@
 	must.Eq(t, use{}, c.servers[server].own)
 }
 
+// TestHomesBeforeTheListing has news of a backend server come before its entry, and
+// loads without copies after it.
+func TestHomesBeforeTheListing(t *testing.T) {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
+	c.SetConfig(testConfig())
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	c.SetServers([]*topo.Server{testServer("n1", "llm", "near", "d1")})
+	c.Homes(1010, &peer.Homes{Shard: "near", Fence: 1, Sequence: 2, Servers: []peer.ServerHomes{{Server: "n1", LoadOnly: true, Active: 4, Prefill: 900}}})
+	choice := c.Choose(1020, testRequest("r", "m/a", 1020))
+	must.Eq(t, "n1", sendTo(t, choice))
+	must.Eq(t, 4, choice.(Send).Active)
+	must.Eq(t, 900, choice.(Send).Prefill)
+}
+
 func TestMissedNewsAsksForAll(t *testing.T) {
 	c := newTestCore()
 	tell(c, 1000, "near", 5, peer.ServerHomes{Server: "n1"})
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -157,6 +157,15 @@
 	// adapter, since the last report.
 	elsewhere map[units.AdapterName]int32
 	members   int32
+	// told holds the last word on each backend server's copies, also of those that
+	// are not listed yet.
+	told map[units.BackendServerID]toldHomes
+}
+
+// toldHomes is what a placer told of one backend server.
+type toldHomes struct {
+	*peer.ServerHomes
+	at clock.Millis
 }
 
 type version struct {
@@ -192,7 +201,7 @@
 	cfg.Policy = cfg.Policy.withDefaults()
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byName: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
-		wants: map[units.AdapterName]*want{}, versions: map[units.AdapterName]version{}, elsewhere: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{},
+		wants: map[units.AdapterName]*want{}, versions: map[units.AdapterName]version{}, elsewhere: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, told: map[units.BackendServerID]toldHomes{},
 	}
 }
 
@@ -225,6 +234,9 @@
 		if v == nil || s.Born > v.Born {
 			v = newView(s)
 			c.servers[s.ID] = v
+			if told, ok := c.told[s.ID]; ok {
+				c.home(v, told)
+			}
 		}
 		v.Server = s
 		if !v.placed {
@@ -234,6 +246,7 @@
 	for id, v := range c.servers {
 		if !seen[id] && v.own.active == 0 {
 			delete(c.servers, id)
+			delete(c.told, id)
 		} else if !seen[id] {
 			gone := *v.Server
 			gone.Draining = true
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -297,30 +297,53 @@
 		c.members = m.EntryVMs
 	}
 	for i := range m.Servers {
-		c.home(&m.Servers[i])
+		c.tellHome(&m.Servers[i])
 	}
 	c.wakeWaiters()
 }
 
-func (c *Core) home(h *peer.ServerHomes) {
+// maxTold bounds the backend servers whose homes are remembered.
+const maxTold = 8192
+
+// tellHome takes over what a placer says of one backend server.
+func (c *Core) tellHome(h *peer.ServerHomes) {
 	v := c.servers[h.Server]
-	if v == nil {
-		return
-	}
-	if h.Gone {
-		clear(v.copies)
-		return
+	switch {
+	case h.Gone:
+		delete(c.told, h.Server)
+		if v != nil {
+			clear(v.copies)
+		}
+	case !h.LoadOnly:
+		told := toldHomes{ServerHomes: h, at: c.now}
+		if _, known := c.told[h.Server]; known || len(c.told) < maxTold {
+			c.told[h.Server] = told
+		}
+		if v != nil {
+			c.home(v, told)
+		}
+	case v != nil:
+		v.share(h)
 	}
+}
+
+// home takes over what was told of a backend server's copies.
+func (c *Core) home(v *view, told toldHomes) {
 	v.placed = true
-	v.models = h.Models
+	v.models = told.Models
 	clear(v.copies)
-	for _, held := range h.Copies {
+	for _, held := range told.Copies {
 		readyAt := clock.Millis(0)
 		if held.Ready > 0 {
-			readyAt = c.now + held.Ready
+			readyAt = told.at + held.Ready
 		}
 		v.copies[held.Adapter] = copyView{revision: topo.AdapterRevision(held.Revision), readyAt: readyAt}
 	}
+	v.share(told.ServerHomes)
+}
+
+// share takes over the load of a backend server, of which a part is the own one.
+func (v *view) share(h *peer.ServerHomes) {
 	v.others = use{
 		active:  max(0, h.Active-v.reported.active),
 		prefill: max(0, h.Prefill-v.reported.prefill),
--- a/internal/core/homes/news.go
+++ b/internal/core/homes/news.go
@@ -20,9 +20,10 @@
 )
 
 // News returns the homes that changed since the last call for a reach, or all of
-// them.
+// them. Loads that changed are added after CallForLoads.
 func (p *Placer) News(now clock.Millis, reach Reach, shard string, fence units.Fence, full bool) *peer.Homes {
 	p.now = max(p.now, now)
+	p.addUp()
 	if !full {
 		p.sequence[reach]++
 	}
@@ -31,14 +32,20 @@
 	}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if full || s.changed[reach] {
+		switch {
+		case full || s.changed[reach]:
 			m.Servers = append(m.Servers, p.homesOf(s))
+		case p.loadsDue[reach] && s.told[reach] != s.load():
+			m.Servers = append(m.Servers, peer.ServerHomes{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens})
+		default:
+			continue
 		}
 		if !full {
-			s.changed[reach] = false
+			s.changed[reach], s.told[reach] = false, s.load()
 		}
 	}
 	if !full {
+		p.loadsDue[reach] = false
 		for _, id := range p.gone[reach] {
 			m.Servers = append(m.Servers, peer.ServerHomes{Server: id, Gone: true})
 		}
@@ -60,12 +67,8 @@
 	return false
 }
 
-// MarkAll makes the next News for a reach tell of all backend servers' loads.
-func (p *Placer) MarkAll(reach Reach) {
-	for _, s := range p.servers {
-		s.changed[reach] = true
-	}
-}
+// CallForLoads makes the next News for a reach tell of loads.
+func (p *Placer) CallForLoads(reach Reach) { p.loadsDue[reach] = true }
 
 func (p *Placer) homesOf(s *server) peer.ServerHomes {
 	h := peer.ServerHomes{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -149,10 +149,21 @@
 	// held tells when adapters were unloaded that load faster for it, at most
 	// maxHeld.
 	held map[units.AdapterName]clock.Millis
-	// changed tells, for each reach, whether copies changed since its last news.
+	// changed tells, for each reach, whether copies changed since its last news, and
+	// told the load that it was told of last.
 	changed [reaches]bool
+	told    [reaches]load
 }
 
+// load is what requests take of a backend server.
+type load struct {
+	active  int32
+	prefill units.Tokens
+	tokens  units.Tokens
+}
+
+func (s *server) load() load { return load{s.active, s.prefill, s.tokens} }
+
 func (s *server) change() { s.changed = [reaches]bool{true, true} }
 
 // keep notes that an adapter was unloaded that stays in the memory of s.
@@ -195,13 +206,18 @@
 	order    []units.BackendServerID
 	services map[units.ServiceName]*topo.Service
 	usage    map[units.EntryVMID]*usage
-	wants    map[units.AdapterName]*want
-	demand   popularity
-	revision map[units.AdapterName]announced
-	sequence [reaches]uint64
-	gone     [reaches][]units.BackendServerID
-	lastWant clock.Millis
-	models   modelBudget
+	// usageChanged is set while usage reports are not added up; addedAt is when they
+	// were last.
+	usageChanged bool
+	addedAt      clock.Millis
+	wants        map[units.AdapterName]*want
+	demand       popularity
+	revision     map[units.AdapterName]announced
+	sequence     [reaches]uint64
+	gone         [reaches][]units.BackendServerID
+	loadsDue     [reaches]bool
+	lastWant     clock.Millis
+	models       modelBudget
 	// copiedAt is when the last copy was made of an adapter that has one.
 	copiedAt clock.Millis
 	// slowness is by how much loads take longer than the policy says, at least 1.
@@ -310,7 +326,7 @@
 			s.reportAt = min(s.reportAt, p.now)
 		}
 	}
-	p.addUp()
+	p.usageChanged = true
 }
 
 func (p *Placer) want(from units.EntryVMID, asked *peer.Want) {
@@ -336,22 +352,27 @@
 	if s == nil {
 		return
 	}
+	// Whoever missed it has struck it off; what holds is told again.
+	s.change()
 	c := s.copies[m.Adapter]
 	switch {
 	case c == nil || c.state == copyLoading && p.now < c.readyAt || c.state != copyReady && c.state != copyLoading:
 	case p.now <= c.readyAt+lateGap && p.now <= c.dueAt+lateLoad:
 		p.slowness = min(maxSlowness, p.slowness*slowerBy)
 		c.state, c.readyAt = copyLoading, p.now+loadAgain
-		s.change()
 	default:
 		s.synced = false
-		s.change()
 		s.reportAt = min(s.reportAt, p.now)
 	}
 }
 
-// addUp adds up what entry VMs have reported.
+// addUp adds up what entry VMs have reported, if there is anything new or a report
+// may have lapsed.
 func (p *Placer) addUp() {
+	if !p.usageChanged && p.now < p.addedAt+usageTerm/2 {
+		return
+	}
+	p.usageChanged, p.addedAt = false, p.now
 	for _, s := range p.servers {
 		s.active, s.prefill, s.tokens = 0, 0, 0
 		for _, c := range s.copies {
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -24,6 +24,7 @@
 // right to order has not begun.
 func (p *Placer) Step(now clock.Millis, mayOrder bool) Plan {
 	p.now = max(p.now, now)
+	p.addUp()
 	p.settle()
 	var plan Plan
 	p.askReports(&plan)
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -86,9 +86,11 @@
 type ServerHomes struct {
 	Server units.BackendServerID `msgpack:"s"`
 	// Gone tells that the placer has no such backend server any more.
-	Gone   bool              `msgpack:"g,omitempty"`
-	Models []units.ModelName `msgpack:"m,omitempty"`
-	Copies []HomeCopy        `msgpack:"c,omitempty"`
+	Gone bool `msgpack:"g,omitempty"`
+	// LoadOnly tells that models and copies are as told before.
+	LoadOnly bool              `msgpack:"l,omitempty"`
+	Models   []units.ModelName `msgpack:"m,omitempty"`
+	Copies   []HomeCopy        `msgpack:"c,omitempty"`
 	// Active, Prefill and Tokens add up what all entry VMs reported.
 	Active  int32        `msgpack:"a,omitempty"`
 	Prefill units.Tokens `msgpack:"p,omitempty"`
@@ -103,6 +105,11 @@
 	Ready clock.Millis `msgpack:"t,omitempty"`
 }
 
+// Telling reports whether m tells more than that its sender listens.
+func (m *Usage) Telling() bool {
+	return m.WantFull || len(m.Servers)+len(m.Wants)+len(m.Missing)+len(m.Unreached) > 0
+}
+
 func (*Usage) peerMessage() {}
 func (*Homes) peerMessage() {}
 
--- a/internal/node/fleet/news.go
+++ b/internal/node/fleet/news.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if since >= period {
-		p.placer.MarkAll(reach)
+		p.placer.CallForLoads(reach)
 	}
 	p.newsAt[reach] = now
 	if wantsFull {
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -40,6 +40,11 @@
 	reads chan units.Offset
 	// relays is set while the lease is held and the shard is the own region's.
 	relays atomic.Bool
+	// toldTo is the holder that got the last usage report, toldAt when, and told
+	// whether that report had content. They belong to the goroutine that reports.
+	toldTo units.EntryVMID
+	toldAt clock.Millis
+	told   bool
 	// known is the holder as last read, for other goroutines.
 	known atomic.Pointer[holderKnown]
 }
@@ -141,6 +146,9 @@
 const (
 	placingRing = 2048
 	stepPeriod  = 25 * time.Millisecond
+	// stepSpacing is the least time between two steps, so that a placer with many
+	// listeners acts on several reports at once.
+	stepSpacing = 3 * time.Millisecond
 	// newsPeriod is the time between two messages with loads, newsAtOnce the least
 	// time between two with changed copies; the others are for other regions.
 	newsPeriod     = 250 * clock.Millis(1)
@@ -193,6 +201,9 @@
 			}
 		}
 	}()
+	var steppedAt time.Time
+	// due is when inputs are acted on that came right after a step.
+	var due <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -204,10 +215,17 @@
 				return nil
 			}
 			p.take(in)
-			p.step(ctx)
+			if wait := stepSpacing - time.Since(steppedAt); wait > 0 {
+				if due == nil {
+					due = time.After(wait)
+				}
+				continue
+			}
+		case <-due:
 		case <-ticker.C:
-			p.step(ctx)
 		}
+		due, steppedAt = nil, time.Now()
+		p.step(ctx)
 	}
 }
 
--- a/internal/node/fleet/usage.go
+++ b/internal/node/fleet/usage.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mangostile/internal/base/clock"
 )
 
 // usagePeriod is the time between two usage reports; farUsagePeriod that to
@@ -10,6 +12,9 @@
 const (
 	usagePeriod    = 100 * time.Millisecond
 	farUsagePeriod = time.Second
+	// idleUsagePeriod is the time between two reports without content, which only tell
+	// that the entry VM listens.
+	idleUsagePeriod = 500 * clock.Millis(1)
 	// kickSpacing is the least time between two reports of which one was asked for.
 	kickSpacing = 10 * time.Millisecond
 )
@@ -48,8 +53,13 @@
 		return
 	}
 	n.mu.Lock()
-	usage := n.core.Usage(n.clock.Now(), p.shard, n.settings.PeerAddress)
+	now := n.clock.Now()
+	usage := n.core.Usage(now, p.shard, n.settings.PeerAddress)
 	n.mu.Unlock()
+	if !usage.Telling() && !p.told && holder == p.toldTo && now < p.toldAt+idleUsagePeriod {
+		return
+	}
+	p.told, p.toldAt, p.toldTo = usage.Telling(), now, holder
 	if holder == n.settings.ID {
 		p.inputs.Push(usedInput{from: holder, usage: usage})
 		return
