Forget what was told of a server that starts anew

Cause: found when reading the change of the news: entry VMs applied what a placer had told of a server to its next process, and placers told nothing of a new process until its first report, since they no longer tell of all servers four times a second. Change: entry VMs drop it with the process; placers tell at once that a new process holds nothing. Measured: TestRestartedServerKeepsNoHomes and TestRestartedServerIsForgotten fail before and pass after.

--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -285,6 +285,17 @@
 	must.Eq(t, 900, choice.(Send).Prefill)
 }
 
+// TestRestartedServerKeepsNoHomes has a backend server start anew under its name.
+func TestRestartedServerKeepsNoHomes(t *testing.T) {
+	c := newTestCore()
+	tell(c, 1000, "near", 1, peer.ServerHomes{Server: "n1", Copies: []peer.HomeCopy{held("m/a", 0)}})
+	again := testServer("n1", "llm", "near", "d1")
+	again.Born = 7
+	c.SetServers([]*topo.Server{again})
+	_, sent := c.Choose(1010, testRequest("r", "m/a", 1010)).(Send)
+	must.False(t, sent)
+}
+
 func TestMissedNewsAsksForAll(t *testing.T) {
 	c := newTestCore()
 	tell(c, 1000, "near", 5, peer.ServerHomes{Server: "n1"})
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -231,12 +231,18 @@
 	for _, s := range list {
 		seen[s.ID] = true
 		v := c.servers[s.ID]
-		if v == nil || s.Born > v.Born {
+		switch {
+		case v == nil:
 			v = newView(s)
 			c.servers[s.ID] = v
 			if told, ok := c.told[s.ID]; ok {
 				c.home(v, told)
 			}
+		case s.Born > v.Born:
+			// What was told is of the process before.
+			delete(c.told, s.ID)
+			v = newView(s)
+			c.servers[s.ID] = v
 		}
 		v.Server = s
 		if !v.placed {
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -290,6 +290,7 @@
 			copies: map[units.AdapterName]*heldCopy{}, models: map[units.ModelName]bool{},
 			held: map[units.AdapterName]clock.Millis{}, reportAt: p.now,
 		}
+		s.change()
 		p.servers[entry.ID] = s
 	}
 	if s.Draining != entry.Draining {
--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -264,6 +264,7 @@
 	f.SetServers(1700, []*topo.Server{again}, testServices(8))
 	must.False(t, f.servers["s1"].synced)
 	must.MapEmpty(t, f.servers["s1"].copies)
+	must.True(t, f.Changed(Near), must.Sprint("entry VMs are told at once"))
 }
 
 // TestAdapterOfServerThatIsDownIsLoadedElsewhere answers a crashed engine: requests for
