--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -22,8 +22,8 @@
 	sent  int
 }
 
-// leaveShare is the part of streams that their callers leave, in one of so many.
-const leaveShare = 12
+// leaveOneIn says how many streams there are for one that its caller leaves.
+const leaveOneIn = 12
 
 func (d *deployment) call(ctx context.Context, index int) {
 	c := &caller{d: d, index: index, r: rand.New(rand.NewPCG(d.plan.seed, uint64(index)))}
@@ -78,7 +78,7 @@
 		head = fmt.Sprintf("Model: m/a%d\r\nToken-Counts: 100,40\r\n", adapter)
 	}
 	term := requestTerm
-	if q.stream() && c.r.IntN(leaveShare) == 0 {
+	if q.stream() && c.r.IntN(leaveOneIn) == 0 {
 		term = time.Duration(c.r.Int64N(int64(streamEvents * streamPace)))
 		q.left = forever
 	}
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -12,10 +12,14 @@
 	"mangostile/internal/fake/grid"
 )
 
-// seen counts what the checks had to look at.
+// seen counts what the checks had to look at, so that a run tells whether it could
+// have broken a promise at all.
 type seen struct {
-	// stops are planned stops that nothing disturbed, left runs whose callers left.
-	lookups, stops, left, resumed int
+	lookups int
+	// stops are those asked of entry VMs while nothing else was wrong.
+	stops int
+	// left are runs whose callers left, resumed those that go on where another broke.
+	left, resumed int
 }
 
 // broken lists the promises that a run did not keep.
@@ -177,8 +181,9 @@
 
 // Bounds of runs whose callers have left.
 const (
-	leftTerm  = 500 * time.Millisecond
-	leftShare = 4
+	leftTerm = 500 * time.Millisecond
+	// More than leftFew, and more than one in leftOneIn of them, may not go on longer.
+	leftOneIn = 4
 	leftFew   = 4
 )
 
@@ -199,7 +204,7 @@
 			}
 		}
 	}
-	if late > leftFew && late*leftShare > all {
+	if late > leftFew && late*leftOneIn > all {
 		return []string{fmt.Sprintf("%d of %d runs went on after their callers left", late, all)}
 	}
 	return nil
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -34,6 +34,7 @@
 		d.strikeVM(f, v)
 	case killAll:
 		for _, v := range d.vms {
+			// The harm lasts until all have been started again.
 			defer v.harm.begin()()
 			v.end(syscall.SIGKILL, time.Second)
 		}
--- a/internal/oper/soak/soak_test.go
+++ b/internal/oper/soak/soak_test.go
@@ -16,7 +16,7 @@
 var (
 	seeds  = flag.Int("seeds", 0, "number of seeds of TestSeeds")
 	first  = flag.Uint64("first", 1, "first seed of TestSeeds")
-	atOnce = flag.Int("at_once", 3, "seeds at a time")
+	atOnce = flag.Int("at_once", 3, "seeds that are played at the same time")
 	keep   = flag.String("logs", "", "directory for the logs of seeds that failed")
 	bigVMs = flag.Int("vms", 0, "entry VMs of each deployment; 0 goes by the seed")
 )
