Have stand-in replicas known before their Start returns

The stand-in wrote a replica's first entry from a goroutine, so an entry VM could be ready with the engines known and the plain service's replicas not, and refuse a lookup as "no backend server of the service". Change: Start writes the first entry itself. Ruled out: chance without a cause: with that goroutine 300 ms late the test fails each time with the same 503; 480 runs of three tests, 8 at a time, did not show it by themselves. Measured: the tests pass 3 times. Conclusion: kept; a fault of the stand-in, not of the product.

--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -80,6 +80,8 @@
 	g.replicas = append(g.replicas, r)
 	g.mu.Unlock()
 	g.group.Go(func() { _ = r.server.Serve(listener) })
+	// Whoever starts after r finds its entry.
+	g.announce(r)
 	g.group.Go(func() { g.beat(r) })
 	return nil
 }
