Keep the platform's words of the soak in its stand-in

Cause: the soak's callers and faults wrote headers and topics of the platform themselves, outside platform/ and internal/fake. Change: grid.Ask writes a caller's request head, Stamp reads the replica's mark, ForgetHistory and PutGarbage harm the store's records. No check changes.

--- /dev/null
+++ b/internal/fake/grid/caller.go
@@ -0,0 +1,43 @@
+package grid
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Ask is a request as a caller of the platform sends it.
+type Ask struct {
+	Method, Path, ID string
+	Within           time.Duration
+	// Model names model and adapter, empty for a plain service.
+	Model string
+}
+
+// Head returns the head of a request without a body. It bears a header that is the
+// system's to set, which replicas count if it is passed on.
+func (a Ask) Head() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nHold: forged\r\n", a.Method, a.Path, a.ID, a.Within.Milliseconds())
+	if a.Model != "" {
+		fmt.Fprintf(&b, "Model: %s\r\nToken-Counts: 100,40\r\n", a.Model)
+	}
+	b.WriteString("Content-Length: 0\r\n\r\n")
+	return b.String()
+}
+
+// Stamp returns the replica's mark on an answer, empty if it bears none.
+func Stamp(h http.Header) string { return h.Get("Server-Stamp") }
+
+// ForgetHistory drops the history of the operator's and the replicas' records.
+func (g *Grid) ForgetHistory() {
+	g.Store.Forget("keyed.op")
+	g.Store.Forget("keyed.servers")
+}
+
+// PutGarbage writes records that can't be read.
+func (g *Grid) PutGarbage() {
+	g.Store.Put("keyed.servers", "nobody", []byte("{"))
+	g.Store.Put("keyed.op", "version/m.a1", []byte{0xff})
+}
--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"mangostile/internal/fake/grid"
 )
 
 // caller sends one request after another, on a kept connection while it lasts.
@@ -65,7 +67,7 @@
 // ask sends one request and reads its answer.
 func (c *caller) ask() {
 	q := &request{id: fmt.Sprintf("s%d-c%d-%d", c.d.plan.seed, c.index, time.Now().UnixNano()), vm: c.vm.index, kept: c.sent > 0}
-	method, head := http.MethodPost, ""
+	method, model := http.MethodPost, ""
 	switch c.r.IntN(5) {
 	case 0:
 		q.path = "/once/x"
@@ -75,7 +77,7 @@
 		q.path = "/stream/x"
 		// Low numbers come more often.
 		adapter := int(float64(c.d.plan.adapters) * c.r.Float64() * c.r.Float64())
-		head = fmt.Sprintf("Model: m/a%d\r\nToken-Counts: 100,40\r\n", adapter)
+		model = fmt.Sprint("m/a", adapter)
 	}
 	term := requestTerm
 	if q.stream() && c.r.IntN(leaveOneIn) == 0 {
@@ -97,8 +99,7 @@
 	if !q.left.IsZero() {
 		_ = c.conn.SetDeadline(q.sent.Add(term))
 	}
-	_, q.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nHold: forged\r\n%sContent-Length: 0\r\n\r\n",
-		method, q.path, q.id, requestTerm.Milliseconds(), head)
+	_, q.err = io.WriteString(c.conn, grid.Ask{Method: method, Path: q.path, ID: q.id, Within: requestTerm, Model: model}.Head())
 	if q.err == nil {
 		c.read(q, method)
 	}
@@ -113,7 +114,7 @@
 		q.err = err
 		return
 	}
-	q.status, q.stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
+	q.status, q.stamp = resp.StatusCode, grid.Stamp(resp.Header)
 	body, err := io.ReadAll(resp.Body)
 	q.body, q.err, q.whole = string(body), err, err == nil
 	if resp.Close {
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -126,11 +126,9 @@
 		time.Sleep(f.lasts)
 		s.LateAppends.Store(0)
 	case storeForgets:
-		s.Forget("keyed.op")
-		s.Forget("keyed.servers")
+		d.ForgetHistory()
 	case storeGarbage:
-		s.Put("keyed.servers", "nobody", []byte("{"))
-		s.Put("keyed.op", "version/m.a1", []byte{0xff})
+		d.PutGarbage()
 	}
 }
 
