Pass the ring's token on to the next receiver

Cause: one token can stand for several pushes. A receiver that took it took one item and could stay busy, while the others slept beside queued items; Close woke one receiver only. Orders and polls of node/server have several receivers. Change: take puts the token back while items are left or the ring is closed. Measured: on the code before, the replayed interleaving left item 2 without a token, and 8 concurrent receivers did not end within 5 s of the close; both pass now, also with the race detector, three times.

--- a/internal/base/ring/ring.go
+++ b/internal/base/ring/ring.go
@@ -6,10 +6,8 @@
 	"sync"
 )
 
-// Ring is a bounded FIFO queue that is safe for concurrent use. It is meant for several
-// senders and one receiver: with several receivers, an item can stay queued until the next
-// Push or Pop although a receiver is blocked in Pop. The zero value has a capacity of
-// DefaultCapacity items.
+// Ring is a bounded FIFO queue for any number of concurrent senders and receivers. The zero
+// value has a capacity of DefaultCapacity items.
 type Ring[T any] struct {
 	mu sync.Mutex
 	// items is a circular buffer that holds count values from index head on.
@@ -17,8 +15,8 @@
 	head   int
 	count  int
 	closed bool
-	// signal has a capacity of one token. The token is present whenever the receiver may
-	// have an item to take or a close to notice.
+	// signal has a capacity of one token. While the ring is not empty or is closed, the
+	// token is present or a receiver that took it is about to call take.
 	signal chan struct{}
 }
 
@@ -96,12 +94,16 @@
 }
 
 // take removes and returns the oldest item, if any. If there is none, open reports that the
-// ring is not closed.
+// ring is not closed. It puts the token back if that leaves something for another receiver:
+// one token may stand for several pushes.
 func (r *Ring[T]) take() (item T, ok, open bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.init()
 	if r.count == 0 {
+		if r.closed {
+			r.wake()
+		}
 		return item, false, !r.closed
 	}
 	item = r.items[r.head]
@@ -109,10 +111,13 @@
 	r.items[r.head] = zero
 	r.head = (r.head + 1) % len(r.items)
 	r.count--
+	if r.count > 0 || r.closed {
+		r.wake()
+	}
 	return item, true, true
 }
 
-// wake makes the token available to the receiver. The caller holds mu.
+// wake puts the token into signal. The caller holds mu.
 func (r *Ring[T]) wake() {
 	select {
 	case r.signal <- struct{}{}:
