Refuse dates and numbers that are not finite in settings

Cause: a TOML date has the kind of a struct and so passed for a table; the second decode then failed without line and remedy. nan and inf passed every check that only compares. Change: a setting takes only texts, booleans, finite numbers, tables and arrays; each fault names its line and remedy.

--- a/internal/oper/config/config_test.go
+++ b/internal/oper/config/config_test.go
@@ -103,6 +103,15 @@
 			"f.toml:12: policy.objective: 1.5 is out of range", "f.toml:13: policy.loads_per_second: -1 is out of range",
 			"f.toml:14: policy.loads_in_flight: -1 is out of range", "f.toml:15: policy.failure_domains: 5000 is out of range",
 		}},
+		{"dates and times", "admin = 1979-05-27T07:32:00Z\n" + valid + "[policy]\nobjective = 07:32:00\n[tls]\nserve_key_file = 1979-05-27T07:32:00\n", []string{
+			"f.toml:1: admin: is not known", "f.toml:13: policy.objective: does not fit: give a finite number", "f.toml:15: tls.serve_key_file: does not fit: give a text",
+		}},
+		{"date for a table of an array", "vms = [1979-05-27]\n" + valid, []string{"f.toml:1: vms[0]: does not fit: give a table"}},
+		{"date for a table", "log = 1979-05-27\n" + valid, []string{"f.toml:1: log: does not fit: give a table"}},
+		{"numbers that are not finite", valid + "[policy]\nobjective = nan\nloads_per_second = inf\nlink_bytes_per_second = -inf\n", []string{
+			"f.toml:12: policy.objective: NaN is not a number to count with: give a finite number",
+			"f.toml:13: policy.loads_per_second: +Inf is not", "f.toml:14: policy.link_bytes_per_second: -Inf is not",
+		}},
 		{"log and limits", valid + `[log]
 level = "loud"
 [limits]
@@ -139,3 +148,24 @@
 	must.ErrorContains(t, err, "token_sha256")
 	must.StrNotContains(t, err.Error(), "plain-secret")
 }
+
+// TestStandinNumbersAreCheckedToo gives every number of the stand-ins' settings a value that
+// is not finite, and a negative one.
+func TestStandinNumbersAreCheckedToo(t *testing.T) {
+	const head = "control_address = \"127.0.0.1:7000\"\n"
+	for _, path := range []string{
+		"engine.step_ms", "engine.step_per_request_ms", "engine.prefill_ms_per_token", "engine.cold_start_ms", "engine.report_lag_ms", "log.appends_per_second",
+		"log.retention_ms", "store.loads_per_second", "store.full_speed", "store.load_time_ms", "vm_list.lag_ms",
+	} {
+		table, key, _ := strings.Cut(path, ".")
+		for _, value := range []string{"nan", "inf", "-inf", "-1", "1979-05-27"} {
+			t.Run(path+" "+value, func(t *testing.T) {
+				_, err := ParseStandin("f.toml", []byte(head+"["+table+"]\n"+key+" = "+value+"\n"))
+				var faults *FaultsError
+				must.True(t, errors.As(err, &faults), must.Sprint(err))
+				must.Len(t, 1, faults.Faults)
+				must.StrHasPrefix(t, "f.toml:3: "+path+": ", faults.Faults[0].String())
+			})
+		}
+	}
+}
--- a/internal/oper/config/decode.go
+++ b/internal/oper/config/decode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -84,11 +85,20 @@
 		if reflect.Zero(t).CanInt() && !reflect.Zero(t).OverflowInt(value) {
 			return true
 		}
-	default:
+	case float64:
+		if t.Kind() == reflect.Float64 {
+			if !math.IsNaN(value) && !math.IsInf(value, 0) {
+				return true
+			}
+			c.fault(path, "%v is not a number to count with: give %s", value, describeType(t))
+			return false
+		}
+	case string, bool:
 		if reflect.TypeOf(value).Kind() == t.Kind() {
 			return true
 		}
 	}
+	// Dates and times remain; no setting takes one.
 	c.fault(path, "does not fit: give %s", describeType(t))
 	return false
 }
@@ -113,7 +123,7 @@
 	case reflect.Slice:
 		return "an array"
 	case reflect.Float64:
-		return "a number"
+		return "a finite number"
 	default:
 		return fmt.Sprintf("a whole number of %d bits", t.Bits())
 	}
