Send a broken stream's tokens before its connection closes

Cause: TestStreamBrokenTooOftenEndsWithError failed beside load since the stand-in closed the connection from the goroutine that writes the body, while the HTTP server's goroutine still held the events before it. The caller then rightly got a refusal with ran unknown: no event had come. The stand-in is at fault, not the product. Change: the stand-in writes streams through a pipe without a buffer, whose reader finds the error only after it has sent what came before. Breaking tells it by an error, not by a close.

--- a/internal/fake/engine/completion.go
+++ b/internal/fake/engine/completion.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"strings"
 	"time"
 
 	"mangostile/internal/base/units"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -81,33 +83,56 @@
 	return newAnswer(work, "text_completion", completionChoice{Text: token, FinishReason: finish})
 }
 
+// errBroken ends a stream whose connection is to break.
+var errBroken = errors.New("the connection breaks")
+
 // streamAnswer streams the tokens of r, starting with number from. The caller has called
 // r.follow(1); streamAnswer unfollows r when the stream ends.
 func (e *Engine) streamAnswer(ctx *fasthttp.RequestCtx, r *run, chat bool, from int) {
 	breakAfter := e.activeFaults().BreakAfterTokens
-	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+	streamBody(ctx, func(w *bufio.Writer) error {
 		defer e.unfollow(r)
 		for i := from; ; i++ {
 			token, ok, err := r.token(i)
-			if err != nil || breakAfter > 0 && i-from >= breakAfter {
-				_ = conn.Close()
-				return
+			if err != nil {
+				return err
+			}
+			if breakAfter > 0 && i-from >= breakAfter {
+				return errBroken
 			}
 			if !ok {
 				break
 			}
-			if writeChunk(w, answerChunk(r.work, chat, token, "")) != nil {
-				return
+			if err := writeChunk(w, answerChunk(r.work, chat, token, "")); err != nil {
+				return err
 			}
 		}
-		_ = writeChunk(w, answerChunk(r.work, chat, "", "stop"))
-		_, _ = w.WriteString("data: [DONE]\n\n")
-		_ = w.Flush()
+		if err := writeChunk(w, answerChunk(r.work, chat, "", "stop")); err != nil {
+			return err
+		}
+		_, err := w.WriteString("data: [DONE]\n\n")
+		return err
 	})
 }
 
+// streamBody sends what write writes as the body of the answer. If write fails, the
+// connection is closed without the end of the body, but only after all that was flushed
+// before has been sent: the pipe has no buffer, so its reader asks for more, and finds the
+// error, only then.
+func streamBody(ctx *fasthttp.RequestCtx, write func(w *bufio.Writer) error) {
+	body, in := io.Pipe()
+	ctx.SetBodyStream(body, -1)
+	go func() {
+		w := bufio.NewWriter(in)
+		err := write(w)
+		if err == nil {
+			err = w.Flush()
+		}
+		_ = in.CloseWithError(err)
+	}()
+}
+
 func writeChunk(w *bufio.Writer, value any) error {
 	body, err := json.Marshal(value)
 	if err != nil {
