Look at caller and deadline again just before a request is sent

Change: with the connection to the backend server open, the entry VM peeks at the caller's connection and at the clock, and sends nothing if the caller left or the deadline passed. The pool takes an unused connection back. One Peek serves both sides.

--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -99,8 +99,8 @@
 	return c
 }
 
-// put adds a connection whose exchange has ended cleanly to the idle ones. It closes the
-// connection if there are maxIdlePerAddress of them already.
+// put adds a connection without an exchange to the idle ones. It closes the connection if
+// there are maxIdlePerAddress of them already.
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,10 +111,17 @@
 		_ = c.Close()
 		return
 	}
-	c.idleSince = p.Clock.Now()
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Return gives back a connection that Get returned and that was not used since.
+func (p *Pool) Return(c *Conn) {
+	if !c.Reused {
+		c.idleSince = p.Clock.Now()
+	}
+	p.put(c)
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep() {
 	now := p.Clock.Now()
@@ -140,25 +147,7 @@
 // usable reports whether the peer has neither closed the connection nor sent unexpected
 // bytes.
 func (c *Conn) usable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, recvErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = n <= 0 && errors.Is(recvErr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && idle
+	return c.r.Buffered() == 0 && call.Peek(c.Conn) == call.Idle
 }
 
 // applyKeepAlive sets idleTimeout from the "timeout=SECONDS" of a backend server's
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -193,6 +193,7 @@
 		return
 	}
 	e.conn.applyKeepAlive(e.Header.Get("Keep-Alive"))
+	e.conn.idleSince = e.pool.Clock.Now()
 	e.pool.put(e.conn)
 }
 
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -91,13 +91,18 @@
 	n.core.Abandoned(&c.req)
 	n.mu.Unlock()
 	if c.r.Context().Err() != nil {
-		c.log("caller_left", "sends", c.req.Sends)
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	c.giveUp("the time is over", 0)
 	return true
 }
 
+// abort ends a request whose caller has disconnected.
+func (c *exchange) abort() {
+	c.log("caller_left", "sends", c.req.Sends)
+	panic(http.ErrAbortHandler)
+}
+
 // giveUp ends the request with the failure in c.fallback, if there is one, or with an
 // answer of its own. If a part of the answer was already written, it aborts the caller's
 // connection. retryAfter is sent only if no backend server can have executed the request.
@@ -145,6 +150,8 @@
 	}
 	if a.mayHaveRun {
 		c.executions++
+	} else if c.callerLeft() {
+		c.abort()
 	}
 	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts) {
 		if !c.endIfDone(ctx) {
@@ -181,6 +188,22 @@
 	mayHaveRun bool
 }
 
+// useless returns why the request should not be sent any more, or an empty string. Opening
+// the connection, or a stop of the process, may have taken longer than the caller waits.
+func (a *attempt) useless() string {
+	switch {
+	case a.callerLeft():
+		return callerLeftReason
+	case a.node.clock.Now() >= a.req.Deadline:
+		return "the deadline passed before the request was sent"
+	default:
+		return ""
+	}
+}
+
+// callerLeftReason is the reason of an attempt that ended because its caller disconnected.
+const callerLeftReason = "the caller left"
+
 // run makes the attempt. If nothing could be sent on a reused connection, it tries once
 // more on a fresh one. over is true if the request needs no further attempt: the caller
 // has its answer or has disconnected.
@@ -191,6 +214,10 @@
 			a.reason = err.Error()
 			return choose.EndUnsent, false
 		}
+		if a.reason = a.useless(); a.reason != "" {
+			a.node.pool.Return(conn)
+			return choose.EndCanceled, false
+		}
 		reused := conn.Reused
 		answer, doErr := a.node.pool.Do(a.ctx, conn, a.request())
 		if doErr == nil {
@@ -223,7 +250,7 @@
 	var invalid *conns.InvalidAnswerError
 	switch {
 	case a.exchange.r.Context().Err() != nil:
-		a.reason = "the caller left"
+		a.reason = callerLeftReason
 		return choose.EndCanceled
 	case errors.As(err, &invalid):
 		return choose.EndFailed
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -14,6 +14,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
+	"mangostile/internal/plat/call"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -55,6 +56,9 @@
 	return c.Conn.Close()
 }
 
+// left reports whether the caller has closed its end.
+func (c *callerConn) left() bool { return call.Peek(c.Conn) == call.Closed }
+
 // callerListener wraps each accepted connection in a callerConn.
 type callerListener struct{ net.Listener }
 
@@ -87,10 +91,11 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	c := &exchange{node: n, w: w, r: r, arrived: n.clock.Now()}
+	c.conn, _ = r.Context().Value(callerConnKey{}).(*callerConn)
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && conn.closed.Load() {
+	if c.conn != nil && c.conn.closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	if c.admit() {
@@ -100,9 +105,11 @@
 
 // exchange is one request of a caller and its answer.
 type exchange struct {
-	node          *Node
-	w             http.ResponseWriter
-	r             *http.Request
+	node *Node
+	w    http.ResponseWriter
+	r    *http.Request
+	// conn is nil if the request did not come through a callerListener.
+	conn          *callerConn
 	arrived       clock.Millis
 	head          RequestHead
 	req           choose.Request
@@ -190,6 +197,12 @@
 	return true
 }
 
+// callerLeft reports whether the caller has disconnected. It asks the connection itself: the
+// HTTP server cancels the request's context only some time after the caller's close.
+func (c *exchange) callerLeft() bool {
+	return c.r.Context().Err() != nil || c.conn != nil && c.conn.left()
+}
+
 // fillRequest fills in the request that the choice of a backend server is based on. It
 // always reports true.
 func (c *exchange) fillRequest() bool {
