Publish only changed placements, encoded once, to many entry VMs

Cause: the placer marked a backend server as changed with each report, also one that confirmed all, so it sent the full state of its shard to every entry VM every 2 s, encoded anew for each. A failed accept, such as for lack of descriptors, ended the whole process. Change: a report marks a server only if models or copies differ; a message to many is encoded once; the least interval between updates grows with the subscribers (0.5 ms for each); accepting connections of other entry VMs goes on after an error.

--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -183,10 +183,16 @@
 }
 
 // sync replaces the copies, models and number of orders of s by those of a report. Copies
-// that s already has keep their state, except that a loaded one is no longer loading.
+// that s already has keep their state, except that a loaded one is no longer loading. Only
+// what changes the placement is published: most reports confirm it.
 func (p *Placer) sync(s *server, r *topo.Report) {
+	published := p.placementOf(s)
+	defer func() {
+		if !published.SameCopies(p.placementOf(s)) {
+			s.markChanged()
+		}
+	}()
 	s.synced, s.orders = true, r.Orders
-	s.markChanged()
 	s.models = map[units.ModelName]bool{}
 	for _, m := range r.Models {
 		s.models[m] = true
--- a/internal/core/homes/update_test.go
+++ b/internal/core/homes/update_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/peer"
 
 	"github.com/shoenig/test/must"
@@ -42,6 +43,31 @@
 	must.Eq(t, holder, changed[0].Server)
 }
 
+// TestConfirmingReportsAreNotPublished guards against updates for reports that change nothing.
+// With 1,500 backend servers, each reporting every 2 s, the placer sent the full state of all
+// of them to 150 entry VMs every 2 s.
+func TestConfirmingReportsAreNotPublished(t *testing.T) {
+	f := newTestPlacer(8, "s1", "s2")
+	f.requestLoads(1200, 500, "a1")
+	f.run(1200, 1600)
+	f.Update(f.now, SameRegion, "r", 1, false)
+	must.False(t, f.Changed(SameRegion))
+	now := f.now
+	for range 10 {
+		now += reportPeriod
+		for _, id := range []units.BackendServerID{"s1", "s2"} {
+			f.HandleReport(now, id, f.backends.report(id))
+		}
+		f.Step(now, true)
+		must.False(t, f.Changed(SameRegion))
+	}
+	lost := f.backends.report(f.orders[0].Server)
+	lost.Copies = nil
+	f.HandleReport(now+reportPeriod, f.orders[0].Server, lost)
+	must.True(t, f.Changed(SameRegion))
+	must.SliceLen(t, 1, f.Update(f.now, SameRegion, "r", 1, false).Servers)
+}
+
 // TestExpiredUsageIsIgnored lets the usage report of an entry VM expire.
 func TestExpiredUsageIsIgnored(t *testing.T) {
 	f := newTestPlacer(8, "s1")
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
@@ -114,6 +116,11 @@
 	Ready clock.Millis `msgpack:"t,omitempty"`
 }
 
+// SameCopies reports whether p and q have the same models and copies. Their loads may differ.
+func (p ServerPlacement) SameCopies(q ServerPlacement) bool {
+	return slices.Equal(p.Models, q.Models) && slices.Equal(p.Copies, q.Copies)
+}
+
 // HasContent reports whether m carries more than the sender's address.
 func (m *UsageReport) HasContent() bool {
 	return m.NeedsFull || len(m.Servers)+len(m.LoadRequests)+len(m.Missing)+len(m.Unreachable) > 0
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -12,6 +12,7 @@
 	"mangostile/internal/core/homes"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
+	"mangostile/internal/node/links"
 
 	"github.com/pkg/errors"
 )
@@ -160,9 +161,12 @@
 	minChangeInterval       = 20 * clock.Millis(1)
 	remoteLoadUpdatePeriod  = 700 * clock.Millis(1)
 	remoteMinChangeInterval = 150 * clock.Millis(1)
-	subscriberTTL           = 3 * clock.Second
-	stateLogPeriod          = clock.Second
-	leaseReadPeriod         = 450 * clock.Millis(1)
+	// changeIntervalPerSubscriber bounds the rate of messages that a placer of many
+	// subscribers sends: their minimum interval grows with their number.
+	changeIntervalPerSubscriber = 500 * time.Microsecond
+	subscriberTTL               = 3 * clock.Second
+	stateLogPeriod              = clock.Second
+	leaseReadPeriod             = 450 * clock.Millis(1)
 	// remoteReadDelay is added to leaseReadPeriod for shards of other regions.
 	remoteReadDelay = clock.Second
 	// placerTimeout is the time without a placement update after which the lease is
@@ -291,17 +295,27 @@
 			p.lease.ObserveHolder(p.node.clock.BootNow(), holder, in.update.Fence, in.update.LeaseNext, in.update.Remaining)
 		}
 	case relayInput:
-		for id, sub := range p.subscribers {
-			if p.leaseHeld && id != p.node.settings.ID {
-				p.node.links.Send(id, sub.address, in.update)
-			}
-		}
+		p.relay(in.update)
 	case policyInput:
 		p.placer.SetPolicy(in.policy)
 		p.lease.HandoverInterval = in.handoverInterval
 	}
 }
 
+// relay sends a feed update to the subscribers while the lease is held.
+func (p *placerWorker) relay(update *peer.FeedUpdate) {
+	if !p.leaseHeld {
+		return
+	}
+	recipients := make([]links.Recipient, 0, len(p.subscribers))
+	for id, sub := range p.subscribers {
+		if id != p.node.settings.ID {
+			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
+		}
+	}
+	p.node.links.Broadcast(recipients, update)
+}
+
 func (p *placerWorker) handleUsage(now clock.Millis, in usageInput) {
 	if !p.leaseHeld {
 		return
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -2,18 +2,21 @@
 
 import (
 	"math"
+	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/homes"
+	"mangostile/internal/node/links"
 )
 
 // publish sends placement updates to the subscribers and applies those for the scope of
 // this entry VM's region.
 func (p *placerWorker) publish(now clock.Millis) {
 	p.logState(now)
-	p.publishTo(now, homes.SameRegion, minChangeInterval, loadUpdatePeriod)
-	p.publishTo(now, homes.OtherRegions, remoteMinChangeInterval, remoteLoadUpdatePeriod)
+	spacing := clock.FromDuration(time.Duration(len(p.subscribers)) * changeIntervalPerSubscriber)
+	p.publishTo(now, homes.SameRegion, max(minChangeInterval, spacing), loadUpdatePeriod)
+	p.publishTo(now, homes.OtherRegions, max(remoteMinChangeInterval, spacing), remoteLoadUpdatePeriod)
 }
 
 // publishTo sends placement updates to the subscribers in a scope: loads once per
@@ -37,15 +40,17 @@
 	if scope == p.scopeOf(p.node.settings.Region) {
 		p.node.applyPlacement(update)
 	}
+	var recipients []links.Recipient
 	for id, sub := range p.subscribers {
 		if now > sub.lastReportAt+subscriberTTL {
 			delete(p.subscribers, id)
 			continue
 		}
 		if id != p.node.settings.ID && p.scopeOf(sub.region) == scope {
-			p.node.links.Send(id, sub.address, update)
+			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
 		}
 	}
+	p.node.links.Broadcast(recipients, update)
 }
 
 func (p *placerWorker) scopeOf(region units.Region) homes.Scope {
@@ -68,6 +73,7 @@
 // requested one.
 func (p *placerWorker) publishFull(scope homes.Scope) {
 	full := p.placer.Update(p.node.clock.Now(), scope, p.shard, p.lease.Fence(), true)
+	var recipients []links.Recipient
 	for id := range p.fullTo {
 		sub := p.subscribers[id]
 		if p.scopeOf(sub.region) != scope {
@@ -77,9 +83,10 @@
 		if id == p.node.settings.ID {
 			p.node.applyPlacement(full)
 		} else {
-			p.node.links.Send(id, sub.address, full)
+			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
 		}
 	}
+	p.node.links.Broadcast(recipients, full)
 }
 
 // logState logs the state of the shard once per stateLogPeriod.
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -73,13 +73,35 @@
 	redialBackoff     = 200 * time.Millisecond
 	insecureLogPeriod = 10 * time.Second
 	idleTimeout       = 10 * time.Second
+	acceptBackoff     = 100 * time.Millisecond
 )
 
 // sender holds the messages queued for one other entry VM.
 type sender struct {
 	to      units.EntryVMID
 	address atomic.Value
-	queue   *ring.Ring[peer.Message]
+	queue   *ring.Ring[*outMessage]
+}
+
+// outMessage is a message to one or more entry VMs. It is encoded once, by the first sender
+// that writes it.
+type outMessage struct {
+	peer.Message
+	once  sync.Once
+	frame []byte
+	err   error
+}
+
+func (m *outMessage) encode() ([]byte, error) {
+	m.once.Do(func() { m.frame, m.err = frame.Append(nil, tagOf(m.Message), m.Message) })
+	return m.frame, m.err
+}
+
+// Recipient is an entry VM that a message is sent to.
+type Recipient struct {
+	ID units.EntryVMID
+	// Address is the peer address; if it is empty, that of the last call is used.
+	Address string
 }
 
 // New returns links; Run starts them.
@@ -119,16 +141,21 @@
 }
 
 // accept starts a receiver for each connection until ctx is done, which it checks before err
-// because closing the listener makes Accept fail. Any earlier error, even a temporary one, ends
-// Run. A connection accepted just as ctx ends is neither tracked nor closed.
+// because closing the listener makes Accept fail. A lack of descriptors or memory, or a
+// connection that was reset before it was accepted, ends nothing: accept tries again after
+// acceptBackoff. A connection accepted just as ctx ends is neither tracked nor closed.
 func (l *Links) accept(ctx context.Context, listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "accept peer connection")
+		case err != nil:
+			l.logAcceptFailed(err)
+			sleep(ctx, acceptBackoff)
+			continue
 		}
 		l.group.Go(func() error {
 			l.receive(ctx, conn)
@@ -189,6 +216,21 @@
 		"remedy", "set tls.peer_certificate_file, peer_key_file and peer_authority_file alike on all entry VMs")
 }
 
+func (l *Links) logAcceptFailed(err error) {
+	if l.options.Logger != nil {
+		l.options.Logger.Warn("peer_accept_failed", "error", err, "remedy", "raise the limit of open files if it is reached")
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (l *Links) receive(ctx context.Context, conn net.Conn) {
 	defer l.untrack(conn)
 	if !l.track(conn) {
@@ -236,21 +278,37 @@
 func (l *Links) Send(to units.EntryVMID, address string, m peer.Message) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.push(Recipient{ID: to, Address: address}, &outMessage{Message: m})
+}
+
+// Broadcast queues a message for each recipient, like Send, but encodes it only once. m must
+// not change afterwards.
+func (l *Links) Broadcast(recipients []Recipient, m peer.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := &outMessage{Message: m}
+	for _, to := range recipients {
+		l.push(to, out)
+	}
+}
+
+// push queues a message for one recipient. l.mu must be held.
+func (l *Links) push(to Recipient, m *outMessage) bool {
 	if l.group == nil || l.ctx.Err() != nil {
 		return false
 	}
-	s := l.senders[to]
+	s := l.senders[to.ID]
 	if s == nil {
-		s = &sender{to: to, queue: ring.New[peer.Message](sendQueueCapacity)}
-		l.senders[to] = s
-		s.address.Store(address)
+		s = &sender{to: to.ID, queue: ring.New[*outMessage](sendQueueCapacity)}
+		l.senders[to.ID] = s
+		s.address.Store(to.Address)
 		l.group.Go(func() error {
 			l.sendAll(l.ctx, s)
 			return nil
 		})
 	}
-	if address != "" {
-		s.address.Store(address)
+	if to.Address != "" {
+		s.address.Store(to.Address)
 	}
 	return s.queue.Push(m)
 }
@@ -277,7 +335,6 @@
 	sender *sender
 	// conn is nil if not connected.
 	conn net.Conn
-	buf  []byte
 	// dialFailedAt is the time of the last failed dial.
 	dialFailedAt time.Time
 }
@@ -285,21 +342,21 @@
 // write sends one message. It reports false if an open connection failed, so that the
 // caller can retry over a new one. If dialing or encoding fails, it drops the message and
 // reports true.
-func (o *outgoing) write(m peer.Message) bool {
+func (o *outgoing) write(m *outMessage) bool {
 	l := o.links
 	if o.conn == nil && !o.dial() {
 		return true
 	}
-	var err error
-	if o.buf, err = frame.Append(o.buf[:0], tagOf(m), m); err != nil {
+	out, err := m.encode()
+	if err != nil {
 		return true
 	}
 	_ = o.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := o.conn.Write(o.buf); err != nil {
+	if _, err := o.conn.Write(out); err != nil {
 		o.close()
 		return false
 	}
-	l.sent.add(len(o.buf))
+	l.sent.add(len(out))
 	return true
 }
 
