Tell members of the next placer without the store, and retry less in outages

They learn its name from the store alone, so they had no placer for seconds, served only what was loaded, and made up to 11 calls a second each: 130 refused claims a second in all, reads of both feeds and of the lease. Change: a placer tells its subscribers each other's addresses; the next one sends its updates, with its own address, to them at once. Claims, feed and lease reads back off after failures. An entry VM that reads a feed while the placer does not passes it to the placer, which relays it; without updates entry VMs turn to the store one after the other.

--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -379,6 +379,12 @@
 	}
 }
 
+// PlacerUp reports whether the last update of a shard's placer is recent.
+func (c *Core) PlacerUp(now clock.Millis, shard string) bool {
+	c.now = max(c.now, now)
+	return c.placer(shard) != nil
+}
+
 // LastUpdateAt returns when the last update of a shard's placer was received, 0 if none
 // was.
 func (c *Core) LastUpdateAt(shard string) clock.Millis {
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -50,8 +50,12 @@
 	releaseClaimDelay = 2 * clock.Second
 	// appendTimeout bounds the wait for the answer to an append.
 	appendTimeout = 700 * clock.Millis(1)
-	// refusedBackoff is the time from a refused append to the next one.
-	refusedBackoff = 300 * clock.Millis(1)
+	// refusedBackoff is the time from a refused append to the next one. For claims of a
+	// lease that another entry VM held it doubles with each append that is not answered
+	// with a result, up to maxClaimBackoff: all entry VMs of a shard try to claim during an
+	// outage of the store.
+	refusedBackoff  = 300 * clock.Millis(1)
+	maxClaimBackoff = 2400 * clock.Millis(1)
 )
 
 // Lease is one entry VM's view of the lease of one shard. All methods must be called
@@ -88,8 +92,10 @@
 	reportedUntil clock.Millis
 	// stale reports that an append met a conflict and the partition must be read again.
 	stale bool
-	// retryAt is the earliest time of the next append after a refused one.
-	retryAt clock.Millis
+	// retryAt is the earliest time of the next append after failed ones, of which there
+	// were failures in a row.
+	retryAt  clock.Millis
+	failures int
 }
 
 // Append is a request to append Record if the partition ends at offset At.
@@ -164,6 +170,7 @@
 
 // apply makes r the last record.
 func (l *Lease) apply(now clock.Millis, offset units.Offset, r *Record) {
+	l.failures = 0
 	if r.Kind == KindClaim || l.fence == 0 {
 		l.fence = units.Fence(offset) + 1
 	}
@@ -218,7 +225,10 @@
 		if now < l.pending.SentAt+appendTimeout {
 			return nil
 		}
-		l.pending = nil
+		l.failed(*l.pending)
+		if now < l.retryAt {
+			return nil
+		}
 	}
 	var record Record
 	switch {
@@ -316,13 +326,24 @@
 		l.pending, l.stale = nil, true
 		l.validUntil = 0
 	case Refused:
-		l.pending = nil
-		l.retryAt = a.SentAt + refusedBackoff
+		l.failed(a)
 	case Unknown:
 		// A read may find the record until appendTimeout has passed.
 	}
 }
 
+// failed drops an append that was refused or not answered and sets the time of the next one.
+// The last holder retries often: unlike others it may give orders at once.
+func (l *Lease) failed(a Append) {
+	l.pending = nil
+	backoff := refusedBackoff
+	if l.last == nil || l.last.Holder != l.Self {
+		backoff = min(refusedBackoff<<min(l.failures, 6), maxClaimBackoff)
+	}
+	l.failures++
+	l.retryAt = a.SentAt + backoff
+}
+
 // applyAccepted applies an append of this entry VM. The lease is valid from the time at which
 // it was sent, however late the answer is.
 func (l *Lease) applyAccepted(a Append) {
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -288,3 +288,54 @@
 	must.False(t, b.MayOrder(1000+Term+testHandover))
 	must.True(t, b.MayOrder(1000+Term+testHandover+driftMargin))
 }
+
+// TestClaimsAreFewInAnOutage has 200 entry VMs find an expired lease while the store refuses
+// or doesn't answer appends. Their appends must not become a storm of their own, and once
+// the store is back, one of them must hold the lease within a second.
+func TestClaimsAreFewInAnOutage(t *testing.T) {
+	const vms, outage = 200, 10 * clock.Second
+	for _, result := range []Result{Refused, Unknown} {
+		t.Run(result.String(), func(t *testing.T) {
+			log := &testLog{}
+			holder := newLease("holder", 1)
+			claimNow(t, log, holder, 0)
+			var others []*Lease
+			for i := range vms {
+				lease := newLease(fmt.Sprint("vm", i), 1)
+				lease.ClaimDelay = clock.Millis(i) * 4
+				log.read(0, lease)
+				others = append(others, lease)
+			}
+			begin := ClaimTimeout
+			appends := 0
+			now := begin
+			for ; now < begin+outage; now += 25 {
+				for _, lease := range others {
+					if due := lease.Due(now); due != nil {
+						appends++
+						if result == Refused {
+							lease.HandleResult(*due, Refused)
+						}
+					}
+				}
+			}
+			// An append every 2 s from each entry VM, and four more before.
+			must.LessEq(t, vms*(int(outage/(2*clock.Second))+4), appends)
+			back := now
+			held := func() bool {
+				for _, lease := range others {
+					if due := lease.Due(now); due != nil {
+						lease.HandleResult(*due, log.append(*due))
+					}
+					if lease.Holds(now) {
+						return true
+					}
+				}
+				return false
+			}
+			for ; !held(); now += 25 {
+				must.Less(t, back+clock.Second, now)
+			}
+		})
+	}
+}
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -90,6 +90,19 @@
 	// renews it.
 	LeaseNext units.Offset `msgpack:"o,omitempty"`
 	Remaining clock.Millis `msgpack:"l,omitempty"`
+	// Address is the placer's peer address.
+	Address string `msgpack:"h,omitempty"`
+	// Members lists the entry VMs that report to the placer. It is empty in most updates.
+	// The next placer sends its updates to them at once, so that also those that can't read
+	// the store learn of it.
+	Members []Member `msgpack:"m,omitempty"`
+}
+
+// Member is an entry VM that reports to a placer.
+type Member struct {
+	ID      units.EntryVMID `msgpack:"i"`
+	Address string          `msgpack:"a"`
+	Region  units.Region    `msgpack:"r,omitempty"`
 }
 
 // ServerPlacement lists the models and copies that one backend server holds, and its
@@ -152,6 +165,11 @@
 	if m.Shard == "" || m.Fence == 0 {
 		return invalid("homes", "shard or fence is missing")
 	}
+	for i := range m.Members {
+		if m.Members[i].ID == "" || m.Members[i].Address == "" {
+			return invalid("homes", "entry VM without id or address")
+		}
+	}
 	for i := range m.Servers {
 		if m.Servers[i].Server == "" {
 			return invalid("homes", "backend server without id")
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -20,14 +20,22 @@
 	configPollTimeout = 800 * clock.Millis(1)
 	// serversReadPeriod is the time between two reads of the backend server list.
 	serversReadPeriod = 900 * time.Millisecond
-	// readRetryDelay follows a failed read.
-	readRetryDelay = 250 * time.Millisecond
+	// readRetryDelay follows a failed read. It doubles with each failure in a row, up to
+	// maxReadRetryDelay, or maxPlacerRetryDelay for an entry VM that relays the feeds.
+	readRetryDelay      = 250 * time.Millisecond
+	maxReadRetryDelay   = 1600 * time.Millisecond
+	maxPlacerRetryDelay = 500 * time.Millisecond
 	// fullReadPeriod is the time between two reads of all entries.
 	fullReadPeriod = 15 * clock.Second
 	// relayTTL is how long a feed counts as up to date after an update relayed by
 	// the placer. It leaves time to read the store within the bound on the age of
 	// configurations.
 	relayTTL = 1700 * clock.Millis(1)
+	// relaySpread is added to relayTTL for each entry VM that reports to the placer, up to
+	// maxRelaySpread, times a share that depends on the entry VM's id. Without updates from
+	// the placer, few read the store first and pass on to the placer what they read.
+	relaySpread    = 10 * clock.Millis(1)
+	maxRelaySpread = clock.Second
 	// relayPollPeriod is the time between two checks of relayTTL.
 	relayPollPeriod = 100 * time.Millisecond
 )
@@ -43,10 +51,10 @@
 	synced bool
 	// relayedAt is the time of the last relayed update without a gap before it.
 	relayedAt clock.Millis
-	// failed (the last read failed) and source (of the last update) are used only
+	// failures (of the last reads in a row) and source (of the last update) are used only
 	// by the goroutine that follows the feed.
-	failed bool
-	source string
+	failures int
+	source   string
 }
 
 // offset returns the offset of the next read.
@@ -56,12 +64,18 @@
 	return f.next
 }
 
-// relayed reports whether f has missed no update and the placer relayed one within
-// relayTTL.
-func (f *feed) relayed(now clock.Millis) bool {
+// relayed reports whether f has missed no update and the placer relayed one within ttl.
+func (f *feed) relayed(now, ttl clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.synced && f.relayedAt > 0 && now < f.relayedAt+relayTTL
+	return f.synced && f.relayedAt > 0 && now < f.relayedAt+ttl
+}
+
+// relayTTL returns how long the feeds count as up to date after a relayed update.
+func (n *Node) relayTTL() clock.Millis {
+	spread := min(clock.Millis(n.members.Load())*relaySpread, maxRelaySpread)
+	share := float64(hashID(units.RequestID(n.settings.ID))>>11) / (1 << 53)
+	return relayTTL + clock.Millis(share*float64(spread))
 }
 
 // follow reads a feed from the store until ctx is done. It pauses while the placer of this
@@ -70,7 +84,7 @@
 // apply returns the records to relay. The error is always nil.
 func (n *Node) follow(ctx context.Context, f *feed, wait clock.Millis, interval time.Duration, apply func(*FeedUpdate) []peer.FeedRecord) error {
 	for ctx.Err() == nil {
-		relayed := !n.relaysFeeds() && f.relayed(n.clock.Now())
+		relayed := !n.relaysFeeds() && f.relayed(n.clock.Now(), n.relayTTL())
 		n.logSource(f, relayed)
 		if relayed {
 			sleep(ctx, relayPollPeriod)
@@ -80,18 +94,41 @@
 		n.meter.StoreRead(string(f.name), err == nil)
 		n.logDependency(ctx, f, err)
 		if err != nil {
-			sleep(ctx, readRetryDelay)
+			sleep(ctx, n.retryDelay(f))
 			continue
 		}
 		changed := apply(update)
-		if n.relaysFeeds() {
-			n.ownPlacer().inputs.Push(relayInput{update: &peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: changed}})
-		}
+		n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: changed})
 		sleep(ctx, interval)
 	}
 	return nil
 }
 
+// retryDelay returns the time to wait after the failed read of a feed.
+func (n *Node) retryDelay(f *feed) time.Duration {
+	longest := maxReadRetryDelay
+	if n.relaysFeeds() {
+		longest = maxPlacerRetryDelay
+	}
+	return min(readRetryDelay<<max(0, min(f.failures-1, 6)), longest)
+}
+
+// passOn passes an update that was read from the store to the subscribers if this entry VM
+// relays the feeds, otherwise to the placer of its region, which may be cut off from the store.
+func (n *Node) passOn(update *peer.FeedUpdate) {
+	p := n.ownPlacer()
+	if n.relaysFeeds() {
+		p.inputs.Push(relayInput{update: update})
+		return
+	}
+	n.mu.Lock()
+	placerUp := n.core.PlacerUp(n.clock.Now(), p.shard)
+	n.mu.Unlock()
+	if holder, address := p.holder(); placerUp && holder != "" && holder != n.settings.ID {
+		n.links.Send(holder, address, update)
+	}
+}
+
 // logSource logs a change of the source of a feed's updates.
 func (n *Node) logSource(f *feed, relayed bool) {
 	if source := sourceOf(relayed); f.source != source {
@@ -152,6 +189,10 @@
 // applyRelayed applies an update that the placer relayed, unless there is a gap before it
 // or the feed must be read in full first.
 func (n *Node) applyRelayed(m *peer.FeedUpdate) {
+	if n.relaysFeeds() {
+		// Another entry VM read it while this one, the placer, did not.
+		n.ownPlacer().inputs.Push(relayInput{update: m})
+	}
 	f, apply := &n.configFeed, n.applyConfig
 	if Feed(m.Feed) == FeedServers {
 		f, apply = &n.serversFeed, n.applyServers
@@ -175,12 +216,15 @@
 		return
 	}
 	switch {
-	case err != nil && !f.failed:
+	case err != nil && f.failures == 0:
 		n.log.Warn("dependency_lost", "dependency", "store", "feed", f.name, "error", err)
-	case err == nil && f.failed:
+	case err == nil && f.failures > 0:
 		n.log.Info("dependency_regained", "dependency", "store", "feed", f.name, "next", f.offset())
 	}
-	f.failed = err != nil
+	f.failures++
+	if err == nil {
+		f.failures = 0
+	}
 }
 
 // applyConfig applies the configuration and the named versions. It returns the records
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -67,6 +67,9 @@
 	// reportNow requests a usage report ahead of its period.
 	reportNow chan struct{}
 
+	// members is the number of entry VMs that report to the placer of the own region.
+	members atomic.Int32
+
 	stopping  atomic.Bool
 	stoppedAt atomic.Int64
 	inFlight  atomic.Int64
@@ -114,6 +117,9 @@
 	n.mu.Lock()
 	n.core.ApplyUpdate(n.clock.Now(), m)
 	n.mu.Unlock()
+	if m.Shard == string(n.settings.Region) {
+		n.members.Store(m.EntryVMs)
+	}
 }
 
 // Run runs the entry VM until ctx is done, a stop requested by Stop has completed or a
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -29,16 +29,22 @@
 	leaseHeld bool
 	// subscribers holds the entry VMs that send usage reports.
 	subscribers map[units.EntryVMID]subscriber
-	// publishedAt is the time of the last placement update for each scope.
-	publishedAt [2]clock.Millis
+	// members are the last Members of the shard's placer.
+	members []peer.Member
+	// publishedAt is the time of the last placement update for each scope, membersSentAt
+	// that of the last one with Members.
+	publishedAt   [2]clock.Millis
+	membersSentAt [2]clock.Millis
 	// loggedAt is the time of the last state log line.
 	loggedAt clock.Millis
 	// fullTo holds the subscribers that have requested a full placement update.
 	fullTo map[units.EntryVMID]bool
 	// readPending is true while a lease read is in flight; nextReadAt is the earliest
-	// time of the next one, by clock.Clock.BootNow.
-	readPending bool
-	nextReadAt  clock.Millis
+	// time of the next one, by clock.Clock.BootNow. readFailures counts the last reads in a
+	// row that failed.
+	readPending  bool
+	nextReadAt   clock.Millis
+	readFailures int
 	// readRequests holds requests to read the lease from an offset on.
 	readRequests chan units.Offset
 	// relaysFeeds is true while the lease is held and the shard is that of this entry
@@ -167,6 +173,11 @@
 	subscriberTTL               = 3 * clock.Second
 	stateLogPeriod              = clock.Second
 	leaseReadPeriod             = 450 * clock.Millis(1)
+	// maxReadBackoff is the number of leaseReadPeriods by which a read is at most delayed
+	// after failed ones.
+	maxReadBackoff = 4
+	// memberListPeriod is the time between two updates with Members.
+	memberListPeriod = 5 * clock.Second
 	// remoteReadDelay is added to leaseReadPeriod for shards of other regions.
 	remoteReadDelay = clock.Second
 	// placerTimeout is the time without a placement update after which the lease is
@@ -287,13 +298,7 @@
 		}
 		p.lease.HandleResult(in.append, in.result)
 	case placementInput:
-		holder := claim.Record{Kind: claim.KindRenew, Holder: in.from}
-		if id, address := p.holder(); id == in.from {
-			holder.Address = address
-		}
-		if holder.Address != "" && in.update.Remaining > 0 {
-			p.lease.ObserveHolder(p.node.clock.BootNow(), holder, in.update.Fence, in.update.LeaseNext, in.update.Remaining)
-		}
+		p.handlePlacement(in)
 	case relayInput:
 		p.relay(in.update)
 	case policyInput:
@@ -329,9 +334,29 @@
 	p.placer.HandleUsage(now, in.from, in.usage)
 }
 
+// handlePlacement handles an update of the shard's placer, which may be one that this entry
+// VM has not found in the store.
+func (p *placerWorker) handlePlacement(in placementInput) {
+	holder := claim.Record{Kind: claim.KindRenew, Holder: in.from, Address: in.update.Address}
+	if id, address := p.holder(); holder.Address == "" && id == in.from {
+		holder.Address = address
+	}
+	if holder.Address != "" && in.update.Remaining > 0 {
+		p.lease.ObserveHolder(p.node.clock.BootNow(), holder, in.update.Fence, in.update.LeaseNext, in.update.Remaining)
+	}
+	if len(in.update.Members) > 0 && in.update.Fence >= p.lease.Fence() {
+		p.members = in.update.Members
+	}
+}
+
 func (p *placerWorker) handleLeaseRead(in leaseInput) {
 	p.readPending = false
 	boot := p.node.clock.BootNow()
+	p.readFailures++
+	if in.err == nil || in.oldest > 0 {
+		p.readFailures = 0
+	}
+	p.nextReadAt += leaseReadPeriod * clock.Millis(min(p.readFailures, maxReadBackoff))
 	switch {
 	case in.oldest > 0:
 		p.lease.Gap(boot, in.oldest)
@@ -374,7 +399,16 @@
 	p.node.log.Info("placer_changed", "shard", p.shard, "placing", holds, "holder", holder, "fence", uint64(p.lease.Fence()), "from_offset", p.lease.Next())
 	if holds {
 		p.placer.Resync(now)
-		clear(p.subscribers)
+		p.subscribeMembers(now)
+	}
+}
+
+// subscribeMembers makes the entry VMs that reported to the last placer subscribers of this
+// one, until they report themselves or subscriberTTL has passed.
+func (p *placerWorker) subscribeMembers(now clock.Millis) {
+	clear(p.subscribers)
+	for _, m := range p.members {
+		p.subscribers[m.ID] = subscriber{address: m.Address, region: m.Region, lastReportAt: now}
 	}
 }
 
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/homes"
+	"mangostile/internal/core/peer"
 	"mangostile/internal/node/links"
 )
 
@@ -36,7 +39,11 @@
 		p.publishFull(scope)
 	}
 	update := p.placer.Update(now, scope, p.shard, p.lease.Fence(), false)
-	update.LeaseNext, update.Remaining = p.lease.Next(), max(0, p.lease.ValidUntil()-p.node.clock.BootNow())
+	p.addLease(update)
+	if now >= p.membersSentAt[scope]+memberListPeriod {
+		p.membersSentAt[scope] = now
+		update.Members = p.memberList()
+	}
 	if scope == p.scopeOf(p.node.settings.Region) {
 		p.node.applyPlacement(update)
 	}
@@ -53,6 +60,22 @@
 	p.node.links.Broadcast(recipients, update)
 }
 
+// addLease adds what the receivers need to know of the lease.
+func (p *placerWorker) addLease(update *peer.PlacementUpdate) {
+	update.Address = p.node.settings.PeerAddress
+	update.LeaseNext, update.Remaining = p.lease.Next(), max(0, p.lease.ValidUntil()-p.node.clock.BootNow())
+}
+
+// memberList returns the subscribers sorted by id.
+func (p *placerWorker) memberList() []peer.Member {
+	list := make([]peer.Member, 0, len(p.subscribers))
+	for id, sub := range p.subscribers {
+		list = append(list, peer.Member{ID: id, Address: sub.address, Region: sub.region})
+	}
+	slices.SortFunc(list, func(a, b peer.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 func (p *placerWorker) scopeOf(region units.Region) homes.Scope {
 	if string(region) == p.shard {
 		return homes.SameRegion
@@ -73,6 +96,8 @@
 // requested one.
 func (p *placerWorker) publishFull(scope homes.Scope) {
 	full := p.placer.Update(p.node.clock.Now(), scope, p.shard, p.lease.Fence(), true)
+	p.addLease(full)
+	full.Members = p.memberList()
 	var recipients []links.Recipient
 	for id := range p.fullTo {
 		sub := p.subscribers[id]
