Let the strongest entry VMs place adapters

Change: an entry VM's capacity follows from its processor share and its link; weaker ones claim up to 2 s later, and a holder hands the lease over to one that is twice as strong. The release record covers orders that are on their way, and no order leaves later than 500 ms after it was planned or after the lease ended, also after a slow dial.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -86,6 +86,8 @@
 	appends  uint32
 	renewAt  clock.Millis
 	released bool
+	// yieldedUntil is the end of the time in which the lease is left to others after Yield.
+	yieldedUntil clock.Millis
 	// The holder reported that its lease ends at reportedUntil unless the partition
 	// grows beyond reportedNext.
 	reportedNext  units.Offset
@@ -255,6 +257,8 @@
 // claimable reports whether the lease may be claimed at now.
 func (l *Lease) claimable(now clock.Millis) bool {
 	switch {
+	case now < l.yieldedUntil:
+		return false
 	case l.last == nil && l.next == 0:
 		return now >= l.grewAt+l.ClaimDelay
 	case l.last != nil && l.last.Holder == l.Self:
@@ -326,6 +330,9 @@
 		l.pending, l.stale = nil, true
 		l.validUntil = 0
 	case Refused:
+		if a.Record.Kind == KindRelease {
+			l.yieldedUntil = 0
+		}
 		l.failed(a)
 	case Unknown:
 		// A read may find the record until appendTimeout has passed.
@@ -361,6 +368,20 @@
 	l.renewAt = a.SentAt + RenewPeriod
 }
 
+// Yield ends the lease in favor of another entry VM and returns the append of the release
+// record, or nil if this entry VM holds no valid lease or the answer to an append is awaited.
+// orderTimeout is how long an order that was sent before may still be on its way. The caller
+// passes the result to HandleResult. If the append is refused, the lease can be claimed again.
+func (l *Lease) Yield(now, orderTimeout clock.Millis) *Append {
+	if !l.Holds(now) || l.pending != nil || l.stale {
+		return nil
+	}
+	l.orderFrom = max(l.orderFrom, now+orderTimeout)
+	l.pending = &Append{At: l.next, Record: l.record(KindRelease, now), SentAt: now}
+	l.validUntil, l.yieldedUntil = 0, now+yieldPause
+	return l.pending
+}
+
 // Release ends the lease and returns the append of the release record, or nil if this
 // entry VM held no valid lease.
 func (l *Lease) Release(now clock.Millis) *Append {
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -186,7 +186,7 @@
 // act makes one entry VM take a random action.
 func (w *world) act(t *rapid.T, i int) {
 	lease, now := w.vms[i], w.now+w.skews[i]
-	switch rapid.SampledFrom([]string{"read", "append", "append", "order", "order", "late", "report", "report", "restart"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"read", "append", "append", "order", "order", "late", "report", "report", "restart", "yield"}).Draw(t, "action") {
 	case "read":
 		w.log.read(now, lease)
 	case "append":
@@ -199,6 +199,8 @@
 		if other := rapid.IntRange(0, len(w.vms)-1).Draw(t, "other"); other != i && lease.Holds(now) {
 			w.reportHolder(lease, now, other)
 		}
+	case "yield":
+		w.yield(t, lease, now)
 	case "late":
 		for _, a := range w.delayed {
 			w.log.append(a)
@@ -217,12 +219,29 @@
 	w.vms[other].ObserveHolder(w.now+w.skews[other], Record{Kind: KindRenew, Holder: holder.Self}, holder.Fence(), holder.Next(), holder.ValidUntil()-now)
 }
 
-func (w *world) append(t *rapid.T, lease *Lease, now clock.Millis) {
-	due := lease.Due(now)
+// testOrderTimeout is how long an order may be on its way.
+const testOrderTimeout = 500 * clock.Millis(1)
+
+// yield hands a lease over while an order of its holder is still on its way.
+func (w *world) yield(t *rapid.T, lease *Lease, now clock.Millis) {
+	mayOrder, fence := lease.MayOrder(now), lease.Fence()
+	due := lease.Yield(now, testOrderTimeout)
 	if due == nil {
 		return
 	}
-	a := *due
+	if mayOrder {
+		w.orders = append(w.orders, order{holder: lease.Self, at: w.now + testOrderTimeout, fence: fence})
+	}
+	w.send(t, lease, *due)
+}
+
+func (w *world) append(t *rapid.T, lease *Lease, now clock.Millis) {
+	if due := lease.Due(now); due != nil {
+		w.send(t, lease, *due)
+	}
+}
+
+func (w *world) send(t *rapid.T, lease *Lease, a Append) {
 	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late", "refused"}).Draw(t, "outcome") {
 	case "answered":
 		lease.HandleResult(a, w.log.append(a))
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"slices"
 
 	"mangostile/internal/base/clock"
@@ -13,6 +14,8 @@
 	// Address is the address at which the sender receives messages.
 	Address string       `msgpack:"a"`
 	Region  units.Region `msgpack:"g,omitempty"`
+	// Capacity is what the sender can carry as a placer, in processor cores, 0 if unknown.
+	Capacity float64 `msgpack:"c,omitempty"`
 	// NeedsFull asks for a full placement update, since the sender missed one.
 	NeedsFull bool `msgpack:"f,omitempty"`
 	// Servers lists the backend servers on which the sender has requests or has had
@@ -103,6 +106,8 @@
 	ID      units.EntryVMID `msgpack:"i"`
 	Address string          `msgpack:"a"`
 	Region  units.Region    `msgpack:"r,omitempty"`
+	// Capacity is that of the member's last usage report.
+	Capacity float64 `msgpack:"c,omitempty"`
 }
 
 // ServerPlacement lists the models and copies that one backend server holds, and its
@@ -147,6 +152,9 @@
 	if m.Shard == "" || m.Address == "" {
 		return invalid("usage", "shard or address is missing")
 	}
+	if math.IsNaN(m.Capacity) || m.Capacity < 0 {
+		return invalid("usage", "capacity is no positive number")
+	}
 	for i := range m.Servers {
 		if m.Servers[i].Active < 0 || m.Servers[i].Prefill < 0 {
 			return invalid("usage", "negative count")
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -31,6 +31,9 @@
 	subscribers map[units.EntryVMID]subscriber
 	// members are the last Members of the shard's placer.
 	members []peer.Member
+	// claimDelay is the part of the lease's ClaimDelay that does not depend on members.
+	claimDelay clock.Millis
+	yielding   claim.Yielding
 	// publishedAt is the time of the last placement update for each scope, membersSentAt
 	// that of the last one with Members.
 	publishedAt   [2]clock.Millis
@@ -83,6 +86,7 @@
 type subscriber struct {
 	address      string
 	region       units.Region
+	capacity     claim.Capacity
 	lastReportAt clock.Millis
 }
 
@@ -178,6 +182,8 @@
 	maxReadBackoff = 4
 	// memberListPeriod is the time between two updates with Members.
 	memberListPeriod = 5 * clock.Second
+	// OrderTimeout bounds a call of Engines.Order: no byte of an order is sent later.
+	OrderTimeout = 500 * clock.Millis(1)
 	// remoteReadDelay is added to leaseReadPeriod for shards of other regions.
 	remoteReadDelay = clock.Second
 	// placerTimeout is the time without a placement update after which the lease is
@@ -199,7 +205,8 @@
 	if shard != string(n.settings.Region) {
 		claimDelay += remoteClaimDelay
 	}
-	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Incarnation: n.incarnation, HandoverInterval: n.settings.HandoverInterval, ClaimDelay: claimDelay}
+	p.claimDelay = claimDelay
+	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Incarnation: n.incarnation, HandoverInterval: n.settings.HandoverInterval}
 	return p
 }
 
@@ -326,7 +333,7 @@
 		return
 	}
 	sub := p.subscribers[in.from]
-	sub.address, sub.region, sub.lastReportAt = in.usage.Address, in.usage.Region, now
+	sub.address, sub.region, sub.capacity, sub.lastReportAt = in.usage.Address, in.usage.Region, claim.Capacity(in.usage.Capacity), now
 	if in.usage.NeedsFull {
 		p.fullTo[in.from] = true
 	}
@@ -371,12 +378,12 @@
 func (p *placerWorker) step(ctx context.Context) {
 	now, boot := p.node.clock.Now(), p.node.clock.BootNow()
 	p.readLease(now, boot)
+	p.lease.ClaimDelay = p.claimDelay + claim.WeakDelay(p.node.settings.Capacity, p.strongestMember())
 	if due := p.lease.Due(boot); due != nil {
-		a := *due
-		go func() {
-			result, err := p.node.system.AppendLease(ctx, p.shard, a)
-			p.inputs.Push(appendInput{append: a, result: result, err: err})
-		}()
+		p.append(ctx, *due)
+	}
+	if p.leaseHeld && p.yielding.Due(now, p.node.settings.Capacity, p.strongestSubscriber()) {
+		p.yield(ctx, boot)
 	}
 	p.storeHolder()
 	p.setLeaseHeld(now, p.lease.Holds(boot))
@@ -387,6 +394,47 @@
 	p.publish(now)
 }
 
+// append makes an append of the lease without waiting for its result.
+func (p *placerWorker) append(ctx context.Context, a claim.Append) {
+	go func() {
+		result, err := p.node.system.AppendLease(ctx, p.shard, a)
+		p.inputs.Push(appendInput{append: a, result: result, err: err})
+	}()
+}
+
+// yield hands the lease over to a stronger entry VM.
+func (p *placerWorker) yield(ctx context.Context, boot clock.Millis) {
+	a := p.lease.Yield(boot, OrderTimeout)
+	if a == nil {
+		return
+	}
+	p.node.log.Info("placer_yielded", "shard", p.shard, "fence", uint64(p.lease.Fence()), "capacity", p.node.settings.Capacity, "strongest", p.strongestSubscriber())
+	p.append(ctx, *a)
+}
+
+// strongestMember returns the highest capacity among this entry VM and the members that the
+// placer of the shard listed last in the shard's region, 0 if it has listed none.
+func (p *placerWorker) strongestMember() claim.Capacity {
+	var strongest claim.Capacity
+	for _, m := range p.members {
+		if p.scopeOf(m.Region) == homes.SameRegion {
+			strongest = max(strongest, claim.Capacity(m.Capacity), p.node.settings.Capacity)
+		}
+	}
+	return strongest
+}
+
+// strongestSubscriber returns the highest capacity among the subscribers in the shard's region.
+func (p *placerWorker) strongestSubscriber() claim.Capacity {
+	var strongest claim.Capacity
+	for _, sub := range p.subscribers {
+		if p.scopeOf(sub.region) == homes.SameRegion {
+			strongest = max(strongest, sub.capacity)
+		}
+	}
+	return strongest
+}
+
 // setLeaseHeld handles the gain and the loss of the lease.
 func (p *placerWorker) setLeaseHeld(now clock.Millis, holds bool) {
 	if holds == p.leaseHeld {
@@ -408,7 +456,7 @@
 func (p *placerWorker) subscribeMembers(now clock.Millis) {
 	clear(p.subscribers)
 	for _, m := range p.members {
-		p.subscribers[m.ID] = subscriber{address: m.Address, region: m.Region, lastReportAt: now}
+		p.subscribers[m.ID] = subscriber{address: m.Address, region: m.Region, capacity: claim.Capacity(m.Capacity), lastReportAt: now}
 	}
 }
 
@@ -453,7 +501,8 @@
 }
 
 func (p *placerWorker) execute(ctx context.Context, plan homes.Plan) {
-	holder := Holder{ID: p.node.settings.ID, Fence: p.lease.Fence(), NotAfter: p.lease.ValidUntil()}
+	boot := p.node.clock.BootNow()
+	holder := Holder{ID: p.node.settings.ID, Fence: p.lease.Fence(), NotAfter: min(p.lease.ValidUntil(), boot+OrderTimeout)}
 	for _, o := range plan.Orders {
 		go func() {
 			result, err := p.node.system.Order(ctx, o, holder)
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -30,6 +30,8 @@
 	MetricsAddress string
 	// MemoryMB bounds the memory of the process; 0 means no limit.
 	MemoryMB int
+	// Capacity is what the entry VM can carry as a placer.
+	Capacity claim.Capacity
 	// Grace is the time from the request to stop until the process is killed.
 	Grace clock.Millis
 	// HandoverInterval is the minimum time between orders of two leaseholders to one
--- a/internal/node/fleet/usage.go
+++ b/internal/node/fleet/usage.go
@@ -61,6 +61,7 @@
 	now := n.clock.Now()
 	usage := n.core.UsageReport(now, p.shard, n.settings.PeerAddress)
 	n.mu.Unlock()
+	usage.Capacity = float64(n.settings.Capacity)
 	if !usage.HasContent() && !p.reportedContent && holder == p.reportedTo && now < p.reportedAt+idleUsagePeriod {
 		return
 	}
