Never go back to an older feed update

Change: an update counts only if it ends where the receiver has read or later. A placer takes updates of others only while its own reads fail, and never full reads.

--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -51,9 +52,9 @@
 	synced bool
 	// relayedAt is the time of the last relayed update without a gap before it.
 	relayedAt clock.Millis
-	// failures (of the last reads in a row) and source (of the last update) are used only
-	// by the goroutine that follows the feed.
-	failures int
+	// failures counts the last reads in a row that failed. Only the goroutine that follows
+	// the feed changes it, and uses source, that of the last update.
+	failures atomic.Int32
 	source   string
 }
 
@@ -97,8 +98,7 @@
 			sleep(ctx, n.retryDelay(f))
 			continue
 		}
-		changed := apply(update)
-		n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: changed})
+		n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: apply(update)}, update.Full)
 		sleep(ctx, interval)
 	}
 	return nil
@@ -110,17 +110,21 @@
 	if n.relaysFeeds() {
 		longest = maxPlacerRetryDelay
 	}
-	return min(readRetryDelay<<max(0, min(f.failures-1, 6)), longest)
+	return min(readRetryDelay<<max(0, min(f.failures.Load()-1, 6)), longest)
 }
 
 // passOn passes an update that was read from the store to the subscribers if this entry VM
 // relays the feeds, otherwise to the placer of its region, which may be cut off from the store.
-func (n *Node) passOn(update *peer.FeedUpdate) {
+// The placer gets no full reads: what changed is relative to the state of this entry VM.
+func (n *Node) passOn(update *peer.FeedUpdate, full bool) {
 	p := n.ownPlacer()
 	if n.relaysFeeds() {
 		p.inputs.Push(relayInput{update: update})
 		return
 	}
+	if full {
+		return
+	}
 	n.mu.Lock()
 	placerUp := n.core.PlacerUp(n.clock.Now(), p.shard)
 	n.mu.Unlock()
@@ -186,28 +190,32 @@
 	return from, update, nil
 }
 
-// applyRelayed applies an update that the placer relayed, unless there is a gap before it
-// or the feed must be read in full first.
+// applyRelayed applies an update that another entry VM has read, unless there is a gap before
+// it, it is older than what was read here, or the feed must be read in full first. A placer
+// takes and relays such updates only while its own reads fail.
 func (n *Node) applyRelayed(m *peer.FeedUpdate) {
-	if n.relaysFeeds() {
-		// Another entry VM read it while this one, the placer, did not.
-		n.ownPlacer().inputs.Push(relayInput{update: m})
-	}
 	f, apply := &n.configFeed, n.applyConfig
 	if Feed(m.Feed) == FeedServers {
 		f, apply = &n.serversFeed, n.applyServers
 	}
+	placer := n.relaysFeeds()
+	if placer && f.failures.Load() == 0 {
+		return
+	}
 	f.mu.Lock()
-	noGap := f.synced && m.From <= f.next
-	isNew := noGap && m.Next > f.next
-	if noGap {
-		f.relayedAt = n.clock.Now()
-		f.next = max(f.next, m.Next)
+	fits := f.synced && m.From <= f.next && m.Next >= f.next
+	isNew := fits && m.Next > f.next
+	if fits {
+		f.relayedAt, f.next = n.clock.Now(), m.Next
 	}
 	f.mu.Unlock()
-	if isNew || noGap && len(m.Records) > 0 {
+	// A full read by the placer may find changes at the same offset.
+	if isNew || fits && len(m.Records) > 0 {
 		apply(n.system.DecodeUpdate(f.name, m.Records))
 	}
+	if placer && fits {
+		n.ownPlacer().inputs.Push(relayInput{update: m})
+	}
 }
 
 // logDependency logs when reads of a feed start to fail and when they succeed again.
@@ -216,14 +224,15 @@
 		return
 	}
 	switch {
-	case err != nil && f.failures == 0:
+	case err != nil && f.failures.Load() == 0:
 		n.log.Warn("dependency_lost", "dependency", "store", "feed", f.name, "error", err)
-	case err == nil && f.failures > 0:
+	case err == nil && f.failures.Load() > 0:
 		n.log.Info("dependency_regained", "dependency", "store", "feed", f.name, "next", f.offset())
 	}
-	f.failures++
 	if err == nil {
-		f.failures = 0
+		f.failures.Store(0)
+	} else {
+		f.failures.Add(1)
 	}
 }
 
