Adapt the limit of loads to what the weight store carries

The store's limit is not published. Change: as in congestion control, the limit grows by one load in the time of a load while it keeps loads back, and shrinks by 15 % when requests find loads late.

--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -15,8 +15,8 @@
 type Policy struct {
 	// AdapterLoad is the time in ms to load an adapter from the weight store.
 	AdapterLoad clock.Millis
-	// LoadsPerServer limits the concurrent loads of the shard to this number for each
-	// backend server; minLoadsInFlight are always allowed.
+	// LoadsPerServer is the limit of concurrent loads of the shard for each backend server
+	// at the start; loadLimit adapts it. minLoadsInFlight are always allowed.
 	LoadsPerServer float64
 	// EvictionGrace is the time in ms after the last use of a copy in which recentUseBonus is
 	// added to its demand when a copy is chosen for eviction. Slots are freed until twice
@@ -232,7 +232,8 @@
 	lastCopyAt clock.Millis
 	// slowness is the factor by which loads take longer than Policy.AdapterLoad, at least
 	// 1.
-	slowness float64
+	slowness  float64
+	loadLimit loadLimit
 }
 
 // announced is the newest announced version of an adapter and the time of its announcement.
@@ -381,6 +382,7 @@
 	case c == nil || c.state == copyLoading && p.now < c.readyAt || c.state != copyReady && c.state != copyLoading:
 	case p.now <= c.readyAt+lateMissWindow && p.now <= c.dueAt+lateLoadWindow:
 		p.slowness = min(maxSlowness, p.slowness*slowdownFactor)
+		p.loadLimit.late(p.now)
 		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
 	default:
 		s.synced = false
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -47,6 +47,7 @@
 			if c.state == copyLoading && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
 				p.slowness = max(1, p.slowness*recoveryFactor)
+				p.loadLimit.finished(p.now)
 			}
 		}
 	}
@@ -84,7 +85,7 @@
 }
 
 func (p *Placer) maxLoadsInFlight() float64 {
-	return max(minLoadsInFlight, p.policy.LoadsPerServer*float64(len(p.servers)))
+	return p.loadLimit.current(max(minLoadsInFlight, p.policy.LoadsPerServer*float64(len(p.servers))))
 }
 
 // send adds an order to s to the plan.
@@ -106,6 +107,7 @@
 			continue
 		}
 		if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
+			p.loadLimit.bound(p.now)
 			return
 		}
 		p.place(plan, w.Adapter, nil, "wanted")
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -123,5 +123,5 @@
 	st := p.placer.State()
 	p.node.log.Info("placer_state", "shard", p.shard, "fence", uint64(p.lease.Fence()), "servers", st.Servers, "synced", st.Synced,
 		"ready", st.Ready, "idle", st.Idle, "loading", st.Loading, "retired", st.Retired, "unloading", st.Unloading,
-		"wants", st.LoadRequests, "waiting", st.Waiting, "loads_in_flight", st.InFlight, "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers))
+		"wants", st.LoadRequests, "waiting", st.Waiting, "loads_in_flight", st.InFlight, "load_limit", math.Round(st.LoadLimit), "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers))
 }
