Make a placer's step cheap while many load requests wait

Change: one index a step of served and retired adapters and of slots; the loads in flight are counted again only after an order; the least time between steps grows with the subscribers (50 us for each).

--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -12,12 +12,13 @@
 	var best *server
 	var bestVictim units.AdapterName
 	bestScore := 0.0
-	for _, id := range p.order {
-		s := p.servers[id]
-		if s == exclude || !s.usable(p.now) || !s.models[model] || s.copies[adapter] != nil || s.loading(p.now) >= maxLoadsPerServer {
+	slots := p.index().slots
+	for i := range slots {
+		s := slots[i].server
+		if s == exclude || s.orderPending || !s.models[model] || s.copies[adapter] != nil {
 			continue
 		}
-		victim, victimDemand, ok := p.findSlot(s, adapter)
+		victim, victimDemand, ok := p.findSlot(&slots[i], adapter)
 		if !ok {
 			continue
 		}
@@ -36,6 +37,7 @@
 		p.send(plan, best, Order{Kind: OrderUnload, Model: topo.ModelOf(bestVictim), Adapter: bestVictim, Reason: "makes room for " + string(adapter)})
 		return true
 	}
+	p.step.served[adapter] = true
 	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.policy.AdapterLoad, usedAt: p.now}
 	p.send(plan, best, Order{Kind: OrderLoad, Model: model, Adapter: adapter, Revision: p.newestRevision(adapter), Reason: reason})
 	return true
@@ -58,23 +60,18 @@
 	prefillPerRequest = 2000
 )
 
-// findSlot finds an adapter slot for an adapter at s: a free one, or that of the retired
-// copy with the least demand, which is victim; copies in use or retired less than
-// unloadDelay ago are excluded. demand is the demand for victim.
-func (p *Placer) findSlot(s *server, adapter units.AdapterName) (victim units.AdapterName, demand float64, ok bool) {
-	if len(s.copies) < s.engine.AdapterSlots && p.fits(s, adapter) {
+// findSlot finds an adapter slot for an adapter: a free one, or that of victim, for which the
+// demand is demand.
+func (p *Placer) findSlot(slot *slot, adapter units.AdapterName) (victim units.AdapterName, demand float64, ok bool) {
+	s := slot.server
+	if slot.free && p.fits(s, adapter) {
 		return "", 0, true
 	}
-	for _, name := range sortedCopies(s) {
-		c := s.copies[name]
-		if c.state != copyRetired || c.active > 0 || p.now < c.retiredAt+unloadDelay {
-			continue
-		}
-		if m := p.demand.get(p.now, name); !ok || m < demand {
-			victim, demand, ok = name, m, true
-		}
+	if slot.victim != "" && !p.isVictim(s.copies[slot.victim]) {
+		// It was made ready again earlier in the step.
+		slot.victim, slot.demand = p.victim(s)
 	}
-	return victim, demand, ok
+	return slot.victim, slot.demand, slot.victim != ""
 }
 
 // fits reports whether s has memory for the weights of one more adapter.
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -234,6 +234,7 @@
 	// 1.
 	slowness  float64
 	loadLimit loadLimit
+	step      stepIndex
 }
 
 // announced is the newest announced version of an adapter and the time of its announcement.
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -26,6 +26,7 @@
 	p.now = max(p.now, now)
 	p.aggregateUsage()
 	p.advance()
+	p.step.built = false
 	var plan Plan
 	p.requestReports(&plan)
 	if mayOrder {
@@ -99,6 +100,7 @@
 // deadline can still be met. With the oldest first, all would be late once more adapters
 // are requested than can be loaded.
 func (p *Placer) serveLoadRequests(plan *Plan) {
+	inFlight := p.loadsInFlight()
 	for _, w := range p.sortedLoadRequests() {
 		if w.Count == 0 && p.demand.get(p.now, w.Adapter) < minDemandToLoad {
 			continue
@@ -106,11 +108,13 @@
 		if p.hasUsableCopy(w.Adapter) || p.revive(w.Adapter) {
 			continue
 		}
-		if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
+		if float64(inFlight) >= p.maxLoadsInFlight() {
 			p.loadLimit.bound(p.now)
 			return
 		}
-		p.place(plan, w.Adapter, nil, "wanted")
+		if p.place(plan, w.Adapter, nil, "wanted") {
+			inFlight = p.loadsInFlight()
+		}
 	}
 }
 
@@ -149,32 +153,17 @@
 func (p *Placer) inTime(w *loadRequest) bool { return p.now+p.policy.AdapterLoad <= w.loadDeadline }
 
 // hasUsableCopy reports whether an adapter has a copy that can be used now or once loaded.
-func (p *Placer) hasUsableCopy(adapter units.AdapterName) bool {
-	for _, s := range p.servers {
-		if s.down {
-			continue
-		}
-		c := s.copies[adapter]
-		if c != nil && !s.Draining && s.Remaining == 0 && (c.state == copyReady || c.state == copyLoading) && !p.isOld(adapter, c) {
-			return true
-		}
-		if s.orderPending && c != nil && c.state == copyLoading {
-			return true
-		}
-	}
-	return false
-}
+func (p *Placer) hasUsableCopy(adapter units.AdapterName) bool { return p.index().served[adapter] }
 
 // revive makes a retired copy of an adapter ready again and reports whether there was one.
 func (p *Placer) revive(adapter units.AdapterName) bool {
-	for _, id := range p.order {
-		s := p.servers[id]
-		c := s.copies[adapter]
-		if c != nil && c.state == copyRetired && !s.orderPending && !p.isOld(adapter, c) && s.usable(p.now) {
-			c.state, c.usedAt = copyReady, p.now
-			s.markChanged()
-			return true
-		}
+	s := p.index().retired[adapter]
+	if s == nil || s.orderPending {
+		return false
 	}
-	return false
+	c := s.copies[adapter]
+	c.state, c.usedAt = copyReady, p.now
+	p.step.served[adapter] = true
+	s.markChanged()
+	return true
 }
--- /dev/null
+++ b/internal/core/homes/stepindex.go
@@ -0,0 +1,81 @@
+package homes
+
+import "mangostile/internal/base/units"
+
+// stepIndex holds what one step looks up for each of many load requests, so that its cost does
+// not grow with requests times backend servers. It is built at most once in a step; orders
+// that the step adds make single entries outdated, which their users check.
+type stepIndex struct {
+	built bool
+	// served holds the adapters with a copy that can be used now or once loaded.
+	served map[units.AdapterName]bool
+	// retired maps adapters to the first backend server with a retired copy that can be
+	// made ready again.
+	retired map[units.AdapterName]*server
+	slots   []slot
+}
+
+// slot is a backend server to which a load or an unload can be ordered.
+type slot struct {
+	server *server
+	// free reports that an adapter slot is free. Otherwise victim is the retired copy with
+	// the least demand, empty if there is none that can be unloaded.
+	free   bool
+	victim units.AdapterName
+	demand float64
+}
+
+// index returns the index of the current step.
+func (p *Placer) index() *stepIndex {
+	if p.step.built {
+		return &p.step
+	}
+	p.step = stepIndex{built: true, served: map[units.AdapterName]bool{}, retired: map[units.AdapterName]*server{}, slots: p.step.slots[:0]}
+	for _, id := range p.order {
+		s := p.servers[id]
+		if s.down {
+			continue
+		}
+		for adapter, c := range s.copies {
+			p.indexCopy(s, adapter, c)
+		}
+		if s.usable(p.now) && s.loading(p.now) < maxLoadsPerServer {
+			victim, demand := p.victim(s)
+			free := len(s.copies) < s.engine.AdapterSlots
+			if free || victim != "" {
+				p.step.slots = append(p.step.slots, slot{server: s, free: free, victim: victim, demand: demand})
+			}
+		}
+	}
+	return &p.step
+}
+
+func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
+	switch {
+	case s.orderPending && c.state == copyLoading:
+		p.step.served[adapter] = true
+	case p.isOld(adapter, c) || s.Draining || s.Remaining != 0:
+	case c.state == copyReady || c.state == copyLoading:
+		p.step.served[adapter] = true
+	case c.state == copyRetired && s.usable(p.now) && p.step.retired[adapter] == nil:
+		p.step.retired[adapter] = s
+	}
+}
+
+// victim returns the retired copy with the least demand at s that may be unloaded, and that
+// demand. Copies in use or retired less than unloadDelay ago are excluded.
+func (p *Placer) victim(s *server) (victim units.AdapterName, demand float64) {
+	for name, c := range s.copies {
+		if !p.isVictim(c) {
+			continue
+		}
+		if m := p.demand.get(p.now, name); victim == "" || m < demand || m == demand && name < victim {
+			victim, demand = name, m
+		}
+	}
+	return victim, demand
+}
+
+func (p *Placer) isVictim(c *heldCopy) bool {
+	return c != nil && c.state == copyRetired && c.active == 0 && p.now >= c.retiredAt+unloadDelay
+}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -165,6 +165,9 @@
 	// input causes, so that a placer with many subscribers handles several reports in
 	// one step.
 	minStepInterval = 3 * time.Millisecond
+	// stepIntervalPerSubscriber is added to minStepInterval for each subscriber: a step sums
+	// up the usage of all.
+	stepIntervalPerSubscriber = 50 * time.Microsecond
 	// Placement updates: the period of those with loads and the minimum interval
 	// between those with changed copies, in the own region and to other regions.
 	loadUpdatePeriod        = 250 * clock.Millis(1)
@@ -242,7 +245,8 @@
 				return nil
 			}
 			p.handle(in)
-			if wait := minStepInterval - time.Since(steppedAt); wait > 0 {
+			interval := minStepInterval + time.Duration(len(p.subscribers))*stepIntervalPerSubscriber
+			if wait := interval - time.Since(steppedAt); wait > 0 {
 				if due == nil {
 					due = time.After(wait)
 				}
