Count the earlier owner's loads, and don't blame adapters for full engines

Change: loads in a server's report take slots; a refusal for lack of a slot is a kind of result of its own, which delays the next load until a report can show the slots and counts against no adapter. The two new tests of the owner fail without the change.

--- a/internal/core/event/server.go
+++ b/internal/core/event/server.go
@@ -88,6 +88,9 @@
 	OrderFenced
 	// OrderRefused means that the engine refused the order for another reason.
 	OrderRefused
+	// OrderNoSlot means that the engine refused a load since all its adapter slots are taken,
+	// which says nothing about the adapter.
+	OrderNoSlot
 	// OrderLost means that no answer was received: the order may still be executed.
 	OrderLost
 	// OrderNotSent means that no byte of the order was sent.
@@ -103,6 +106,8 @@
 		return "fenced"
 	case OrderRefused:
 		return "refused"
+	case OrderNoSlot:
+		return "no_slot"
 	case OrderLost:
 		return "lost"
 	case OrderNotSent:
--- a/internal/core/owner/desired.go
+++ b/internal/core/owner/desired.go
@@ -40,7 +40,7 @@
 		if s == nil || s.copies[wanted.Adapter] != nil || !s.canLoad(now) || o.Failures.InBackoff(now, wanted.Adapter) {
 			continue
 		}
-		if len(s.copies) >= s.slots() && !o.yields(now, s, wanted.Pinned) {
+		if s.takenSlots() >= s.slots() && !o.yields(now, s, wanted.Pinned) {
 			continue
 		}
 		o.startLoad(now, loadCandidate{s, wanted.Adapter}, "wanted", out)
--- a/internal/core/owner/load.go
+++ b/internal/core/owner/load.go
@@ -54,7 +54,9 @@
 
 // loadFailed removes the copy. The requests for it keep waiting for the next attempt
 // until engines have refused the version too often. A later report adds the copy again
-// if a lost order was executed after all.
+// if a lost order was executed after all. An engine without a free slot gets no further
+// load before RetryPeriod: an earlier owner's loads may have taken the slots, and a report
+// shows them by then.
 func (o *Owner) loadFailed(now clock.Millis, s *server, ev event.OrderDone, out *event.Effects) {
 	av := ev.Order.Adapter
 	delete(s.copies, av)
@@ -149,7 +151,7 @@
 // hasCapacity reports whether an adapter could be loaded now, if necessary after an
 // eviction.
 func (s *server) hasCapacity(now clock.Millis) bool {
-	if len(s.copies) < s.slots() {
+	if s.takenSlots() < s.slots() {
 		return true
 	}
 	for _, c := range s.copies {
@@ -166,7 +168,7 @@
 // evictable: without either nothing happens, and the loop in startLoads wouldn't end.
 func (o *Owner) startLoad(now clock.Millis, load loadCandidate, reason string, out *event.Effects) {
 	s, av := load.server, load.adapter
-	if len(s.copies) >= s.slots() {
+	if s.takenSlots() >= s.slots() {
 		o.evictOne(now, s, av, out)
 		return
 	}
@@ -213,7 +215,7 @@
 // spare returns the value of the next victim for the summary, on the scale of
 // place.RateSteps: 0 if a slot is free, 255 if nothing can be evicted.
 func (o *Owner) spare(now clock.Millis, s *server) uint8 {
-	if len(s.copies) < s.slots() {
+	if s.takenSlots() < s.slots() {
 		return 0
 	}
 	victim, ok := o.victim(now, s)
@@ -281,7 +283,7 @@
 	var best *server
 	bestFree := 0
 	for _, s := range o.order {
-		free := s.slots() - len(s.copies)
+		free := s.slots() - s.takenSlots()
 		if s.canLoad(now) && free > bestFree {
 			best, bestFree = s, free
 		}
--- a/internal/core/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -29,6 +29,8 @@
 	fence units.Fence
 	// resident holds the adapters that the engine has loaded, fence its fencing number.
 	resident map[units.AdapterVersion]bool
+	// loading holds the loads that an earlier owner has ordered.
+	loading []units.AdapterVersion
 	// running holds the requests that run on the engine.
 	running      map[units.RequestID]execution
 	orders       []event.OrderServer
@@ -74,7 +76,7 @@
 }
 
 func (h *harness) report() {
-	report := event.ServerReport{Start: "1", Ready: true, Fence: h.fence, Slots: 2, BatchMax: 3}
+	report := event.ServerReport{Start: "1", Ready: true, Fence: h.fence, Slots: 2, BatchMax: 3, Loading: h.loading}
 	for n := range 6 {
 		if av := version(n); h.resident[av] {
 			report.Resident = append(report.Resident, event.ResidentAdapter{AdapterVersion: av, Running: int32(h.runningOn(av))})
@@ -103,7 +105,7 @@
 	switch {
 	case h.now >= order.Order.NotAfter:
 		kind = event.OrderNotSent
-	case kind == event.OrderRefused:
+	case kind == event.OrderRefused || kind == event.OrderNoSlot:
 	case order.Order.Kind == event.OrderClaim:
 		h.fence = order.Order.Fence
 	case order.Order.Kind == event.OrderUnload:
@@ -287,3 +289,36 @@
 		must.Between(t, 2, orders, 3)
 	}
 }
+
+// TestLoadsOfEarlierOwnerTakeSlots takes over an engine while loads of its earlier owner are in
+// flight. They take slots that the new owner must not order loads for.
+func TestLoadsOfEarlierOwnerTakeSlots(t *testing.T) {
+	h := newHarness(t)
+	h.loading = []units.AdapterVersion{version(4), version(5)}
+	h.report()
+	h.requestGrant(1)
+	must.SliceEmpty(t, h.orders)
+	h.loading = h.loading[:1]
+	h.report()
+	must.SliceLen(t, 1, h.orders)
+	must.Eq(t, version(1), h.orders[0].Order.Adapter)
+}
+
+// TestFullEngineIsNotTheAdaptersFault has an engine refuse loads for lack of a slot. The
+// adapters must not be given up for it, and the next load must wait for a report.
+func TestFullEngineIsNotTheAdaptersFault(t *testing.T) {
+	h := newHarness(t)
+	h.requestGrant(1)
+	for range 2 * place.OpenAfter {
+		must.SliceLen(t, 1, h.orders)
+		h.deliverOrder(0, event.OrderNoSlot)
+		must.SliceEmpty(t, h.orders, must.Sprint("a load follows at once"))
+		h.now += RetryPeriod
+		h.report()
+	}
+	must.False(t, h.owner.Failures.InBackoff(h.now, version(1)))
+	must.SliceEmpty(t, h.replies)
+	must.SliceLen(t, 1, h.orders)
+	h.deliverOrder(0, event.OrderAccepted)
+	must.SliceLen(t, 1, h.replies)
+}
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -131,7 +131,8 @@
 	// unloading counts the unload orders in flight.
 	unloading int
 	// retryAt is the time before which nothing is loaded or evicted, after a load order
-	// that was neither accepted nor refused or an unload order that was not accepted.
+	// that was neither accepted nor refused for the adapter's sake, or an unload order that
+	// was not accepted.
 	retryAt clock.Millis
 	// loadBlocked is set if a load found no free slot and no evictable copy; the release
 	// of a grant may then let it start.
@@ -158,6 +159,18 @@
 	return int(s.spec.Slots)
 }
 
+// takenSlots returns the number of adapter slots that are in use: those of the known copies
+// and of loads in flight that another owner has ordered.
+func (s *server) takenSlots() int {
+	n := len(s.copies)
+	for _, av := range s.report.Loading {
+		if s.copies[av] == nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *server) batchMax() int {
 	if s.report.BatchMax > 0 {
 		return int(s.report.BatchMax)
--- a/internal/plat/system/real_system.go
+++ b/internal/plat/system/real_system.go
@@ -132,9 +132,15 @@
 			result.Fence = reply.Fence
 		}
 	}
+	if status.code() == codeNoSlot {
+		result.Kind = event.OrderNoSlot
+	}
 	return result
 }
 
+// codeNoSlot is the code with which an engine refuses a load if all its slots are taken.
+const codeNoSlot = "no_slot"
+
 // ReportServer implements System.
 func (s *RealSystem) ReportServer(ctx context.Context, address string) (event.ServerReport, error) {
 	var report event.ServerReport
@@ -153,6 +159,19 @@
 	return fmt.Sprintf("status %d: %s", e.Status, e.Text)
 }
 
+// code returns the error code in the body, empty if it has none.
+func (e *StatusError) code() string {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if json.Unmarshal([]byte(e.Text), &body) != nil {
+		return ""
+	}
+	return body.Error.Code
+}
+
 // call performs one HTTP exchange with JSON bodies, without retries. If ctx is done first,
 // call returns and the exchange continues in the background until its deadline.
 func (s *RealSystem) call(ctx context.Context, method, address, path string, body, reply any, timeout clock.Millis) error {
