Publish loads beside changes, and bound their bytes

Cause: loads of servers were sent only in an update that followed 250 ms without one. At 300 entry VMs before 3,000 servers the same loads were the most of 12.7 MB/s of the placer. Change: loads have a period of their own, which grows with the bytes they take: 1 MB/s for a placer of 0.4 cores or more, less for a weaker one.

--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -38,6 +38,7 @@
 	// that of the last one with Members.
 	publishedAt   [2]clock.Millis
 	membersSentAt [2]clock.Millis
+	pacing        [2]homes.Pacing
 	// loggedAt is the time of the last state log line.
 	loggedAt clock.Millis
 	// fullTo holds the subscribers that have requested a full placement update.
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -22,16 +22,17 @@
 	p.publishTo(now, homes.OtherRegions, max(remoteMinChangeInterval, spacing), remoteLoadUpdatePeriod)
 }
 
-// publishTo sends placement updates to the subscribers in a scope: loads once per
-// period, changed copies once minInterval has passed since the last update. It removes
-// subscribers without a usage report within subscriberTTL.
+// publishTo sends placement updates to the subscribers in a scope: loads once per period, or
+// less often if they are many, changed copies once minInterval has passed since the last
+// update. Changes don't put off the loads: in a large shard there are always some. It
+// removes subscribers without a usage report within subscriberTTL.
 func (p *placerWorker) publishTo(now clock.Millis, scope homes.Scope, minInterval, period clock.Millis) {
 	since := now - p.publishedAt[scope]
-	needsFull := p.needsFull(scope)
-	if since < minInterval || since < period && !p.placer.Changed(scope) && !needsFull {
+	needsFull, loads := p.needsFull(scope), p.pacing[scope].Due(now)
+	if since < minInterval || since < period && !loads && !needsFull && !p.placer.Changed(scope) {
 		return
 	}
-	if since >= period {
+	if loads {
 		p.placer.IncludeLoads(scope)
 	}
 	p.publishedAt[scope] = now
@@ -58,6 +59,9 @@
 		}
 	}
 	p.node.links.Broadcast(recipients, update)
+	if loads {
+		p.pacing[scope].Sent(now, len(update.Servers), len(recipients), float64(p.node.settings.Capacity), period)
+	}
 }
 
 // addLease adds what the receivers need to know of the lease.
