Recover from panics at one place, without a held lock

Cause: nothing recovered in the goroutines for messages of other entry VMs, feeds, orders, reports and the lease, so one malformed message or record could end the process; a panic in the core, which the HTTP server recovers, left its lock held and the process hanging. Change: guard logs panic_recovered and goes on; a call that panicked counts as one without a known result; after a failed step the placer asks all servers for reports anew. The core is used through withCore, which always frees its lock, and an attempt that panics is taken back.

--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -9,7 +9,9 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/choose"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
 
 	"github.com/pkg/errors"
 )
@@ -91,14 +93,19 @@
 			sleep(ctx, relayPollPeriod)
 			continue
 		}
-		from, update, err := n.readFeed(ctx, f, wait)
+		var from units.Offset
+		var update *FeedUpdate
+		err := errPanic
+		n.guard("read of feed "+string(f.name), func() { from, update, err = n.readFeed(ctx, f, wait) })
 		n.meter.StoreRead(string(f.name), err == nil)
 		n.logDependency(ctx, f, err)
 		if err != nil {
 			sleep(ctx, n.retryDelay(f))
 			continue
 		}
-		n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: apply(update)}, update.Full)
+		n.guard("feed "+string(f.name), func() {
+			n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: apply(update)}, update.Full)
+		})
 		sleep(ctx, interval)
 	}
 	return nil
@@ -125,9 +132,8 @@
 	if full {
 		return
 	}
-	n.mu.Lock()
-	placerUp := n.core.PlacerUp(n.clock.Now(), p.shard)
-	n.mu.Unlock()
+	var placerUp bool
+	n.withCore(func(core *choose.Core) { placerUp = core.PlacerUp(n.clock.Now(), p.shard) })
 	if holder, address := p.holder(); placerUp && holder != "" && holder != n.settings.ID {
 		n.links.Send(holder, address, update)
 	}
@@ -240,12 +246,13 @@
 // to relay.
 func (n *Node) applyConfig(update *FeedUpdate) []peer.FeedRecord {
 	now := n.clock.Now()
-	n.mu.Lock()
-	changed := update.Config != nil && n.core.SetConfig(update.Config)
-	for _, v := range update.Versions {
-		n.core.Announce(now, v.Adapter, v.Revision)
-	}
-	n.mu.Unlock()
+	changed := false
+	n.withCore(func(core *choose.Core) {
+		changed = update.Config != nil && core.SetConfig(update.Config)
+		for _, v := range update.Versions {
+			core.Announce(now, v.Adapter, v.Revision)
+		}
+	})
 	if changed {
 		n.config.Store(update.Config)
 		n.meter.SetConfigVersion(update.Config.Version)
@@ -288,11 +295,13 @@
 // applyServers applies the list of backend servers. It returns the records to relay:
 // only those that changed, since most only report that a backend server is alive.
 func (n *Node) applyServers(update *FeedUpdate) []peer.FeedRecord {
-	n.mu.Lock()
-	changed := n.mergeServers(update)
-	n.core.SetServers(n.servers.All())
-	count := n.servers.Len()
-	n.mu.Unlock()
+	var changed map[units.BackendServerID]bool
+	var count int
+	n.withCore(func(core *choose.Core) {
+		changed = n.mergeServers(update)
+		core.SetServers(n.servers.All())
+		count = n.servers.Len()
+	})
 	if len(changed) > 0 {
 		n.log.Info("servers_changed", "count", count, "changed", len(changed), "whole", update.Full, "dropped", len(update.Removed), "passed_over", update.Skipped)
 	}
@@ -331,11 +340,12 @@
 // propagateUpdate hands a new configuration or server list to the placer workers and
 // marks the entry VM as ready once it has a configuration and a backend server.
 func (n *Node) propagateUpdate() {
-	n.mu.Lock()
-	ready := n.core.Ready(n.clock.Now())
-	cfg := n.core.Config()
-	servers := n.servers.All()
-	n.mu.Unlock()
+	var ready bool
+	var cfg *topo.Config
+	var servers []*topo.Server
+	n.withCore(func(core *choose.Core) {
+		ready, cfg, servers = core.Ready(n.clock.Now()), core.Config(), n.servers.All()
+	})
 	if ready && !n.ready.Swap(true) {
 		n.log.Info("entry_vm_ready", "entry_vm", n.settings.ID)
 	}
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -27,9 +27,7 @@
 // is left, and answers the caller.
 func (c *exchange) serve() {
 	n := c.node
-	n.mu.Lock()
-	n.core.Arrived(c.arrived, c.req.Service)
-	n.mu.Unlock()
+	n.withCore(func(core *choose.Core) { core.Arrived(c.arrived, c.req.Service) })
 	remaining := (c.req.Deadline - n.clock.Now()).Duration()
 	parent := c.r.Context()
 	if c.route.Kind == topo.KindOnce {
@@ -40,9 +38,8 @@
 	defer cancel()
 	for len(c.req.Tried) <= maxSends {
 		c.req.Started = c.started
-		n.mu.Lock()
-		choice := n.core.Choose(n.clock.Now(), &c.req)
-		n.mu.Unlock()
+		var choice choose.Choice
+		n.withCore(func(core *choose.Core) { choice = core.Choose(n.clock.Now(), &c.req) })
 		switch choice := choice.(type) {
 		case choose.Send:
 			if c.send(ctx, choice) {
@@ -87,9 +84,7 @@
 		return false
 	}
 	n := c.node
-	n.mu.Lock()
-	n.core.Abandoned(&c.req)
-	n.mu.Unlock()
+	n.withCore(func(core *choose.Core) { core.Abandoned(&c.req) })
 	if c.r.Context().Err() != nil {
 		c.abort()
 	}
@@ -131,10 +126,7 @@
 	ctx, cancel := c.attemptContext(ctx)
 	defer cancel()
 	a := attempt{exchange: c, to: to, ctx: ctx}
-	end, over := a.run()
-	n.mu.Lock()
-	n.core.Ended(n.clock.Now(), &c.req, to.Server, a.hasAnswer, end)
-	n.mu.Unlock()
+	end, over := a.runCounted()
 	n.meter.AttemptEnded(end.String())
 	if a.hasAnswer && c.req.Sends == 1 {
 		n.meter.LoadWait((sentAt - c.arrived).Duration())
@@ -188,6 +180,15 @@
 	mayHaveRun bool
 }
 
+// runCounted makes the attempt and tells the core how it ended, also if it panics.
+func (a *attempt) runCounted() (end choose.End, over bool) {
+	end = choose.EndCanceled
+	defer func() {
+		a.node.withCore(func(core *choose.Core) { core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end) })
+	}()
+	return a.run()
+}
+
 // useless returns why the request should not be sent any more, or an empty string. Opening
 // the connection, or a stop of the process, may have taken longer than the caller waits.
 func (a *attempt) useless() string {
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -90,6 +90,7 @@
 func (n *Node) handle(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	defer n.guardRequest()
 	c := &exchange{node: n, w: w, r: r, arrived: n.clock.Now()}
 	c.conn, _ = r.Context().Value(callerConnKey{}).(*callerConn)
 	if n.stopping.Load() {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -95,8 +95,13 @@
 }
 
 // received handles a message of another entry VM. It reports false if the message was
-// dropped because the placer worker's queue is full.
-func (n *Node) received(ev event.PeerReceived) bool {
+// dropped because the placer worker's queue is full or handling it failed.
+func (n *Node) received(ev event.PeerReceived) (handled bool) {
+	n.guard("message of "+string(ev.From), func() { handled = n.handleMessage(ev) })
+	return handled
+}
+
+func (n *Node) handleMessage(ev event.PeerReceived) bool {
 	switch m := ev.Message.(type) {
 	case *peer.UsageReport:
 		if p := n.placers[m.Shard]; p != nil {
@@ -114,9 +119,7 @@
 }
 
 func (n *Node) applyPlacement(m *peer.PlacementUpdate) {
-	n.mu.Lock()
-	n.core.ApplyUpdate(n.clock.Now(), m)
-	n.mu.Unlock()
+	n.withCore(func(core *choose.Core) { core.ApplyUpdate(n.clock.Now(), m) })
 	if m.Shard == string(n.settings.Region) {
 		n.members.Store(m.EntryVMs)
 	}
@@ -203,9 +206,7 @@
 // Reload applies the policies and the handover interval of new settings. Addresses and
 // names stay fixed until the process ends.
 func (n *Node) Reload(s Settings) {
-	n.mu.Lock()
-	n.core.SetPolicy(s.Choose)
-	n.mu.Unlock()
+	n.withCore(func(core *choose.Core) { core.SetPolicy(s.Choose) })
 	for _, p := range n.placers {
 		p.inputs.Push(policyInput{policy: s.Homes, handoverInterval: s.HandoverInterval})
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -8,6 +8,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/ring"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/homes"
 	"mangostile/internal/core/peer"
@@ -245,7 +246,7 @@
 				p.release()
 				return nil
 			}
-			p.handle(in)
+			p.node.guard("placer input", func() { p.handle(in) })
 			interval := minStepInterval + time.Duration(len(p.subscribers))*stepIntervalPerSubscriber
 			if wait := interval - time.Since(steppedAt); wait > 0 {
 				if due == nil {
@@ -257,7 +258,10 @@
 		case <-ticker.C:
 		}
 		due, steppedAt = nil, time.Now()
-		p.step(ctx)
+		if !p.node.guard("placer step", func() { p.step(ctx) }) {
+			// What the placer knows of the servers may be half changed.
+			p.placer.Resync(p.node.clock.Now())
+		}
 	}
 }
 
@@ -402,8 +406,9 @@
 // append makes an append of the lease without waiting for its result.
 func (p *placerWorker) append(ctx context.Context, a claim.Append) {
 	go func() {
-		result, err := p.node.system.AppendLease(ctx, p.shard, a)
-		p.inputs.Push(appendInput{append: a, result: result, err: err})
+		in := appendInput{append: a, result: claim.Unknown}
+		p.node.guard("lease append", func() { in.result, in.err = p.node.system.AppendLease(ctx, p.shard, a) })
+		p.inputs.Push(in)
 	}()
 }
 
@@ -469,9 +474,8 @@
 // or the lease must be read before an append. The leaseholder itself requests one only
 // while the result of an append is pending.
 func (p *placerWorker) readLease(now, boot clock.Millis) {
-	p.node.mu.Lock()
-	lastUpdateAt := p.node.core.LastUpdateAt(p.shard)
-	p.node.mu.Unlock()
+	var lastUpdateAt clock.Millis
+	p.node.withCore(func(core *choose.Core) { lastUpdateAt = core.LastUpdateAt(p.shard) })
 	noUpdate := now >= lastUpdateAt+placerTimeout || p.lease.Stale()
 	if p.readPending || boot < p.nextReadAt || !noUpdate || p.lease.Holds(boot) && !p.lease.Pending() {
 		return
@@ -494,10 +498,10 @@
 		case <-ctx.Done():
 			return nil
 		case from := <-p.readRequests:
-			records, err := p.node.system.ReadLease(ctx, p.shard, from)
-			in := leaseInput{records: records, err: err}
+			in := leaseInput{err: errPanic}
+			p.node.guard("lease read", func() { in.records, in.err = p.node.system.ReadLease(ctx, p.shard, from) })
 			var expired *ExpiredError
-			if errors.As(err, &expired) {
+			if errors.As(in.err, &expired) {
 				in.oldest = expired.Oldest
 			}
 			p.inputs.Push(in)
@@ -510,17 +514,22 @@
 	holder := Holder{ID: p.node.settings.ID, Fence: p.lease.Fence(), NotAfter: min(p.lease.ValidUntil(), boot+OrderTimeout)}
 	for _, o := range plan.Orders {
 		go func() {
-			result, err := p.node.system.Order(ctx, o, holder)
-			p.inputs.Push(orderInput{order: o, result: result, err: err})
+			in := orderInput{order: o, result: homes.Lost}
+			p.node.guard("order", func() { in.result, in.err = p.node.system.Order(ctx, o, holder) })
+			p.inputs.Push(in)
 		}()
 	}
 	for _, a := range plan.ReportRequests {
 		go func() {
-			report, err := p.node.system.Report(ctx, a)
-			if err != nil {
-				p.node.log.Warn("report_failed", "server", a.Server, "error", err)
-			}
-			p.inputs.Push(reportInput{server: a.Server, report: report})
+			in := reportInput{server: a.Server}
+			p.node.guard("report", func() {
+				report, err := p.node.system.Report(ctx, a)
+				if err != nil {
+					p.node.log.Warn("report_failed", "server", a.Server, "error", err)
+				}
+				in.report = report
+			})
+			p.inputs.Push(in)
 		}()
 	}
 }
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -105,9 +105,7 @@
 		return
 	}
 	a.hasAnswer, a.firstAt = true, a.node.clock.Now()
-	a.node.mu.Lock()
-	a.node.core.Started(&a.req, a.to.Server)
-	a.node.mu.Unlock()
+	a.node.withCore(func(core *choose.Core) { core.Started(&a.req, a.to.Server) })
 }
 
 // forwardStream forwards the events of a stream as they arrive.
--- a/internal/node/fleet/usage.go
+++ b/internal/node/fleet/usage.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/core/peer"
 )
 
 // Timing of usage reports.
@@ -40,9 +42,8 @@
 			remoteAt = time.Now()
 		}
 		for shard, p := range n.placers {
-			n.mu.Lock()
-			newLoadRequests := n.core.HasNewLoadRequests(shard)
-			n.mu.Unlock()
+			var newLoadRequests bool
+			n.withCore(func(core *choose.Core) { newLoadRequests = core.HasNewLoadRequests(shard) })
 			if remote || newLoadRequests || shard == string(n.settings.Region) {
 				n.reportTo(p)
 			}
@@ -57,10 +58,9 @@
 	if holder == "" {
 		return
 	}
-	n.mu.Lock()
 	now := n.clock.Now()
-	usage := n.core.UsageReport(now, p.shard, n.settings.PeerAddress)
-	n.mu.Unlock()
+	var usage *peer.UsageReport
+	n.withCore(func(core *choose.Core) { usage = core.UsageReport(now, p.shard, n.settings.PeerAddress) })
 	usage.Capacity = float64(n.settings.Capacity)
 	if !usage.HasContent() && !p.reportedContent && holder == p.reportedTo && now < p.reportedAt+idleUsagePeriod {
 		return
