Bound answers that never end, in heads, events and bodies

Cause: a server in trouble may send bytes without end that are no answer. Heads of answers and events of streams were read without a bound, so they filled the memory until the deadline, and clients of the store and of engines read bodies of any length. Change: 64 KiB for a head with interim answers before it, 1 MiB for an event, 16 MiB for a body that is read in full. The attempt ends as failed at once, with its connection closed, and counts as one that may have run.

--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -54,6 +54,7 @@
 // Conn is a connection to a backend server.
 type Conn struct {
 	net.Conn
+	head    *headReader
 	r       *bufio.Reader
 	address string
 	// idleSince is when the last exchange ended, idleTimeout how long the connection
@@ -82,7 +83,8 @@
 	if err != nil {
 		return nil, &NotSentError{Refused: errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET), Err: err}
 	}
-	return &Conn{Conn: conn, r: bufio.NewReaderSize(conn, readBuffer), address: address, idleTimeout: defaultIdleTimeout}, nil
+	head := &headReader{Reader: conn, left: noLimit}
+	return &Conn{Conn: conn, head: head, r: bufio.NewReaderSize(head, readBuffer), address: address, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // takeIdle removes and returns the connection to an address that became idle last, or nil
--- a/internal/node/conns/conns_test.go
+++ b/internal/node/conns/conns_test.go
@@ -232,3 +232,41 @@
 	c.applyKeepAlive("timeout=1")
 	must.Zero(t, c.idleTimeout)
 }
+
+// TestEndlessHeadIsGivenUp has a server send bytes that never become the head of an answer. The
+// exchange must end as an invalid answer after a bounded number of bytes, long before its
+// deadline, and close the connection.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	const acceptable = 8 * maxHeadBytes
+	for _, tc := range []struct{ name, begin, repeat string }{
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", "HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		{"answers to others", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := serveRaw(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				total, err := io.WriteString(conn, tc.begin)
+				for err == nil {
+					var n int
+					n, err = io.WriteString(conn, strings.Repeat(tc.repeat, 1024/len(tc.repeat)+1))
+					total += n
+					time.Sleep(10 * time.Microsecond)
+				}
+				sent <- total
+			})
+			var p Pool
+			_, err := do(t, &p, address, request("body"))
+			var invalid *InvalidAnswerError
+			must.True(t, errors.As(err, &invalid), must.Sprint(err))
+			must.MapEmpty(t, p.idle)
+			// The kernel's buffers hold some of what was sent and not read.
+			must.Less(t, acceptable+16<<20, <-sent)
+		})
+	}
+}
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -134,6 +134,8 @@
 // InvalidAnswerError.
 func (e *Exchange) readHead(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
+	e.conn.head.left = maxHeadBytes
+	defer func() { e.conn.head.left = noLimit }()
 	for range maxAnswers {
 		if first, err := e.conn.r.Peek(1); err != nil {
 			return nil, &BrokenError{BeforeHead: true, Err: err}
@@ -153,9 +155,11 @@
 		if r.Matches == nil || r.Matches(resp) {
 			return resp, nil
 		}
+		e.conn.head.left = noLimit
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
 			return nil, &BrokenError{BeforeHead: true, Err: err}
 		}
+		e.conn.head.left = maxHeadBytes
 	}
 	return nil, &InvalidAnswerError{Reason: "only answers to other requests came"}
 }
--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -38,8 +38,10 @@
 func (b *backendClients) init() {
 	b.pooled = call.NewClient(maxConnsPerServer)
 	b.fresh = call.NewClient(maxConnsPerServer)
-	b.pooled.StreamResponseBody = true
-	b.fresh.StreamResponseBody = true
+	for _, client := range []*fasthttp.Client{&b.pooled, &b.fresh} {
+		// A streamed body is bounded where it is read.
+		client.StreamResponseBody, client.MaxResponseBodySize = true, 0
+	}
 }
 
 // send sends req a single time and waits for the head of the answer. With fresh set, it
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -23,6 +23,10 @@
 	return parts
 }
 
+// maxEventBytes bounds one event of a stream. A backend server in trouble may send bytes
+// without end that are no event.
+const maxEventBytes = 1 << 20
+
 // maxBufferedBytes bounds an answer that is read in full before it is forwarded.
 const maxBufferedBytes = 8 << 20
 
@@ -115,6 +119,10 @@
 	buf := make([]byte, 4096)
 	for {
 		n, err := answer.Read(buf)
+		if len(events.data)+n > maxEventBytes {
+			a.events, a.reason = events.count, "an event of the stream does not end"
+			return choose.EndFailed, false
+		}
 		events.add(buf[:n])
 		if out := events.take(a.exchange); len(out) > 0 {
 			if !a.writeEvents(control, answer, out) {
--- a/internal/plat/call/client.go
+++ b/internal/plat/call/client.go
@@ -17,6 +17,10 @@
 // maxIdleDuration is the maximum time that a connection is kept open between two calls.
 const maxIdleDuration = 30 * time.Second
 
+// maxAnswerBytes bounds the body of an answer that is read in full. Clients that stream
+// answers have to set another bound.
+const maxAnswerBytes = 16 << 20
+
 // NewClient returns a client that never retries a call and opens at most maxConns
 // connections to one address.
 func NewClient(maxConns int) fasthttp.Client {
@@ -26,6 +30,7 @@
 		MaxIdleConnDuration:       maxIdleDuration,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
+		MaxResponseBodySize:       maxAnswerBytes,
 		Dial:                      dial,
 	}
 }
