Bound the bytes of placement updates to each scope

Cause: at 300 entry VMs before 3,000 servers a placer sent 12 MB/s: the full state of 1,500 servers to each of 300 entry VMs, and once more as changes. Change: an update lists as many servers as the bound allows, the others follow in turn; the bound is 4 MB/s to the own region and 1 MB/s to others, less for a weak placer. If more than three subscribers ask for the full state, one pass of updates answers all. Measured: TestPacingBoundsBytes, TestLimitedUpdatesCoverAllServers.

--- a/internal/core/homes/pacing_test.go
+++ b/internal/core/homes/pacing_test.go
@@ -1,44 +1,75 @@
 package homes
 
 import (
+	"fmt"
 	"testing"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/peer"
 
 	"github.com/shoenig/test/must"
 )
 
-// TestPacingBoundsBytes plays a placer whose servers all change their load all the time. Small
-// fleets get loads each period; a large one gets them more rarely, so that the bytes a second
-// stay bounded.
+// TestPacingBoundsBytes plays placers whose backend servers all change all the time. Small fleets
+// get every change; in a large one, or from a weak placer, the bytes a second stay bounded, and
+// so does the longest time without an update, after which the placer would count as down.
 func TestPacingBoundsBytes(t *testing.T) {
 	for _, tc := range []struct {
 		name                string
+		scope               Scope
 		servers, recipients int
 		capacity            float64
-		wantEvery           clock.Millis
-		wantBytesPerSecond  int
+		bytesPerSecond      int
 	}{
-		{"small", 9, 6, 0.4, 250, 10_000},
-		{"80 servers, 100 entry VMs", 80, 100, 0.8, 250, 1_000_000},
-		{"1,500 servers, 150 entry VMs", 1500, 150, 0.8, 6750, 1_000_000},
-		{"on a weak entry VM", 80, 100, 0.08, 1200, 200_000},
-		{"capacity unknown", 1500, 150, 0, 6750, 1_000_000},
+		{"6 entry VMs", SameRegion, 9, 6, 0.4, 4_000_000},
+		{"100 entry VMs", SameRegion, 80, 100, 0.8, 4_000_000},
+		{"100 entry VMs of another region", OtherRegions, 80, 100, 0.8, 1_000_000},
+		{"1,500 servers, 150 entry VMs", SameRegion, 1500, 150, 0.8, 4_000_000},
+		{"the same of another region", OtherRegions, 1500, 150, 0.8, 1_000_000},
+		{"on a weak entry VM", SameRegion, 80, 100, 0.08, 800_000},
+		{"capacity unknown", SameRegion, 1500, 150, 0, 4_000_000},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
+			const length = 60 * clock.Second
 			var p Pacing
-			updates := 0
-			var longest, last clock.Millis
-			for now := clock.Millis(0); now < 60000; now += 10 {
+			var last, longest clock.Millis
+			bytes := 0
+			for now := clock.Millis(0); now < length; now += 20 {
 				if !p.Due(now) {
 					continue
 				}
-				updates++
+				entries := min(tc.servers, MaxEntries(tc.scope, tc.capacity, tc.recipients))
+				bytes += entries * entryBytes * tc.recipients
 				longest, last = max(longest, now-last), now
-				p.Sent(now, tc.servers, tc.recipients, tc.capacity, 250)
+				p.Sent(now, tc.scope, tc.capacity, entries, 0, tc.recipients)
 			}
-			must.Eq(t, tc.wantEvery, longest)
-			must.LessEq(t, tc.wantBytesPerSecond*12/10, updates*tc.servers*tc.recipients*loadEntryBytes/60)
+			must.LessEq(t, tc.bytesPerSecond*int(length/clock.Second)*11/10, bytes)
+			must.LessEq(t, clock.Second, longest)
 		})
 	}
 }
+
+// TestLimitedUpdatesCoverAllServers has more backend servers change than an update may list.
+// Consecutive updates must list each of them once, also if some change again meanwhile.
+func TestLimitedUpdatesCoverAllServers(t *testing.T) {
+	var ids []string
+	for i := range 50 {
+		ids = append(ids, fmt.Sprint("s", i))
+	}
+	f := newTestPlacer(8, ids...)
+	listed := map[string]int{}
+	sequence := uint64(0)
+	for range 5 {
+		must.True(t, f.Changed(SameRegion))
+		update := f.Update(f.now, SameRegion, "r", 1, 10)
+		must.Eq(t, sequence+1, update.Sequence)
+		sequence = update.Sequence
+		for _, s := range update.Servers {
+			listed[string(s.Server)]++
+		}
+		// The first servers change again; the others must have their turn all the same.
+		f.HandleUsage(f.now, "vm", &peer.UsageReport{Shard: "r", Address: "a", Missing: []peer.Missing{{Server: "s0", Adapter: "m/a"}}})
+	}
+	must.MapLen(t, len(ids), listed)
+	must.Eq(t, 10, len(f.FullUpdate(f.now, SameRegion, "r", 1).Servers)/5)
+}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -221,10 +221,12 @@
 	demand       demand
 	announced    map[units.AdapterName]announced
 	// sequence is the number of the last update by scope, removed lists the backend servers
-	// removed since, and includeLoads reports whether the next one includes loads.
+	// removed since, includeLoads reports whether the next one includes loads, and cursor is
+	// the index in order at which it begins.
 	sequence          [scopes]uint64
 	removed           [scopes][]units.BackendServerID
 	includeLoads      [scopes]bool
+	cursor            [scopes]int
 	lastLoadRequestAt clock.Millis
 	// models limits the rate of model loads.
 	models modelBudget
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -19,43 +19,65 @@
 	scopes
 )
 
-// Update returns a placement update with the backend servers whose copies changed since
-// the last update for the scope, or with all of them if full. After IncludeLoads it also
-// includes the loads that changed. A full update has the number of the last one and leaves
-// the changes and removed backend servers for the next one that is not full.
-func (p *Placer) Update(now clock.Millis, scope Scope, shard string, fence units.Fence, full bool) *peer.PlacementUpdate {
-	p.now = max(p.now, now)
-	p.aggregateUsage()
-	if !full {
-		p.sequence[scope]++
-	}
-	m := &peer.PlacementUpdate{
-		Shard: shard, Fence: fence, Sequence: p.sequence[scope], Full: full, LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage)),
-	}
-	for _, id := range p.order {
-		s := p.servers[id]
+// Update returns a placement update with up to limit backend servers whose copies changed since
+// the last update for the scope; the others follow in the next ones. After IncludeLoads it also
+// includes the loads that changed.
+func (p *Placer) Update(now clock.Millis, scope Scope, shard string, fence units.Fence, limit int) *peer.PlacementUpdate {
+	p.sequence[scope]++
+	m := p.newUpdate(now, scope, shard, fence)
+	listed := 0
+	for i := range p.order {
+		// The next update goes on where this one ends, so that all have their turn.
+		s := p.servers[p.order[(p.cursor[scope]+i)%len(p.order)]]
+		if listed == limit {
+			p.cursor[scope] = (p.cursor[scope] + i) % len(p.order)
+			break
+		}
 		switch {
-		case full || s.changed[scope]:
+		case s.changed[scope]:
 			m.Servers = append(m.Servers, p.placementOf(s))
 		case p.includeLoads[scope] && s.lastSent[scope] != s.load():
 			m.Servers = append(m.Servers, peer.ServerPlacement{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens})
 		default:
 			continue
 		}
-		if !full {
-			s.changed[scope], s.lastSent[scope] = false, s.load()
-		}
+		listed++
+		s.changed[scope], s.lastSent[scope] = false, s.load()
 	}
-	if !full {
+	if listed < limit {
 		p.includeLoads[scope] = false
-		for _, id := range p.removed[scope] {
-			m.Servers = append(m.Servers, peer.ServerPlacement{Server: id, Removed: true})
-		}
-		p.removed[scope] = nil
+	}
+	for _, id := range p.removed[scope] {
+		m.Servers = append(m.Servers, peer.ServerPlacement{Server: id, Removed: true})
+	}
+	p.removed[scope] = nil
+	return m
+}
+
+// FullUpdate returns a placement update with all backend servers. It has the number of the last
+// update and leaves the changes and removed backend servers for the next one.
+func (p *Placer) FullUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
+	m := p.newUpdate(now, scope, shard, fence)
+	m.Full = true
+	for _, id := range p.order {
+		m.Servers = append(m.Servers, p.placementOf(p.servers[id]))
 	}
 	return m
 }
 
+func (p *Placer) newUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
+	p.now = max(p.now, now)
+	p.aggregateUsage()
+	return &peer.PlacementUpdate{Shard: shard, Fence: fence, Sequence: p.sequence[scope], LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage))}
+}
+
+// Republish makes the next updates for a scope list all backend servers.
+func (p *Placer) Republish(scope Scope) {
+	for _, s := range p.servers {
+		s.changed[scope] = true
+	}
+}
+
 // Changed reports whether the next update for a scope has placements or removed backend
 // servers to send. Changes of loads alone don't count.
 func (p *Placer) Changed(scope Scope) bool {
--- a/internal/core/homes/update_test.go
+++ b/internal/core/homes/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"mangostile/internal/base/units"
@@ -23,7 +24,7 @@
 	f.run(1200, 1600)
 	update := func() []peer.ServerPlacement {
 		f.IncludeLoads(SameRegion)
-		return f.Update(f.now, SameRegion, "r", 1, false).Servers
+		return f.Update(f.now, SameRegion, "r", 1, math.MaxInt).Servers
 	}
 	must.Eq(t, len(ids), len(update()))
 	must.SliceEmpty(t, update())
@@ -50,7 +51,7 @@
 	f := newTestPlacer(8, "s1", "s2")
 	f.requestLoads(1200, 500, "a1")
 	f.run(1200, 1600)
-	f.Update(f.now, SameRegion, "r", 1, false)
+	f.Update(f.now, SameRegion, "r", 1, math.MaxInt)
 	must.False(t, f.Changed(SameRegion))
 	now := f.now
 	for range 10 {
@@ -65,7 +66,7 @@
 	lost.Copies = nil
 	f.HandleReport(now+reportPeriod, f.orders[0].Server, lost)
 	must.True(t, f.Changed(SameRegion))
-	must.SliceLen(t, 1, f.Update(f.now, SameRegion, "r", 1, false).Servers)
+	must.SliceLen(t, 1, f.Update(f.now, SameRegion, "r", 1, math.MaxInt).Servers)
 }
 
 // TestExpiredUsageIsIgnored lets the usage report of an entry VM expire.
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -101,6 +101,17 @@
 	Members []Member `msgpack:"m,omitempty"`
 }
 
+// Count returns the number of backend servers that m lists with their copies and of those that
+// it lists with their load alone.
+func (m *PlacementUpdate) Count() (entries, loads int) {
+	for i := range m.Servers {
+		if m.Servers[i].LoadOnly {
+			loads++
+		}
+	}
+	return len(m.Servers) - loads, loads
+}
+
 // Member is an entry VM that reports to a placer.
 type Member struct {
 	ID      units.EntryVMID `msgpack:"i"`
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -22,24 +22,25 @@
 	p.publishTo(now, homes.OtherRegions, max(remoteMinChangeInterval, spacing), remoteLoadUpdatePeriod)
 }
 
-// publishTo sends placement updates to the subscribers in a scope: loads once per period, or
-// less often if they are many, changed copies once minInterval has passed since the last
-// update. Changes don't put off the loads: in a large shard there are always some. It
+// publishTo sends placement updates to the subscribers in a scope: loads once per period,
+// changed copies once minInterval has passed since the last update, and both less often if
+// they are many. Changes don't put off the loads: in a large shard there are always some. It
 // removes subscribers without a usage report within subscriberTTL.
 func (p *placerWorker) publishTo(now clock.Millis, scope homes.Scope, minInterval, period clock.Millis) {
-	since := now - p.publishedAt[scope]
-	needsFull, loads := p.needsFull(scope), p.pacing[scope].Due(now)
-	if since < minInterval || since < period && !loads && !needsFull && !p.placer.Changed(scope) {
+	since, pacing := now-p.publishedAt[scope], &p.pacing[scope]
+	loads := pacing.LoadsDue(now)
+	if since < minInterval || !pacing.Due(now) || since < period && !loads && !p.needsFull(scope) && !p.placer.Changed(scope) {
 		return
 	}
+	recipients := p.recipients(now, scope)
+	p.publishedAt[scope] = now
+	p.publishFull(now, scope)
 	if loads {
 		p.placer.IncludeLoads(scope)
+		pacing.SentLoads(now, period)
 	}
-	p.publishedAt[scope] = now
-	if needsFull {
-		p.publishFull(scope)
-	}
-	update := p.placer.Update(now, scope, p.shard, p.lease.Fence(), false)
+	capacity := float64(p.node.settings.Capacity)
+	update := p.placer.Update(now, scope, p.shard, p.lease.Fence(), homes.MaxEntries(scope, capacity, len(recipients)))
 	p.addLease(update)
 	if now >= p.membersSentAt[scope]+memberListPeriod {
 		p.membersSentAt[scope] = now
@@ -48,20 +49,24 @@
 	if scope == p.scopeOf(p.node.settings.Region) {
 		p.node.applyPlacement(update)
 	}
-	var recipients []links.Recipient
+	p.node.links.Broadcast(recipients, update)
+	entries, loadsOnly := update.Count()
+	pacing.Sent(now, scope, capacity, entries, loadsOnly, len(recipients))
+}
+
+// recipients returns the other entry VMs in a scope that are subscribers.
+func (p *placerWorker) recipients(now clock.Millis, scope homes.Scope) []links.Recipient {
+	var list []links.Recipient
 	for id, sub := range p.subscribers {
 		if now > sub.lastReportAt+subscriberTTL {
 			delete(p.subscribers, id)
 			continue
 		}
 		if id != p.node.settings.ID && p.scopeOf(sub.region) == scope {
-			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
+			list = append(list, links.Recipient{ID: id, Address: sub.address})
 		}
 	}
-	p.node.links.Broadcast(recipients, update)
-	if loads {
-		p.pacing[scope].Sent(now, len(update.Servers), len(recipients), float64(p.node.settings.Capacity), period)
-	}
+	return list
 }
 
 // addLease adds what the receivers need to know of the lease.
@@ -96,13 +101,15 @@
 	return false
 }
 
-// publishFull sends a full placement update to the subscribers in a scope that have
-// requested one.
-func (p *placerWorker) publishFull(scope homes.Scope) {
-	full := p.placer.Update(p.node.clock.Now(), scope, p.shard, p.lease.Fence(), true)
-	p.addLease(full)
-	full.Members = p.memberList()
+// maxFullUpdates is the number of full updates that are sent to single subscribers at a time.
+// If more ask for one, such as after a change of the placer, all get the state by the following
+// updates.
+const maxFullUpdates = 3
+
+// publishFull answers the subscribers in a scope that have requested a full placement update.
+func (p *placerWorker) publishFull(now clock.Millis, scope homes.Scope) {
 	var recipients []links.Recipient
+	own := false
 	for id := range p.fullTo {
 		sub := p.subscribers[id]
 		if p.scopeOf(sub.region) != scope {
@@ -110,12 +117,26 @@
 		}
 		delete(p.fullTo, id)
 		if id == p.node.settings.ID {
-			p.node.applyPlacement(full)
+			own = true
 		} else {
 			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
 		}
 	}
+	if len(recipients) > maxFullUpdates {
+		p.placer.Republish(scope)
+		recipients, p.membersSentAt[scope] = nil, now-memberListPeriod
+	}
+	if len(recipients) == 0 && !own {
+		return
+	}
+	full := p.placer.FullUpdate(now, scope, p.shard, p.lease.Fence())
+	p.addLease(full)
+	full.Members = p.memberList()
+	if own {
+		p.node.applyPlacement(full)
+	}
 	p.node.links.Broadcast(recipients, full)
+	p.pacing[scope].Sent(now, scope, float64(p.node.settings.Capacity), len(full.Servers), 0, len(recipients))
 }
 
 // logState logs the state of the shard once per stateLogPeriod.
--- a/internal/node/fleet/publish_test.go
+++ b/internal/node/fleet/publish_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"testing"
 
 	"mangostile/internal/base/clock"
@@ -30,7 +31,7 @@
 		p.publish(now)
 	}
 	p.placer.IncludeLoads(homes.SameRegion)
-	for _, s := range p.placer.Update(3000, homes.SameRegion, "r", 1, false).Servers {
+	for _, s := range p.placer.Update(3000, homes.SameRegion, "r", 1, math.MaxInt).Servers {
 		must.NotEq(t, "s2", s.Server, must.Sprint("the load of s2 was not published yet"))
 	}
 }
