Accept no stream late in a stop

Change: streams are refused as not run from 2.9 s after the stop on, whatever their length. Measured: TestLateRequestsOfAStopAreRefused fails on the code before with the short stream.

--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -34,10 +34,10 @@
 	defaultTimeout = 30 * clock.Second
 	// writeTimeout is the time for a caller to read a part of an answer.
 	writeTimeout = 10 * time.Second
-	// A stopping entry VM still accepts all streams for stopStreamWindow. After that
-	// it refuses those that would outlast the process at slowTokenTime per token.
+	// stopStreamWindow is how long a stopping entry VM still accepts streams. By then the
+	// balancer has noticed the stop. How long a stream takes depends on the queue and the
+	// batch of its backend server, so that none accepted later is sure to end in time.
 	stopStreamWindow = 2900 * clock.Millis(1)
-	slowTokenTime    = 15 * clock.Millis(1)
 	// notReadyRetryAfter is the retry delay given to callers of an entry VM that is
 	// starting or stopping.
 	notReadyRetryAfter = 300 * clock.Millis(1)
@@ -167,7 +167,7 @@
 	since := n.clock.Now() - clock.Millis(n.stoppedAt.Load())
 	remaining := n.settings.Grace - clock.FromDuration(stopReserve) - since
 	if c.route.Kind == topo.KindStream {
-		return since < stopStreamWindow || clock.Millis(c.head.MaxTokens)*slowTokenTime+c.route.Target < remaining
+		return since < stopStreamWindow
 	}
 	return remaining > c.route.Target
 }
--- a/internal/node/fleet/stop_test.go
+++ b/internal/node/fleet/stop_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 
+	"mangostile/internal/base/clock"
+	"mangostile/internal/core/topo"
+
 	"github.com/shoenig/test/must"
 )
 
@@ -30,3 +33,30 @@
 		})
 	}
 }
+
+// TestLateRequestsOfAStopAreRefused guards against streams that a stopping entry VM accepts and
+// then cuts off at the end of its grace period: one of 50 tokens, accepted 3.4 s after the stop
+// with 4.2 s left, waited 1.7 s at its backend server and got 2.5 s of tokens.
+func TestLateRequestsOfAStopAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		kind  topo.Kind
+		since clock.Millis
+		want  bool
+	}{
+		{"stream at once", topo.KindStream, 0, true},
+		{"stream before the balancer has noticed", topo.KindStream, 2500, true},
+		{"short stream later", topo.KindStream, 3370, false},
+		{"stream at the end", topo.KindStream, 7500, false},
+		{"call later", topo.KindOnce, 3370, true},
+		{"call that could be cut off", topo.KindOnce, 7300, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := New(Options{Settings: Settings{ID: "vm0", Grace: 8 * clock.Second}})
+			n.stopping.Store(true)
+			n.stoppedAt.Store(int64(n.clock.Now() - tc.since))
+			c := &exchange{node: n, route: &topo.Route{Kind: tc.kind, Target: 800}, head: RequestHead{MaxTokens: 52}}
+			must.Eq(t, tc.want, c.endsBeforeStop())
+		})
+	}
+}
