Offer no copy again that a request has found missing

A report that shows a copy loaded also left its expected end in force, so that requests waited for nothing. Change: a copy that may be lost is published as loading until a report shows it; a copy that a report shows is ready at once. Measured: TestLostCopyIsNotOfferedAgain fails on the code before in both cases.

--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -204,7 +204,7 @@
 			c = &heldCopy{state: copyReady, usedAt: p.now}
 		}
 		if c.state == copyLoading {
-			c.state = copyReady
+			c.state, c.readyAt = copyReady, min(c.readyAt, p.now)
 		}
 		c.revision = held.Revision
 		copies[held.Adapter] = c
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -372,7 +372,8 @@
 // has no usable copy there either, it only sends the placement again. If the load should
 // just have ended, the copy counts as loading for lateLoadDelay and slowness rises, since
 // other loads are likely to take longer as well. Otherwise the copy may be lost: a report
-// is requested, and the backend server gets no orders before it.
+// is requested, the backend server gets no orders before it, and the copy is published as
+// loading meanwhile, so that no request is sent there again.
 func (p *Placer) handleMissing(m peer.Missing) {
 	s := p.servers[m.Server]
 	if s == nil {
@@ -388,6 +389,7 @@
 		p.loadLimit.late(p.now)
 		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
 	default:
+		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
 		s.synced = false
 		s.nextReportAt = min(s.nextReportAt, p.now)
 	}
--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -233,6 +233,33 @@
 	must.SliceContains(t, f.Step(lostAt, true).ReportRequests, ReportRequest{Server: "s1", Address: "s1"})
 }
 
+// TestLostCopyIsNotOfferedAgain reports a copy missing that was ready for long. Until a report
+// shows the truth, the copy must not be published as ready: requests would be sent to the same
+// backend server again and rejected.
+func TestLostCopyIsNotOfferedAgain(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		f := newTestPlacer(8, "s1")
+		f.requestLoads(1200, 500, "a1")
+		f.run(1200, 5000)
+		f.Update(f.now, SameRegion, "r", 1, 10)
+		f.HandleUsage(5010, "vm", &peer.UsageReport{Shard: "r", Address: "a", Missing: []peer.Missing{{Server: "s1", Adapter: "m/a1"}}})
+		offered := f.Update(5010, SameRegion, "r", 1, 10).Servers
+		must.SliceLen(t, 1, offered)
+		must.Positive(t, offered[0].Copies[0].Ready)
+		if lost {
+			delete(f.backends.engines["s1"].copies, "m/a1")
+		}
+		f.run(5020, 5020)
+		after := f.Update(5020, SameRegion, "r", 1, 10).Servers
+		must.SliceLen(t, 1, after)
+		if lost {
+			must.SliceEmpty(t, after[0].Copies)
+		} else {
+			must.Zero(t, after[0].Copies[0].Ready)
+		}
+	}
+}
+
 func TestIdleOldVersionIsReplaced(t *testing.T) {
 	f := newTestPlacer(8, "s1")
 	f.requestLoads(1200, 500, "a1")
