Recover from panics in requests and events of serve

Cause: the HTTP library of serve recovers from no panic, so a panic in one request or in one event of the core ended the process with all requests in flight. Change: a guarded handler answers 500 with ran unknown and closes the connection; a failed event is logged and left out. Measured: without the guard TestPanicInARequestIsAnInternalError ends the test process.

--- a/internal/node/server/http.go
+++ b/internal/node/server/http.go
@@ -41,7 +41,7 @@
 func (s *Server) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
 	limits := s.options.HTTP
 	server := &fasthttp.Server{
-		Handler: handler, ErrorHandler: s.edge.HandleError, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
+		Handler: s.guardHandler(handler), ErrorHandler: s.edge.HandleError, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
 		MaxRequestBodySize: int(cmp.Or(limits.MaxBody, edge.DefaultMaxBodyBytes)),
 		ReadBufferSize:     int(cmp.Or(limits.MaxHeader, edge.DefaultMaxHeaderBytes)),
 		ReadTimeout:        cmp.Or(limits.ReadTimeout, edge.DefaultReadTimeout),
--- a/internal/node/server/workers.go
+++ b/internal/node/server/workers.go
@@ -27,7 +27,10 @@
 			continue
 		}
 		out.Reset()
-		s.core.Step(s.options.Clock.Now(), in.event, &out)
+		if !s.guard("event", func() { s.core.Step(s.options.Clock.Now(), in.event, &out) }) {
+			// Its effects may be incomplete; what needs them is repeated or times out.
+			continue
+		}
 		s.ready.Store(s.core.Ready())
 		for _, effect := range out.List {
 			s.execute(effect)
