--- a/internal/node/server/guard.go
+++ b/internal/node/server/guard.go
@@ -28,7 +28,7 @@
 		if s.guard("request", func() { handler(ctx) }) {
 			return
 		}
-		ctx.Response.Reset()
+		ctx.Response.ResetBody()
 		ctx.SetConnectionClose()
 		refusal := errs.RefuseUnknown(errs.CodeInternal, "an unexpected error ended the request: look for panic_recovered in the entry VM's log")
 		render.JSON(ctx, refusal.Status(), struct {
