Yield a lease only after half a minute

Cause: read while reviewing: a stronger entry VM that is cut off from the store reports to the placer but cannot claim. A weak holder would have yielded to it every 5 s, with some 5 s without loads each time. Change: a holder yields after 30 s of reports of a stronger one.

--- a/internal/core/claim/capacity.go
+++ b/internal/core/claim/capacity.go
@@ -32,9 +32,11 @@
 	// expectedStrongest is the capacity of the strongest entry VM as long as it is unknown.
 	expectedStrongest = 0.5
 	// yieldRatio is the factor by which another entry VM must be stronger for a holder to
-	// hand the lease over, and yieldAfter the time for which that must have been so.
+	// hand the lease over, and yieldAfter the time for which that must have been so. It is
+	// long against the time without loads that a handover takes: the stronger one may be cut
+	// off from the store and not claim.
 	yieldRatio = 2
-	yieldAfter = 5 * clock.Second
+	yieldAfter = 30 * clock.Second
 	// yieldPause is the time after a handover in which the earlier holder does not claim.
 	yieldPause = 10 * clock.Second
 )
