Count only unknown loads of a report as another owner's

Change: a load in a report counts as another owner's only if no copy of it was known when the report came.

--- a/internal/core/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -304,6 +304,20 @@
 	must.Eq(t, version(1), h.orders[0].Order.Adapter)
 }
 
+// TestOwnLoadsTakeNoSlotTwice has a report show the owner's own load in flight. Once that load
+// has ended and its copy was evicted, the report must not keep its slot taken.
+func TestOwnLoadsTakeNoSlotTwice(t *testing.T) {
+	h := newHarness(t)
+	h.requestGrant(1)
+	must.SliceLen(t, 1, h.orders)
+	h.loading = []units.AdapterVersion{version(1)}
+	h.report()
+	s := h.owner.servers["engine-1"]
+	must.One(t, s.takenSlots())
+	h.deliverOrder(0, event.OrderRefused)
+	must.Zero(t, s.takenSlots())
+}
+
 // TestFullEngineIsNotTheAdaptersFault has an engine refuse loads for lack of a slot. The
 // adapters must not be given up for it, and the next load must wait for a report.
 func TestFullEngineIsNotTheAdaptersFault(t *testing.T) {
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -119,8 +119,11 @@
 	claimAt  clock.Millis
 	report   event.ServerReport
 	reported bool
-	copies   map[units.AdapterVersion]*copyState
-	grants   map[units.GrantNumber]*grant
+	// otherLoads holds the loads in flight in the last report that were not known when it
+	// came: an earlier owner has ordered them.
+	otherLoads []units.AdapterVersion
+	copies     map[units.AdapterVersion]*copyState
+	grants     map[units.GrantNumber]*grant
 	// queue is sorted by rank.
 	queue []*queuedRequest
 	// reservedFor is the isolated request that blocks all others from the server.
@@ -163,7 +166,7 @@
 // and of loads in flight that another owner has ordered.
 func (s *server) takenSlots() int {
 	n := len(s.copies)
-	for _, av := range s.report.Loading {
+	for _, av := range s.otherLoads {
 		if s.copies[av] == nil {
 			n++
 		}
--- a/internal/core/owner/sync.go
+++ b/internal/core/owner/sync.go
@@ -32,8 +32,15 @@
 
 // syncCopies updates the copies from the adapters that the report requested at sentAt
 // shows as loaded. Copies that the report lacks are removed, except those with grants or
-// an order in flight and those used since sentAt.
+// an order in flight and those used since sentAt. Loads in flight without a copy are another
+// owner's.
 func (s *server) syncCopies(sentAt clock.Millis) {
+	s.otherLoads = s.otherLoads[:0]
+	for _, av := range s.report.Loading {
+		if s.copies[av] == nil {
+			s.otherLoads = append(s.otherLoads, av)
+		}
+	}
 	resident := map[units.AdapterVersion]bool{}
 	for _, r := range s.report.Resident {
 		resident[r.AdapterVersion] = true
