--- /dev/null
+++ b/internal/core/blame/verdict.go
@@ -0,0 +1,55 @@
+// Package blame finds the prompt parts and the requests that crash backend servers. It
+// compares what was in flight at crashes, and spares whatever answers begin on.
+package blame
+
+import (
+	"fmt"
+	"strconv"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+
+	"github.com/pkg/errors"
+)
+
+// Key identifies a part of a prompt, or a whole request by a hash of its content. It is
+// written as up to 16 hexadecimal digits.
+type Key uint64
+
+// String returns k as 16 hexadecimal digits.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
+// ParseKey parses the form that String returns. Leading zeros may be left out.
+func ParseKey(text string) (Key, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, errors.Errorf("%q is no key of a quarantine: write it as list shows it, in hexadecimal digits", text)
+	}
+	return Key(n), nil
+}
+
+// Verdict says whether requests with a key are refused. Of two verdicts on a key the one with
+// the higher Version holds; if they have the same, the one that refuses nothing.
+type Verdict struct {
+	Key     Key    `msgpack:"k" json:"key"`
+	Version uint64 `msgpack:"v" json:"version"`
+	// Quarantined is true if requests with the key are refused.
+	Quarantined bool `msgpack:"q,omitempty" json:"quarantined"`
+	// Remaining is the time in ms until the verdict is forgotten.
+	Remaining clock.Millis `msgpack:"r,omitempty" json:"remaining_ms"`
+	// Server is the backend server that crashed last, empty if unknown.
+	Server units.BackendServerID `msgpack:"s,omitempty" json:"backend_server,omitempty"`
+}
+
+// replaces reports whether v holds rather than old, a verdict on the same key.
+func (v *Verdict) replaces(old *Verdict) bool {
+	return v.Version > old.Version || v.Version == old.Version && old.Quarantined && !v.Quarantined
+}
+
+// Check reports whether v is valid.
+func (v *Verdict) Check() error {
+	if v.Version == 0 || v.Remaining < 0 || v.Remaining > MaxTerm {
+		return errors.Errorf("verdict on %s has no version or an invalid term", v.Key)
+	}
+	return nil
+}
