Refuse requests with parts that crash backend servers

Cause: on this path nothing remembered a request or a part after a crash, entry VMs did not tell each other, and broken requests were sent again.

An attempt that breaks before its answer begins now counts as evidence if the backend server is not leaving and refuses connections. Entry VMs tell each other directly, so also without a placer or the store; one that has just started asks for the state. A quarantined request is refused as not run; the quarantine is looked at again before each send, and attempts whose answer has not begun are canceled. A request at whose runs two backend servers crashed is not sent again.

--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -37,6 +37,10 @@
 	ctx, cancel := context.WithTimeout(parent, remaining)
 	defer cancel()
 	for len(c.req.Tried) <= maxSends {
+		if c.quarantined() {
+			c.giveUp(reasonQuarantined, 0)
+			return
+		}
 		c.req.Started = c.started
 		var choice choose.Choice
 		n.withCore(func(core *choose.Core) { choice = core.Choose(n.clock.Now(), &c.req) })
@@ -123,9 +127,11 @@
 func (c *exchange) send(ctx context.Context, to choose.Send) bool {
 	n := c.node
 	sentAt := n.clock.Now()
-	ctx, cancel := c.attemptContext(ctx)
-	defer cancel()
-	a := attempt{exchange: c, to: to, ctx: ctx}
+	attemptCtx, release := c.attemptContext(ctx)
+	defer release()
+	attemptCtx, cancel := context.WithCancelCause(attemptCtx)
+	defer cancel(nil)
+	a := attempt{exchange: c, to: to, ctx: attemptCtx, cancel: cancel}
 	end, over := a.runCounted()
 	n.meter.AttemptEnded(end.String())
 	if a.hasAnswer && c.req.Sends == 1 {
@@ -137,6 +143,9 @@
 	if over {
 		return true
 	}
+	if end == choose.EndBroken && a.mayHaveRun {
+		a.noteCrash(n.clock.Now())
+	}
 	if end == choose.EndMissing || end == choose.EndUnsent {
 		n.requestReport()
 	}
@@ -145,7 +154,7 @@
 	} else if c.callerLeft() {
 		c.abort()
 	}
-	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts) {
+	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts || c.crashes >= maxCrashes) {
 		if !c.endIfDone(ctx) {
 			c.giveUp("the backend server failed", 0)
 		}
@@ -169,6 +178,8 @@
 	*exchange
 	to  choose.Send
 	ctx context.Context
+	// cancel ends ctx with a cause.
+	cancel context.CancelCauseFunc
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
 	firstAt   clock.Millis
@@ -186,6 +197,7 @@
 	defer func() {
 		a.node.withCore(func(core *choose.Core) { core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end) })
 	}()
+	defer a.node.quarantine.watch(a)()
 	return a.run()
 }
 
@@ -197,6 +209,8 @@
 		return callerLeftReason
 	case a.node.clock.Now() >= a.req.Deadline:
 		return "the deadline passed before the request was sent"
+	case a.quarantined():
+		return reasonQuarantined
 	default:
 		return ""
 	}
@@ -253,6 +267,9 @@
 	case a.exchange.r.Context().Err() != nil:
 		a.reason = callerLeftReason
 		return choose.EndCanceled
+	case errors.Is(context.Cause(a.ctx), errQuarantined):
+		a.reason = reasonQuarantined
+		return choose.EndCanceled
 	case errors.As(err, &invalid):
 		return choose.EndFailed
 	case a.ctx.Err() != nil:
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -12,6 +12,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/blame"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
 	"mangostile/internal/plat/call"
@@ -110,10 +111,12 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	// conn is nil if the request did not come through a callerListener.
-	conn          *callerConn
-	arrived       clock.Millis
-	head          RequestHead
-	req           choose.Request
+	conn    *callerConn
+	arrived clock.Millis
+	head    RequestHead
+	req     choose.Request
+	// subject holds the keys by which the request is quarantined.
+	subject       blame.Request
 	route         *topo.Route
 	configVersion int64
 	body          []byte
@@ -121,8 +124,10 @@
 	// is the id of the last event written.
 	started   bool
 	lastEvent string
-	// executions counts backend servers that may have executed the request.
+	// executions counts backend servers that may have executed the request, crashes those
+	// that crashed before its answer began.
 	executions int
+	crashes    int
 	// fallback is the failure answer of a backend server, forwarded if no later
 	// attempt succeeds.
 	fallback *bufferedAnswer
@@ -154,7 +159,7 @@
 		c.refuse("the entry VM is stopping", notReadyRetryAfter)
 		return false
 	}
-	return c.readBody(cfg.Limits) && c.fillRequest()
+	return c.readBody(cfg.Limits) && c.fillRequest(cfg)
 }
 
 // endsBeforeStop reports whether a request that starts now is likely to end before a
@@ -206,7 +211,7 @@
 
 // fillRequest fills in the request that the choice of a backend server is based on. It
 // always reports true.
-func (c *exchange) fillRequest() bool {
+func (c *exchange) fillRequest(cfg *topo.Config) bool {
 	timeout := c.head.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -219,6 +224,7 @@
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
 		Arrived: c.arrived, Deadline: c.arrived + timeout,
 	}
+	c.subject = c.subjectOf(cfg)
 	return true
 }
 
--- /dev/null
+++ b/internal/node/fleet/gossip.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/blame"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/node/links"
+)
+
+// Timing and limits of what entry VMs tell each other about crashes. They tell it directly, so
+// that it also spreads while there is no placer or no store.
+const (
+	// gossipFanout is the number of entry VMs that news are sent to; these pass on what they
+	// did not know.
+	gossipFanout = 8
+	// gossipPeriod is the time between two messages that make up for lost ones: the whole
+	// state, to one entry VM, or a request for it after the start.
+	gossipPeriod = time.Second
+	// gossipPeerTTL is how long an entry VM is told news after it was last heard of. It is long
+	// because without a store there may be no placer to list the entry VMs.
+	gossipPeerTTL = 5 * clock.Minute
+)
+
+// gossipPeer is an entry VM that news are sent to.
+type gossipPeer struct {
+	address string
+	heardAt clock.Millis
+}
+
+// heardOf records the address of another entry VM.
+func (n *Node) heardOf(id units.EntryVMID, address string) {
+	if id == n.settings.ID || address == "" {
+		return
+	}
+	q := &n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.peers == nil {
+		q.peers = map[units.EntryVMID]gossipPeer{}
+	}
+	q.peers[id] = gossipPeer{address: address, heardAt: n.clock.Now()}
+}
+
+// gossipPeers returns up to limit other entry VMs, other ones at each call, except one.
+func (n *Node) gossipPeers(limit int, except units.EntryVMID) []links.Recipient {
+	q := &n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []links.Recipient
+	for id, p := range q.peers {
+		switch {
+		case n.clock.Now() > p.heardAt+gossipPeerTTL:
+			delete(q.peers, id)
+		case id != except:
+			list = append(list, links.Recipient{ID: id, Address: p.address})
+		}
+		if len(list) == limit {
+			break
+		}
+	}
+	return list
+}
+
+// gossip tells other entry VMs news, except the one that they are from.
+func (n *Node) gossip(news blame.News, from units.EntryVMID) {
+	n.links.Broadcast(n.gossipPeers(gossipFanout, from), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
+}
+
+// handleCrashNews applies the news of another entry VM.
+func (n *Node) handleCrashNews(from units.EntryVMID, m *peer.CrashNews) {
+	n.heardOf(from, m.Address)
+	if m.NeedsState {
+		n.links.Send(from, m.Address, &peer.CrashNews{News: n.crashState(), Whole: true, Address: n.settings.PeerAddress})
+	}
+	if m.Whole {
+		n.quarantine.mu.Lock()
+		n.quarantine.synced = true
+		n.quarantine.mu.Unlock()
+	}
+	n.merge(&m.News, from)
+}
+
+func (n *Node) crashState() blame.News {
+	n.quarantine.mu.Lock()
+	defer n.quarantine.mu.Unlock()
+	return n.quarantine.registry.State(n.clock.Now())
+}
+
+// syncCrashState asks other entry VMs for their state until one has answered, and then sends
+// its own to one of them each gossipPeriod if there is any.
+func (n *Node) syncCrashState(ctx context.Context) error {
+	ticker := time.NewTicker(gossipPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.guard("crash state", n.sendCrashState)
+	}
+}
+
+func (n *Node) sendCrashState() {
+	n.quarantine.mu.Lock()
+	synced := n.quarantine.synced
+	n.quarantine.mu.Unlock()
+	m := &peer.CrashNews{News: n.crashState(), Whole: synced, NeedsState: !synced, Address: n.settings.PeerAddress}
+	if synced && m.Empty() {
+		return
+	}
+	n.links.Broadcast(n.gossipPeers(1, ""), m)
+}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -70,6 +70,8 @@
 	// members is the number of entry VMs that report to the placer of the own region.
 	members atomic.Int32
 
+	quarantine quarantine
+
 	stopping  atomic.Bool
 	stoppedAt atomic.Int64
 	inFlight  atomic.Int64
@@ -104,16 +106,23 @@
 func (n *Node) handleMessage(ev event.PeerReceived) bool {
 	switch m := ev.Message.(type) {
 	case *peer.UsageReport:
+		n.heardOf(ev.From, m.Address)
 		if p := n.placers[m.Shard]; p != nil {
 			return p.inputs.Push(usageInput{from: ev.From, usage: m})
 		}
 	case *peer.PlacementUpdate:
+		n.heardOf(ev.From, m.Address)
+		for _, member := range m.Members {
+			n.heardOf(member.ID, member.Address)
+		}
 		n.applyPlacement(m)
 		if p := n.placers[m.Shard]; p != nil {
 			return p.inputs.Push(placementInput{from: ev.From, update: m})
 		}
 	case *peer.FeedUpdate:
 		n.applyRelayed(m)
+	case *peer.CrashNews:
+		n.handleCrashNews(ev.From, m)
 	}
 	return true
 }
@@ -149,6 +158,7 @@
 	group.Go(func() error { return n.follow(ctx, &n.serversFeed, 0, serversReadPeriod, n.applyServers) })
 	group.Go(func() error { return n.reportUsage(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
+	group.Go(func() error { return n.syncCrashState(ctx) })
 	for _, p := range n.placers {
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
--- /dev/null
+++ b/internal/node/fleet/quarantine.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"sync"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/blame"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/core/topo"
+	"mangostile/internal/node/conns"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// reasonQuarantined is the reason of refusing a request with a key in quarantine.
+const reasonQuarantined = "backend servers crashed on a part of this request"
+
+// maxCrashes is the number of backend servers that may crash while running one request without
+// an answer having begun. It is not sent again then, since it may be what makes them crash.
+const maxCrashes = 2
+
+// quarantine is what a Node knows of requests that crash backend servers. The zero value is
+// ready to use.
+type quarantine struct {
+	// mu guards the other fields.
+	mu       sync.Mutex
+	registry blame.Registry
+	// unanswered holds the attempts in flight whose answer has not begun.
+	unanswered map[*attempt]bool
+	// peers holds the other entry VMs heard of.
+	peers map[units.EntryVMID]gossipPeer
+	// synced is true once another entry VM has sent its state.
+	synced bool
+}
+
+// subjectOf returns the keys of a request. Plain services don't look at the parts of a prompt:
+// what they answer says nothing about parts that a caller names.
+func (c *exchange) subjectOf(cfg *topo.Config) blame.Request {
+	var r blame.Request
+	var parts []choose.Part
+	if service := cfg.Services[c.req.Service]; service != nil && service.Engine != nil && c.head.Adapter != "" {
+		parts = c.head.Parts
+	}
+	for i := 0; i+1 < len(parts) && i < blame.MaxParts; i++ {
+		r.Parts = append(r.Parts, blame.Key(parts[i].ID))
+	}
+	if len(parts)+len(c.body) == 0 {
+		return r
+	}
+	h := xxhash.New()
+	for _, text := range []string{c.r.Method, c.r.Host, c.r.RequestURI, string(c.head.Adapter)} {
+		_, _ = h.WriteString(text + "\n")
+	}
+	for _, part := range parts {
+		_, _ = h.WriteString(blame.Key(part.ID).String())
+	}
+	_, _ = h.Write(c.body)
+	r.Content = blame.Key(h.Sum64())
+	return r
+}
+
+// quarantined reports whether a key of the request is in quarantine.
+func (c *exchange) quarantined() bool {
+	q := &c.node.quarantine
+	q.mu.Lock()
+	key, ok := q.registry.Quarantined(c.node.clock.Now(), c.subject)
+	q.mu.Unlock()
+	if ok {
+		c.log("request_quarantined", "key", key)
+	}
+	return ok
+}
+
+// watch registers an attempt until stop is called, so that it is canceled if a key of its
+// request is put into quarantine before its answer begins.
+func (q *quarantine) watch(a *attempt) (stop func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.unanswered == nil {
+		q.unanswered = map[*attempt]bool{}
+	}
+	q.unanswered[a] = true
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.unanswered, a)
+	}
+}
+
+// began records that the backend server's answer began. A caller that names a last event of its
+// own may get an end that takes no run.
+func (a *attempt) began() {
+	n := a.node
+	q := &n.quarantine
+	var news blame.News
+	q.mu.Lock()
+	delete(q.unanswered, a)
+	if a.head.LastEvent == "" {
+		news = q.registry.Began(n.clock.Now(), a.subject)
+	}
+	q.mu.Unlock()
+	n.publish(news, "")
+}
+
+// noteCrash records that the backend server crashed during an attempt, if it did: it is not
+// leaving and refuses connections. The request counts as a suspect if its answer had not begun.
+func (a *attempt) noteCrash(brokenAt clock.Millis) {
+	n := a.node
+	server := n.listed(a.to.Server)
+	if a.hasAnswer || server == nil || server.Draining {
+		return
+	}
+	q := &n.quarantine
+	q.mu.Lock()
+	suspects := q.registry.Suspects(brokenAt, a.subject)
+	q.mu.Unlock()
+	if suspects.Empty() || !n.refusesConnections(a.to) {
+		return
+	}
+	a.crashes++
+	a.log("server_crashed", "server", a.to.Server, "parts", suspects.Parts, "content", suspects.Content)
+	now := n.clock.Now()
+	q.mu.Lock()
+	news := q.registry.Crashed(now, blame.Crash{Server: server.ID, StartedAt: server.StartedAt, Age: now - brokenAt, Requests: []blame.Request{suspects}})
+	q.mu.Unlock()
+	n.publish(news, "")
+}
+
+// refusesConnections reports whether a backend server refuses connections, unlike one that can
+// be reached or is silent.
+func (n *Node) refusesConnections(to choose.Send) bool {
+	conn, err := n.pool.Get(to.Address, true)
+	if err == nil {
+		n.pool.Return(conn)
+		return false
+	}
+	var unsent *conns.NotSentError
+	return errors.As(err, &unsent) && unsent.Refused
+}
+
+// listed returns the list entry of a backend server, or nil.
+func (n *Node) listed(id units.BackendServerID) *topo.Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers.Get(id)
+}
+
+// ApplyVerdicts applies verdicts that were read from the store.
+func (n *Node) ApplyVerdicts(list []blame.Verdict) {
+	n.merge(&blame.News{Verdicts: list}, "")
+}
+
+// merge applies news from another entry VM and tells the others what was not known here.
+func (n *Node) merge(told *blame.News, from units.EntryVMID) {
+	q := &n.quarantine
+	q.mu.Lock()
+	news := q.registry.Merge(n.clock.Now(), told)
+	q.mu.Unlock()
+	n.publish(news, from)
+}
+
+// publish carries out the verdicts in news and tells other entry VMs.
+func (n *Node) publish(news blame.News, from units.EntryVMID) {
+	if news.Empty() {
+		return
+	}
+	for _, v := range news.Verdicts {
+		n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
+	}
+	if len(news.Verdicts) > 0 {
+		n.cancelQuarantined()
+	}
+	n.gossip(news, from)
+}
+
+// cancelQuarantined cancels the attempts in flight of requests in quarantine: their backend
+// servers may not have begun to answer yet.
+func (n *Node) cancelQuarantined() {
+	q := &n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := n.clock.Now()
+	for a := range q.unanswered {
+		if _, ok := q.registry.Quarantined(now, a.subject); ok {
+			a.cancel(errQuarantined)
+		}
+	}
+}
+
+// errQuarantined is the cause of an attempt that was canceled by a quarantine.
+var errQuarantined = errors.New(reasonQuarantined)
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -99,6 +99,9 @@
 		a.reason = "the backend server did not go on with the stream"
 		return choose.EndFailed, false
 	}
+	if answer.StatusCode < http.StatusMultipleChoices {
+		a.began()
+	}
 	buffered.write(a.exchange)
 	return choose.EndServed, true
 }
@@ -150,6 +153,9 @@
 }
 
 func (a *attempt) writeEvents(control *http.ResponseController, answer *conns.Exchange, out []byte) bool {
+	if !a.hasAnswer {
+		a.began()
+	}
 	a.noteFirst()
 	if !a.started {
 		a.started = true
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -27,6 +27,7 @@
 	tagUsageReport
 	tagPlacementUpdate
 	tagFeedUpdate
+	tagCrashNews
 )
 
 // hello is the first frame of a connection and identifies both ends.
@@ -72,6 +73,8 @@
 		return tagPlacementUpdate
 	case *peer.FeedUpdate:
 		return tagFeedUpdate
+	case *peer.CrashNews:
+		return tagCrashNews
 	default:
 		return 0
 	}
@@ -105,6 +108,8 @@
 		return &peer.PlacementUpdate{}
 	case tagFeedUpdate:
 		return &peer.FeedUpdate{}
+	case tagCrashNews:
+		return &peer.CrashNews{}
 	default:
 		return nil
 	}
