Suspect the parts of a quarantined request further

Parts of a quarantined request now keep these crashes; as before, they need more crashes than the request alone explains.

--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -431,11 +431,11 @@
 func (g *Registry) State(now clock.Millis) News {
 	news := News{Verdicts: g.Verdicts(now)}
 	for _, c := range g.sortedCrashes() {
-		if c.at < now-evidenceTerm || g.explained(now, c) {
+		if c.at < now-evidenceTerm {
 			continue
 		}
 		out := Crash{Server: c.server, StartedAt: c.startedAt, Age: now - c.at}
-		for _, r := range c.requests {
+		for _, r := range g.unexplained(now, c) {
 			if r = g.suspects(c, r); !r.Empty() {
 				out.Requests = append(out.Requests, r)
 			}
