--- a/internal/core/blame/registry_test.go
+++ b/internal/core/blame/registry_test.go
@@ -90,8 +90,11 @@
 			{0, "a", []Request{whole(content, sound)}}, {1000, "b", []Request{whole(content, sound)}}, {2000, "c", []Request{whole(content, sound)}},
 		}, []Key{content}},
 		{"a part of requests that come again often", []step{
-			{0, "a", []Request{whole(98, harmful)}}, {1000, "b", []Request{whole(98, harmful)}}, {2000, "c", []Request{whole(98, harmful)}},
-			{3000, "d", []Request{whole(content, harmful)}}, {4000, "e", []Request{whole(content, harmful), whole(97, rare)}},
+			{0, "a", []Request{whole(98, harmful)}},
+			{1000, "b", []Request{whole(98, harmful)}},
+			{2000, "c", []Request{whole(98, harmful)}},
+			{3000, "d", []Request{whole(content, harmful)}},
+			{4000, "e", []Request{whole(content, harmful), whole(97, rare)}},
 		}, []Key{harmful}},
 		{"a part of requests that come again", []step{
 			{0, "a", []Request{whole(98, harmful)}},
