Let a part of a prompt crash stand-in replicas

The stand-in of the platform could crash a replica only on a test's order, and the replica never came back. Add parts of a prompt that crash each replica before the first event of an answer, unless the part is the last one, and restarts at the same address, mostly with a new id.

--- a/internal/fake/grid/caller.go
+++ b/internal/fake/grid/caller.go
@@ -13,6 +13,8 @@
 	Timeout          time.Duration
 	// Model names model and adapter, empty for a plain service.
 	Model string
+	// Parts are the parts of the prompt, as hexadecimal ids.
+	Parts []string
 }
 
 // Head returns the head of a request without a body. It contains a Hold header, which only
@@ -23,6 +25,9 @@
 	if r.Model != "" {
 		fmt.Fprintf(&b, "Model: %s\r\nToken-Counts: 100,40\r\n", r.Model)
 	}
+	if len(r.Parts) > 0 {
+		fmt.Fprintf(&b, "%s: %s\r\n", promptHeader, Prompt(r.Parts...))
+	}
 	b.WriteString("Content-Length: 0\r\n\r\n")
 	return b.String()
 }
--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -1,7 +1,9 @@
 package grid
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sort"
@@ -23,6 +25,11 @@
 	// OnRun, if not nil, is called as each run starts. It must not call the Grid's methods,
 	// because mu is held. Set it before replicas start.
 	OnRun func(Run)
+	// OnRestart, if not nil, is called after Restart has started next in place of old. Set
+	// it before replicas start.
+	OnRestart func(old, next *Replica)
+	// KeepIDs makes Restart always keep the replica's id. Set it before the first crash.
+	KeepIDs bool
 
 	address    string
 	listener   net.Listener
@@ -30,6 +37,11 @@
 	runs       map[string]int
 	violations map[string]int
 	replicas   []*Replica
+	deadly     []*DeadlyPart
+	// restarts counts the restarts of replicas.
+	restarts int
+	// closed reports whether Close was called. No replica starts from then on.
+	closed bool
 	// uncheckedUntil is the time until which handover intervals and fences are not checked.
 	uncheckedUntil time.Time
 	stop           chan struct{}
@@ -57,6 +69,9 @@
 
 // Close stops the store and the replicas.
 func (g *Grid) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
 	close(g.stop)
 	for _, r := range g.list() {
 		_ = r.server.Close()
@@ -66,7 +81,7 @@
 
 // Start starts a replica, which writes its entry to the store periodically.
 func (g *Grid) Start(r *Replica) error {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", cmp.Or(r.address, "127.0.0.1:0"))
 	if err != nil {
 		return err
 	}
@@ -76,12 +91,15 @@
 		r.advertised = r.OnListen(r.advertised)
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Second}
+	// The entry is in the store before Start returns.
+	g.announce(r)
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return errors.Join(errors.New("the grid is closed"), listener.Close())
+	}
 	g.replicas = append(g.replicas, r)
-	g.mu.Unlock()
 	g.group.Go(func() { _ = r.server.Serve(listener) })
-	// The entry is in the store before Start returns.
-	g.announce(r)
 	g.group.Go(func() { g.sendHeartbeats(r) })
 	return nil
 }
@@ -99,7 +117,9 @@
 	}
 	select {
 	case <-time.After(g.entryExpiry()):
-		g.Store.Put("keyed.servers", r.ID, nil)
+		if !r.replaced.Load() {
+			g.Store.Put("keyed.servers", r.ID, nil)
+		}
 	case <-g.stop:
 	}
 }
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -56,7 +56,11 @@
 	startedAt int64
 	// advertised is the address in the replica's entry.
 	advertised string
-	crashed    atomic.Bool
+	// address is where Start listens; empty lets the kernel choose.
+	address string
+	crashed atomic.Bool
+	// replaced reports whether another replica has taken over the id after a crash.
+	replaced atomic.Bool
 
 	mu sync.Mutex
 	// orders counts the executed orders, except loads of adapters that were there already.
@@ -205,6 +209,7 @@
 			r.grid.countViolation("forged header passed on")
 		}
 	}
+	deadly := r.grid.deadlyPart(req)
 	if model := req.Header.Get("Model"); model != "" && !r.hasAdapter(model) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -227,6 +232,8 @@
 		<-req.Context().Done()
 	case r.Fail.Load():
 		w.WriteHeader(http.StatusInternalServerError)
+	case deadly != nil && r.Model != "":
+		r.runDeadly(w, req, deadly)
 	case r.Model != "":
 		r.stream(w, req)
 	default:
