Count records appended to keyed topics in the stand-in of the store

The platform's store retains the newest record of each key of a topic whose name begins with keyed., whoever appends it. The stand-in only did so for its own Put, so a test of records that entry VMs write by key would have found none. On the former stand-in the new test failed in its cases one key and two keys.

--- a/internal/fake/keylog/store.go
+++ b/internal/fake/keylog/store.go
@@ -1,6 +1,6 @@
 // Package keylog is a stand-in of the platform's store: a log with topics. It also
-// retains the newest record of each key that Put writes, on any topic; records appended over
-// HTTP do not count.
+// retains the newest record of each key that Put writes, on any topic, or that is appended over
+// HTTP to a keyed topic.
 package keylog
 
 import (
@@ -72,19 +72,29 @@
 	p.appended = make(chan struct{})
 }
 
-// Put writes a record under a key of at most 255 bytes; an empty value drops the key. The
-// record is the length of the key in one byte, the key and the value.
+// keyedTopicPrefix begins the names of topics whose records appended over HTTP have keys.
+const keyedTopicPrefix = "keyed."
+
+// appendKeyed adds a record that is the length of the key in one byte, the key and the value.
+// An empty value drops the key. A record shorter than its key is kept in the log only.
+func (p *partition) appendKeyed(record []byte) {
+	if len(record) > 0 && len(record) >= 1+int(record[0]) {
+		key, value := string(record[1:1+int(record[0])]), record[1+int(record[0]):]
+		if len(value) == 0 {
+			delete(p.newest, key)
+		} else {
+			p.newest[key] = newestRecord{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: p.end()}
+		}
+	}
+	p.append(record)
+}
+
+// Put writes a record under a key of at most 255 bytes; an empty value drops the key.
 func (s *Store) Put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(topic, "0")
 	record := append([]byte{byte(len(key))}, key...)
-	if len(value) == 0 {
-		delete(p.newest, key)
-	} else {
-		p.newest[key] = newestRecord{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: p.end()}
-	}
-	p.append(append(record, value...))
+	s.partition(topic, "0").appendKeyed(append(record, value...))
 }
 
 // Forget drops the history of a topic; the newest record of each key stays.
@@ -151,8 +161,13 @@
 		return http.StatusPreconditionFailed, map[string]int{"end": p.end()}
 	}
 	offset := p.end()
+	keyed := strings.HasPrefix(query.Get("topic"), keyedTopicPrefix)
 	for _, record := range records {
-		p.append(record)
+		if keyed {
+			p.appendKeyed(record)
+		} else {
+			p.append(record)
+		}
 	}
 	return http.StatusOK, map[string]int{"offset": offset, "end": p.end()}
 }
