--- a/internal/core/blame/verdict.go
+++ b/internal/core/blame/verdict.go
@@ -41,8 +41,8 @@
 	Server units.BackendServerID `msgpack:"s,omitempty" json:"backend_server,omitempty"`
 }
 
-// replaces reports whether v holds rather than old, a verdict on the same key.
-func (v *Verdict) replaces(old *Verdict) bool {
+// Replaces reports whether v holds rather than old, a verdict on the same key.
+func (v *Verdict) Replaces(old *Verdict) bool {
 	return v.Version > old.Version || v.Version == old.Version && old.Quarantined && !v.Quarantined
 }
 
