Read and append verdicts of a quarantine in the store

Verdicts were to be known to entry VMs only by their exchange with each other, so a restart of all would have lost them. The time until which a verdict holds is written by the wall clock, and a reader bounds it by blame.MaxTerm.

An append is conditional on the offset up to which the writer has read, as for leases. An unconditional one that got no response may be executed seconds later, and an old quarantine would then be the newest record of a key that was lifted in between.

--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -6,6 +6,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/blame"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/homes"
@@ -84,6 +85,38 @@
 	Oldest units.Offset
 }
 
+// QuarantineRecord is a verdict in the store.
+type QuarantineRecord struct {
+	blame.Verdict
+	// Until is when the verdict is forgotten, in Unix ms by the clock of its writer. It is
+	// what Remaining is in the store.
+	Until clock.Millis
+}
+
+// NewQuarantineRecord returns the record of v, a verdict at now, a wall clock time.
+func NewQuarantineRecord(v blame.Verdict, now clock.Millis) QuarantineRecord {
+	return QuarantineRecord{Verdict: v, Until: now + v.Remaining}
+}
+
+// SetRemaining sets Remaining as of now, a wall clock time. It reports false if the verdict
+// has expired.
+func (r *QuarantineRecord) SetRemaining(now clock.Millis) bool {
+	r.Remaining = min(max(0, r.Until-now), blame.MaxTerm)
+	return r.Remaining > 0
+}
+
+// QuarantineRecords is what was read of the verdicts in the store.
+type QuarantineRecords struct {
+	// Records are those that have not expired, in the order of the store.
+	Records []QuarantineRecord
+	// Next is the offset of the next read, which is to follow at once if More is true.
+	Next units.Offset
+	More bool
+	// Expired and Skipped count other records: Skipped those that could not be read.
+	Expired int
+	Skipped int
+}
+
 // ExpiredError is returned by a read from an offset whose records have expired. Oldest
 // is the first offset that can still be read.
 type ExpiredError struct{ Oldest units.Offset }
@@ -108,6 +141,12 @@
 	// The error is the reason for a result other than claim.Accepted, nil if the store
 	// itself gave that result.
 	AppendLease(ctx context.Context, shard string, a claim.Append) (claim.Result, error)
+	// ReadQuarantines returns the newest verdict of each key if from is 0, otherwise the
+	// verdicts from an offset on. The error is an ExpiredError if some of them have expired.
+	ReadQuarantines(ctx context.Context, from units.Offset) (*QuarantineRecords, error)
+	// AppendQuarantine appends a verdict if the verdicts end at the offset at, so that none
+	// is superseded by an older one that arrives late. Its results are those of AppendLease.
+	AppendQuarantine(ctx context.Context, at units.Offset, r QuarantineRecord) (claim.Result, error)
 }
 
 // Holder is the leaseholder on whose behalf an order is sent.
