Keep verdicts in the store, and wait for them at the start

After a restart of all entry VMs nothing was known at all.

Verdicts of this entry VM are now saved in the store, those that others told with the next read, and an entry VM is ready only once it has read them, or after a second without success.

--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -404,7 +404,7 @@
 
 func (g *Registry) replaces(now clock.Millis, v *Verdict) bool {
 	old := g.verdicts[v.Key]
-	return old == nil || v.replaces(&old.Verdict) || now >= old.until+probation
+	return old == nil || v.Replaces(&old.Verdict) || now >= old.until+probation
 }
 
 // Verdicts returns the verdicts that have not ended, sorted by key.
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -338,7 +338,8 @@
 }
 
 // propagateUpdate hands a new configuration or server list to the placer workers and
-// marks the entry VM as ready once it has a configuration and a backend server.
+// marks the entry VM as ready once it has a configuration, a backend server and the verdicts in
+// the store.
 func (n *Node) propagateUpdate() {
 	var ready bool
 	var cfg *topo.Config
@@ -346,7 +347,7 @@
 	n.withCore(func(core *choose.Core) {
 		ready, cfg, servers = core.Ready(n.clock.Now()), core.Config(), n.servers.All()
 	})
-	if ready && !n.ready.Swap(true) {
+	if ready && n.knowsQuarantines() && !n.ready.Swap(true) {
 		n.log.Info("entry_vm_ready", "entry_vm", n.settings.ID)
 	}
 	if cfg == nil {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -51,6 +51,9 @@
 	// listeners is nil if Run has to open them.
 	listeners *Listeners
 
+	// startedAt is when the node was created.
+	startedAt clock.Millis
+
 	// mu guards core and servers.
 	mu      sync.Mutex
 	core    *choose.Core
@@ -83,10 +86,11 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	n := &Node{
-		settings: o.Settings, system: o.System, clock: o.Clock, log: o.Logger, meter: o.Meter, incarnation: o.Incarnation, listeners: o.Listeners,
+		startedAt: o.Clock.Now(), settings: o.Settings, system: o.System, clock: o.Clock, log: o.Logger, meter: o.Meter, incarnation: o.Incarnation, listeners: o.Listeners,
 		core:       choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
 		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placerWorker{}, reportNow: make(chan struct{}, 1),
 	}
+	n.quarantine.stored = newQuarantineStore(n, n)
 	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, Logger: o.Logger})
 	for _, region := range o.Settings.Regions {
 		if shard := string(region); n.placers[shard] == nil {
@@ -159,6 +163,7 @@
 	group.Go(func() error { return n.reportUsage(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
 	group.Go(func() error { return n.syncCrashState(ctx) })
+	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	for _, p := range n.placers {
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
@@ -33,6 +34,19 @@
 	peers map[units.EntryVMID]gossipPeer
 	// synced is true once another entry VM has sent its state.
 	synced bool
+	// stored keeps the verdicts in the store.
+	stored *quarantineStore
+	// known is true once the verdicts in the store were read.
+	known atomic.Bool
+}
+
+// maxQuarantineWait is how long an entry VM that has started waits for the verdicts in the store
+// before it is ready without them.
+const maxQuarantineWait = clock.Second
+
+// knowsQuarantines reports whether the entry VM need not wait for the verdicts in the store.
+func (n *Node) knowsQuarantines() bool {
+	return n.quarantine.known.Load() || n.clock.Now() >= n.startedAt+maxQuarantineWait
 }
 
 // subjectOf returns the keys of a request. Plain services don't look at the parts of a prompt:
@@ -149,7 +163,17 @@
 
 // ApplyVerdicts applies verdicts that were read from the store.
 func (n *Node) ApplyVerdicts(list []blame.Verdict) {
-	n.merge(&blame.News{Verdicts: list}, "")
+	n.merge(&blame.News{Verdicts: list}, fromStore)
+}
+
+// fromStore stands for the store where news name the entry VM that they are from.
+const fromStore units.EntryVMID = "store"
+
+// Verdicts returns the verdicts that hold now.
+func (n *Node) Verdicts() []blame.Verdict {
+	n.quarantine.mu.Lock()
+	defer n.quarantine.mu.Unlock()
+	return n.quarantine.registry.Verdicts(n.clock.Now())
 }
 
 // merge applies news from another entry VM and tells the others what was not known here.
@@ -161,12 +185,16 @@
 	n.publish(news, from)
 }
 
-// publish carries out the verdicts in news and tells other entry VMs.
+// publish carries out the verdicts in news, tells other entry VMs and, unless the news are from
+// one of them, saves the verdicts in the store.
 func (n *Node) publish(news blame.News, from units.EntryVMID) {
 	if news.Empty() {
 		return
 	}
 	for _, v := range news.Verdicts {
+		if from == "" {
+			n.quarantine.stored.save(v)
+		}
 		n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
 	}
 	if len(news.Verdicts) > 0 {
--- a/internal/node/fleet/quarantine_store.go
+++ b/internal/node/fleet/quarantine_store.go
@@ -46,6 +46,8 @@
 type verdictSink interface {
 	// ApplyVerdicts is called by one goroutine at a time. A verdict may be given again.
 	ApplyVerdicts(list []blame.Verdict)
+	// Verdicts returns those that hold now.
+	Verdicts() []blame.Verdict
 }
 
 // quarantineStore keeps verdicts in the store and reads those that others have put there. They
@@ -104,6 +106,12 @@
 		n.guard("quarantines in the store", func() { err = q.sync(ctx) })
 		n.meter.StoreRead(string(feedQuarantines), err == nil)
 		n.logDependency(ctx, &q.feed, err)
+		if err == nil {
+			n.quarantine.known.Store(true)
+		}
+		if !n.ready.Load() {
+			n.propagateUpdate()
+		}
 		if err != nil {
 			sleep(ctx, n.retryDelay(&q.feed))
 			continue
@@ -133,12 +141,18 @@
 	}
 }
 
-// sync reads what is new and saves what is queued. The error is that of a read.
+// sync reads what is new, and saves what is queued or was told by an entry VM that may not have
+// been able to save it. The error is that of a read.
 func (q *quarantineStore) sync(ctx context.Context) error {
 	for range maxSaveRounds {
 		if err := q.read(ctx); err != nil {
 			return err
 		}
+		for _, v := range q.sink.Verdicts() {
+			if old, isKnown := q.known[v.Key]; !isKnown || v.Replaces(&old.Verdict) {
+				q.save(v)
+			}
+		}
 		if !q.flush(ctx) {
 			return nil
 		}
--- a/internal/node/fleet/quarantine_store_test.go
+++ b/internal/node/fleet/quarantine_store_test.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// Verdicts implements verdictSink.
+func (s *verdicts) Verdicts() []blame.Verdict { return nil }
+
 func (s *verdicts) get(key blame.Key) blame.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
