Add a deadly part of a prompt to the soak

A quarter of the seeds draw a part of a prompt that crashes engines, with its start and its share of the streams; the draws come last, so that the faults of all seeds stay. Requests with the part are not counted as not served. The checks bound their runs later than 4 s after the fifth crash and compare sound requests with the same first part before and after. This fails until the part is refused.

--- a/internal/fake/grid/deadly.go
+++ b/internal/fake/grid/deadly.go
@@ -109,19 +109,15 @@
 )
 
 // Restart crashes r and starts it again after downtime, at the same address and without
-// adapters, mostly with a new id. A replica that isn't ready doesn't come back. Restart
+// adapters, mostly with a new id. A replica that is draining by then doesn't come back. Restart
 // reports false if r had crashed before.
 func (g *Grid) Restart(r *Replica, downtime time.Duration) bool {
 	if !r.crashed.CompareAndSwap(false, true) {
 		return false
 	}
 	_ = r.server.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state == "ready" {
-		next := g.successor(r)
-		time.AfterFunc(downtime, func() { g.startAgain(r, next) })
-	}
+	next := g.successor(r)
+	time.AfterFunc(downtime, func() { g.startAgain(r, next) })
 	return true
 }
 
@@ -147,8 +143,11 @@
 	g.mu.Lock()
 	closed := g.closed
 	g.mu.Unlock()
+	old.mu.Lock()
+	ready := old.state == "ready"
+	old.mu.Unlock()
 	switch {
-	case closed:
+	case closed || !ready:
 	case g.Start(next) != nil:
 		time.AfterFunc(rebindDelay, func() { g.startAgain(old, next) })
 	case g.OnRestart != nil:
--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -87,6 +87,7 @@
 		// The time is set when the connection is closed.
 		q.disconnectedAt = forever
 	}
+	parts := c.prompt(q)
 	defer c.d.history.addRequest(q)
 	defer func() {
 		q.ended = time.Now()
@@ -102,7 +103,7 @@
 	if !q.disconnectedAt.IsZero() {
 		_ = c.conn.SetDeadline(q.sent.Add(timeout))
 	}
-	_, q.err = io.WriteString(c.conn, grid.Request{Method: method, Path: q.path, ID: q.id, Timeout: requestTimeout, Model: model}.Head())
+	_, q.err = io.WriteString(c.conn, grid.Request{Method: method, Path: q.path, ID: q.id, Timeout: requestTimeout, Model: model, Parts: parts}.Head())
 	if q.err == nil {
 		c.read(q, method)
 	}
@@ -111,6 +112,20 @@
 	}
 }
 
+// prompt returns the parts of a stream's prompt, nil if the plan has no deadly part. All
+// prompts share their first part.
+func (c *caller) prompt(q *request) []string {
+	p := c.d.plan.deadly
+	if p == nil || !q.isStream() {
+		return nil
+	}
+	second := fmt.Sprintf("50d%x", c.r.IntN(8))
+	if c.r.Float64() < p.share && time.Since(c.d.startedAt) >= p.at {
+		second, q.deadly = deadlyPartID, true
+	}
+	return []string{"5c1e07a2", second, fmt.Sprintf("%x", c.r.Uint32())}
+}
+
 func (c *caller) read(q *request, method string) {
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 	if err != nil {
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -21,6 +21,9 @@
 	// left are executions whose callers disconnected, resumed those that continue a
 	// stream that broke on another server.
 	left, resumed int
+	// lateDeadly are runs of requests with the deadly part after it has to be known,
+	// soundAfter the sound requests after that.
+	lateDeadly, soundAfter int
 }
 
 // violations lists the guarantees that a run violated.
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -22,6 +22,28 @@
 	return b.String()
 }
 
+// recordDeadly records sound requests before and after five crashes up to 400 ms, the later
+// ones with a status, and runs of deadly requests after these crashes.
+func recordDeadly(d *deployment, at func(ms int) time.Time, deadlyRuns, status int) {
+	stream := func(id string, ms, status int) *request {
+		q := &request{id: id, path: "/stream/x", sent: at(ms), ended: at(ms + 20), status: status, complete: true}
+		if status == 200 {
+			q.stamp, q.body = "stamp-e", completeBody(id, streamEvents)
+		}
+		return q
+	}
+	for i := range 25 {
+		d.history.addRequest(stream(fmt.Sprint("before-", i), -10000, 200))
+		d.history.addRequest(stream(fmt.Sprint("after-", i), 8500, status))
+	}
+	for i := range deadlyRuns {
+		q := stream(fmt.Sprint("deadly-", i), 4500, 502)
+		q.deadly = true
+		d.history.addRequest(q)
+		d.history.recordRun(grid.Run{ID: q.id, Replica: "e", Service: "llm", At: at(4500)})
+	}
+}
+
 // TestChecksFindBrokenPromises checks that each violation in a history is reported, and
 // that permitted histories are not. Otherwise a soak could pass with a check that finds
 // nothing.
@@ -128,6 +150,9 @@
 				d.history.recordRun(run(id, "plain-1", "plain", 6))
 			}
 		}, "repeats"},
+		{"deadly part runs three times after it is known", func(d *deployment) { recordDeadly(d, at, 3, 200) }, ""},
+		{"deadly part runs too often after it is known", func(d *deployment) { recordDeadly(d, at, 4, 200) }, "4 requests with the deadly part ran later"},
+		{"sound requests refused beside the deadly part", func(d *deployment) { recordDeadly(d, at, 0, 503) }, "0 of 25 served after 5 crashes, 25 of 25 before"},
 		{"a process broke", func(d *deployment) {
 			must.NoError(t, os.WriteFile(filepath.Join(d.dir, "vm0.log"), []byte("x\npanic: nil map\n"), 0o600))
 		}, "nil map"},
@@ -141,7 +166,11 @@
 			d.history.versions = []time.Time{at(-20000), at(-20000)}
 			must.NoError(t, os.WriteFile(filepath.Join(d.dir, "vm0.log"), nil, 0o600))
 			tc.set(d)
-			got := strings.Join(d.violations(), "\n")
+			var crashes []time.Time
+			for i := range knownCrashes {
+				crashes = append(crashes, at(100*i))
+			}
+			got := strings.Join(append(d.violations(), d.deadlyViolationsAt(crashes, at(0))...), "\n")
 			if tc.want == "" {
 				must.Eq(t, "", got)
 			} else {
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -65,6 +65,8 @@
 	vms      []*vm
 	history  history
 	coverage coverage
+	// deadly is nil if the plan has no deadly part.
+	deadly *grid.DeadlyPart
 
 	mu      sync.Mutex
 	servers []*server
@@ -114,7 +116,11 @@
 	g, err := grid.New(handoverInterval - resumeSlack)
 	must.NoError(t, err)
 	d := &deployment{Grid: g, t: t, plan: p, dir: dir, startedAt: time.Now()}
-	g.OnRun = d.history.recordRun
+	g.OnRun, g.OnRestart = d.history.recordRun, d.replaceServer
+	if p.deadly != nil {
+		d.deadly = &grid.DeadlyPart{ID: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
+		g.AddDeadlyPart(d.deadly)
+	}
 	for range p.engines {
 		d.startServer("llm")
 	}
@@ -185,6 +191,18 @@
 	}
 }
 
+// replaceServer makes a restarted replica the target of later faults in place of the one
+// that crashed.
+func (d *deployment) replaceServer(old, next *grid.Replica) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, s := range d.servers {
+		if s.Replica == old {
+			d.servers[i] = &server{Replica: next, relay: s.relay}
+		}
+	}
+}
+
 // lookupService returns the service that lookups use under a configuration version.
 func lookupService(version int) string { return []string{"plain", "other"}[version%2] }
 
@@ -338,6 +356,8 @@
 		_ = v.log.Close()
 	}
 	d.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, s := range d.servers {
 		s.relay.Close()
 	}
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -47,8 +47,10 @@
 	id, path string
 	vm       int
 	reused   bool
-	sent     time.Time
-	ended    time.Time
+	// deadly reports whether the prompt has the part that crashes engines.
+	deadly bool
+	sent   time.Time
+	ended  time.Time
 	// disconnectedAt is when the caller closed its connection, or zero if it did not.
 	disconnectedAt time.Time
 	status         int
@@ -121,12 +123,12 @@
 }
 
 // servedSince counts the requests sent since an instant whose callers did not disconnect,
-// and how many of them were served.
+// and how many of them were served. Requests that crash servers don't count.
 func (h *history) servedSince(since time.Time) (served, all int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, q := range h.requests {
-		if q.sent.Before(since) || !q.disconnectedAt.IsZero() {
+		if q.sent.Before(since) || !q.disconnectedAt.IsZero() || q.deadly {
 			continue
 		}
 		all++
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -77,6 +77,21 @@
 	period  time.Duration
 	callers int
 	faults  []fault
+	// deadly is nil if no part of a prompt crashes engines.
+	deadly *deadly
+}
+
+// deadly describes a part of a prompt that crashes engines.
+type deadly struct {
+	// at is the time from which requests contain the part, until the end of the run.
+	at time.Duration
+	// share is the share of streams with the part.
+	share             float64
+	prefill, downtime time.Duration
+}
+
+func (p *deadly) String() string {
+	return fmt.Sprintf("deadly part from %s on in %.2f of the streams, crash after %s, down for %s", p.at, p.share, p.prefill, p.downtime)
 }
 
 // Faults start at a time from faultDelay to faultDelay+faultWindow after the deployment is
@@ -87,8 +102,11 @@
 	maxFaultDuration = 5 * time.Second
 )
 
+// deadlyOneIn is the number of seeds of which one has a part that crashes engines.
+const deadlyOneIn = 4
+
 // newPlan draws a plan from a seed. A quarter of the seeds have a series of faults of one
-// kind. If the order or number of the draws changes, all seeds give other plans.
+// kind. New draws are added at the end: if the order or number of the draws changes, all seeds give other plans.
 func newPlan(seed uint64) plan {
 	r := rand.New(rand.NewPCG(seed, 0x50a6))
 	p := plan{
@@ -110,5 +128,12 @@
 		})
 	}
 	sort.Slice(p.faults, func(i, j int) bool { return p.faults[i].at < p.faults[j].at })
+	if r.IntN(deadlyOneIn) == 0 {
+		p.deadly = &deadly{
+			at: faultDelay + time.Duration(r.Int64N(int64(faultWindow/2))).Round(time.Millisecond), share: 0.03 + 0.09*r.Float64(),
+			prefill:  (10*time.Millisecond + time.Duration(r.Int64N(int64(300*time.Millisecond)))).Round(time.Millisecond),
+			downtime: (300*time.Millisecond + time.Duration(r.Int64N(int64(1700*time.Millisecond)))).Round(time.Millisecond),
+		}
+	}
 	return p
 }
--- a/internal/oper/soak/soak_test.go
+++ b/internal/oper/soak/soak_test.go
@@ -92,12 +92,16 @@
 		callers.Go(func() { d.call(ctx, i) })
 	}
 	d.injectFaults(ctx)
+	faultsEnded := time.Now()
 	served, all, took := d.awaitRecovery()
+	d.awaitDeadlyRecovery(faultsEnded)
 	cancel()
 	callers.Wait()
 	// Give executions whose callers have just disconnected time to end.
 	time.Sleep(disconnectTimeout)
-	violations := d.violations()
+	violations := d.deadlyViolations()
+	d.recordDeadlyCrashes()
+	violations = append(violations, d.violations()...)
 	t.Logf("seed %d: %d entry VMs, %d requests, served again %d of %d after %s; looked at %+v", seed, p.vms, len(d.history.requests), served, all, took, d.coverage)
 	if float64(served) < minServedShare*float64(all) || all == 0 {
 		violations = append(violations, fmt.Sprintf("%s after the last fault only %d of %d requests are served", took, served, all))
@@ -111,6 +115,9 @@
 	for _, f := range p.faults {
 		t.Log(f)
 	}
+	if p.deadly != nil {
+		t.Log(p.deadly)
+	}
 	for _, violation := range violations[:min(len(violations), 20)] {
 		t.Error(violation)
 	}
