Reserve the addresses of a soak against other soaks

Two soaks at the same time could take the same addresses, which hung on the process id alone: the entry VMs of the later one couldn't listen and ended by themselves, and its callers reached those of the earlier one, which saw requests that nobody had asked for. A process now keeps a listener open on the addresses that it uses and takes the next free ones.

--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -111,6 +112,27 @@
 // deployments counts deployments, to give concurrent ones different addresses.
 var deployments atomic.Int64
 
+// The second numbers of the addresses of a process, from firstNet on.
+const (
+	firstNet = 64
+	netCount = 128
+)
+
+// reservation is the listener that reserveNet keeps open until the process ends.
+var reservation net.Listener
+
+// reserveNet returns the second number of all addresses of this process, which no other
+// process has reserved.
+var reserveNet = sync.OnceValues(func() (n int, err error) {
+	for i := range netCount {
+		n = firstNet + (os.Getpid()+i)%netCount
+		if reservation, err = net.Listen("tcp4", fmt.Sprintf("127.%d.255.255:8149", n)); err == nil {
+			return n, nil
+		}
+	}
+	return 0, err
+})
+
 func deploy(t *testing.T, p plan, dir string) *deployment {
 	t.Helper()
 	g, err := grid.New(handoverInterval - resumeSlack)
@@ -129,8 +151,10 @@
 	}
 	d.configure()
 	run := deployments.Add(1)
+	ipNet, err := reserveNet()
+	must.NoError(t, err)
 	for i := range p.vms {
-		v := &vm{index: i, dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, run%256, 1+i)}
+		v := &vm{index: i, dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", ipNet, run%256, 1+i)}
 		v.store, err = relay.New(d.StoreAddress(), 0)
 		must.NoError(t, err)
 		v.front, err = relay.New(v.frontAddress(), 0)
