--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -65,6 +66,8 @@
 	vms      []*vm
 	history  history
 	coverage coverage
+	// deadly is nil if the plan has no deadly part.
+	deadly *grid.DeadlyPart
 
 	mu      sync.Mutex
 	servers []*server
@@ -109,12 +112,37 @@
 // deployments counts deployments, to give concurrent ones different addresses.
 var deployments atomic.Int64
 
+// The second numbers of the addresses of a process, from firstNet on.
+const (
+	firstNet = 64
+	netCount = 128
+)
+
+// reservation is the listener that reserveNet keeps open until the process ends.
+var reservation net.Listener
+
+// reserveNet returns the second number of all addresses of this process, which no other
+// process has reserved.
+var reserveNet = sync.OnceValues(func() (n int, err error) {
+	for i := range netCount {
+		n = firstNet + (os.Getpid()+i)%netCount
+		if reservation, err = net.Listen("tcp4", fmt.Sprintf("127.%d.255.255:8149", n)); err == nil {
+			return n, nil
+		}
+	}
+	return 0, err
+})
+
 func deploy(t *testing.T, p plan, dir string) *deployment {
 	t.Helper()
 	g, err := grid.New(handoverInterval - resumeSlack)
 	must.NoError(t, err)
 	d := &deployment{Grid: g, t: t, plan: p, dir: dir, startedAt: time.Now()}
-	g.OnRun = d.history.recordRun
+	g.OnRun, g.OnRestart = d.history.recordRun, d.replaceServer
+	if p.deadly != nil {
+		d.deadly = &grid.DeadlyPart{ID: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
+		g.AddDeadlyPart(d.deadly)
+	}
 	for range p.engines {
 		d.startServer("llm")
 	}
@@ -123,8 +151,10 @@
 	}
 	d.configure()
 	run := deployments.Add(1)
+	ipNet, err := reserveNet()
+	must.NoError(t, err)
 	for i := range p.vms {
-		v := &vm{index: i, dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, run%256, 1+i)}
+		v := &vm{index: i, dir: dir, ip: fmt.Sprintf("127.%d.%d.%d", ipNet, run%256, 1+i)}
 		v.store, err = relay.New(d.StoreAddress(), 0)
 		must.NoError(t, err)
 		v.front, err = relay.New(v.frontAddress(), 0)
@@ -185,6 +215,18 @@
 	}
 }
 
+// replaceServer makes a restarted replica the target of later faults in place of the one
+// that crashed.
+func (d *deployment) replaceServer(old, next *grid.Replica) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, s := range d.servers {
+		if s.Replica == old {
+			d.servers[i] = &server{Replica: next, relay: s.relay}
+		}
+	}
+}
+
 // lookupService returns the service that lookups use under a configuration version.
 func lookupService(version int) string { return []string{"plain", "other"}[version%2] }
 
@@ -338,6 +380,8 @@
 		_ = v.log.Close()
 	}
 	d.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, s := range d.servers {
 		s.relay.Close()
 	}
