Notice crashes of backend servers behind a proxy

Where a proxy stands between entry VMs and backend servers, requests with a harmful part went on crashing them: the proxy accepts the connection by which the entry VM checks whether the server has crashed.

A new connection that is closed within 250 ms counts as refused if this entry VM has no other connection to the server left. Without that condition a server that resets connections beyond its limit would look like a crashed one.

--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// Active returns the number of requests of this entry VM in flight at a backend server.
+func (c *Core) Active(server units.BackendServerID) int32 {
+	if v := c.servers[server]; v != nil {
+		return v.own.active
+	}
+	return 0
+}
+
 // requestLoad counts r in the load request for its adapter.
 func (c *Core) requestLoad(r *Request, shard string) *loadRequest {
 	w := c.loadRequests[r.Adapter]
--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +102,14 @@
 	return c
 }
 
+// HasUsable reports whether there is an idle connection to an address that the peer has not
+// closed.
+func (p *Pool) HasUsable(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], (*Conn).usable)
+}
+
 // put adds a connection without an exchange to the idle ones. It closes the connection if
 // there are maxIdlePerAddress of them already.
 func (p *Pool) put(c *Conn) {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -154,7 +154,7 @@
 	} else if c.callerLeft() {
 		c.abort()
 	}
-	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts || c.crashes >= maxCrashes) {
+	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts || c.crashes.Load() >= maxCrashes) {
 		if !c.endIfDone(ctx) {
 			c.giveUp("the backend server failed", 0)
 		}
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -127,7 +127,7 @@
 	// executions counts backend servers that may have executed the request, crashes those
 	// that crashed before its answer began.
 	executions int
-	crashes    int
+	crashes    atomic.Int32
 	// fallback is the failure answer of a backend server, forwarded if no later
 	// attempt succeeds.
 	fallback *bufferedAnswer
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
@@ -13,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // reasonQuarantined is the reason of refusing a request with a key in quarantine.
@@ -130,28 +133,53 @@
 	q.mu.Lock()
 	suspects := q.registry.Suspects(brokenAt, a.subject)
 	q.mu.Unlock()
-	if suspects.Empty() || !n.refusesConnections(a.to) {
+	if suspects.Empty() {
 		return
 	}
-	a.crashes++
-	a.log("server_crashed", "server", a.to.Server, "parts", suspects.Parts, "content", suspects.Content)
+	conn, err := n.pool.Get(a.to.Address, true)
+	switch {
+	case err == nil:
+		go n.guard("check of a connection", func() {
+			if n.closesAtOnce(conn, server) {
+				a.addCrash(server, brokenAt, suspects)
+			}
+		})
+	case errors.Is(err, unix.ECONNREFUSED):
+		a.addCrash(server, brokenAt, suspects)
+	}
+}
+
+// addCrash adds a crash of a backend server during an attempt to the evidence.
+func (a *attempt) addCrash(server *topo.Server, at clock.Millis, suspects blame.Request) {
+	n := a.node
+	a.crashes.Add(1)
+	a.log("server_crashed", "server", server.ID, "parts", suspects.Parts, "content", suspects.Content)
+	q := &n.quarantine
 	now := n.clock.Now()
 	q.mu.Lock()
-	news := q.registry.Crashed(now, blame.Crash{Server: server.ID, StartedAt: server.StartedAt, Age: now - brokenAt, Requests: []blame.Request{suspects}})
+	news := q.registry.Crashed(now, blame.Crash{Server: server.ID, StartedAt: server.StartedAt, Age: now - at, Requests: []blame.Request{suspects}})
 	q.mu.Unlock()
 	n.publish(news, "")
 }
 
-// refusesConnections reports whether a backend server refuses connections, unlike one that can
-// be reached or is silent.
-func (n *Node) refusesConnections(to choose.Send) bool {
-	conn, err := n.pool.Get(to.Address, true)
-	if err == nil {
+// closeCheckTime is how long a proxy may take to find that its backend server refuses
+// connections.
+const closeCheckTime = 250 * time.Millisecond
+
+// closesAtOnce reports whether the other end closes a new connection to a backend server within
+// closeCheckTime, as a proxy does whose backend server refuses connections, and none is left that
+// was opened before: a backend server with too many connections resets new ones alone.
+func (n *Node) closesAtOnce(conn *conns.Conn, server *topo.Server) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(closeCheckTime))
+	_, err := conn.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) && conn.SetReadDeadline(time.Time{}) == nil {
 		n.pool.Return(conn)
 		return false
 	}
-	var unsent *conns.NotSentError
-	return errors.As(err, &unsent) && unsent.Refused
+	_ = conn.Close()
+	var active int32
+	n.withCore(func(core *choose.Core) { active = core.Active(server.ID) })
+	return err != nil && active == 0 && !n.pool.HasUsable(server.Address)
 }
 
 // listed returns the list entry of a backend server, or nil.
--- a/internal/oper/soak/soak_test.go
+++ b/internal/oper/soak/soak_test.go
@@ -28,7 +28,9 @@
 var regressionSeeds = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{16, "crashes of backend servers behind a proxy were no evidence, so requests with a harmful part went on"},
+}
 
 // TestShortSoak runs the fixed seeds and those that failed in the past. It guards against
 // wrong, lost or repeated executions and crashes when faults overlap.
