--- a/internal/node/fleet/quarantine_store_test.go
+++ b/internal/node/fleet/quarantine_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -247,6 +248,20 @@
 	}
 }
 
+// TestSameVerdictIsSavedOnce guards against as many records as entry VMs if all save a verdict
+// at once.
+func TestSameVerdictIsSavedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &verdictLog{}
+		for i := range 10 {
+			q, _ := startQuarantineStore(t, units.EntryVMID("vm"+strconv.Itoa(i)), log)
+			q.save(verdictOf(7, 1, true))
+		}
+		let(5 * time.Second)
+		must.Len(t, 1, log.records)
+	})
+}
+
 // TestQueueOfVerdictsIsBounded guards against a queue that grows for as long as the store is
 // down.
 func TestQueueOfVerdictsIsBounded(t *testing.T) {
