Judge crashes by what all entry VMs know, and spare what answers begin on

An answer near the time of the verdict, or later, now ends it. - A lift put a shared part into quarantine instead. The crashes of a lifted key count no more. - With more than 64 crashes entry VMs told each other the oldest ones without end. Crashes about as old as the oldest kept are not taken. - 32 sound requests reported first hid the harmful one from every record; other parts, each in flight at some crashes, were blamed in turn. The record keeps the same requests everywhere; the crashes of a quarantined key still count for what comes before it in the same requests; ties wait for another crash. - One failure whose news came late counted as several moments; a server that crashed again under an old start as one crash. - Probation ignored answers, and there was none after a wrong acquittal. - A version of 2^64-1 in the store could not be followed.

The costs under the lock no longer grow with the number of crashes for each answer that begins.

--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 
@@ -18,92 +19,117 @@
 	key Key
 	// crashes are the moments at which it was in flight on backend servers that crashed.
 	crashes moments
-	// position is its highest position among the keys of a request; later keys are more
-	// specific. whole is true for the key of a whole request.
-	position int
-	whole    bool
-	// later lists the keys that follow it in requests.
-	later map[Key]bool
+	// whole is true for the key of a whole request.
+	whole bool
 	// last is the last of its crashes.
 	last *crash
+	// later holds the keys that follow it in requests, so more specific ones, and contents the
+	// different requests that it was in. They are set for suspects with enough crashes only.
+	later    map[Key]bool
+	contents int
 }
 
-// judge puts into quarantine the keys that the crashes count against, the most specific first,
-// until no crash is left without a cause, and adds the verdicts to news.
+// docket holds the suspects of some crashes, and the requests that were in flight at these with
+// the keys alone that count.
+type docket struct {
+	suspects map[Key]*suspect
+	requests []Request
+}
+
+// judge puts into quarantine the keys that the crashes count against, until no crash is left
+// without a cause, and adds the verdicts to news.
 func (g *Registry) judge(now clock.Millis, news *News) {
-	defer g.acquit(now, news)
-	for {
+	for range maxCrashes {
 		s := g.guilty(now)
 		if s == nil {
-			return
+			break
 		}
-		v := Verdict{Key: s.key, Version: 1, Quarantined: true, Remaining: Term, Server: s.last.server}
+		v := Verdict{Key: s.key, Version: 1, Quarantined: true, Reason: ReasonCrashes, Remaining: Term, Server: s.last.server}
 		if old := g.verdicts[s.key]; old != nil {
 			v.Version = old.Version + 1
 		}
 		news.Verdicts = append(news.Verdicts, g.set(now, v))
 	}
+	g.acquit(now, news)
 }
 
 // acquit ends the quarantine of keys all of whose crashes turn out to be those of another key in
 // quarantine, which has more of them: the news of it may have come later.
 func (g *Registry) acquit(now clock.Millis, news *News) {
-	var suspects map[Key]*suspect
+	var d *docket
 	for key, v := range g.verdicts {
 		if !g.refuses(now, key) {
 			continue
 		}
-		if suspects == nil {
-			suspects = g.tally(now, func(c *crash) []Request { return c.requests })
+		if d == nil {
+			d = g.open(now, func(c *crash) []Request { return c.requests })
 		}
-		s := suspects[key]
+		s := d.suspects[key]
 		if s == nil {
 			continue
 		}
-		for other, o := range suspects {
+		for other, o := range d.suspects {
 			if g.refuses(now, other) && s.crashes&^o.crashes == 0 && o.crashes&^s.crashes != 0 {
-				news.Verdicts = append(news.Verdicts, g.set(now, Verdict{Key: key, Version: v.Version + 1, Remaining: Term}))
+				news.Verdicts = append(news.Verdicts, g.set(now, Verdict{Key: key, Version: v.Version + 1, Reason: ReasonExplained, Remaining: Term}))
 				break
 			}
 		}
 	}
 }
 
-// guilty returns the most specific suspect with as many crashes as put it into quarantine, or
-// nil.
+// guilty returns the suspect to put into quarantine next, or nil: of keys in one request the most
+// specific one, otherwise that with the most crashes. While two have equally many, it waits for
+// another crash to tell them apart, up to contestedLimit.
 func (g *Registry) guilty(now clock.Millis) *suspect {
-	suspects := g.tally(now, func(c *crash) []Request { return g.unexplained(now, c) })
+	d := g.open(now, func(c *crash) []Request { return g.unexplained(now, c) })
 	var found []*suspect
-	for _, s := range suspects {
-		if !g.refuses(now, s.key) && s.crashes.count() >= g.limit(now, s, suspects) {
-			found = append(found, s)
+	for _, s := range d.suspects {
+		if s.crashes.count() < probationLimit || g.refuses(now, s.key) {
+			continue
 		}
-	}
-	var causes []*suspect
-	for _, s := range found {
-		if !s.whole || !slices.ContainsFunc(found, s.outdone) {
-			causes = append(causes, s)
+		least := g.leastLimit(now, s.key)
+		if s.crashes.count() < least {
+			continue
+		}
+		d.describe(s)
+		if s.crashes.count() >= g.limit(now, s, d, least) {
+			found = append(found, s)
 		}
 	}
+	causes := slices.DeleteFunc(slices.Clone(found), func(s *suspect) bool {
+		return slices.ContainsFunc(found, func(other *suspect) bool { return other.outdoes(s) })
+	})
 	if len(causes) == 0 {
 		return nil
 	}
-	return slices.MaxFunc(causes, func(a, b *suspect) int {
-		return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.crashes.count(), b.crashes.count()), cmp.Compare(b.key, a.key))
+	slices.SortFunc(causes, func(a, b *suspect) int {
+		return cmp.Or(b.compare(a), cmp.Compare(a.key, b.key))
 	})
+	if len(causes) > 1 && causes[0].compare(causes[1]) == 0 && causes[0].crashes.count() < contestedLimit {
+		return nil
+	}
+	return causes[0]
+}
+
+func (s *suspect) compare(other *suspect) int {
+	return cmp.Or(cmp.Compare(s.crashes.count(), other.crashes.count()), cmp.Compare(s.contents, other.contents))
 }
 
-// outdone reports whether part, a suspect too, explains several crashes beyond those of s, the
-// key of a whole request that has the part.
-func (s *suspect) outdone(part *suspect) bool {
-	return part.later[s.key] && (part.crashes&^s.crashes).count() > 1
+// outdoes reports whether s is to blame rather than other, a key of the same requests: because it
+// is more specific, or because other is a whole request and s, a part, explains several crashes
+// beyond those of it.
+func (s *suspect) outdoes(other *suspect) bool {
+	if other.whole && s.later[other.key] {
+		return (s.crashes &^ other.crashes).count() > 1
+	}
+	return other.later[s.key] && (!s.whole || (other.crashes&^s.crashes).count() <= 1)
 }
 
-// tally collects the suspects of the crashes among the requests that use returns.
-func (g *Registry) tally(now clock.Millis, use func(*crash) []Request) map[Key]*suspect {
-	suspects := map[Key]*suspect{}
+// open collects the suspects of the crashes among the requests that use returns.
+func (g *Registry) open(now clock.Millis, use func(*crash) []Request) *docket {
+	d := &docket{suspects: map[Key]*suspect{}}
 	moment, momentAt := -1, clock.Millis(0)
-	for _, c := range g.sortedCrashes() {
+	for _, c := range g.crashes {
 		requests := use(c)
 		if c.at < now-evidenceTerm || len(requests) == 0 {
 			continue
@@ -112,57 +138,96 @@
 			moment, momentAt = moment+1, c.at
 		}
 		for _, r := range requests {
-			g.tallyRequest(suspects, c, g.suspects(c, r), 1<<moment)
+			d.add(g.suspects(c.at, r), c, 1<<moment)
 		}
 	}
-	return suspects
+	return d
 }
 
-func (g *Registry) tallyRequest(suspects map[Key]*suspect, c *crash, r Request, moment moments) {
-	keys := r.keys()
-	for i, key := range keys {
-		s := suspects[key]
+func (d *docket) add(r Request, c *crash, moment moments) {
+	d.requests = append(d.requests, r)
+	for _, key := range r.keys() {
+		s := d.suspects[key]
 		if s == nil {
-			s = &suspect{key: key, later: map[Key]bool{}}
-			suspects[key] = s
+			s = &suspect{key: key}
+			d.suspects[key] = s
 		}
 		s.crashes |= moment
-		s.position, s.whole, s.last = max(s.position, i), key == r.Content, c
-		for _, next := range keys[i+1:] {
-			s.later[next] = true
+		s.whole, s.last = key == r.Content, c
+	}
+}
+
+// describe sets later and contents of a suspect.
+func (d *docket) describe(s *suspect) {
+	s.later = map[Key]bool{}
+	contents := map[Key]bool{}
+	for _, r := range d.requests {
+		keys := r.keys()
+		i := slices.Index(keys, s.key)
+		if i < 0 {
+			continue
+		}
+		contents[r.Content] = true
+		for _, key := range keys[i+1:] {
+			s.later[key] = true
 		}
 	}
+	s.contents = len(contents)
 }
 
-// unexplained returns the requests that may have caused a crash. There are none if a part in
-// quarantine was in flight. If it was a whole request in quarantine, one of its parts may still
-// be the reason why that crashes backend servers.
+// unexplained returns the requests that may have caused a crash. If there were some with a key in
+// quarantine, these are the only ones, with the keys up to that one: what comes before it may
+// still be the reason why these crash backend servers. There are none if an operator has lifted
+// the quarantine of a key in flight since.
 func (g *Registry) unexplained(now clock.Millis, c *crash) []Request {
-	var whole []Request
+	var explained []Request
 	for _, r := range c.requests {
-		if _, ok := g.Quarantined(now, Request{Parts: r.Parts}); ok {
-			return nil
+		for _, key := range r.keys() {
+			if v := g.verdicts[key]; v != nil && v.Reason == ReasonLifted && c.at <= v.at {
+				return nil
+			}
 		}
-		if g.refuses(now, r.Content) {
-			whole = append(whole, r)
+		refused := func(key Key) bool { return g.refuses(now, key) }
+		if i := slices.IndexFunc(r.Parts, refused); i >= 0 {
+			explained = append(explained, Request{Parts: r.Parts[:i+1]})
+		} else if refused(r.Content) {
+			explained = append(explained, r)
 		}
 	}
-	if whole != nil {
-		return whole
+	if explained != nil {
+		return explained
 	}
 	return c.requests
 }
 
-// limit returns the number of crashes that put s into quarantine.
-func (g *Registry) limit(now clock.Millis, s *suspect, suspects map[Key]*suspect) int {
-	if v := g.verdicts[s.key]; v != nil && v.Quarantined && now >= v.until && now < v.until+probation {
+// leastLimit returns the least number of crashes that may put a key into quarantine.
+func (g *Registry) leastLimit(now clock.Millis, key Key) int {
+	v := g.verdicts[key]
+	switch {
+	case v == nil:
+	case v.Quarantined && now >= v.until && now < v.until+probation && g.begun[key] < v.until:
 		return probationLimit
+	case v.Reason == ReasonExplained && now < v.until && g.begun[key] < v.at:
+		return explainedLimit
 	}
+	return crashLimit
+}
+
+// limit returns the number of crashes that put s into quarantine. least is its leastLimit.
+func (g *Registry) limit(now clock.Millis, s *suspect, d *docket, least int) int {
+	limit := least
 	for key := range s.later {
-		next := suspects[key]
-		if next != nil && next.crashes.count() > 1 && (s.crashes&^next.crashes).count() <= 1 {
-			return contestedLimit
+		next := d.suspects[key]
+		if next == nil {
+			continue
+		}
+		beyond := (s.crashes &^ next.crashes).count()
+		switch {
+		case g.refuses(now, key) && (beyond < beyondWhole || !next.whole && beyond < beyondPart):
+			return math.MaxInt
+		case !g.refuses(now, key) && least == crashLimit && next.crashes.count() > 1 && beyond <= 1:
+			limit = contestedLimit
 		}
 	}
-	return crashLimit
+	return limit
 }
--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -21,8 +24,11 @@
 	// evidenceTerm is how long a crash counts.
 	evidenceTerm = 10 * clock.Minute
 	// momentSpan is the time within which crashes count once: a failure of many backend
-	// servers is no evidence against what ran on all of them.
-	momentSpan = 200 * clock.Millis(1)
+	// servers is no evidence against what ran on all of them. News of them may come late.
+	momentSpan = 400 * clock.Millis(1)
+	// sameCrashSpan is the time within which reports of a crash of one process are of the same
+	// crash. The list of backend servers may name the start of an earlier process for long.
+	sameCrashSpan = 3 * clock.Second
 	// begunWindow is how long before a crash an answer may have begun on a key to clear it. It
 	// is short because a part can turn harmful, such as by a new version of a model.
 	begunWindow = 2 * clock.Second
@@ -34,7 +40,14 @@
 	// contestedLimit holds for a key if nearly all of its crashes are also those of a later key
 	// of the same request: the more specific key is the likelier cause.
 	contestedLimit = 5
+	// probationLimit holds after a quarantine that ended by itself, explainedLimit after one
+	// that ended because another key explained the crashes.
 	probationLimit = 1
+	explainedLimit = 2
+	// beyondPart and beyondWhole are the further crashes of a key if a later part of the same
+	// requests, or the whole request, is in quarantine already.
+	beyondPart  = 3
+	beyondWhole = 2
 )
 
 // Bounds of a Registry.
@@ -44,7 +57,7 @@
 	maxBegun    = 8192
 	maxVerdicts = 256
 	// MaxParts bounds the parts of one request that are looked at.
-	MaxParts = 32
+	MaxParts = 16
 )
 
 // Request holds the keys of one request.
@@ -96,6 +109,13 @@
 // Empty reports whether n tells nothing.
 func (n *News) Empty() bool { return len(n.Crashes)+len(n.Begun)+len(n.Verdicts) == 0 }
 
+// Add adds other to n.
+func (n *News) Add(other News) {
+	n.Crashes = append(n.Crashes, other.Crashes...)
+	n.Begun = append(n.Begun, other.Begun...)
+	n.Verdicts = append(n.Verdicts, other.Verdicts...)
+}
+
 // Check reports whether n is valid.
 func (n *News) Check() error {
 	for i := range n.Crashes {
@@ -122,28 +142,28 @@
 	return nil
 }
 
-// crashID identifies a crash.
-type crashID struct {
+type crash struct {
 	server    units.BackendServerID
 	startedAt int64
+	at        clock.Millis
+	requests  []Request
 }
 
-type crash struct {
-	crashID
-	at       clock.Millis
-	requests []Request
-}
-
-// heldVerdict is a verdict with the instant at which it is forgotten.
+// heldVerdict is a verdict with the instants at which it was given and is forgotten.
 type heldVerdict struct {
 	Verdict
-	until clock.Millis
+	at, until clock.Millis
 }
 
 // Registry holds what an entry VM knows of crashes and the verdicts that follow. The zero value
-// is empty. It does no I/O; calls must not overlap.
+// is empty. Its instants are of a clock that also runs while the machine is suspended. It does
+// no I/O; calls must not overlap.
 type Registry struct {
-	crashes  map[crashID]*crash
+	// crashes are sorted by time.
+	crashes []*crash
+	// suspected holds the last crash that had a key in flight.
+	suspected map[Key]clock.Millis
+	// begun holds when an answer last began on a key.
 	begun    map[Key]clock.Millis
 	verdicts map[Key]*heldVerdict
 }
@@ -174,7 +194,7 @@
 		g.clear(now, now, key, &news)
 	}
 	// Few requests come twice: those without evidence need not be remembered.
-	if r.Content != 0 && (g.suspected(r.Content) || g.verdicts[r.Content] != nil) {
+	if _, ok := g.suspected[r.Content]; r.Content != 0 && (ok || g.verdicts[r.Content] != nil) {
 		g.clear(now, now, r.Content, &news)
 	}
 	return news
@@ -184,74 +204,66 @@
 // that it cleared the key of evidence, or ended its quarantine.
 func (g *Registry) clear(now, at clock.Millis, key Key, news *News) {
 	counted := g.counted(key)
-	g.remember(now, at, key)
+	g.remember(at, key)
 	if counted && !g.counted(key) {
 		news.Begun = append(news.Begun, Begun{Key: key, Age: now - at})
 	}
-	if g.refuses(now, key) && at > g.verdicts[key].until-Term {
-		news.Verdicts = append(news.Verdicts, g.set(now, Verdict{Key: key, Version: g.verdicts[key].Version + 1, Remaining: Term}))
+	g.liftAnswered(now, key, news)
+}
+
+// liftAnswered ends the quarantine of a key on which an answer began about when it was put there
+// or later: an entry VM that did not hear of the answer has done so.
+func (g *Registry) liftAnswered(now clock.Millis, key Key, news *News) {
+	at, begun := g.begun[key]
+	if g.refuses(now, key) && begun && at > g.verdicts[key].at-begunWindow {
+		news.Verdicts = append(news.Verdicts, g.set(now, Verdict{Key: key, Version: g.verdicts[key].Version + 1, Reason: ReasonAnswered, Remaining: Term}))
 	}
 }
 
-func (g *Registry) remember(now, at clock.Millis, key Key) {
+func (g *Registry) remember(at clock.Millis, key Key) {
 	if g.begun == nil {
 		g.begun = map[Key]clock.Millis{}
 	}
-	if _, ok := g.begun[key]; !ok && len(g.begun) >= maxBegun {
-		g.forgetBegun(now)
+	old, known := g.begun[key]
+	if !known && len(g.begun) >= maxBegun {
+		g.forgetBegun()
+	}
+	if !known || at > old {
+		g.begun[key] = at
 	}
-	g.begun[key] = max(g.begun[key], at)
 }
 
-// forgetBegun makes room for one more key: it drops those that no crash counts against and on
-// which no answer began lately, or any one if there are none.
-func (g *Registry) forgetBegun(now clock.Millis) {
+// forgetBegun makes room for more keys: it drops those without evidence that are older than the
+// average, and then any.
+func (g *Registry) forgetBegun() {
+	var sum clock.Millis
+	for _, at := range g.begun {
+		sum += at
+	}
+	mean := sum / clock.Millis(len(g.begun))
 	for key, at := range g.begun {
-		if at < now-begunWindow && !g.suspected(key) {
+		if _, ok := g.suspected[key]; at <= mean && !ok && g.verdicts[key] == nil {
 			delete(g.begun, key)
 		}
 	}
 	for key := range g.begun {
-		if len(g.begun) < maxBegun {
+		if len(g.begun) < maxBegun*3/4 {
 			return
 		}
 		delete(g.begun, key)
 	}
 }
 
-// suspected reports whether a recorded crash had key in flight.
-func (g *Registry) suspected(key Key) bool {
-	for _, c := range g.crashes {
-		if c.has(key) {
-			return true
-		}
-	}
-	return false
-}
-
 // counted reports whether a recorded crash counts against key.
 func (g *Registry) counted(key Key) bool {
-	for _, c := range g.crashes {
-		if g.counts(c, key) && c.has(key) {
-			return true
-		}
-	}
-	return false
+	last, ok := g.suspected[key]
+	return ok && g.counts(last, key)
 }
 
 // counts reports whether a crash that had key in flight counts against it.
-func (g *Registry) counts(c *crash, key Key) bool {
+func (g *Registry) counts(crashedAt clock.Millis, key Key) bool {
 	at, ok := g.begun[key]
-	return !ok || at <= c.at-begunWindow
-}
-
-func (c *crash) has(key Key) bool {
-	for _, r := range c.requests {
-		if r.Content == key || slices.Contains(r.Parts, key) {
-			return true
-		}
-	}
-	return false
+	return !ok || at <= crashedAt-begunWindow
 }
 
 // Crashed records a crash that this entry VM saw. It returns what to tell others, and the
@@ -259,7 +271,9 @@
 func (g *Registry) Crashed(now clock.Millis, c Crash) News {
 	var news News
 	g.addCrash(now, c, &news)
-	g.judge(now, &news)
+	if !news.Empty() {
+		g.judge(now, &news)
+	}
 	return news
 }
 
@@ -270,71 +284,115 @@
 	if reported.Age > evidenceTerm {
 		return
 	}
-	id := crashID{reported.Server, reported.StartedAt}
-	c := g.crashes[id]
-	if c == nil {
-		c = &crash{crashID: id, at: at}
+	c := g.findCrash(reported.Server, reported.StartedAt, at)
+	known := c != nil
+	if !known {
+		c = &crash{server: reported.Server, startedAt: reported.StartedAt, at: at}
 	}
 	fresh := Crash{Server: c.server, StartedAt: c.startedAt, Age: now - c.at}
 	for _, r := range reported.Requests {
-		r = g.suspects(c, r)
-		if r.Empty() || len(c.requests) >= maxRequests || slices.ContainsFunc(c.requests, r.within) {
-			continue
+		if r = g.suspects(c.at, r); !r.Empty() && c.add(r) {
+			fresh.Requests = append(fresh.Requests, r)
 		}
-		c.requests = append(c.requests, r)
-		fresh.Requests = append(fresh.Requests, r)
 	}
-	if len(fresh.Requests) == 0 {
+	if len(fresh.Requests) == 0 || !known && !g.insert(now, c) {
 		return
 	}
-	if g.crashes[id] == nil {
-		g.dropCrashes(now)
-		g.crashes[id] = c
+	for _, r := range fresh.Requests {
+		g.suspect(c.at, r)
 	}
 	news.Crashes = append(news.Crashes, fresh)
 }
 
-// suspects returns r with the keys alone that crash c counts against.
-func (g *Registry) suspects(c *crash, r Request) Request {
-	cleared := func(key Key) bool { return !g.counts(c, key) }
-	out := Request{Parts: slices.DeleteFunc(slices.Clone(r.Parts), cleared), Content: r.Content}
-	if out.Content != 0 && cleared(out.Content) {
-		out.Content = 0
+func (g *Registry) findCrash(server units.BackendServerID, startedAt int64, at clock.Millis) *crash {
+	for _, c := range g.crashes {
+		if c.server == server && c.startedAt == startedAt && max(at-c.at, c.at-at) <= sameCrashSpan {
+			return c
+		}
 	}
-	return out
+	return nil
 }
 
-// within reports whether other has all keys of r.
-func (r Request) within(other Request) bool {
-	missing := func(key Key) bool { return !slices.Contains(other.Parts, key) }
-	return (r.Content == 0 || r.Content == other.Content) && !slices.ContainsFunc(r.Parts, missing)
+func (g *Registry) suspect(at clock.Millis, r Request) {
+	if g.suspected == nil {
+		g.suspected = map[Key]clock.Millis{}
+	}
+	for _, key := range r.keys() {
+		if old, ok := g.suspected[key]; !ok || at > old {
+			g.suspected[key] = at
+		}
+	}
 }
 
-// dropCrashes drops crashes that are too old, and makes room for one more.
-func (g *Registry) dropCrashes(now clock.Millis) {
-	if g.crashes == nil {
-		g.crashes = map[crashID]*crash{}
+// insert adds a crash. It reports false if there is no room for one that old. Crashes about as
+// old as the oldest one have none: entry VMs would tell each other those in turn.
+func (g *Registry) insert(now clock.Millis, c *crash) bool {
+	kept := len(g.crashes)
+	g.crashes = slices.DeleteFunc(g.crashes, func(c *crash) bool { return c.at < now-evidenceTerm })
+	if len(g.crashes) >= maxCrashes {
+		if c.at <= g.crashes[0].at+momentSpan {
+			return false
+		}
+		g.crashes = slices.Delete(g.crashes, 0, 1)
 	}
-	for id, c := range g.crashes {
-		if c.at < now-evidenceTerm {
-			delete(g.crashes, id)
+	if len(g.crashes) < kept {
+		clear(g.suspected)
+		for _, c := range g.crashes {
+			for _, r := range c.requests {
+				g.suspect(c.at, r)
+			}
+		}
+	}
+	i, _ := slices.BinarySearchFunc(g.crashes, c.at, func(c *crash, at clock.Millis) int { return cmp.Compare(c.at, at) })
+	g.crashes = slices.Insert(g.crashes, i, c)
+	return true
+}
+
+// add adds a request in flight at a crash and reports whether c has changed. If there are too
+// many, it keeps those with parts before others, and of these the same ones on all entry VMs:
+// no request is left out because it was reported late, and none at all crashes.
+func (c *crash) add(r Request) bool {
+	if slices.ContainsFunc(c.requests, r.within) {
+		return false
+	}
+	if len(c.requests) < maxRequests {
+		c.requests = append(c.requests, r)
+		return true
+	}
+	rank := func(r Request) uint64 {
+		h := xxhash.Sum64String(string(c.server) + fmt.Sprint(c.startedAt, r.keys()))
+		if len(r.Parts) == 0 {
+			return h | 1<<63
+		}
+		return h &^ (1 << 63)
+	}
+	last := 0
+	for i := range c.requests {
+		if rank(c.requests[i]) > rank(c.requests[last]) {
+			last = i
 		}
 	}
-	for len(g.crashes) >= maxCrashes {
-		list := g.sortedCrashes()
-		delete(g.crashes, list[0].crashID)
+	if rank(r) >= rank(c.requests[last]) {
+		return false
 	}
+	c.requests[last] = r
+	return true
 }
 
-func (g *Registry) sortedCrashes() []*crash {
-	list := make([]*crash, 0, len(g.crashes))
-	for _, c := range g.crashes {
-		list = append(list, c)
+// suspects returns r with the keys alone that a crash at an instant counts against.
+func (g *Registry) suspects(crashedAt clock.Millis, r Request) Request {
+	cleared := func(key Key) bool { return !g.counts(crashedAt, key) }
+	out := Request{Parts: slices.DeleteFunc(slices.Clone(r.Parts), cleared), Content: r.Content}
+	if out.Content != 0 && cleared(out.Content) {
+		out.Content = 0
 	}
-	slices.SortFunc(list, func(a, b *crash) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server), cmp.Compare(a.startedAt, b.startedAt))
-	})
-	return list
+	return out
+}
+
+// within reports whether other has all keys of r.
+func (r Request) within(other Request) bool {
+	missing := func(key Key) bool { return !slices.Contains(other.Parts, key) }
+	return (r.Content == 0 || r.Content == other.Content) && !slices.ContainsFunc(r.Parts, missing)
 }
 
 // set records a verdict whatever was known before, and returns it.
@@ -343,27 +401,26 @@
 		g.verdicts = map[Key]*heldVerdict{}
 	}
 	if g.verdicts[v.Key] == nil && len(g.verdicts) >= maxVerdicts {
-		g.dropVerdict(now)
-	}
-	g.verdicts[v.Key] = &heldVerdict{Verdict: v, until: now + v.Remaining}
-	if !v.Quarantined {
-		g.remember(now, now, v.Key)
+		g.dropVerdicts(now)
 	}
+	until := now + v.Remaining
+	g.verdicts[v.Key] = &heldVerdict{Verdict: v, at: min(now, until-Term), until: until}
 	return v
 }
 
-// dropVerdict drops the verdicts that have ended for long, or that which ends first.
-func (g *Registry) dropVerdict(now clock.Millis) {
-	var first Key
-	for key, v := range g.verdicts {
-		if now >= v.until+probation {
-			delete(g.verdicts, key)
-		} else if f := g.verdicts[first]; f == nil || v.until < f.until {
-			first = key
+// dropVerdicts drops the verdicts that ended long ago, or the one that ends first. Those that an
+// operator has lifted come last: an entry VM that missed it may tell the old verdict.
+func (g *Registry) dropVerdicts(now clock.Millis) {
+	maps.DeleteFunc(g.verdicts, func(_ Key, v *heldVerdict) bool { return now >= v.until+probation })
+	var first *heldVerdict
+	for _, v := range g.verdicts {
+		lifted := v.Reason == ReasonLifted
+		if first == nil || lifted == (first.Reason == ReasonLifted) && v.until < first.until || !lifted && first.Reason == ReasonLifted {
+			first = v
 		}
 	}
-	if len(g.verdicts) >= maxVerdicts {
-		delete(g.verdicts, first)
+	if first != nil && len(g.verdicts) >= maxVerdicts {
+		delete(g.verdicts, first.Key)
 	}
 }
 
@@ -372,20 +429,21 @@
 func (g *Registry) Merge(now clock.Millis, told *News) News {
 	var news News
 	for _, b := range told.Begun {
-		if g.counted(b.Key) {
-			g.clear(now, now-b.Age, b.Key, &news)
-		}
+		g.clear(now, now-b.Age, b.Key, &news)
 	}
 	for i := range told.Verdicts {
 		if v := told.Verdicts[i]; g.replaces(now, &v) {
 			news.Verdicts = append(news.Verdicts, g.set(now, v))
+			g.liftAnswered(now, v.Key, &news)
 		}
 	}
 	for _, c := range told.Crashes {
 		g.addCrash(now, c, &news)
 		g.object(now, c, &news)
 	}
-	g.judge(now, &news)
+	if len(news.Crashes)+len(news.Verdicts) > 0 {
+		g.judge(now, &news)
+	}
 	return news
 }
 
@@ -422,21 +480,23 @@
 
 // Suspects returns r with the keys alone on which no answer began lately, so that they may be
 // the cause if a backend server crashes now.
-func (g *Registry) Suspects(now clock.Millis, r Request) Request {
-	return g.suspects(&crash{at: now}, r)
-}
+func (g *Registry) Suspects(now clock.Millis, r Request) Request { return g.suspects(now, r) }
 
-// State returns the verdicts and the crashes without a known cause, for an entry VM that may
-// have missed some of them.
+// State returns the verdicts and the crashes without a part in quarantine, for an entry VM that
+// may have missed some of them.
 func (g *Registry) State(now clock.Millis) News {
 	news := News{Verdicts: g.Verdicts(now)}
-	for _, c := range g.sortedCrashes() {
+	for _, c := range g.crashes {
 		if c.at < now-evidenceTerm {
 			continue
 		}
 		out := Crash{Server: c.server, StartedAt: c.startedAt, Age: now - c.at}
-		for _, r := range g.unexplained(now, c) {
-			if r = g.suspects(c, r); !r.Empty() {
+		for _, r := range c.requests {
+			if _, ok := g.Quarantined(now, Request{Parts: r.Parts}); ok {
+				out.Requests = nil
+				break
+			}
+			if r = g.suspects(c.at, r); !r.Empty() {
 				out.Requests = append(out.Requests, r)
 			}
 		}
--- a/internal/core/blame/registry_test.go
+++ b/internal/core/blame/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"mangostile/internal/base/clock"
@@ -86,6 +87,17 @@
 			{2000, "c", []Request{parts(first, harmful)}},
 			{3000, "d", []Request{parts(first, harmful)}},
 		}, []Key{harmful}},
+		{"a neighbor at the first crashes", []step{
+			{0, "a", []Request{parts(first, sound, rare), whole(98, first, harmful)}},
+			{1000, "b", []Request{parts(first, sound, rare), whole(97, first, harmful)}},
+			{2000, "c", []Request{parts(first, sound, rare), whole(96, first, harmful)}},
+		}, []Key{harmful}},
+		{"one failure whose news come late", []step{
+			{0, "a", []Request{parts(rare)}}, {250, "b", []Request{parts(rare)}}, {500, "c", []Request{parts(rare)}}, {750, "d", []Request{parts(rare)}},
+		}, nil},
+		{"one server that crashes again under its old start", []step{
+			{0, "a", []Request{parts(harmful)}}, {4000, "a", []Request{parts(harmful)}}, {8000, "a", []Request{parts(harmful)}},
+		}, []Key{harmful}},
 		{"a request that comes again", []step{
 			{0, "a", []Request{whole(content, sound)}}, {1000, "b", []Request{whole(content, sound)}}, {2000, "c", []Request{whole(content, sound)}},
 		}, []Key{content}},
@@ -151,6 +163,209 @@
 	must.False(t, quarantined())
 }
 
+// crashes returns n news of crashes of different backend servers a second apart, from an instant
+// on, each with the requests that in returns for it, and the instant of the last.
+func crashes(from clock.Millis, n int, in func(i int) []Request) (list []News, last clock.Millis) {
+	for i := range n {
+		from += clock.Second
+		list = append(list, News{Crashes: []Crash{{Server: units.BackendServerID(fmt.Sprint("s", from)), Requests: in(i)}}})
+	}
+	return list, from
+}
+
+// crashOn makes servers crash n times with r in flight, and returns the instant of the last.
+func (g *Registry) crashOn(from clock.Millis, n int, r ...Request) clock.Millis {
+	list, _ := crashes(from, n, func(int) []Request { return r })
+	for i := range list {
+		from += clock.Second
+		g.Crashed(from, list[i].Crashes[0])
+	}
+	return from
+}
+
+// TestChangingNeighborsDoNotHideAPart guards against a harmful part that is never found because
+// other parts, each in flight at some of the crashes, are blamed in turn.
+func TestChangingNeighborsDoNotHideAPart(t *testing.T) {
+	var g Registry
+	now := clock.Millis(100_000)
+	for i := range Key(9) {
+		now = g.crashOn(now, 1, whole(1000+i, first, harmful), whole(2000+i, first, sound, 300+i/3))
+	}
+	must.Eq(t, []Key{harmful}, quarantinedKeys(&g, now))
+}
+
+// TestFullRecordKeepsTheHarmfulRequest guards against a harmful request that is left out of the
+// record of every crash because it is reported last.
+func TestFullRecordKeepsTheHarmfulRequest(t *testing.T) {
+	var g Registry
+	now := clock.Millis(100_000)
+	for i := range 4 {
+		now += clock.Second
+		server := units.BackendServerID(fmt.Sprint(i))
+		for k := range Key(2 * maxRequests) {
+			g.Crashed(now, Crash{Server: server, Requests: []Request{{Content: Key(i)<<32 + k + 1}}})
+		}
+		g.Crashed(now, Crash{Server: server, Requests: []Request{whole(Key(i)+1<<40, harmful)}})
+	}
+	must.Eq(t, []Key{harmful}, quarantinedKeys(&g, now))
+}
+
+// TestSecondHarmfulPartStaysInDoubt guards against as many crashes as before of a part whose
+// quarantine ended because another one explained them.
+func TestSecondHarmfulPartStaysInDoubt(t *testing.T) {
+	const other = Key(14)
+	var g Registry
+	now := g.crashOn(100_000, 5, parts(harmful), parts(other))
+	must.Eq(t, []Key{harmful}, quarantinedKeys(&g, now))
+	now = g.crashOn(now, 3, parts(other))
+	must.Eq(t, []Key{other}, quarantinedKeys(&g, now))
+	now = g.crashOn(now+begunWindow, explainedLimit, parts(harmful))
+	must.Eq(t, []Key{harmful, other}, quarantinedKeys(&g, now))
+}
+
+// TestAnswersOutweighVerdicts guards against an entry VM that missed the answers of the others
+// and has them all refuse a sound part.
+func TestAnswersOutweighVerdicts(t *testing.T) {
+	var g Registry
+	now := clock.Millis(100_000)
+	g.Began(now, parts(first))
+	now += 500
+	news := g.Merge(now, &News{Verdicts: []Verdict{{Key: first, Version: 1, Quarantined: true, Remaining: Term - 100}}})
+	must.SliceEmpty(t, quarantinedKeys(&g, now))
+	last := news.Verdicts[len(news.Verdicts)-1]
+	must.Eq(t, Verdict{Key: first, Version: 2, Reason: ReasonAnswered, Remaining: Term}, last)
+}
+
+// TestAnswersEndProbation guards against a quarantine for a single crash of a part on which
+// answers have begun since its last quarantine.
+func TestAnswersEndProbation(t *testing.T) {
+	var g Registry
+	now := g.crashOn(100_000, 3, parts(rare)) + Term
+	g.Began(now+1000, parts(rare))
+	now = g.crashOn(now+begunWindow+1000, 1, parts(rare))
+	must.SliceEmpty(t, quarantinedKeys(&g, now))
+}
+
+// TestLiftSparesOtherKeys guards against a lift that puts a shared part into quarantine instead.
+func TestLiftSparesOtherKeys(t *testing.T) {
+	var g, late Registry
+	now := g.crashOn(100_000, 3, parts(first, sound, harmful))
+	old := g.State(now)
+	lift := News{Verdicts: []Verdict{{Key: harmful, Version: 2, Reason: ReasonLifted, Remaining: Term}}}
+	g.Merge(now+1000, &lift)
+	must.SliceEmpty(t, quarantinedKeys(&g, now+1000))
+	g.Merge(now+2000, &old)
+	must.SliceEmpty(t, quarantinedKeys(&g, now+2000))
+	late.Merge(now+2000, &old)
+	whole := g.State(now + 2000)
+	late.Merge(now+2000, &whole)
+	must.SliceEmpty(t, quarantinedKeys(&late, now+2000))
+	for i := range Key(2 * maxVerdicts) {
+		g.Merge(now+3000, &News{Verdicts: []Verdict{{Key: 1<<40 + i, Version: 1, Quarantined: true, Remaining: MaxTerm}}})
+	}
+	g.Merge(now+3000, &old)
+	_, refused := g.Quarantined(now+3000, parts(harmful))
+	must.False(t, refused)
+}
+
+// TestVersionsCanGrow guards against a verdict in the store after which no other could follow.
+func TestVersionsCanGrow(t *testing.T) {
+	must.Error(t, (&Verdict{Key: rare, Version: ^uint64(0), Remaining: Term}).Check())
+}
+
+// network carries news between registries: each sends to fanout others and, what is new, back to
+// where it came from.
+type network struct {
+	r          *rand.Rand
+	registries []Registry
+	fanout     int
+	queue      []letter
+	sent       int
+}
+
+type letter struct {
+	from, to int
+	news     News
+}
+
+func (n *network) send(at, from int, news News) {
+	if news.Empty() {
+		return
+	}
+	to := n.r.Perm(len(n.registries))
+	to = append(slices.DeleteFunc(to, func(i int) bool { return i == at || i == from })[:min(n.fanout, len(to)-2)], from)
+	for _, i := range to {
+		if i >= 0 {
+			n.queue = append(n.queue, letter{at, i, news})
+			n.sent++
+		}
+	}
+}
+
+// deliver delivers what was sent before.
+func (n *network) deliver(now clock.Millis) {
+	queue := n.queue
+	n.queue = nil
+	for _, l := range queue {
+		n.send(l.to, l.from, n.registries[l.to].Merge(now, &l.news))
+	}
+}
+
+// TestServersThatFailInOneRegion guards against a first part that all entry VMs refuse because
+// servers go on crashing under those of one region, where no answer begins.
+func TestServersThatFailInOneRegion(t *testing.T) {
+	for _, entryVMs := range []int{3, 4, 24} {
+		for seed := range uint64(5) {
+			n := &network{r: rand.New(rand.NewPCG(seed, 2)), registries: make([]Registry, entryVMs), fanout: 8}
+			now := clock.Millis(100_000)
+			for step := range 1000 {
+				now += 10
+				n.deliver(now)
+				vm := 1 + n.r.IntN(entryVMs-1)
+				n.send(vm, -1, n.registries[vm].Began(now, parts(first, Key(500+n.r.IntN(8)))))
+				if step > 300 && step%80 == 0 {
+					r := n.registries[0].Suspects(now, parts(first, Key(900+n.r.IntN(1000))))
+					n.send(0, -1, n.registries[0].Crashed(now, Crash{Server: units.BackendServerID(fmt.Sprint(step)), Requests: []Request{r}}))
+				}
+			}
+			for i := range n.registries {
+				_, refused := n.registries[i].Quarantined(now, parts(first))
+				must.False(t, refused, must.Sprintf("%d entry VMs, seed %d, entry VM %d", entryVMs, seed, i))
+			}
+		}
+	}
+}
+
+// TestManyCrashesCauseNoStorm guards against entry VMs that tell each other crashes without end
+// because none has room for all of them.
+func TestManyCrashesCauseNoStorm(t *testing.T) {
+	const entryVMs = 12
+	n := &network{r: rand.New(rand.NewPCG(1, 2)), registries: make([]Registry, entryVMs), fanout: 8}
+	now := clock.Millis(100_000)
+	for i := range 2 * maxCrashes {
+		now += 20
+		vm := i % entryVMs
+		n.send(vm, -1, n.registries[vm].Crashed(now, Crash{Server: units.BackendServerID(fmt.Sprint(i)), Requests: []Request{{Content: Key(1000 + i)}}}))
+		n.deliver(now)
+	}
+	for range 20 {
+		n.deliver(now)
+	}
+	n.sent = 0
+	for range 5 {
+		for i := range n.registries {
+			state := n.registries[i].State(now)
+			n.queue = append(n.queue, letter{i, (i + 1) % entryVMs, state})
+		}
+		for range 10 {
+			now++
+			n.deliver(now)
+		}
+	}
+	must.LessEq(t, entryVMs*maxCrashes, n.sent)
+	must.SliceEmpty(t, n.queue)
+}
+
 // TestEntryVMsAgree guards against entry VMs that refuse different parts: each sees a part of
 // the crashes and answers, and news reach the others late, in any order and more than once.
 func TestEntryVMsAgree(t *testing.T) {
--- a/internal/core/blame/verdict.go
+++ b/internal/core/blame/verdict.go
@@ -28,13 +28,32 @@
 	return Key(n), nil
 }
 
+// Reason says why a verdict was given.
+type Reason string
+
+// Reasons of verdicts. The first one is that of a quarantine, the others end one.
+const (
+	// ReasonCrashes means that requests with the key were in flight at crashes.
+	ReasonCrashes Reason = "crashes"
+	// ReasonAnswered means that an answer began on the key.
+	ReasonAnswered Reason = "answered"
+	// ReasonExplained means that another key in quarantine explains the crashes.
+	ReasonExplained Reason = "explained"
+	// ReasonLifted means that an operator has lifted the quarantine.
+	ReasonLifted Reason = "lifted"
+)
+
+// maxVersion bounds the versions of verdicts, so that a next one can always be counted.
+const maxVersion = 1 << 32
+
 // Verdict says whether requests with a key are refused. Of two verdicts on a key the one with
 // the higher Version holds; if they have the same, the one that refuses nothing.
 type Verdict struct {
 	Key     Key    `msgpack:"k" json:"key"`
 	Version uint64 `msgpack:"v" json:"version"`
 	// Quarantined is true if requests with the key are refused.
-	Quarantined bool `msgpack:"q,omitempty" json:"quarantined"`
+	Quarantined bool   `msgpack:"q,omitempty" json:"quarantined"`
+	Reason      Reason `msgpack:"w,omitempty" json:"reason,omitempty"`
 	// Remaining is the time in ms until the verdict is forgotten.
 	Remaining clock.Millis `msgpack:"r,omitempty" json:"remaining_ms"`
 	// Server is the backend server that crashed last, empty if unknown.
@@ -48,8 +67,8 @@
 
 // Check reports whether v is valid.
 func (v *Verdict) Check() error {
-	if v.Version == 0 || v.Remaining < 0 || v.Remaining > MaxTerm {
-		return errors.Errorf("verdict on %s has no version or an invalid term", v.Key)
+	if v.Version == 0 || v.Version > maxVersion || v.Remaining < 0 || v.Remaining > MaxTerm {
+		return errors.Errorf("verdict on %s has no valid version or term", v.Key)
 	}
 	return nil
 }
