Tell the entry VM that reports a crash what it has wrong

News were never sent back to the entry VM that they came from, so the one that blamed a sound part did not learn of the answers that others had seen begin on it. Answers that began and verdicts now go back to it at once. News wait 20 ms to be told together, since a crash reported by many entry VMs caused hundreds of messages each; instants are those of the clock that also runs while a machine is suspended, so that news do not become younger by a freeze.

An operator's lift says so in its record.

--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -144,7 +144,7 @@
 		return true
 	}
 	if end == choose.EndBroken && a.mayHaveRun {
-		a.noteCrash(n.clock.Now())
+		a.noteBreak(n.clock.BootNow())
 	}
 	if end == choose.EndMissing || end == choose.EndUnsent {
 		n.requestReport()
@@ -154,7 +154,7 @@
 	} else if c.callerLeft() {
 		c.abort()
 	}
-	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts || c.crashes.Load() >= maxCrashes) {
+	if c.executions > 0 && (!c.route.Repeatable() || c.executions >= c.route.MaxAttempts || c.suspectBreaks >= maxSuspectBreaks) {
 		if !c.endIfDone(ctx) {
 			c.giveUp("the backend server failed", 0)
 		}
@@ -182,10 +182,12 @@
 	cancel context.CancelCauseFunc
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
-	firstAt   clock.Millis
-	status    int
-	events    int
-	reason    string
+	// begun is true once a part of the answer itself was received, not only comments.
+	begun   bool
+	firstAt clock.Millis
+	status  int
+	events  int
+	reason  string
 	// mayHaveRun is false only if the backend server surely did not execute the
 	// request.
 	mayHaveRun bool
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -124,10 +124,10 @@
 	// is the id of the last event written.
 	started   bool
 	lastEvent string
-	// executions counts backend servers that may have executed the request, crashes those
-	// that crashed before its answer began.
-	executions int
-	crashes    atomic.Int32
+	// executions counts backend servers that may have executed the request, suspectBreaks
+	// those that broke the connection before its answer began.
+	executions    int
+	suspectBreaks int
 	// fallback is the failure answer of a backend server, forwarded if no later
 	// attempt succeeds.
 	fallback *bufferedAnswer
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -17,6 +17,8 @@
 	// gossipFanout is the number of entry VMs that news are sent to; these pass on what they
 	// did not know.
 	gossipFanout = 8
+	// gossipDelay is how long news wait for others to be told along with them.
+	gossipDelay = 20 * time.Millisecond
 	// gossipPeriod is the time between two messages that make up for lost ones: the whole
 	// state, to one entry VM, or a request for it after the start.
 	gossipPeriod = time.Second
@@ -65,16 +67,38 @@
 	return list
 }
 
-// gossip tells other entry VMs news, except the one that they are from.
+// gossip tells other entry VMs news, and the one that they are from what it has wrong: the keys
+// on which answers began, and verdicts.
 func (n *Node) gossip(news blame.News, from units.EntryVMID) {
-	n.links.Broadcast(n.gossipPeers(gossipFanout, from), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
+	if from != "" && from != fromStore && len(news.Begun)+len(news.Verdicts) > 0 {
+		back := blame.News{Begun: news.Begun, Verdicts: news.Verdicts}
+		n.links.Send(from, "", &peer.CrashNews{News: back, Address: n.settings.PeerAddress})
+	}
+	q := &n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.pending.Empty() {
+		time.AfterFunc(gossipDelay, func() { n.guard("crash news", n.sendPending) })
+	}
+	q.pending.Add(news)
+}
+
+// sendPending tells other entry VMs the pending news.
+func (n *Node) sendPending() {
+	q := &n.quarantine
+	q.mu.Lock()
+	news := q.pending
+	q.pending = blame.News{}
+	q.mu.Unlock()
+	n.links.Broadcast(n.gossipPeers(gossipFanout, ""), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
 }
 
 // handleCrashNews applies the news of another entry VM.
 func (n *Node) handleCrashNews(from units.EntryVMID, m *peer.CrashNews) {
 	n.heardOf(from, m.Address)
 	if m.NeedsState {
-		n.links.Send(from, m.Address, &peer.CrashNews{News: n.crashState(), Whole: true, Address: n.settings.PeerAddress})
+		news, synced := n.crashState()
+		n.links.Send(from, m.Address, &peer.CrashNews{News: news, Whole: synced, Address: n.settings.PeerAddress})
 	}
 	if m.Whole {
 		n.quarantine.mu.Lock()
@@ -84,10 +108,13 @@
 	n.merge(&m.News, from)
 }
 
-func (n *Node) crashState() blame.News {
-	n.quarantine.mu.Lock()
-	defer n.quarantine.mu.Unlock()
-	return n.quarantine.registry.State(n.clock.Now())
+// crashState returns what is known of crashes, and whether it includes the state of another entry
+// VM or of the store.
+func (n *Node) crashState() (news blame.News, synced bool) {
+	q := &n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.registry.State(n.clock.BootNow()), q.synced || q.known.Load()
 }
 
 // syncCrashState asks other entry VMs for their state until one has answered, and then sends
@@ -106,10 +133,11 @@
 }
 
 func (n *Node) sendCrashState() {
+	news, whole := n.crashState()
 	n.quarantine.mu.Lock()
 	synced := n.quarantine.synced
 	n.quarantine.mu.Unlock()
-	m := &peer.CrashNews{News: n.crashState(), Whole: synced, NeedsState: !synced, Address: n.settings.PeerAddress}
+	m := &peer.CrashNews{News: news, Whole: whole, NeedsState: !synced, Address: n.settings.PeerAddress}
 	if synced && m.Empty() {
 		return
 	}
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -21,9 +21,10 @@
 // reasonQuarantined is the reason of refusing a request with a key in quarantine.
 const reasonQuarantined = "backend servers crashed on a part of this request"
 
-// maxCrashes is the number of backend servers that may crash while running one request without
-// an answer having begun. It is not sent again then, since it may be what makes them crash.
-const maxCrashes = 2
+// maxSuspectBreaks is the number of backend servers that may break the connection before the
+// answer to one request begins while it has keys in doubt. It is not sent again then, since it
+// may be what makes them crash.
+const maxSuspectBreaks = 2
 
 // quarantine is what a Node knows of requests that crash backend servers. The zero value is
 // ready to use.
@@ -33,6 +34,8 @@
 	registry blame.Registry
 	// unanswered holds the attempts in flight whose answer has not begun.
 	unanswered map[*attempt]bool
+	// pending is what waits to be told to other entry VMs.
+	pending blame.News
 	// peers holds the other entry VMs heard of.
 	peers map[units.EntryVMID]gossipPeer
 	// synced is true once another entry VM has sent its state.
@@ -82,7 +85,7 @@
 func (c *exchange) quarantined() bool {
 	q := &c.node.quarantine
 	q.mu.Lock()
-	key, ok := q.registry.Quarantined(c.node.clock.Now(), c.subject)
+	key, ok := q.registry.Quarantined(c.node.clock.BootNow(), c.subject)
 	q.mu.Unlock()
 	if ok {
 		c.log("request_quarantined", "key", key)
@@ -106,56 +109,62 @@
 	}
 }
 
-// began records that the backend server's answer began. A caller that names a last event of its
-// own may get an end that takes no run.
+// began records that the backend server's answer began. It says nothing about the parts if the
+// caller named a last event: the rest of an answer may be empty.
 func (a *attempt) began() {
+	a.begun = true
 	n := a.node
 	q := &n.quarantine
 	var news blame.News
 	q.mu.Lock()
 	delete(q.unanswered, a)
 	if a.head.LastEvent == "" {
-		news = q.registry.Began(n.clock.Now(), a.subject)
+		news = q.registry.Began(n.clock.BootNow(), a.subject)
 	}
 	q.mu.Unlock()
 	n.publish(news, "")
 }
 
-// noteCrash records that the backend server crashed during an attempt, if it did: it is not
-// leaving and refuses connections. The request counts as a suspect if its answer had not begun.
-func (a *attempt) noteCrash(brokenAt clock.Millis) {
+// noteBreak notes that the connection broke at an instant, by the clock that counts suspended
+// time. If the answer had not begun and the request has keys in doubt, it checks whether the
+// backend server has crashed, without waiting for the result.
+func (a *attempt) noteBreak(at clock.Millis) {
 	n := a.node
 	server := n.listed(a.to.Server)
-	if a.hasAnswer || server == nil || server.Draining {
+	if a.begun || server == nil || server.Draining {
 		return
 	}
 	q := &n.quarantine
 	q.mu.Lock()
-	suspects := q.registry.Suspects(brokenAt, a.subject)
+	suspects := q.registry.Suspects(at, a.subject)
 	q.mu.Unlock()
 	if suspects.Empty() {
 		return
 	}
-	conn, err := n.pool.Get(a.to.Address, true)
-	switch {
-	case err == nil:
-		go n.guard("check of a connection", func() {
-			if n.closesAtOnce(conn, server) {
-				a.addCrash(server, brokenAt, suspects)
-			}
-		})
-	case errors.Is(err, unix.ECONNREFUSED):
-		a.addCrash(server, brokenAt, suspects)
+	a.suspectBreaks++
+	go n.guard("check for a crash", func() {
+		if n.crashed(server) {
+			a.addCrash(server, at, suspects)
+		}
+	})
+}
+
+// crashed reports whether a backend server to which a connection broke refuses connections, or
+// closes them at once.
+func (n *Node) crashed(server *topo.Server) bool {
+	conn, err := n.pool.Get(server.Address, true)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
 	}
+	return n.closesAtOnce(conn, server)
 }
 
 // addCrash adds a crash of a backend server during an attempt to the evidence.
 func (a *attempt) addCrash(server *topo.Server, at clock.Millis, suspects blame.Request) {
 	n := a.node
-	a.crashes.Add(1)
 	a.log("server_crashed", "server", server.ID, "parts", suspects.Parts, "content", suspects.Content)
 	q := &n.quarantine
-	now := n.clock.Now()
+	now := n.clock.BootNow()
 	q.mu.Lock()
 	news := q.registry.Crashed(now, blame.Crash{Server: server.ID, StartedAt: server.StartedAt, Age: now - at, Requests: []blame.Request{suspects}})
 	q.mu.Unlock()
@@ -201,14 +210,14 @@
 func (n *Node) Verdicts() []blame.Verdict {
 	n.quarantine.mu.Lock()
 	defer n.quarantine.mu.Unlock()
-	return n.quarantine.registry.Verdicts(n.clock.Now())
+	return n.quarantine.registry.Verdicts(n.clock.BootNow())
 }
 
 // merge applies news from another entry VM and tells the others what was not known here.
 func (n *Node) merge(told *blame.News, from units.EntryVMID) {
 	q := &n.quarantine
 	q.mu.Lock()
-	news := q.registry.Merge(n.clock.Now(), told)
+	news := q.registry.Merge(n.clock.BootNow(), told)
 	q.mu.Unlock()
 	n.publish(news, from)
 }
@@ -223,7 +232,7 @@
 		if from == "" {
 			n.quarantine.stored.save(v)
 		}
-		n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
+		n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "reason", v.Reason, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
 	}
 	if len(news.Verdicts) > 0 {
 		n.cancelQuarantined()
@@ -237,7 +246,7 @@
 	q := &n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := n.clock.Now()
+	now := n.clock.BootNow()
 	for a := range q.unanswered {
 		if _, ok := q.registry.Quarantined(now, a.subject); ok {
 			a.cancel(errQuarantined)
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -153,7 +153,7 @@
 }
 
 func (a *attempt) writeEvents(control *http.ResponseController, answer *conns.Exchange, out []byte) bool {
-	if !a.hasAnswer {
+	if !a.begun && hasData(out) {
 		a.began()
 	}
 	a.noteFirst()
@@ -209,6 +209,14 @@
 	}
 }
 
+// dataField begins the lines of an event that hold its data.
+var dataField = []byte("data:")
+
+// hasData reports whether events hold data, unlike comments that keep a connection alive.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, dataField) || bytes.Contains(events, append([]byte("\n"), dataField...))
+}
+
 // eventID returns the id of an event, empty if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/oper/cmds/platformquarantine_test.go
+++ b/internal/oper/cmds/platformquarantine_test.go
@@ -65,7 +65,7 @@
 	got := list.Records[0]
 	must.Between(t, blame.Term-clock.Minute, got.Remaining, blame.Term)
 	got.Remaining = 0
-	must.Eq(t, blame.Verdict{Key: 7, Version: 4, Server: "i-1"}, got.Verdict)
+	must.Eq(t, blame.Verdict{Key: 7, Version: 4, Reason: blame.ReasonLifted, Server: "i-1"}, got.Verdict)
 
 	code, out = runQuarantine(t, "--store", address, "lift", "0000000000000007")
 	must.Eq(t, exitDone, code)
--- a/internal/oper/cmds/platformquarantinecmd.go
+++ b/internal/oper/cmds/platformquarantinecmd.go
@@ -112,7 +112,7 @@
 			fmt.Fprintf(cmd.Root().Writer, "%s is lifted already\n", key)
 			return nil
 		}
-		lifted.Version, lifted.Quarantined, lifted.Remaining = lifted.Version+1, false, blame.Term
+		lifted.Version, lifted.Quarantined, lifted.Reason, lifted.Remaining = lifted.Version+1, false, blame.ReasonLifted, blame.Term
 		result, err := store.AppendQuarantine(ctx, list.Next, fleet.NewQuarantineRecord(lifted, clock.WallNow()))
 		switch result {
 		case claim.Accepted:
