--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/judge.go
@@ -225,6 +225,8 @@
 		switch {
 		case g.refuses(now, key) && (beyond < beyondWhole || !next.whole && beyond < beyondPart):
 			return math.MaxInt
+		case next.whole && s.contents > contestingContents:
+			// It is not that request alone.
 		case !g.refuses(now, key) && least == crashLimit && next.crashes.count() > 1 && beyond <= 1:
 			limit = contestedLimit
 		}
--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -40,6 +40,9 @@
 	// contestedLimit holds for a key if nearly all of its crashes are also those of a later key
 	// of the same request: the more specific key is the likelier cause.
 	contestedLimit = 5
+	// contestingContents is the number of different requests with a part up to which one of
+	// them, as a whole, is the likelier cause.
+	contestingContents = 2
 	// probationLimit holds after a quarantine that ended by itself, explainedLimit after one
 	// that ended because another key explained the crashes.
 	probationLimit = 1
--- a/internal/core/blame/registry_test.go
+++ b/internal/core/blame/registry_test.go
@@ -108,6 +108,9 @@
 			{3000, "d", []Request{whole(content, harmful)}},
 			{4000, "e", []Request{whole(content, harmful), whole(97, rare)}},
 		}, []Key{harmful}},
+		{"a part of requests of which one comes again", []step{
+			{0, "a", []Request{whole(98, harmful)}}, {1000, "b", []Request{whole(98, harmful), whole(97, harmful)}}, {2000, "c", []Request{whole(content, harmful)}},
+		}, []Key{harmful}},
 		{"a part of requests that come again", []step{
 			{0, "a", []Request{whole(98, harmful)}},
 			{1000, "b", []Request{whole(98, harmful)}},
