Log why a stopping entry VM ends and what is still open

The hypotheses on the request that was lost at a stop can't be told apart by the log lines: none says when the process decided to end, nor whether requests were in flight when it had closed its connections. Adds entry_vm_draining and in_flight to entry_vm_ended. No other change.

--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -156,7 +156,7 @@
 	group.Go(func() error { return n.awaitStop(ctx, cancel, frontServer) })
 	n.log.Info("entry_vm_started", "entry_vm", n.settings.ID, "domain", n.settings.Domain, "region", n.settings.Region, "run", n.incarnation)
 	err := group.Wait()
-	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "error", err)
+	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load(), "error", err)
 	if closeErr := n.meter.Close(); err == nil {
 		err = closeErr
 	}
@@ -271,6 +271,7 @@
 			front.SetKeepAlivesEnabled(false)
 		}
 		if since >= stopNoticeDelay && idle.poll(n.inFlight.Load()) || since >= n.settings.Grace.Duration()-stopReserve {
+			n.log.Info("entry_vm_draining", "entry_vm", n.settings.ID, "after_ms", since.Milliseconds(), "in_flight", n.inFlight.Load())
 			cancel()
 			return nil
 		}
