Close a stopping entry VM's connections only after their answers

Cause: awaitStop counted six polls without a request in flight and then closed the server at once. Nothing tied the count to the close: a request that was read after the last poll, that waited in a connection or in the listener's backlog, or that was partly received was cut off. Idle keep-alive connections were closed by SetKeepAlivesEnabled(false), which counts a connection as idle until the whole head of its next request was read; http.Server.Shutdown does the same and drops requests that it has read.

Change: the decision that nothing arrives any more only starts the drain. It accepts what waits in the backlog, closes the listener, and closes each connection after the answer to its last request; pool, links and placers end after that. The stop is one atomic time, so that it is never seen without its time.

--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -1,20 +1,16 @@
 package fleet
 
 import (
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
-	"mangostile/internal/plat/call"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -43,49 +39,6 @@
 	notReadyRetryAfter = 300 * clock.Millis(1)
 )
 
-// callerConn records that it was closed, so that a request read from it at the same
-// moment is not forwarded.
-type callerConn struct {
-	net.Conn
-	closed atomic.Bool
-}
-
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
-}
-
-// left reports whether the caller has closed its end.
-func (c *callerConn) left() bool { return call.Peek(c.Conn) == call.Closed }
-
-// callerListener wraps each accepted connection in a callerConn.
-type callerListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: conn}, nil
-}
-
-// callerConnKey is the key of the callerConn in a request's context.
-type callerConnKey struct{}
-
-func (n *Node) frontServer() *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(n.handle),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, c)
-		},
-	}
-}
-
 // handle serves one request of a caller.
 func (n *Node) handle(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
@@ -93,9 +46,6 @@
 	defer n.guardRequest()
 	c := &exchange{node: n, w: w, r: r, arrived: n.clock.Now()}
 	c.conn, _ = r.Context().Value(callerConnKey{}).(*callerConn)
-	if n.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if c.conn != nil && c.conn.closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
@@ -161,15 +111,14 @@
 // stopping process exits.
 func (c *exchange) endsBeforeStop() bool {
 	n := c.node
-	if !n.stopping.Load() {
+	if !n.isStopping() {
 		return true
 	}
-	since := n.clock.Now() - clock.Millis(n.stoppedAt.Load())
-	remaining := n.settings.Grace - clock.FromDuration(stopReserve) - since
+	since := n.sinceStop()
 	if c.route.Kind == topo.KindStream {
 		return since < stopStreamWindow
 	}
-	return remaining > c.route.Target
+	return n.settings.Grace-stopReserve-since > c.route.Target
 }
 
 func (c *exchange) readBody(limits topo.Limits) bool {
@@ -248,16 +197,25 @@
 
 func (c *exchange) answer(status int, text string) {
 	c.started = true
-	c.node.meter.Answered(status)
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
-	c.w.WriteHeader(status)
+	c.writeHead(status)
 	if _, err := io.WriteString(c.w, text+"\n"); err != nil {
 		c.log("answer_not_taken", "error", err)
 	}
 }
 
+// writeHead writes the head of the answer. A stopping entry VM announces the end of the
+// connection.
+func (c *exchange) writeHead(status int) {
+	c.node.meter.Answered(status)
+	if c.node.isStopping() {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.w.WriteHeader(status)
+}
+
 // log writes a log line with the request's id and its age in ms.
 func (c *exchange) log(line string, pairs ...any) {
 	id := c.head.ID
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -70,9 +70,11 @@
 	// members is the number of entry VMs that report to the placer of the own region.
 	members atomic.Int32
 
-	stopping  atomic.Bool
+	callers  callers
+	inFlight atomic.Int64
+
+	// stoppedAt is the time of Stop, in ms, or 0.
 	stoppedAt atomic.Int64
-	inFlight  atomic.Int64
 }
 
 // New returns an entry VM that is not running.
@@ -138,8 +140,8 @@
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	frontServer := n.frontServer()
-	n.serve(ctx, group, callerListener{opened.Front}, frontServer)
+	front := &callerListener{Listener: opened.Front, callers: &n.callers, clock: n.clock}
+	n.serve(ctx, group, front, n.frontServer())
 	n.serve(ctx, group, opened.Ready, &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout})
 	if opened.Metrics != nil {
 		n.serve(ctx, group, opened.Metrics, &http.Server{Handler: http.HandlerFunc(n.answerMetrics), ReadHeaderTimeout: headerTimeout})
@@ -153,10 +155,10 @@
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
 	}
-	group.Go(func() error { return n.awaitStop(ctx, cancel, frontServer) })
+	group.Go(func() error { return n.awaitStop(ctx, cancel, front) })
 	n.log.Info("entry_vm_started", "entry_vm", n.settings.ID, "domain", n.settings.Domain, "region", n.settings.Region, "run", n.incarnation)
 	err := group.Wait()
-	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load(), "error", err)
+	n.log.Info("entry_vm_ended", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load(), "connections", n.callers.count(), "error", err)
 	if closeErr := n.meter.Close(); err == nil {
 		err = closeErr
 	}
@@ -166,7 +168,7 @@
 func (n *Node) serve(ctx context.Context, group *errgroup.Group, listener net.Listener, server *http.Server) {
 	group.Go(func() error {
 		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || n.isStopping() && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return errors.Wrap(err, "serve")
@@ -178,7 +180,7 @@
 }
 
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.ready.Load() || n.stopping.Load() {
+	if !n.ready.Load() || n.isStopping() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -212,68 +214,3 @@
 	}
 	n.log.Info("settings_reloaded", "entry_vm", n.settings.ID)
 }
-
-// Timing of a stop.
-const (
-	// stopNoticeDelay is the time after Stop before which an idle process does not
-	// exit: until then, the balancer may not have noticed that it is not ready.
-	stopNoticeDelay = 2500 * time.Millisecond
-	// keepAliveStopDelay is the time after Stop at which idle keep-alive connections
-	// are closed, so that callers send their next request to another entry VM.
-	keepAliveStopDelay = 2200 * time.Millisecond
-	// stopReserve is subtracted from the grace period: the process exits at the
-	// latest this long before the period ends.
-	stopReserve    = 400 * time.Millisecond
-	stopPollPeriod = 50 * time.Millisecond
-	// stopIdlePolls is the number of consecutive polls without a request after which
-	// a stopping process exits.
-	stopIdlePolls = 6
-)
-
-// idlePolls counts consecutive polls without a request in flight.
-type idlePolls int
-
-// poll counts a poll and reports whether the last stopIdlePolls of them found no request
-// in flight. It counts polls and not elapsed time: a process short of CPU time may let
-// time pass without reading what has arrived, but it reads that between two polls.
-func (q *idlePolls) poll(inFlight int64) bool {
-	if inFlight > 0 {
-		*q = 0
-		return false
-	}
-	*q++
-	return *q >= stopIdlePolls
-}
-
-// Stop makes the entry VM finish its open requests and exit. It does not wait.
-func (n *Node) Stop() {
-	if n.stopping.CompareAndSwap(false, true) {
-		n.stoppedAt.Store(int64(n.clock.Now()))
-		n.log.Info("entry_vm_stopping", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load())
-	}
-}
-
-func (n *Node) awaitStop(ctx context.Context, cancel func(), front *http.Server) error {
-	ticker := time.NewTicker(stopPollPeriod)
-	defer ticker.Stop()
-	var idle idlePolls
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if !n.stopping.Load() {
-			continue
-		}
-		since := (n.clock.Now() - clock.Millis(n.stoppedAt.Load())).Duration()
-		if since >= keepAliveStopDelay {
-			front.SetKeepAlivesEnabled(false)
-		}
-		if since >= stopNoticeDelay && idle.poll(n.inFlight.Load()) || since >= n.settings.Grace.Duration()-stopReserve {
-			n.log.Info("entry_vm_draining", "entry_vm", n.settings.ID, "after_ms", since.Milliseconds(), "in_flight", n.inFlight.Load())
-			cancel()
-			return nil
-		}
-	}
-}
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -41,8 +41,7 @@
 	c.started = true
 	copyHeader(c.w.Header(), h.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
-	c.node.meter.Answered(h.status)
-	c.w.WriteHeader(h.status)
+	c.writeHead(h.status)
 	if _, err := c.w.Write(h.body); err != nil {
 		c.log("answer_not_taken", "error", err)
 	}
@@ -154,8 +153,7 @@
 	if !a.started {
 		a.started = true
 		copyHeader(a.w.Header(), answer.Header)
-		a.node.meter.Answered(answer.StatusCode)
-		a.w.WriteHeader(answer.StatusCode)
+		a.writeHead(answer.StatusCode)
 	}
 	if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false
--- /dev/null
+++ b/internal/node/fleet/stop.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"mangostile/internal/base/clock"
+)
+
+// Timing of a stop.
+const (
+	// keepAliveStopDelay is the time after Stop at which idle keep-alive connections
+	// are closed, so that callers send their next request to another entry VM.
+	keepAliveStopDelay = 2200 * clock.Millis(1)
+	// stopNoticeDelay is the time after Stop before which an idle process does not
+	// exit: until then, the balancer may not have noticed that it is not ready.
+	stopNoticeDelay = 2500 * clock.Millis(1)
+	// stopReserve is subtracted from the grace period: the process exits at the
+	// latest this long before the period ends.
+	stopReserve     = 400 * clock.Millis(1)
+	stopPollPeriod  = 50 * time.Millisecond
+	drainPollPeriod = 5 * time.Millisecond
+	// stopIdlePolls is the number of consecutive polls without a request after which
+	// a stopping process accepts no more connections.
+	stopIdlePolls = 6
+)
+
+// idlePolls counts consecutive polls without an unanswered request.
+type idlePolls int
+
+// poll counts a poll and reports whether the last stopIdlePolls of them found no request
+// in flight. It counts polls and not elapsed time: a process short of CPU time may let
+// time pass without reading what has arrived, but it reads that between two polls.
+func (q *idlePolls) poll(inFlight int) bool {
+	if inFlight > 0 {
+		*q = 0
+		return false
+	}
+	*q++
+	return *q >= stopIdlePolls
+}
+
+// Stop makes the entry VM finish its open requests and exit. It does not wait.
+func (n *Node) Stop() {
+	if n.stoppedAt.CompareAndSwap(0, int64(n.clock.Now())) {
+		n.log.Info("entry_vm_stopping", "entry_vm", n.settings.ID, "in_flight", n.inFlight.Load())
+	}
+}
+
+func (n *Node) isStopping() bool { return n.stoppedAt.Load() != 0 }
+
+// sinceStop returns the time since Stop, and 0 before it.
+func (n *Node) sinceStop() clock.Millis {
+	at := clock.Millis(n.stoppedAt.Load())
+	if at == 0 {
+		return 0
+	}
+	return n.clock.Now() - at
+}
+
+// awaitStop ends the process after Stop, by calling cancel, once no requests arrive any more or
+// the grace period is over.
+func (n *Node) awaitStop(ctx context.Context, cancel func(), front *callerListener) error {
+	ticker := time.NewTicker(stopPollPeriod)
+	defer ticker.Stop()
+	var idle idlePolls
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		since := n.sinceStop()
+		if since < keepAliveStopDelay {
+			continue
+		}
+		busy := n.callers.closeIdle(n.clock.Now())
+		if since >= stopNoticeDelay && idle.poll(busy) || since >= n.settings.Grace-stopReserve {
+			n.drain(ctx, front)
+			cancel()
+			return nil
+		}
+	}
+}
+
+// drain accepts the connections that wait, closes the listener and waits until all connections
+// are closed, each one after the answer to its last request, or the grace period is over.
+func (n *Node) drain(ctx context.Context, front *callerListener) {
+	n.log.Info("entry_vm_draining", "entry_vm", n.settings.ID, "after_ms", int64(n.sinceStop()), "in_flight", n.inFlight.Load(), "connections", n.callers.count())
+	ticker := time.NewTicker(drainPollPeriod)
+	defer ticker.Stop()
+	accepting := true
+	for {
+		graceOver := n.sinceStop() >= n.settings.Grace-stopReserve
+		if accepting && (!front.pending() || graceOver) {
+			_ = front.Close()
+			accepting = false
+		}
+		n.callers.closeIdle(n.clock.Now())
+		if graceOver || front.ended.Load() && n.callers.count() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/node/fleet/stop_test.go
+++ b/internal/node/fleet/stop_test.go
@@ -14,14 +14,14 @@
 func TestEndNeedsQuietPolls(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
-		inFlight []int64
+		inFlight []int
 		want     bool
 	}{
-		{"one poll without requests", []int64{0}, false},
-		{"some", []int64{0, 0, 0, 0, 0}, false},
-		{"enough", []int64{0, 0, 0, 0, 0, 0}, true},
-		{"a request between", []int64{0, 0, 0, 1, 0, 0, 0, 0, 0}, false},
-		{"and enough after it", []int64{0, 1, 0, 0, 0, 0, 0, 0}, true},
+		{"one poll without requests", []int{0}, false},
+		{"some", []int{0, 0, 0, 0, 0}, false},
+		{"enough", []int{0, 0, 0, 0, 0, 0}, true},
+		{"a request between", []int{0, 0, 0, 1, 0, 0, 0, 0, 0}, false},
+		{"and enough after it", []int{0, 1, 0, 0, 0, 0, 0, 0}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var idle idlePolls
@@ -53,7 +53,6 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			n := New(Options{Settings: Settings{ID: "vm0", Grace: 8 * clock.Second}})
-			n.stopping.Store(true)
 			n.stoppedAt.Store(int64(n.clock.Now() - tc.since))
 			c := &exchange{node: n, route: &topo.Route{Kind: tc.kind, Target: 800}, head: RequestHead{MaxTokens: 52}}
 			must.Eq(t, tc.want, c.endsBeforeStop())
