Answer calls that run when a stop's grace period ends

Callers of a request that was still running 0.4 s before the end of the grace period got a closed connection, also where nothing of the answer had been written and an answer was possible.

Cause: the end of the grace period closed the callers' connections and cancelled everything else at the same moment.

Change: it first ends the requests, which answer as after a deadline (502, or 503 if nothing ran; only a stream that has begun is broken off), and closes what is left 0.1 s later. The 0.4 s still cover this and the release of the placer's lease.

--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -36,6 +36,7 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, remaining)
 	defer cancel()
+	defer context.AfterFunc(n.graceOver, cancel)()
 	for len(c.req.Tried) <= maxSends {
 		c.req.Started = c.started
 		var choice choose.Choice
@@ -77,8 +78,8 @@
 	return true
 }
 
-// endIfDone ends the request if the deadline has passed, and reports whether it did. If
-// the caller has disconnected, it panics with http.ErrAbortHandler.
+// endIfDone ends the request if the deadline has passed or a stop has ended it, and reports
+// whether it did. If the caller has disconnected, it panics with http.ErrAbortHandler.
 func (c *exchange) endIfDone(ctx context.Context) bool {
 	if ctx.Err() == nil {
 		return false
@@ -88,7 +89,11 @@
 	if c.r.Context().Err() != nil {
 		c.abort()
 	}
-	c.giveUp("the time is over", 0)
+	reason := "the time is over"
+	if n.graceOver.Err() != nil {
+		reason = stoppingReason
+	}
+	c.giveUp(reason, 0)
 	return true
 }
 
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -101,7 +101,7 @@
 	}
 	c.head = head
 	if !c.endsBeforeStop() {
-		c.refuse("the entry VM is stopping", notReadyRetryAfter)
+		c.refuse(stoppingReason, notReadyRetryAfter)
 		return false
 	}
 	return c.readBody(cfg.Limits) && c.fillRequest()
--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -15,9 +15,12 @@
 	// stopNoticeDelay is the time after Stop before which an idle process does not
 	// exit: until then, the balancer may not have noticed that it is not ready.
 	stopNoticeDelay = 2500 * clock.Millis(1)
-	// stopReserve is subtracted from the grace period: the process exits at the
-	// latest this long before the period ends.
-	stopReserve     = 400 * clock.Millis(1)
+	// stopReserve is subtracted from the grace period: requests end at the latest this
+	// long before the period ends. It covers stopAnswerTime and releaseTimeout.
+	stopReserve = 400 * clock.Millis(1)
+	// stopAnswerTime is the time for the answers to requests that the end of the grace
+	// period has ended.
+	stopAnswerTime  = 100 * clock.Millis(1)
 	stopPollPeriod  = 50 * time.Millisecond
 	drainPollPeriod = 5 * time.Millisecond
 	// stopIdlePolls is the number of consecutive polls without a request after which
@@ -25,6 +28,9 @@
 	stopIdlePolls = 6
 )
 
+// stoppingReason is the reason of requests that are refused or ended by a stop.
+const stoppingReason = "the entry VM is stopping"
+
 // idlePolls counts consecutive polls without an unanswered request.
 type idlePolls int
 
@@ -84,20 +90,24 @@
 }
 
 // drain accepts the connections that wait, closes the listener and waits until all connections
-// are closed, each one after the answer to its last request, or the grace period is over.
+// are closed, each one after the answer to its last request. At the end of the grace period it
+// ends the requests in progress.
 func (n *Node) drain(ctx context.Context, front *callerListener) {
 	n.log.Info("entry_vm_draining", "entry_vm", n.settings.ID, "after_ms", int64(n.sinceStop()), "in_flight", n.inFlight.Load(), "connections", n.callers.count())
 	ticker := time.NewTicker(drainPollPeriod)
 	defer ticker.Stop()
 	accepting := true
 	for {
-		graceOver := n.sinceStop() >= n.settings.Grace-stopReserve
-		if accepting && (!front.pending() || graceOver) {
+		remaining := n.settings.Grace - stopReserve - n.sinceStop()
+		if remaining <= 0 {
+			n.endGrace()
+		}
+		if accepting && (!front.pending() || remaining <= 0) {
 			_ = front.Close()
 			accepting = false
 		}
 		n.callers.closeIdle(n.clock.Now())
-		if graceOver || front.ended.Load() && n.callers.count() == 0 {
+		if remaining <= -stopAnswerTime || front.ended.Load() && n.callers.count() == 0 {
 			return
 		}
 		select {
