Send nothing in a stop that is not bound to end before it

Callers' requests were still sent to backend servers late in a stop, and cut off or ended at the end of the grace period: calls were accepted while more than their route's target was left, though they may take until their deadline, and the question was asked once on arrival. A request that had waited for its adapter, or was sent a second time, was sent however late it was.

Change: one function is asked before each send, on arrival, after each wait and after the connection was opened. From 2.9 s after the stop on it lets a call pass if its deadline, the earlier one of the caller's and the route's, lies before the end of the grace period less the reserve; streams not, unless they have begun. A request that can't be sent any more is refused at once as not run, also one that waits, so that its caller has time for another entry VM. If something has run, it ends as before. The body is read before the refusal.

TestLateRequestsOfAStopAreRefused and TestNothingIsSentLateInAStop fail on the code before; the former's call without a deadline now has one, since the target says nothing about its end. TestWaitsEndWithTheSendWindow covers the waits.

--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -38,6 +38,9 @@
 	defer cancel()
 	defer context.AfterFunc(n.graceOver, cancel)()
 	for len(c.req.Tried) <= maxSends {
+		if c.endIfStopping() {
+			return
+		}
 		c.req.Started = c.started
 		var choice choose.Choice
 		n.withCore(func(core *choose.Core) { choice = core.Choose(n.clock.Now(), &c.req) })
@@ -69,11 +72,17 @@
 	c.log("request_waits", "reason", choice.Reason, "adapter", c.req.Adapter, "until_ms", int64(choice.Until-n.clock.Now()))
 	timer := time.NewTimer(max(time.Millisecond, (choice.Until - n.clock.Now()).Duration()))
 	defer timer.Stop()
+	sendWindowOver := n.sendWindowOver.Done()
+	if n.sendWindowOver.Err() != nil && c.endsBeforeStop() {
+		// It does not end this wait.
+		sendWindowOver = nil
+	}
 	select {
 	case <-ctx.Done():
 		return !c.endIfDone(ctx)
 	case <-choice.Changed:
 	case <-timer.C:
+	case <-sendWindowOver:
 	}
 	return true
 }
@@ -202,6 +211,8 @@
 		return callerLeftReason
 	case a.node.clock.Now() >= a.req.Deadline:
 		return "the deadline passed before the request was sent"
+	case !a.endsBeforeStop():
+		return stoppingReason
 	default:
 		return ""
 	}
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -30,10 +30,6 @@
 	defaultTimeout = 30 * clock.Second
 	// writeTimeout is the time for a caller to read a part of an answer.
 	writeTimeout = 10 * time.Second
-	// stopStreamWindow is how long a stopping entry VM still accepts streams. By then the
-	// balancer has noticed the stop. How long a stream takes depends on the queue and the
-	// batch of its backend server, so that none accepted later is sure to end in time.
-	stopStreamWindow = 2900 * clock.Millis(1)
 	// notReadyRetryAfter is the retry delay given to callers of an entry VM that is
 	// starting or stopping.
 	notReadyRetryAfter = 300 * clock.Millis(1)
@@ -100,27 +96,9 @@
 		return false
 	}
 	c.head = head
-	if !c.endsBeforeStop() {
-		c.refuse(stoppingReason, notReadyRetryAfter)
-		return false
-	}
 	return c.readBody(cfg.Limits) && c.fillRequest()
 }
 
-// endsBeforeStop reports whether a request that starts now is likely to end before a
-// stopping process exits.
-func (c *exchange) endsBeforeStop() bool {
-	n := c.node
-	if !n.isStopping() {
-		return true
-	}
-	since := n.sinceStop()
-	if c.route.Kind == topo.KindStream {
-		return since < stopStreamWindow
-	}
-	return n.settings.Grace-stopReserve-since > c.route.Target
-}
-
 func (c *exchange) readBody(limits topo.Limits) bool {
 	limit := limits.BodyBytes
 	if limit == 0 {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -75,9 +75,12 @@
 
 	// stoppedAt is the time of Stop, in ms, or 0.
 	stoppedAt atomic.Int64
-	// graceOver is done once requests in progress must end.
-	graceOver context.Context
-	endGrace  context.CancelFunc
+	// sendWindowOver is done once stopSendWindow has passed, graceOver once requests in
+	// progress must end.
+	sendWindowOver context.Context
+	endSendWindow  context.CancelFunc
+	graceOver      context.Context
+	endGrace       context.CancelFunc
 }
 
 // New returns an entry VM that is not running.
@@ -90,6 +93,7 @@
 		core:       choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
 		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placerWorker{}, reportNow: make(chan struct{}, 1),
 	}
+	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
 	n.graceOver, n.endGrace = context.WithCancel(context.Background())
 	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, Logger: o.Logger})
 	for _, region := range o.Settings.Regions {
--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/core/topo"
 )
 
 // Timing of a stop.
@@ -15,6 +17,11 @@
 	// stopNoticeDelay is the time after Stop before which an idle process does not
 	// exit: until then, the balancer may not have noticed that it is not ready.
 	stopNoticeDelay = 2500 * clock.Millis(1)
+	// stopSendWindow is how long after Stop every request is still sent to backend servers.
+	// By then the balancer has noticed the stop. How long a stream takes depends on the
+	// queue and the batch of its backend server, so that none sent later is sure to end
+	// in time.
+	stopSendWindow = 2900 * clock.Millis(1)
 	// stopReserve is subtracted from the grace period: requests end at the latest this
 	// long before the period ends. It covers stopAnswerTime and releaseTimeout.
 	stopReserve = 400 * clock.Millis(1)
@@ -64,6 +71,29 @@
 	return n.clock.Now() - at
 }
 
+// endsBeforeStop reports whether a request that is sent to a backend server now is bound to end
+// before a stopping process exits. A stream that has begun may always go on: the alternative is
+// to break it off.
+func (c *exchange) endsBeforeStop() bool {
+	n := c.node
+	since := n.sinceStop()
+	if since < stopSendWindow || c.started {
+		return true
+	}
+	remaining := n.settings.Grace - stopReserve - since
+	return c.route.Kind != topo.KindStream && c.req.Deadline-n.clock.Now() < remaining
+}
+
+// endIfStopping ends the request if a stop leaves no time for it, and reports whether it did.
+func (c *exchange) endIfStopping() bool {
+	if c.endsBeforeStop() {
+		return false
+	}
+	c.node.withCore(func(core *choose.Core) { core.Abandoned(&c.req) })
+	c.giveUp(stoppingReason, notReadyRetryAfter)
+	return true
+}
+
 // awaitStop ends the process after Stop, by calling cancel, once no requests arrive any more or
 // the grace period is over.
 func (n *Node) awaitStop(ctx context.Context, cancel func(), front *callerListener) error {
@@ -81,6 +111,9 @@
 			continue
 		}
 		busy := n.callers.closeIdle(n.clock.Now())
+		if since >= stopSendWindow {
+			n.endSendWindow()
+		}
 		if since >= stopNoticeDelay && idle.poll(busy) || since >= n.settings.Grace-stopReserve {
 			n.drain(ctx, front)
 			cancel()
--- a/internal/node/fleet/stop_test.go
+++ b/internal/node/fleet/stop_test.go
@@ -1,9 +1,14 @@
 package fleet
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
 
 	"github.com/shoenig/test/must"
@@ -34,28 +39,87 @@
 	}
 }
 
-// TestLateRequestsOfAStopAreRefused guards against streams that a stopping entry VM accepts and
-// then cuts off at the end of its grace period: one of 50 tokens, accepted 3.4 s after the stop
-// with 4.2 s left, waited 1.7 s at its backend server and got 2.5 s of tokens.
+// TestLateRequestsOfAStopAreRefused guards against requests that a stopping entry VM accepts and
+// then cuts off at the end of its grace period: a stream of 50 tokens, accepted 3.4 s after the
+// stop with 4.2 s left, waited 1.7 s at its backend server and got 2.5 s of tokens.
 func TestLateRequestsOfAStopAreRefused(t *testing.T) {
 	for _, tc := range []struct {
-		name  string
-		kind  topo.Kind
-		since clock.Millis
-		want  bool
+		name    string
+		kind    topo.Kind
+		since   clock.Millis
+		timeout clock.Millis
+		started bool
+		want    bool
 	}{
-		{"stream at once", topo.KindStream, 0, true},
-		{"stream before the balancer has noticed", topo.KindStream, 2500, true},
-		{"short stream later", topo.KindStream, 3370, false},
-		{"stream at the end", topo.KindStream, 7500, false},
-		{"call later", topo.KindOnce, 3370, true},
-		{"call that could be cut off", topo.KindOnce, 7300, false},
+		{"stream at once", topo.KindStream, 0, 15000, false, true},
+		{"stream before the balancer has noticed", topo.KindStream, 2500, 15000, false, true},
+		{"short stream later", topo.KindStream, 3370, 15000, false, false},
+		{"stream at the end", topo.KindStream, 7500, 15000, false, false},
+		{"stream in progress", topo.KindStream, 3370, 15000, true, true},
+		{"call later", topo.KindOnce, 3370, 4000, false, true},
+		{"call that may outlast the stop", topo.KindOnce, 3370, 4500, false, false},
+		{"idempotent call that may outlast the stop", topo.KindIdempotent, 3370, 4500, false, false},
+		{"call that could be cut off", topo.KindOnce, 7300, 800, false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			n := New(Options{Settings: Settings{ID: "vm0", Grace: 8 * clock.Second}})
-			n.stoppedAt.Store(int64(n.clock.Now() - tc.since))
-			c := &exchange{node: n, route: &topo.Route{Kind: tc.kind, Target: 800}, head: RequestHead{MaxTokens: 52}}
+			n := stoppedNode(tc.since)
+			c := &exchange{node: n, route: &topo.Route{Kind: tc.kind, Target: 800}, started: tc.started, req: choose.Request{Deadline: n.clock.Now() + tc.timeout}}
 			must.Eq(t, tc.want, c.endsBeforeStop())
 		})
 	}
 }
+
+// stoppedNode returns an entry VM with a grace period of 8 s that was stopped since ms ago.
+func stoppedNode(since clock.Millis) *Node {
+	n := New(Options{Settings: Settings{ID: "vm0", Grace: 8 * clock.Second}, System: stampingSystem{}})
+	n.stoppedAt.Store(int64(n.clock.Now() - since))
+	return n
+}
+
+// TestNothingIsSentLateInAStop guards against requests that were accepted before a stop, or early
+// in it, waited for their backend server, and are sent when they can't end in time any more.
+func TestNothingIsSentLateInAStop(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	n := stoppedNode(5 * clock.Second)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/x", nil)
+	must.NoError(t, err)
+	c := &exchange{node: n, r: request, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Deadline: n.clock.Now() + 10*clock.Second}}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	a := attempt{exchange: c, ctx: ctx, to: choose.Send{Server: "e0", Address: listener.Addr().String()}}
+	end, over := a.run()
+	must.Eq(t, choose.EndCanceled, end)
+	must.False(t, over)
+	must.False(t, a.mayHaveRun)
+	conn, err := listener.Accept()
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	received, _ := conn.Read(make([]byte, 1))
+	must.Zero(t, received)
+}
+
+// TestWaitsEndWithTheSendWindow guards against requests that wait for their adapter until a stop
+// leaves no time to send them, and are refused only then.
+func TestWaitsEndWithTheSendWindow(t *testing.T) {
+	n := stoppedNode(stopSendWindow)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/x", nil)
+	must.NoError(t, err)
+	c := &exchange{node: n, r: request, route: &topo.Route{Kind: topo.KindStream}}
+	time.AfterFunc(20*time.Millisecond, n.endSendWindow)
+	began := time.Now()
+	must.True(t, c.wait(t.Context(), choose.Wait{Until: n.clock.Now() + 5*clock.Second}))
+	must.Less(t, 2*time.Second, time.Since(began))
+
+	began = time.Now()
+	must.True(t, c.wait(t.Context(), choose.Wait{Until: n.clock.Now() + 5*clock.Second}))
+	must.Less(t, 2*time.Second, time.Since(began))
+
+	// A call that ends in time goes on waiting.
+	c.route = &topo.Route{Kind: topo.KindOnce}
+	c.req.Deadline = n.clock.Now() + clock.Second
+	began = time.Now()
+	must.True(t, c.wait(t.Context(), choose.Wait{Until: n.clock.Now() + 100}))
+	must.GreaterEq(t, 90*time.Millisecond, time.Since(began))
+}
