End a dial to another entry VM with the links

Cause: Run of the links waits for its senders, and a sender's dial to an entry VM that is gone goes on for up to 1 s after the links' end. Change: the dial ends with the links.

--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -394,7 +394,7 @@
 
 func (l *Links) dial(s *sender) net.Conn {
 	address, _ := s.address.Load().(string)
-	conn, err := call.Dial(address, dialTimeout)
+	conn, err := call.DialContext(l.ctx, address, dialTimeout)
 	if err != nil {
 		return nil
 	}
--- a/internal/plat/call/dial.go
+++ b/internal/plat/call/dial.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -22,8 +23,13 @@
 // Dial opens a TCP connection over IPv4 that is closed automatically if the peer becomes
 // unresponsive.
 func Dial(address string, timeout time.Duration) (net.Conn, error) {
+	return DialContext(context.Background(), address, timeout)
+}
+
+// DialContext is like Dial, and gives up once ctx is done.
+func DialContext(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: control}
-	return dialer.Dial("tcp4", address)
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // KeepAlive returns the keep-alive settings for dialed and accepted connections.
