End a dial to a backend server with a stop's grace period

A request whose backend server is gone may be opening a connection for up to 0.6 s when the grace period of a stop ends. The 0.1 s that is left for its answer passed meanwhile, so that its caller got a closed connection for a request that had not run.

Change: the dial ends with the grace period, and the request is refused as not run. Its time limit and what it says about the backend server are the same at other times.

--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"strconv"
 	"strings"
@@ -65,9 +66,9 @@
 	Reused bool
 }
 
-// Get returns a connection to an address. Unless fresh is set, it prefers an idle one.
-// The error is a NotSentError.
-func (p *Pool) Get(address string, fresh bool) (*Conn, error) {
+// Get returns a connection to an address. Unless fresh is set, it prefers an idle one. It gives
+// up a dial once ctx is done. The error is a NotSentError.
+func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
 	for !fresh {
 		c := p.takeIdle(address)
 		if c == nil {
@@ -79,7 +80,7 @@
 		}
 		_ = c.Close()
 	}
-	conn, err := call.Dial(address, dialTimeout)
+	conn, err := call.DialContext(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, &NotSentError{Refused: errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET), Err: err}
 	}
--- a/internal/node/conns/conns_test.go
+++ b/internal/node/conns/conns_test.go
@@ -58,7 +58,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	conn, err := p.Get(address, false)
+	conn, err := p.Get(t.Context(), address, false)
 	if err != nil {
 		return "", err
 	}
@@ -143,7 +143,7 @@
 // sent, so that it may be retried.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	var p Pool
-	_, err := p.Get("127.0.0.1:1", false)
+	_, err := p.Get(t.Context(), "127.0.0.1:1", false)
 	var unsent *NotSentError
 	must.True(t, errors.As(err, &unsent))
 	must.True(t, unsent.Refused)
@@ -213,7 +213,7 @@
 		close(closed)
 	})
 	var p Pool
-	conn, err := p.Get(address, false)
+	conn, err := p.Get(t.Context(), address, false)
 	must.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
--- a/internal/node/conns/fuzz_test.go
+++ b/internal/node/conns/fuzz_test.go
@@ -37,7 +37,7 @@
 			_ = conn.Close()
 		}()
 		var p Pool
-		conn, err := p.Get(listener.Addr().String(), false)
+		conn, err := p.Get(t.Context(), listener.Addr().String(), false)
 		must.NoError(t, err)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -225,7 +225,7 @@
 // more on a fresh one. over is true if the request needs no further attempt: the caller
 // has its answer or has disconnected.
 func (a *attempt) run() (end choose.End, over bool) {
-	conn, err := a.node.pool.Get(a.to.Address, false)
+	conn, err := a.node.pool.Get(a.node.graceOver, a.to.Address, false)
 	for {
 		if err != nil {
 			a.reason = err.Error()
@@ -249,7 +249,7 @@
 		if !reused || a.ctx.Err() != nil {
 			return choose.EndUnsent, false
 		}
-		conn, err = a.node.pool.Get(a.to.Address, true)
+		conn, err = a.node.pool.Get(a.node.graceOver, a.to.Address, true)
 	}
 }
 
--- a/internal/node/fleet/forward_test.go
+++ b/internal/node/fleet/forward_test.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
+	"mangostile/internal/fake/mute"
 
 	"github.com/shoenig/test/must"
 )
@@ -115,3 +116,23 @@
 		})
 	}
 }
+
+// TestDialsEndWithTheGracePeriod guards against connections that a stopping entry VM closes without
+// an answer because the connection to a backend server that is gone was being opened when the
+// grace period ended.
+func TestDialsEndWithTheGracePeriod(t *testing.T) {
+	gone, err := mute.Listen()
+	must.NoError(t, err)
+	t.Cleanup(gone.Close)
+	n := New(Options{Settings: Settings{ID: "vm0"}})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "/look/x", nil)
+	must.NoError(t, err)
+	c := &exchange{node: n, r: request, route: &topo.Route{Kind: topo.KindIdempotent}, req: choose.Request{Deadline: n.clock.Now() + clock.Second}}
+	a := attempt{exchange: c, ctx: t.Context(), to: choose.Send{Server: "p0", Address: gone.Address}}
+	time.AfterFunc(20*time.Millisecond, n.endGrace)
+	began := time.Now()
+	_, over := a.run()
+	must.Less(t, stopAnswerTime.Duration(), time.Since(began))
+	must.False(t, over)
+	must.False(t, a.mayHaveRun)
+}
