Start the links' own goroutines before any sender

TestMutualTLSRejectsForeignPeers failed once of 10 runs of the package beside four busy processes with -race: a data race. Callers saw nothing.

Cause: Run published its group and then started its goroutines. A message that was sent in between started a sender first, so that the group's first entry was not ordered before Run's wait for it. Change: Run starts its goroutines before it publishes the group.

--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -121,13 +121,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	l.mu.Lock()
 	l.group, l.ctx = group, ctx
-	l.mu.Unlock()
+	// Senders may join the group once mu is free, which must not be empty then.
 	group.Go(func() error {
 		<-ctx.Done()
 		l.closeAll(listener)
 		return nil
 	})
 	group.Go(func() error { return l.accept(ctx, listener) })
+	l.mu.Unlock()
 	return group.Wait()
 }
 
