End the waits of requests during a drain, too

A request that was received while the listener was closed and waited for its adapter was refused 0.43 s later and not when the time to send it had passed: waits are woken by the loop that decides when to end, which does not run during the drain. The drain wakes them as well.

--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -94,6 +94,12 @@
 	return true
 }
 
+func (n *Node) endSendWindowIfDue(sinceStop clock.Millis) {
+	if sinceStop >= stopSendWindow {
+		n.endSendWindow()
+	}
+}
+
 // awaitStop ends the process after Stop, by calling cancel, once no requests arrive any more or
 // the grace period is over.
 func (n *Node) awaitStop(ctx context.Context, cancel func(), front *callerListener) error {
@@ -111,9 +117,7 @@
 			continue
 		}
 		busy := n.callers.closeIdle(n.clock.Now())
-		if since >= stopSendWindow {
-			n.endSendWindow()
-		}
+		n.endSendWindowIfDue(since)
 		if since >= stopNoticeDelay && idle.poll(busy) || since >= n.settings.Grace-stopReserve {
 			n.drain(ctx, front)
 			cancel()
@@ -131,7 +135,9 @@
 	defer ticker.Stop()
 	accepting := true
 	for {
-		remaining := n.settings.Grace - stopReserve - n.sinceStop()
+		since := n.sinceStop()
+		n.endSendWindowIfDue(since)
+		remaining := n.settings.Grace - stopReserve - since
 		if remaining <= 0 {
 			n.endGrace()
 		}
