--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -36,9 +36,9 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, remaining)
 	defer cancel()
+	defer context.AfterFunc(n.graceOver, cancel)()
 	for len(c.req.Tried) <= maxSends {
-		if c.quarantined() {
-			c.giveUp(reasonQuarantined, 0)
+		if c.endIfQuarantined() || c.endIfStopping() {
 			return
 		}
 		c.req.Started = c.started
@@ -72,17 +72,23 @@
 	c.log("request_waits", "reason", choice.Reason, "adapter", c.req.Adapter, "until_ms", int64(choice.Until-n.clock.Now()))
 	timer := time.NewTimer(max(time.Millisecond, (choice.Until - n.clock.Now()).Duration()))
 	defer timer.Stop()
+	sendWindowOver := n.sendWindowOver.Done()
+	if n.sendWindowOver.Err() != nil && c.endsBeforeStop() {
+		// It does not end this wait.
+		sendWindowOver = nil
+	}
 	select {
 	case <-ctx.Done():
 		return !c.endIfDone(ctx)
 	case <-choice.Changed:
 	case <-timer.C:
+	case <-sendWindowOver:
 	}
 	return true
 }
 
-// endIfDone ends the request if the deadline has passed, and reports whether it did. If
-// the caller has disconnected, it panics with http.ErrAbortHandler.
+// endIfDone ends the request if the deadline has passed or a stop has ended it, and reports
+// whether it did. If the caller has disconnected, it panics with http.ErrAbortHandler.
 func (c *exchange) endIfDone(ctx context.Context) bool {
 	if ctx.Err() == nil {
 		return false
@@ -92,7 +98,11 @@
 	if c.r.Context().Err() != nil {
 		c.abort()
 	}
-	c.giveUp("the time is over", 0)
+	reason := "the time is over"
+	if n.graceOver.Err() != nil {
+		reason = stoppingReason
+	}
+	c.giveUp(reason, 0)
 	return true
 }
 
@@ -213,6 +223,8 @@
 		return "the deadline passed before the request was sent"
 	case a.quarantined():
 		return reasonQuarantined
+	case !a.endsBeforeStop():
+		return stoppingReason
 	default:
 		return ""
 	}
@@ -225,7 +237,7 @@
 // more on a fresh one. over is true if the request needs no further attempt: the caller
 // has its answer or has disconnected.
 func (a *attempt) run() (end choose.End, over bool) {
-	conn, err := a.node.pool.Get(a.to.Address, false)
+	conn, err := a.node.pool.Get(a.node.graceOver, a.to.Address, false)
 	for {
 		if err != nil {
 			a.reason = err.Error()
@@ -249,7 +261,7 @@
 		if !reused || a.ctx.Err() != nil {
 			return choose.EndUnsent, false
 		}
-		conn, err = a.node.pool.Get(a.to.Address, true)
+		conn, err = a.node.pool.Get(a.node.graceOver, a.to.Address, true)
 	}
 }
 
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -93,6 +93,16 @@
 	return ok
 }
 
+// endIfQuarantined ends the request if it is quarantined, and reports whether it did.
+func (c *exchange) endIfQuarantined() bool {
+	if !c.quarantined() {
+		return false
+	}
+	c.node.withCore(func(core *choose.Core) { core.Abandoned(&c.req) })
+	c.giveUp(reasonQuarantined, 0)
+	return true
+}
+
 // watch registers an attempt until stop is called, so that it is canceled if a key of its
 // request is put into quarantine before its answer begins.
 func (q *quarantine) watch(a *attempt) (stop func()) {
@@ -152,7 +162,7 @@
 // crashed reports whether a backend server to which a connection broke refuses connections, or
 // closes them at once.
 func (n *Node) crashed(server *topo.Server) bool {
-	conn, err := n.pool.Get(server.Address, true)
+	conn, err := n.pool.Get(n.graceOver, server.Address, true)
 	if err != nil {
 		return errors.Is(err, unix.ECONNREFUSED)
 	}
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -121,13 +121,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	l.mu.Lock()
 	l.group, l.ctx = group, ctx
-	l.mu.Unlock()
+	// Senders may join the group once mu is free, which must not be empty then.
 	group.Go(func() error {
 		<-ctx.Done()
 		l.closeAll(listener)
 		return nil
 	})
 	group.Go(func() error { return l.accept(ctx, listener) })
+	l.mu.Unlock()
 	return group.Wait()
 }
 
@@ -394,7 +395,7 @@
 
 func (l *Links) dial(s *sender) net.Conn {
 	address, _ := s.address.Load().(string)
-	conn, err := call.Dial(address, dialTimeout)
+	conn, err := call.DialContext(l.ctx, address, dialTimeout)
 	if err != nil {
 		return nil
 	}
