Take no empty end of a connection for the rest of a stream

A caller could get a stream as complete that lacks its last events: when a stream was resumed at another backend server, whose answer had neither a length nor chunks and whose connection ended before the first event, such as at a crash, the entry VM took that for an empty rest.

Such an end now counts as broken. TestStreamsThatEndWithTheirConnection, "resumed, before the first event", failed before (served instead of broken); its other cases passed.

--- a/internal/node/fleet/forward_test.go
+++ b/internal/node/fleet/forward_test.go
@@ -117,6 +117,48 @@
 	}
 }
 
+// TestStreamsThatEndWithTheirConnection guards against streams with neither a length nor chunks
+// that broke off and reach the caller as complete.
+func TestStreamsThatEndWithTheirConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		body    string
+		started bool
+		want    choose.End
+	}{
+		{"after an event", "id: 1\ndata: a\n\n", false, choose.EndServed},
+		{"inside an event", "id: 1\ndata: a\n\nid: 2\nda", false, choose.EndBroken},
+		{"before the first event", "", false, choose.EndBroken},
+		{"resumed, after an event", "id: 5\ndata: a\n\n", true, choose.EndServed},
+		{"resumed, before the first event", "", true, choose.EndBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + tc.body))
+				_ = conn.Close()
+			}()
+			n := New(Options{Settings: Settings{ID: "vm0"}, System: stampingSystem{}})
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
+			must.NoError(t, err)
+			c := &exchange{
+				node: n, r: request, w: deadlineRecorder{httptest.NewRecorder()}, head: RequestHead{ID: "r1"}, route: &topo.Route{Kind: topo.KindStream},
+				req: choose.Request{Deadline: n.clock.Now() + 30*clock.Second}, started: tc.started,
+			}
+			a := attempt{exchange: c, ctx: t.Context(), to: choose.Send{Server: "s1", Address: listener.Addr().String()}}
+			end, _ := a.run()
+			must.Eq(t, tc.want, end)
+		})
+	}
+}
+
 // TestDialsEndWithTheGracePeriod guards against connections that a stopping entry VM closes without
 // an answer because the connection to a backend server that is gone was being opened when the
 // grace period ended.
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -135,7 +135,9 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && !events.partial() && (a.started || events.count > 0) {
+		// The rest of a resumed stream may be empty, but not if only the connection ends it.
+		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+		if errors.Is(err, io.EOF) && !events.partial() && (a.started && framed || events.count > 0) {
 			a.events = events.count
 			return choose.EndServed, true
 		}
