Keep the connection of a pipelined request in a stop

A request received together with the one before it was cut off 2.2 s after a stop began, while it ran at a backend server: a connection counted as busy from the first byte read from its socket to the end of an answer, and the second request is read from the HTTP server's buffer.

A connection is busy again as soon as the head of a request was read, wherever it was. TestPipelinedRequestKeepsItsConnection failed before and passes now.

--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -89,6 +89,13 @@
 // left reports whether the caller has closed its end.
 func (c *callerConn) left() bool { return call.Peek(c.Conn) == call.Closed }
 
+// beginRequest records that the head of a request was read.
+func (c *callerConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = true
+}
+
 // endAnswer records that the request that was read last has its whole answer.
 func (c *callerConn) endAnswer() {
 	c.mu.Lock()
@@ -228,7 +235,14 @@
 			return context.WithValue(ctx, callerConnKey{}, c)
 		},
 		ConnState: func(conn net.Conn, state http.ConnState) {
-			if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+			c, ok := conn.(*callerConn)
+			switch {
+			case !ok:
+			case state == http.StateActive:
+				// A pipelined request is read from the server's buffer, not by Read.
+				c.beginRequest()
+			case state == http.StateIdle:
+				// The whole answer was written.
 				c.endAnswer()
 			}
 		},
--- a/internal/node/fleet/callers_test.go
+++ b/internal/node/fleet/callers_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -109,3 +111,49 @@
 	must.ErrorIs(t, got.err, net.ErrClosed)
 	must.Eq(t, call.Pending, call.Peek(c.Conn))
 }
+
+// servePipelined serves callers and returns a connection and a reader of its answers. The handler
+// sends the path of each request on entered and waits for a value of release.
+func servePipelined(t *testing.T, open *callers) (conn net.Conn, answers *bufio.Reader, entered chan string, release chan bool) {
+	t.Helper()
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	entered, release = make(chan string, 2), make(chan bool, 2)
+	s := new(Node).frontServer()
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- r.URL.Path
+		<-release
+		_, _ = io.WriteString(w, "ok")
+	})
+	go func() { _ = s.Serve(&callerListener{Listener: tcp, callers: open}) }()
+	t.Cleanup(func() { _ = s.Close() })
+	conn, err = net.Dial("tcp4", tcp.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn, bufio.NewReader(conn), entered, release
+}
+
+func readAnswer(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(t, err)
+}
+
+// TestPipelinedRequestKeepsItsConnection guards against a stop that closes the connection of a
+// request in progress that was received together with the one before it.
+func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
+	var open callers
+	conn, answers, entered, release := servePipelined(t, &open)
+	_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	release <- true
+	readAnswer(t, answers)
+	must.Eq(t, "/1", <-entered)
+	must.Eq(t, "/2", <-entered)
+	must.One(t, open.closeIdle(clock.Hour))
+	release <- true
+	readAnswer(t, answers)
+}
