Keep a connection whose next request has begun to arrive

In a stop, a connection whose next request had sent a single byte while the one before it was being served counted as idle: the HTTP server reads that byte ahead, and the end of the answer cleared the mark.

Bytes that are read after a request was read in full now count for the next one (TestOnlyIdleConnectionsAreClosed, "answered, and the first byte of the next one was read").

--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -35,6 +35,9 @@
 	mu sync.Mutex
 	// unanswered is true from the first byte of a request to the end of its answer.
 	unanswered bool
+	// complete is true once that request was read in full, ahead if bytes of the next one
+	// were read after that: the HTTP server reads on while a request is served.
+	complete, ahead bool
 	// answered is true once a request was answered.
 	answered bool
 }
@@ -74,6 +77,7 @@
 			return 0, os.NewSyscallError("read", err)
 		default:
 			c.unanswered = c.unanswered || n > 0
+			c.ahead = c.ahead || c.complete && n > 0
 			return n, nil
 		}
 	}
@@ -100,7 +104,14 @@
 func (c *callerConn) endAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered, c.answered = false, true
+	c.unanswered, c.complete, c.ahead, c.answered = c.ahead, false, false, true
+}
+
+// endRequest records that the request was read in full.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.complete = true
 }
 
 // busy reports whether a part of a request was received that is not answered. c.mu must be
--- a/internal/node/fleet/callers_test.go
+++ b/internal/node/fleet/callers_test.go
@@ -61,6 +61,14 @@
 			read(t, c)
 			c.endAnswer()
 		}, 0, false, false},
+		{"answered, and the first byte of the next one was read", func(t *testing.T, caller net.Conn, c *callerConn) {
+			write(t, caller, "GE")
+			read(t, c)
+			c.endRequest()
+			write(t, caller, "G")
+			read(t, c)
+			c.endAnswer()
+		}, 0, true, true},
 		{"answered, and the next one was received", func(t *testing.T, caller net.Conn, c *callerConn) {
 			write(t, caller, "GEGE")
 			read(t, c)
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -47,6 +47,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	if c.admit() {
+		if c.conn != nil {
+			c.conn.endRequest()
+		}
 		c.serve()
 	}
 }
