End requests before a short grace period does

With a grace period of 2.4 s or less, callers of a stopping entry VM got no answer: the end of the period was looked at only once idle connections are closed, 2.2 s after the stop.

It is looked at from the start again, nothing is sent once it is over, and at its end no connection counts as new. The reserve covers the poll in which the end is noticed.

--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -23,15 +23,16 @@
 	// in time.
 	stopSendWindow = 2900 * clock.Millis(1)
 	// stopReserve is subtracted from the grace period: requests end at the latest this
-	// long before the period ends. It covers stopAnswerTime and releaseTimeout.
-	stopReserve = 400 * clock.Millis(1)
+	// long before the period ends. It covers stopPollPeriod, stopAnswerTime and
+	// releaseTimeout, and leaves a little for a busy machine.
+	stopReserve = 450 * clock.Millis(1)
 	// stopAnswerTime is the time for the answers to requests that the end of the grace
 	// period has ended.
 	stopAnswerTime  = 100 * clock.Millis(1)
 	stopPollPeriod  = 50 * time.Millisecond
 	drainPollPeriod = 5 * time.Millisecond
 	// stopIdlePolls is the number of consecutive polls without a request after which
-	// a stopping process accepts no more connections.
+	// a stopping process ends once it has answered what still arrives.
 	stopIdlePolls = 6
 )
 
@@ -77,10 +78,10 @@
 func (c *exchange) endsBeforeStop() bool {
 	n := c.node
 	since := n.sinceStop()
-	if since < stopSendWindow || c.started {
+	remaining := n.settings.Grace - stopReserve - since
+	if !n.isStopping() || c.started || since < stopSendWindow && remaining > 0 {
 		return true
 	}
-	remaining := n.settings.Grace - stopReserve - since
 	return c.route.Kind != topo.KindStream && c.req.Deadline-n.clock.Now() < remaining
 }
 
@@ -113,12 +114,13 @@
 		case <-ticker.C:
 		}
 		since := n.sinceStop()
-		if since < keepAliveStopDelay {
+		isOver := n.isStopping() && since >= n.settings.Grace-stopReserve
+		if since < keepAliveStopDelay && !isOver {
 			continue
 		}
 		busy := n.callers.closeIdle(n.clock.Now())
 		n.endSendWindowIfDue(since)
-		if since >= stopNoticeDelay && idle.poll(busy) || since >= n.settings.Grace-stopReserve {
+		if since >= stopNoticeDelay && idle.poll(busy) || isOver {
 			n.drain(ctx, front)
 			cancel()
 			return nil
@@ -145,7 +147,12 @@
 			_ = front.Close()
 			accepting = false
 		}
-		n.callers.closeIdle(n.clock.Now())
+		now := n.clock.Now()
+		if remaining <= 0 {
+			// No connection is new enough to be kept.
+			now += firstRequestTimeout
+		}
+		n.callers.closeIdle(now)
 		if remaining <= -stopAnswerTime || front.ended.Load() && n.callers.count() == 0 {
 			return
 		}
