Lose no signal to stop while the core is busy

An entry VM that serves the product's own interface ignored SIGTERM if its core's queue was full at that moment, and every later one, since only the first was read: its process then ran until it was killed, and cut off what was in flight. The class is that of the stop on the platform: a step is taken for done without a look.

Leave tries again for up to 10 s, and each signal is read (TestLeaveOutlastsAFullQueue).

--- a/internal/node/server/leaving_test.go
+++ b/internal/node/server/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,9 @@
 	"testing"
 	"time"
 
+	"mangostile/internal/core/entry"
+	"mangostile/internal/core/event"
+
 	"github.com/shoenig/test/must"
 )
 
@@ -111,3 +115,26 @@
 		})
 	}
 }
+
+// TestLeaveOutlastsAFullQueue guards against a signal to stop that is lost because the core was
+// busy and its queue full.
+func TestLeaveOutlastsAFullQueue(t *testing.T) {
+	t.Parallel()
+	n := startNode(t, func(*Options) {})
+	busy, release := make(chan bool), make(chan bool)
+	go n.server.Query(context.Background(), func(*entry.Core) {
+		close(busy)
+		<-release
+	})
+	<-busy
+	for n.server.Submit(event.Tick{}) {
+	}
+	time.AfterFunc(3*leaveRetryPeriod, func() { close(release) })
+	n.server.Leave()
+	select {
+	case <-n.server.leaveDone:
+	case <-time.After(testTimeout):
+		t.Fatal("the entry VM does not leave")
+	}
+	n.stop()
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -148,7 +148,22 @@
 func (s *Server) Links() *links.Links { return s.links }
 
 // Leave starts a graceful shutdown: Run returns when all open work has finished.
-func (s *Server) Leave() { s.Submit(event.LeaveRequested{}) }
+//
+// It waits while the core's queue is full, for leaveRetries times leaveRetryPeriod at most.
+func (s *Server) Leave() {
+	for range leaveRetries {
+		if s.Submit(event.LeaveRequested{}) {
+			return
+		}
+		time.Sleep(leaveRetryPeriod)
+	}
+}
+
+// Attempts to pass on a request to leave to the core.
+const (
+	leaveRetries     = 500
+	leaveRetryPeriod = 20 * time.Millisecond
+)
 
 // Run runs all goroutines of the server until ctx is done or a shutdown by Leave is
 // complete.
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -60,8 +60,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	go func() {
-		<-signals
-		s.Leave()
+		for range signals {
+			s.Leave()
+		}
 	}()
 	logger.Info("entry_vm_started", "entry_vm", settings.EntryVM.ID, "serve_address", settings.EntryVM.ServeAddress)
 	return s.Run(ctx)
