--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/decide.go
@@ -29,18 +29,18 @@
 	contents int
 }
 
-// docket holds the suspects of some crashes, and the requests that were in flight at these with
+// evidence holds the suspects of some crashes and the requests that were in flight at these with
 // the keys alone that count.
-type docket struct {
+type evidence struct {
 	suspects map[Key]*suspect
 	requests []Request
 }
 
-// judge puts into quarantine the keys that the crashes count against, until no crash is left
+// decide puts into quarantine the keys that the crashes count against, until no crash is left
 // without a cause, and adds the verdicts to news.
-func (g *Registry) judge(now clock.Millis, news *News) {
+func (g *Registry) decide(now clock.Millis, news *News) {
 	for range maxCrashes {
-		s := g.guilty(now)
+		s := g.culprit(now)
 		if s == nil {
 			break
 		}
@@ -50,25 +50,25 @@
 		}
 		news.Verdicts = append(news.Verdicts, g.set(now, v))
 	}
-	g.acquit(now, news)
+	g.releaseExplained(now, news)
 }
 
-// acquit ends the quarantine of keys all of whose crashes turn out to be those of another key in
-// quarantine, which has more of them: the news of it may have come later.
-func (g *Registry) acquit(now clock.Millis, news *News) {
-	var d *docket
+// releaseExplained ends the quarantine of keys all of whose crashes turn out to be those of another
+// key in quarantine, which has more of them: the news of it may have come later.
+func (g *Registry) releaseExplained(now clock.Millis, news *News) {
+	var e *evidence
 	for key, v := range g.verdicts {
 		if !g.refuses(now, key) {
 			continue
 		}
-		if d == nil {
-			d = g.open(now, func(c *crash) []Request { return c.requests })
+		if e == nil {
+			e = g.collect(now, func(c *crash) []Request { return c.requests })
 		}
-		s := d.suspects[key]
+		s := e.suspects[key]
 		if s == nil {
 			continue
 		}
-		for other, o := range d.suspects {
+		for other, o := range e.suspects {
 			if g.refuses(now, other) && s.crashes&^o.crashes == 0 && o.crashes&^s.crashes != 0 {
 				news.Verdicts = append(news.Verdicts, g.set(now, Verdict{Key: key, Version: v.Version + 1, Reason: ReasonExplained, Remaining: Term}))
 				break
@@ -77,22 +77,22 @@
 	}
 }
 
-// guilty returns the suspect to put into quarantine next, or nil: of keys in one request the most
+// culprit returns the suspect to put into quarantine next, or nil: of keys in one request the most
 // specific one, otherwise that with the most crashes. While two have equally many, it waits for
 // another crash to tell them apart, up to contestedLimit.
-func (g *Registry) guilty(now clock.Millis) *suspect {
-	d := g.open(now, func(c *crash) []Request { return g.unexplained(now, c) })
+func (g *Registry) culprit(now clock.Millis) *suspect {
+	e := g.collect(now, func(c *crash) []Request { return g.unexplained(now, c) })
 	var found []*suspect
-	for _, s := range d.suspects {
-		if s.crashes.count() < probationLimit || g.refuses(now, s.key) {
+	for _, s := range e.suspects {
+		if g.refuses(now, s.key) {
 			continue
 		}
 		least := g.leastLimit(now, s.key)
 		if s.crashes.count() < least {
 			continue
 		}
-		d.describe(s)
-		if s.crashes.count() >= g.limit(now, s, d, least) {
+		e.describe(s)
+		if s.crashes.count() >= g.limit(now, s, e, least) {
 			found = append(found, s)
 		}
 	}
@@ -125,9 +125,9 @@
 	return other.later[s.key] && (!s.whole || (other.crashes&^s.crashes).count() <= 1)
 }
 
-// open collects the suspects of the crashes among the requests that use returns.
-func (g *Registry) open(now clock.Millis, use func(*crash) []Request) *docket {
-	d := &docket{suspects: map[Key]*suspect{}}
+// collect returns the suspects of the crashes among the requests that use returns.
+func (g *Registry) collect(now clock.Millis, use func(*crash) []Request) *evidence {
+	e := &evidence{suspects: map[Key]*suspect{}}
 	moment, momentAt := -1, clock.Millis(0)
 	for _, c := range g.crashes {
 		requests := use(c)
@@ -138,19 +138,19 @@
 			moment, momentAt = moment+1, c.at
 		}
 		for _, r := range requests {
-			d.add(g.suspects(c.at, r), c, 1<<moment)
+			e.add(g.suspects(c.at, r), c, 1<<moment)
 		}
 	}
-	return d
+	return e
 }
 
-func (d *docket) add(r Request, c *crash, moment moments) {
-	d.requests = append(d.requests, r)
+func (e *evidence) add(r Request, c *crash, moment moments) {
+	e.requests = append(e.requests, r)
 	for _, key := range r.keys() {
-		s := d.suspects[key]
+		s := e.suspects[key]
 		if s == nil {
 			s = &suspect{key: key}
-			d.suspects[key] = s
+			e.suspects[key] = s
 		}
 		s.crashes |= moment
 		s.whole, s.last = key == r.Content, c
@@ -158,10 +158,10 @@
 }
 
 // describe sets later and contents of a suspect.
-func (d *docket) describe(s *suspect) {
+func (e *evidence) describe(s *suspect) {
 	s.later = map[Key]bool{}
 	contents := map[Key]bool{}
-	for _, r := range d.requests {
+	for _, r := range e.requests {
 		keys := r.keys()
 		i := slices.Index(keys, s.key)
 		if i < 0 {
@@ -214,10 +214,10 @@
 }
 
 // limit returns the number of crashes that put s into quarantine. least is its leastLimit.
-func (g *Registry) limit(now clock.Millis, s *suspect, d *docket, least int) int {
+func (g *Registry) limit(now clock.Millis, s *suspect, e *evidence, least int) int {
 	limit := least
 	for key := range s.later {
-		next := d.suspects[key]
+		next := e.suspects[key]
 		if next == nil {
 			continue
 		}
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -47,22 +47,21 @@
 	q.peers[id] = gossipPeer{address: address, heardAt: n.clock.Now()}
 }
 
-// gossipPeers returns up to limit other entry VMs, other ones at each call, except one.
-func (n *Node) gossipPeers(limit int, except units.EntryVMID) []links.Recipient {
+// gossipPeers returns up to limit other entry VMs, in the random order of a map.
+func (n *Node) gossipPeers(limit int) []links.Recipient {
 	q := &n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var list []links.Recipient
 	for id, p := range q.peers {
-		switch {
-		case n.clock.Now() > p.heardAt+gossipPeerTTL:
-			delete(q.peers, id)
-		case id != except:
-			list = append(list, links.Recipient{ID: id, Address: p.address})
-		}
 		if len(list) == limit {
 			break
 		}
+		if n.clock.Now() > p.heardAt+gossipPeerTTL {
+			delete(q.peers, id)
+			continue
+		}
+		list = append(list, links.Recipient{ID: id, Address: p.address})
 	}
 	return list
 }
@@ -90,7 +89,7 @@
 	news := q.pending
 	q.pending = blame.News{}
 	q.mu.Unlock()
-	n.links.Broadcast(n.gossipPeers(gossipFanout, ""), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
+	n.links.Broadcast(n.gossipPeers(gossipFanout), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
 }
 
 // handleCrashNews applies the news of another entry VM.
@@ -141,5 +140,5 @@
 	if synced && m.Empty() {
 		return
 	}
-	n.links.Broadcast(n.gossipPeers(1, ""), m)
+	n.links.Broadcast(n.gossipPeers(1), m)
 }
