Save verdicts that follow from the news of others

An entry VM that started after a harmful part was known let 4 and 8 requests with it pass, in one of four runs of TestPartThatCrashesServersIsRefused with the race detector beside load: the log shows that each entry VM had decided from news, and that a verdict was saved at once only by one that had seen the last crash itself; the others did so with their next read, up to 10 s later. The new one found nothing in the store and was ready without it.

--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,7 +133,7 @@
 		news = q.registry.Began(n.clock.BootNow(), a.subject)
 	}
 	q.mu.Unlock()
-	n.publish(news, "")
+	n.publishOwn(news)
 }
 
 // noteBreak notes that the connection broke at an instant, by the clock that counts suspended
@@ -178,7 +179,7 @@
 	q.mu.Lock()
 	news := q.registry.Crashed(now, blame.Crash{Server: server.ID, StartedAt: server.StartedAt, Age: now - at, Requests: []blame.Request{suspects}})
 	q.mu.Unlock()
-	n.publish(news, "")
+	n.publishOwn(news)
 }
 
 // closeCheckTime is how long a proxy may take to find that its backend server refuses
@@ -229,21 +230,40 @@
 	q.mu.Lock()
 	news := q.registry.Merge(n.clock.BootNow(), told)
 	q.mu.Unlock()
+	for _, v := range news.Verdicts {
+		wasTold := func(t blame.Verdict) bool { return t.Key == v.Key && t.Version == v.Version }
+		if slices.ContainsFunc(told.Verdicts, wasTold) {
+			n.logVerdict(v, from)
+		} else {
+			n.decided(v)
+		}
+	}
 	n.publish(news, from)
 }
 
-// publish carries out the verdicts in news, tells other entry VMs and, unless the news are from
-// one of them, saves the verdicts in the store.
+// decided saves a verdict that was given here.
+func (n *Node) decided(v blame.Verdict) {
+	n.logVerdict(v, "")
+	n.quarantine.stored.save(v)
+}
+
+func (n *Node) logVerdict(v blame.Verdict, from units.EntryVMID) {
+	n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "reason", v.Reason, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
+}
+
+// publishOwn publishes what this entry VM has seen itself, and saves the verdicts that follow.
+func (n *Node) publishOwn(news blame.News) {
+	for _, v := range news.Verdicts {
+		n.decided(v)
+	}
+	n.publish(news, "")
+}
+
+// publish carries out the verdicts in news and tells other entry VMs.
 func (n *Node) publish(news blame.News, from units.EntryVMID) {
 	if news.Empty() {
 		return
 	}
-	for _, v := range news.Verdicts {
-		if from == "" {
-			n.quarantine.stored.save(v)
-		}
-		n.log.Info("verdict", "key", v.Key, "quarantined", v.Quarantined, "reason", v.Reason, "version", v.Version, "remaining_ms", int64(v.Remaining), "server", v.Server, "from", from)
-	}
 	if len(news.Verdicts) > 0 {
 		n.cancelQuarantined()
 	}
