Answer the entry VM that reports a crash at its own address

An entry VM that had blamed a sound part did not get the objections of one that had never sent it anything: the message had no address then, and was dropped. Where it was not among the eight entry VMs that news go to, as with many entry VMs, it went on blaming the part. Found in the read-through.

The address that came with its news is used. TestReportedCrashIsAnswered failed before.

--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -66,12 +66,19 @@
 	return list
 }
 
+// gossipAddress returns the address of an entry VM, empty if it is not known.
+func (n *Node) gossipAddress(id units.EntryVMID) string {
+	n.quarantine.mu.Lock()
+	defer n.quarantine.mu.Unlock()
+	return n.quarantine.peers[id].address
+}
+
 // gossip tells other entry VMs news, and the one that they are from what it has wrong: the keys
 // on which answers began, and verdicts.
 func (n *Node) gossip(news blame.News, from units.EntryVMID) {
 	if from != "" && from != fromStore && len(news.Begun)+len(news.Verdicts) > 0 {
 		back := blame.News{Begun: news.Begun, Verdicts: news.Verdicts}
-		n.links.Send(from, "", &peer.CrashNews{News: back, Address: n.settings.PeerAddress})
+		n.links.Send(from, n.gossipAddress(from), &peer.CrashNews{News: back, Address: n.settings.PeerAddress})
 	}
 	q := &n.quarantine
 	q.mu.Lock()
