Keep the addresses of stand-ins that are down

The ledger was stopped at that time, the kernel gave its address to a stand-in of another test process, and that one answered.

--- a/internal/fake/grid/deadly.go
+++ b/internal/fake/grid/deadly.go
@@ -115,7 +115,7 @@
 	if !r.crashed.CompareAndSwap(false, true) {
 		return false
 	}
-	_ = r.server.Close()
+	r.stopListening()
 	next := g.successor(r)
 	time.AfterFunc(downtime, func() { g.startAgain(r, next) })
 	return true
@@ -146,8 +146,11 @@
 	old.mu.Lock()
 	ready := old.state == "ready"
 	old.mu.Unlock()
+	if closed || !ready {
+		return
+	}
+	old.releaseAddress()
 	switch {
-	case closed || !ready:
 	case g.Start(next) != nil:
 		time.AfterFunc(rebindDelay, func() { g.startAgain(old, next) })
 	case g.OnRestart != nil:
--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -77,6 +77,9 @@
 		_ = r.server.Close()
 	}
 	g.group.Wait()
+	for _, r := range g.list() {
+		r.releaseAddress()
+	}
 }
 
 // Start starts a replica, which writes its entry to the store periodically.
@@ -133,7 +136,7 @@
 // Crash stops r at once. Its entry is dropped only after the expiry time.
 func (g *Grid) Crash(r *Replica) {
 	r.crashed.Store(true)
-	_ = r.server.Close()
+	r.stopListening()
 }
 
 // SuspendOrderChecks skips the checks of handover intervals and fences for a time, because
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangostile/internal/fake/port"
 )
 
 // Replica is a stand-in of one replica. Set its fields before Start; atomic ones may
@@ -63,6 +65,8 @@
 	replaced atomic.Bool
 
 	mu sync.Mutex
+	// reserved holds the address of a crashed replica, so that no other process gets it.
+	reserved port.Reservation
 	// orders counts the executed orders, except loads of adapters that were there already.
 	// It is the sequence number in the entry.
 	orders   int64
@@ -78,6 +82,20 @@
 // Address returns the host and port on which r listens.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
 
+// stopListening closes all connections, and refuses new ones until releaseAddress.
+func (r *Replica) stopListening() {
+	_ = r.server.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.reserved.Reserve(r.Address())
+}
+
+func (r *Replica) releaseAddress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserved.Release()
+}
+
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
--- a/internal/fake/reply/server.go
+++ b/internal/fake/reply/server.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 
+	"mangostile/internal/fake/port"
+
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -22,6 +24,8 @@
 	conns map[net.Conn]bool
 	// done is closed at the end of the accept loop. It is nil while the server is stopped.
 	done chan struct{}
+	// reserved holds the address while the server is stopped.
+	reserved port.Reservation
 }
 
 // Listen starts a server on address, which may end in ":0" for any free port.
@@ -41,6 +45,7 @@
 	if s.done != nil {
 		return nil
 	}
+	s.reserved.Release()
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return errors.Wrap(err, "stand-in listen: choose a free address")
@@ -76,7 +81,8 @@
 	return s.listener.Addr().String()
 }
 
-// Stop refuses new connections, closes the open ones and waits for the accept loop to end.
+// Stop refuses new connections, closes the open ones and waits for the accept loop to end. The
+// address stays reserved until Restart or Close.
 func (s *Server) Stop() {
 	s.mu.Lock()
 	done := s.done
@@ -89,12 +95,19 @@
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
+	// Without the reservation another process may get the address.
+	_ = s.reserved.Reserve(s.listener.Addr().String())
 	s.mu.Unlock()
 	<-done
 }
 
-// Close calls Stop.
-func (s *Server) Close() { s.Stop() }
+// Close calls Stop and releases the address.
+func (s *Server) Close() {
+	s.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved.Release()
+}
 
 // discardLogger drops the HTTP server's messages, because a stand-in breaks connections on
 // purpose.
