--- a/internal/node/fleet/quarantine_test.go
+++ b/internal/node/fleet/quarantine_test.go
@@ -72,6 +72,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx, listener) }()
+	// Messages are dropped until the links run.
+	for !l.Send("nobody", "127.0.0.1:1", &peer.CrashNews{Address: "127.0.0.1:1"}) {
+		time.Sleep(time.Millisecond)
+	}
 	t.Cleanup(func() {
 		cancel()
 		must.NoError(t, <-done)
