--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -54,6 +54,7 @@
 
 // Bounds of a Registry.
 const (
+	// maxCrashes is at most the number of bits of moments.
 	maxCrashes  = 64
 	maxRequests = 32
 	maxBegun    = 8192
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -30,7 +30,11 @@
 // quarantine is what a Node knows of requests that crash backend servers. The zero value is
 // ready to use.
 type quarantine struct {
-	// mu guards the other fields.
+	// stored keeps the verdicts in the store, known is true once it has read them.
+	stored *quarantineStore
+	known  atomic.Bool
+
+	// mu guards the fields below.
 	mu       sync.Mutex
 	registry blame.Registry
 	// unanswered holds the attempts in flight whose answer has not begun.
@@ -41,10 +45,6 @@
 	peers map[units.EntryVMID]gossipPeer
 	// synced is true once another entry VM has sent its state.
 	synced bool
-	// stored keeps the verdicts in the store.
-	stored *quarantineStore
-	// known is true once the verdicts in the store were read.
-	known atomic.Bool
 }
 
 // maxQuarantineWait is how long an entry VM that has started waits for the verdicts in the store
