--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -93,6 +93,15 @@
 // left reports whether the caller has closed its end.
 func (c *callerConn) left() bool { return call.Peek(c.Conn) == call.Closed }
 
+// silence returns the time since something of the caller arrived, its close included; 0 if it is
+// unknown. c may be nil.
+func (c *callerConn) silence() clock.Millis {
+	if c == nil {
+		return 0
+	}
+	return call.Silence(c.Conn)
+}
+
 // beginRequest records that the head of a request was read.
 func (c *callerConn) beginRequest() {
 	c.mu.Lock()
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -108,7 +108,7 @@
 
 // abort ends a request whose caller has disconnected.
 func (c *exchange) abort() {
-	c.log("caller_left", "sends", c.req.Sends)
+	c.log("caller_left", "sends", c.req.Sends, "after_ms", int64(c.conn.silence()))
 	panic(http.ErrAbortHandler)
 }
 
@@ -149,7 +149,7 @@
 		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
 	}
 	c.log("attempt_ended", "adapter", c.req.Adapter, "server", to.Server, "ways", to.Candidates, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
-		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events)
+		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events, "outlived_ms", int64(a.outlived()))
 	if over {
 		return true
 	}
@@ -173,6 +173,25 @@
 	return false
 }
 
+// outlived returns how long a request that was sent went on after its caller had left or its
+// deadline had passed.
+func (a *attempt) outlived() clock.Millis {
+	var reason string
+	var late clock.Millis
+	switch overdue := a.node.clock.Now() - a.req.Deadline; {
+	case !a.mayHaveRun:
+		return 0
+	case a.callerLeft():
+		reason, late = "caller_left", a.conn.silence()
+	case overdue > 0:
+		reason, late = "deadline", overdue
+	default:
+		return 0
+	}
+	a.node.meter.RunOutlived(a.route.Kind.String(), reason, late.Duration())
+	return late
+}
+
 // attemptContext returns the context of one attempt. For an idempotent request that may be
 // sent again, it leaves time for that. A stream may use all of the remaining time.
 func (c *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -149,7 +149,7 @@
 
 // abandon logs that the caller has disconnected; it always reports true.
 func (a *attempt) abandon() bool {
-	a.log("caller_left", "last_event", a.lastEvent)
+	a.log("caller_left", "sends", a.req.Sends, "after_ms", int64(a.conn.silence()))
 	return true
 }
 
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -27,6 +27,21 @@
 	}
 }
 
+// ProcessDelay records by how much a goroutine ran later than it should.
+func (m *Meter) ProcessDelay(delay time.Duration) {
+	if m != nil {
+		m.processDelay.RecordDuration(delay)
+	}
+}
+
+// RunOutlived records how long an attempt at a backend server went on after its caller had left
+// or after its deadline, by kind of request and reason.
+func (m *Meter) RunOutlived(kind, reason string, late time.Duration) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"kind": kind, "reason": reason}).Histogram("run_outlived_seconds", latencyBuckets).RecordDuration(late)
+	}
+}
+
 // LoadWait records the time that a request waited for its adapter.
 func (m *Meter) LoadWait(took time.Duration) {
 	if m != nil {
--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -21,14 +21,15 @@
 	scope    tally.Scope
 	closer   io.Closer
 
-	firstToken tally.Histogram
-	tokenGap   tally.Histogram
-	loadStall  tally.Histogram
-	appendTime tally.Histogram
+	firstToken   tally.Histogram
+	tokenGap     tally.Histogram
+	loadStall    tally.Histogram
+	appendTime   tally.Histogram
+	processDelay tally.Histogram
 }
 
 // latencyBuckets are the upper bounds of the histogram buckets for the latency of a first
-// token, a load or an append; gapBuckets are those for the time between two tokens.
+// token, a load, an append or a delay; gapBuckets are those for the time between two tokens.
 var (
 	latencyBuckets = tally.DurationBuckets{
 		time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
@@ -50,6 +51,7 @@
 	m.tokenGap = m.scope.Histogram("token_gap_seconds", gapBuckets)
 	m.loadStall = m.scope.Histogram("load_stall_seconds", latencyBuckets)
 	m.appendTime = m.scope.Histogram("append_seconds", latencyBuckets)
+	m.processDelay = m.scope.Histogram("process_delay_seconds", latencyBuckets)
 	return m
 }
 
