--- a/internal/node/edge/watch.go
+++ b/internal/node/edge/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangostile/internal/core/event"
+	"mangostile/internal/plat/call"
 )
 
 // watchPeriod is the time between two checks of the callers' connections.
@@ -33,7 +34,7 @@
 }
 
 func (e *Edge) submitIfClosed(x *exchange) {
-	if x.cancelSubmitted || !connClosed(rawConn(x.conn)) {
+	if x.cancelSubmitted || !call.PeerClosed(rawConn(x.conn)) {
 		return
 	}
 	x.cancelSubmitted = e.options.Submit(event.RequestCanceled{Request: x.request.ID})
--- a/internal/node/edge/watch_bench_test.go
+++ b/internal/node/edge/watch_bench_test.go
@@ -4,11 +4,13 @@
 	"net"
 	"testing"
 
+	"mangostile/internal/plat/call"
+
 	"github.com/shoenig/test/must"
 )
 
-// BenchmarkConnClosed measures one check of one open connection.
-func BenchmarkConnClosed(b *testing.B) {
+// BenchmarkPeerClosed measures one check of one open connection.
+func BenchmarkPeerClosed(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
 	defer func() { _ = listener.Close() }()
@@ -19,7 +21,7 @@
 	must.NoError(b, err)
 	defer func() { _ = accepted.Close() }()
 	for b.Loop() {
-		if connClosed(accepted) {
+		if call.PeerClosed(accepted) {
 			b.Fatal("an open connection counts as closed")
 		}
 	}
--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -91,7 +91,7 @@
 }
 
 // left reports whether the caller has closed its end.
-func (c *callerConn) left() bool { return call.Peek(c.Conn) == call.Closed }
+func (c *callerConn) left() bool { return call.PeerClosed(c.Conn) }
 
 // silence returns the time since something of the caller arrived, its close included; 0 if it is
 // unknown. c may be nil.
--- a/internal/node/fleet/callers_test.go
+++ b/internal/node/fleet/callers_test.go
@@ -120,6 +120,18 @@
 	must.Eq(t, call.Pending, call.Peek(c.Conn))
 }
 
+// TestCallerLeftBehindBytes guards against requests that are sent for a caller that has closed its
+// connection with bytes behind its request.
+func TestCallerLeftBehindBytes(t *testing.T) {
+	caller, c := callerPair(t, new(callers))
+	_, err := io.WriteString(caller, "GET")
+	must.NoError(t, err)
+	must.False(t, c.left())
+	must.NoError(t, caller.Close())
+	time.Sleep(20 * time.Millisecond)
+	must.True(t, c.left())
+}
+
 // servePipelined serves callers and returns a connection and a reader of its answers. The handler
 // sends the path of each request on entered and waits for a value of release.
 func servePipelined(t *testing.T, open *callers) (conn net.Conn, answers *bufio.Reader, entered chan string, release chan bool) {
--- a/internal/node/edge/conn_closed_linux.go
+++ b/internal/plat/call/closed.go
@@ -1,4 +1,4 @@
-package edge
+package call
 
 import (
 	"net"
@@ -7,14 +7,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// connClosed reports whether the peer of conn has closed it, without reading from it
-// and without blocking. A connection that was closed locally counts as closed.
-func connClosed(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
+// PeerClosed reports whether the peer of a connection has closed it, also behind bytes that were
+// not read yet, without reading and without blocking. A connection that was closed locally
+// counts as closed, one without a socket never does.
+func PeerClosed(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return true
 	}
