--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -40,6 +40,8 @@
 	complete, ahead bool
 	// answered is true once a request was answered.
 	answered bool
+	// cancel ends the request that is being served; nil if there is none.
+	cancel func()
 }
 
 // Read implements net.Conn.
@@ -93,6 +95,23 @@
 // left reports whether the caller has closed its end.
 func (c *callerConn) left() bool { return call.PeerClosed(c.Conn) }
 
+// onLeft sets the function that cancelIfLeft calls; nil removes it.
+func (c *callerConn) onLeft(cancel func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// cancelIfLeft ends the request that is being served if the caller has disconnected.
+func (c *callerConn) cancelIfLeft() {
+	c.mu.Lock()
+	cancel := c.cancel
+	c.mu.Unlock()
+	if cancel != nil && c.left() {
+		cancel()
+	}
+}
+
 // silence returns the time since something of the caller arrived, its close included; 0 if it is
 // unknown. c may be nil.
 func (c *callerConn) silence() clock.Millis {
@@ -182,6 +201,13 @@
 	return list
 }
 
+// cancelLeft ends the requests that are being served whose callers have disconnected.
+func (s *callers) cancelLeft() {
+	for _, c := range s.list() {
+		c.cancelIfLeft()
+	}
+}
+
 // closeIdle closes the connections that are neither busy nor new, and returns the number of
 // busy ones.
 func (s *callers) closeIdle(now clock.Millis) (busy int) {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -37,6 +37,10 @@
 	ctx, cancel := context.WithTimeout(parent, remaining)
 	defer cancel()
 	defer context.AfterFunc(n.graceOver, cancel)()
+	if c.conn != nil && c.route.Kind != topo.KindOnce {
+		c.conn.onLeft(cancel)
+		defer c.conn.onLeft(nil)
+	}
 	for len(c.req.Tried) <= maxSends {
 		if c.endIfQuarantined() || c.endIfStopping() {
 			return
@@ -95,7 +99,7 @@
 	}
 	n := c.node
 	n.withCore(func(core *choose.Core) { core.Abandoned(&c.req) })
-	if c.r.Context().Err() != nil {
+	if c.callerLeft() {
 		c.abort()
 	}
 	reason := "the time is over"
@@ -297,7 +301,7 @@
 func (a *attempt) classifyError(err error) choose.End {
 	var invalid *conns.InvalidAnswerError
 	switch {
-	case a.exchange.r.Context().Err() != nil:
+	case a.callerLeft():
 		a.reason = callerLeftReason
 		return choose.EndCanceled
 	case errors.Is(context.Cause(a.ctx), errQuarantined):
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -172,7 +172,7 @@
 	group.Go(func() error { return n.follow(ctx, &n.serversFeed, 0, serversReadPeriod, n.applyServers) })
 	group.Go(func() error { return n.reportUsage(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
-	group.Go(func() error { return n.measureDelay(ctx) })
+	group.Go(func() error { return n.watchCallers(ctx) })
 	group.Go(func() error { return n.syncCrashState(ctx) })
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	for _, p := range n.placers {
--- a/internal/plat/call/closed.go
+++ b/internal/plat/call/closed.go
@@ -11,6 +11,17 @@
 // not read yet, without reading and without blocking. A connection that was closed locally
 // counts as closed, one without a socket never does.
 func PeerClosed(conn net.Conn) bool {
+	switch Peek(conn) {
+	case Idle:
+		return false
+	case Closed:
+		return true
+	default:
+		return closedBehindBytes(conn)
+	}
+}
+
+func closedBehindBytes(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/plat/call/peek.go
+++ b/internal/plat/call/peek.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -21,13 +22,13 @@
 )
 
 // Peek returns the state of a TCP connection without reading from it. It may be called while
-// another goroutine reads. A connection of another kind counts as Idle.
+// another goroutine reads. A connection without a socket counts as Idle.
 func Peek(conn net.Conn) State {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return Idle
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return Closed
 	}
