--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -104,7 +104,7 @@
 		return false
 	}
 	c.head = head
-	return c.readBody(cfg.Limits) && c.fillRequest(cfg)
+	return !c.endIfDelayed() && c.readBody(cfg.Limits) && c.fillRequest(cfg)
 }
 
 func (c *exchange) readBody(limits topo.Limits) bool {
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -77,6 +77,7 @@
 
 	callers  callers
 	inFlight atomic.Int64
+	delay    processDelay
 
 	// stoppedAt is the time of Stop, in ms, or 0.
 	stoppedAt atomic.Int64
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -35,6 +35,9 @@
 	Capacity claim.Capacity
 	// Grace is the time from the request to stop until the process is killed.
 	Grace clock.Millis
+	// MaxDelay is the delay of the process from which on it refuses new requests; 0 means no
+	// limit.
+	MaxDelay clock.Millis
 	// HandoverInterval is the minimum time between orders of two leaseholders to one
 	// backend server.
 	HandoverInterval clock.Millis
