--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -203,6 +203,8 @@
 	// beginning.
 	ResumedFrom string
 	At          time.Time
+	// Remaining is the time that the replica was given; 0 if it was given none.
+	Remaining time.Duration
 	// Done is closed at the end of the run.
 	Done <-chan struct{}
 }
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -240,8 +240,10 @@
 	done := make(chan struct{})
 	defer close(done)
 	defer r.releaseSlot()
+	// Without a header, remaining is 0.
+	remaining, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
 	r.grid.countRun(Run{
-		ID: id, Replica: r.ID, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Done: done,
+		ID: id, Replica: r.ID, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Remaining: time.Duration(remaining) * time.Millisecond, Done: done,
 	}, req.Method+req.RequestURI)
 	w.Header().Set("Server-Stamp", "stamp-"+r.ID)
 	extra := time.Duration(r.ExtraDelay.Load())
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -16,6 +16,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/node/meter"
+	"mangostile/internal/plat/call"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -214,7 +215,8 @@
 		if err != nil || n < 1 || n > int64(clock.Hour) {
 			return errs.Refuse(errs.CodeBadRequest, "%s must be milliseconds from 1 to %d", HeaderDeadline, clock.Hour)
 		}
-		x.request.Deadline = e.options.Clock.Now() + clock.Millis(n)
+		// The request may have waited to be read.
+		x.request.Deadline = e.options.Clock.Now() - call.Waited(rawConn(x.conn)) + clock.Millis(n)
 	}
 	if text := string(header.Peek(HeaderPriority)); text != "" {
 		n, err := strconv.ParseInt(text, 10, 8)
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -46,6 +46,7 @@
 	onFailed func()
 	done     chan event.DispatchDone
 	canceled chan units.RequestID
+	arrived  chan event.RequestArrived
 }
 
 // newHarness starts a harness that sends requests to the address backend and ends with
@@ -60,7 +61,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, backend: backend, timeLimit: 5 * clock.Second, maxAttempts: 1,
-		done: make(chan event.DispatchDone, 64), canceled: make(chan units.RequestID, 64),
+		done: make(chan event.DispatchDone, 64), canceled: make(chan units.RequestID, 64), arrived: make(chan event.RequestArrived, 64),
 	}
 	options.EntryVM = "entry-1"
 	options.NotRepeatable = map[units.ServiceName][]string{"ledger": {"POST /release"}}
@@ -100,6 +101,7 @@
 func (h *harness) submit(ev event.Event) bool {
 	switch ev := ev.(type) {
 	case event.RequestArrived:
+		h.arrived <- ev
 		h.dispatch(ev.Request.ID, 1, ev.Request.Service == "")
 	case event.RequestCanceled:
 		h.canceled <- ev.Request
@@ -192,6 +194,8 @@
 	// keepAlive is the number of requests answered on one connection; it is closed
 	// after the next request was read.
 	keepAlive int
+	// delay is the time before each answer.
+	delay time.Duration
 }
 
 // startRaw starts a rawBackend that is closed at the end of the test.
@@ -264,6 +268,7 @@
 			_ = conn.Close()
 			return
 		}
+		time.Sleep(b.delay)
 		answer := strings.ReplaceAll(b.answer, "<id>", string(req.Header.Peek(HeaderRequestID)))
 		_, _ = io.Copy(conn, bytes.NewReader([]byte(answer)))
 		if b.keepAlive == 0 && !b.hang {
--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -121,6 +121,15 @@
 	return call.Silence(c.Conn)
 }
 
+// waited returns how long the request that was just read had waited for that; 0 if it is unknown.
+// c may be nil.
+func (c *callerConn) waited() clock.Millis {
+	if c == nil {
+		return 0
+	}
+	return call.Waited(c.Conn)
+}
+
 // beginRequest records that the head of a request was read.
 func (c *callerConn) beginRequest() {
 	c.mu.Lock()
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -41,8 +41,9 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	defer n.guardRequest()
-	c := &exchange{node: n, w: w, r: r, arrived: n.clock.Now()}
+	c := &exchange{node: n, w: w, r: r}
 	c.conn, _ = r.Context().Value(callerConnKey{}).(*callerConn)
+	c.arrived = n.clock.Now() - c.conn.waited()
 	if c.conn != nil && c.conn.closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
@@ -60,7 +61,9 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	// conn is nil if the request did not come through a callerListener.
-	conn    *callerConn
+	conn *callerConn
+	// arrived is when the request reached this machine, as far as the kernel tells; it may have
+	// waited to be read.
 	arrived clock.Millis
 	head    RequestHead
 	req     choose.Request
--- a/internal/plat/call/silence.go
+++ b/internal/plat/call/silence.go
@@ -11,19 +11,30 @@
 // Silence returns the time since the last segment of a TCP connection's peer arrived, which for a
 // peer that has closed is the time since its close. It is 0 if the kernel doesn't tell.
 func Silence(conn net.Conn) clock.Millis {
+	return clock.Millis(tcpInfo(conn).Last_ack_recv)
+}
+
+// Waited returns how long ago the last bytes of a TCP connection's peer arrived, which for a
+// request that was just read is how long it waited to be read. It is 0 if the kernel doesn't tell.
+func Waited(conn net.Conn) clock.Millis {
+	return clock.Millis(tcpInfo(conn).Last_data_recv)
+}
+
+// tcpInfo returns what the kernel knows of a TCP connection; the zero value if it doesn't tell.
+func tcpInfo(conn net.Conn) unix.TCPInfo {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return 0
+		return unix.TCPInfo{}
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return unix.TCPInfo{}
 	}
-	var silence clock.Millis
+	var info unix.TCPInfo
 	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			silence = clock.Millis(info.Last_ack_recv)
+		if told, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *told
 		}
 	})
-	return silence
+	return info
 }
