--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -162,6 +162,17 @@
 	return c.r.Buffered() == 0 && call.Peek(c.Conn) == call.Idle
 }
 
+// abandon closes the connection of an exchange that has not ended. Bytes of the request that were
+// not sent are discarded: the close would wait behind them, and a slow link would still deliver
+// the request. Otherwise it is a usual close, which the kernel repeats until it has arrived, unlike
+// a reset.
+func (c *Conn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && call.Unsent(tcp) > 0 {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // applyKeepAlive sets idleTimeout from the "timeout=SECONDS" of a backend server's
 // Keep-Alive header, less idleMargin.
 func (c *Conn) applyKeepAlive(header string) {
--- a/internal/node/conns/conns_test.go
+++ b/internal/node/conns/conns_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 )
 
 // serveRaw serves connections with f until the test ends.
@@ -223,6 +224,38 @@
 	<-closed
 }
 
+// TestCancelDiscardsUnsentBytes guards against a request that reaches a backend server after its
+// caller has left: the close waited behind bytes that a slow link or backend server held up.
+func TestCancelDiscardsUnsentBytes(t *testing.T) {
+	// The body fits the buffer of the sender but not that of the receiver.
+	const (
+		bodyBytes    = 512 << 10
+		receiveBytes = 16 << 10
+	)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	must.NoError(t, err)
+	// Accepted connections inherit it.
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		must.NoError(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes))
+	}))
+	var p Pool
+	conn, err := p.Get(t.Context(), listener.Addr().String(), false)
+	must.NoError(t, err)
+	backend, err := listener.Accept()
+	must.NoError(t, err)
+	defer func() { _ = backend.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = p.Do(ctx, conn, request(strings.Repeat("x", bodyBytes)))
+	must.Error(t, err)
+	received, err := io.Copy(io.Discard, backend)
+	must.ErrorIs(t, err, unix.ECONNRESET)
+	must.Less(t, bodyBytes, received)
+}
+
 // TestKeepAliveHeaderSetsIdleTimeout checks that the margin is subtracted from the backend
 // server's timeout, and that a timeout below it allows no reuse.
 func TestKeepAliveHeaderSetsIdleTimeout(t *testing.T) {
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -92,12 +92,12 @@
 // requests and interim (1xx) answers.
 const maxAnswers = 3
 
-// Do sends a request on c and reads the head of the answer. c is closed if ctx ends
+// Do sends a request on c and reads the head of the answer. c is abandoned if ctx ends
 // before Exchange.Done. The error is a NotSentError, a BrokenError or an
 // InvalidAnswerError. The caller must not use c again.
 func (p *Pool) Do(ctx context.Context, c *Conn, r *Request) (*Exchange, error) {
 	e := &Exchange{conn: c, pool: p, written: make(chan error, 1)}
-	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	e.stop = context.AfterFunc(ctx, c.abandon)
 	out := r.head()
 	out.Write(r.Body)
 	if len(r.Body) <= smallBody {
@@ -180,7 +180,11 @@
 // Done ends the exchange. The connection is kept for reuse if the answer was read in
 // full and nothing was received after it.
 func (e *Exchange) Done() {
-	if !e.stop() || !e.complete || e.Close || e.ContentLength < 0 && len(e.TransferEncoding) == 0 || e.conn.r.Buffered() > 0 {
+	if !e.stop() || !e.complete {
+		e.conn.abandon()
+		return
+	}
+	if e.Close || e.ContentLength < 0 && len(e.TransferEncoding) == 0 || e.conn.r.Buffered() > 0 {
 		_ = e.conn.Close()
 		return
 	}
@@ -201,8 +205,8 @@
 	e.pool.put(e.conn)
 }
 
-// abort ends an exchange without an answer and closes its connection.
+// abort ends an exchange without an answer and abandons its connection.
 func (e *Exchange) abort() {
 	e.stop()
-	_ = e.conn.Close()
+	e.conn.abandon()
 }
--- a/internal/plat/call/silence.go
+++ b/internal/plat/call/tcpinfo.go
@@ -20,6 +20,22 @@
 	return clock.Millis(tcpInfo(conn).Last_data_recv)
 }
 
+// Unsent returns the number of bytes written to a TCP connection that were not sent yet, because
+// the link or the peer is slow. It is 0 if the kernel doesn't tell.
+func Unsent(conn *net.TCPConn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	_ = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); err == nil {
+			unsent = n
+		}
+	})
+	return unsent
+}
+
 // tcpInfo returns what the kernel knows of a TCP connection; the zero value if it doesn't tell.
 func tcpInfo(conn net.Conn) unix.TCPInfo {
 	tcp, ok := conn.(*net.TCPConn)
