--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -21,7 +21,8 @@
 
 // Limits of a pool.
 const (
-	dialTimeout = 600 * time.Millisecond
+	// DialTimeout is the maximum time for opening a connection.
+	DialTimeout = 600 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection may be reused if the backend
 	// server sends no keep-alive timeout.
 	defaultIdleTimeout = 4 * clock.Second
@@ -81,7 +82,7 @@
 		}
 		_ = c.Close()
 	}
-	conn, err := call.DialContext(ctx, address, dialTimeout)
+	conn, err := call.DialContext(ctx, address, DialTimeout)
 	if err != nil {
 		return nil, &NotSentError{Refused: errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET), Err: err}
 	}
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -40,6 +40,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Close asks the backend server to close the connection after its answer.
+	Close bool
 	// Matches reports whether an answer belongs to this request. Answers that do not
 	// are skipped. Nil accepts every answer.
 	Matches func(*http.Response) bool
@@ -65,6 +67,9 @@
 			b.WriteString("\r\n")
 		}
 	}
+	if r.Close {
+		b.WriteString("Connection: close\r\n")
+	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(r.Body)))
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -3,15 +3,15 @@
 import (
 	"cmp"
 	"encoding/json"
-	"io"
+	"net/http"
 	"time"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/conns"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -69,67 +69,34 @@
 // way to the caller or the caller has disconnected. Otherwise it has reported to the core
 // how the attempt ended, and the core's next command is due.
 func (e *Edge) attempt(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch) bool {
-	req := fasthttp.AcquireRequest()
-	err := e.fillRequest(req, x, d)
+	req, err := e.newRequest(x, d)
 	now := e.options.Clock.Now()
 	if err != nil || now >= d.Deadline || d.NotAfter != 0 && now+maxDialTime > d.NotAfter {
-		fasthttp.ReleaseRequest(req)
 		e.reportDone(d, event.DispatchResult{Kind: event.ResultNotSent})
 		return false
 	}
 	if d.LoadStall > 0 && d.Attempt == 1 {
 		e.options.Meter.LoadStalled(d.LoadStall.Duration())
 	}
-	resp, err := e.call(req, x, time.Now().Add((d.Deadline - now).Duration()))
+	answer, err := e.backend.send(x.ctx, d.Address, req, (d.Deadline - now).Duration(), !x.request.Idempotent)
 	switch {
-	case errors.Is(err, errCallerDisconnected):
+	case err != nil && x.isCanceled():
 		e.giveUp(x, d)
 		return true
 	case err != nil:
 		e.reportDone(d, event.DispatchResult{Kind: resultOfError(err)})
 		return false
-	case !matchesRequest(resp, d):
-		release(resp)
+	case !matchesRequest(answer, d):
+		answer.release()
 		e.options.Logger.Warn("answer_of_another_request", "request", d.Request, "backend_server", d.Server)
 		e.cancelAt(x, d)
 		e.reportDone(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
-	case x.request.Streamed && resp.StatusCode() == fasthttp.StatusOK:
-		return e.stream(ctx, x, d, resp)
+	case x.request.Streamed && answer.StatusCode == http.StatusOK:
+		return e.stream(ctx, x, d, answer)
 	}
-	defer release(resp)
-	return e.forwardBuffered(ctx, x, d, resp)
-}
-
-// errCallerDisconnected is returned for a call that was abandoned because its caller
-// disconnected.
-var errCallerDisconnected = errors.New("the caller disconnected")
-
-// call sends req and waits for the head of the answer, or for the caller to disconnect.
-// If the caller disconnects, call returns errCallerDisconnected and the exchange with the
-// backend server goes on in the background until deadline at the latest.
-func (e *Edge) call(req *fasthttp.Request, x *exchange, deadline time.Time) (*fasthttp.Response, error) {
-	type result struct {
-		resp *fasthttp.Response
-		err  error
-	}
-	results := make(chan result, 1)
-	go func() {
-		resp, err := e.backend.send(req, deadline, !x.request.Idempotent)
-		fasthttp.ReleaseRequest(req)
-		results <- result{resp, err}
-	}()
-	select {
-	case r := <-results:
-		return r.resp, r.err
-	case <-x.canceled:
-	}
-	go func() {
-		if r := <-results; r.err == nil {
-			release(r.resp)
-		}
-	}()
-	return nil, errCallerDisconnected
+	defer answer.release()
+	return e.forwardBuffered(ctx, x, d, answer)
 }
 
 // giveUp ends an exchange whose caller has disconnected, and cancels the request at the
@@ -150,27 +117,25 @@
 	}
 }
 
-// fillRequest fills req with one attempt of x. A request without a service is a model request:
-// its body gets the dispatch's model and priority, so that the engine uses the chosen version.
-// The error says that the body of a model request can't be rewritten.
-func (e *Edge) fillRequest(req *fasthttp.Request, x *exchange, d event.Dispatch) error {
-	req.Header.SetMethod(x.method)
-	req.SetRequestURI("http://" + d.Address + x.path)
+// newRequest returns one attempt of x. A request without a service is a model request: its body
+// gets the dispatch's model and priority, so that the engine uses the chosen version. The error
+// says that the body of a model request can't be rewritten.
+func (e *Edge) newRequest(x *exchange, d event.Dispatch) (*conns.Request, error) {
+	req := newRequest(x.method, d.Address, x.path, x.body)
 	req.Header.Set(HeaderRequestID, string(x.request.ID))
 	if x.request.Key != "" {
 		req.Header.Set(HeaderKey, x.request.Key)
 	}
-	req.Header.SetContentType(cmp.Or(x.contentType, "application/json"))
+	req.Header.Set(fasthttp.HeaderContentType, cmp.Or(x.contentType, jsonType))
 	if d.Forward {
 		e.fillForward(req, x, d)
 	}
 	if x.request.Service != "" {
-		req.SetBody(x.body)
-		return nil
+		return req, nil
 	}
-	body, err := withModel(x.body, d.Adapter, d.Priority)
-	req.SetBody(body)
-	return err
+	var err error
+	req.Body, err = withModel(x.body, d.Adapter, d.Priority)
+	return req, err
 }
 
 // withModel returns body with the fields model and priority set. body must not be null, which
@@ -208,47 +173,43 @@
 // forwardBuffered reads an answer in full and forwards it to the caller. It reports false
 // if the answer can't be forwarded or says that the request was not executed. In either
 // case it reports to the core how the attempt ended.
-func (e *Edge) forwardBuffered(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, resp *fasthttp.Response) bool {
-	body, err := readAll(resp)
-	if err != nil {
+func (e *Edge) forwardBuffered(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, answer *backendAnswer) bool {
+	body, err := answer.readAll()
+	switch {
+	case err != nil && x.isCanceled():
+		e.giveUp(x, d)
+		return true
+	case err != nil:
 		e.reportDone(d, event.DispatchResult{Kind: resultOfError(err)})
 		return false
 	}
-	if kind := notExecutedKind(resp.StatusCode(), body); kind != 0 {
+	if kind := notExecutedKind(answer.StatusCode, body); kind != 0 {
 		e.reportDone(d, event.DispatchResult{Kind: kind})
 		return false
 	}
-	if x.request.Service == "" && !forwardable(resp.StatusCode(), body, d) {
-		e.options.Logger.Warn("engine_failed", "request", d.Request, "backend_server", d.Server, "adapter", d.Adapter, "status", resp.StatusCode())
+	if x.request.Service == "" && !forwardable(answer.StatusCode, body, d) {
+		e.options.Logger.Warn("engine_failed", "request", d.Request, "backend_server", d.Server, "adapter", d.Adapter, "status", answer.StatusCode)
 		e.reportDone(d, event.DispatchResult{Kind: event.ResultFailed})
 		return false
 	}
 	if d.Forward {
-		passHeaders(ctx, resp)
+		passHeaders(ctx, answer)
 	}
 	e.countForwarded(d, len(body))
 	e.options.Meter.FirstToken(time.Since(x.arrivedAt))
 	e.answerHeaders(ctx, x, d)
-	ctx.SetStatusCode(resp.StatusCode())
-	ctx.SetContentTypeBytes(resp.Header.ContentType())
+	ctx.SetStatusCode(answer.StatusCode)
+	ctx.SetContentType(answer.Header.Get(fasthttp.HeaderContentType))
 	ctx.SetBody(body)
 	result := event.DispatchResult{Kind: event.ResultServed, CallerGotBytes: true}
 	if d.RecordAnswer {
-		result.Status, result.ContentType, result.Body = resp.StatusCode(), string(resp.Header.ContentType()), body
+		result.Status, result.ContentType, result.Body = answer.StatusCode, answer.Header.Get(fasthttp.HeaderContentType), body
 	}
 	e.exchanges.remove(x.request.ID)
 	e.reportDone(d, result)
 	return true
 }
 
-func readAll(resp *fasthttp.Response) ([]byte, error) {
-	stream := resp.BodyStream()
-	if stream == nil {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	return io.ReadAll(stream)
-}
-
 // forwardable reports whether an engine's answer may be forwarded: a completion by the
 // requested adapter and version, or an error caused by the request itself.
 func forwardable(status int, body []byte, d event.Dispatch) bool {
--- a/internal/node/edge/attempt_test.go
+++ b/internal/node/edge/attempt_test.go
@@ -110,16 +110,12 @@
 		t.Run(method, func(t *testing.T) {
 			backend := startRaw(t, script{keepAlive: 1, answer: httpAnswer(200, "<id>", `{}`)})
 			var b backendClients
-			b.init()
+			address := backend.listener.Addr().String()
 			send := func() error {
-				req := fasthttp.AcquireRequest()
-				defer fasthttp.ReleaseRequest(req)
-				req.Header.SetMethod(method)
-				req.SetRequestURI("http://" + backend.listener.Addr().String() + "/x")
-				resp, err := b.send(req, time.Now().Add(testTimeout), false)
+				answer, err := b.send(t.Context(), address, newRequest(method, address, "/x", nil), testTimeout, false)
 				if err == nil {
-					_, err = readAll(resp)
-					release(resp)
+					_, err = answer.readAll()
+					answer.release()
 				}
 				return err
 			}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -15,6 +15,7 @@
 	"mangostile/internal/base/token"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/conns"
 	"mangostile/internal/node/meter"
 	"mangostile/internal/plat/call"
 
@@ -97,9 +98,7 @@
 	if options.WriteTimeout == 0 {
 		options.WriteTimeout = DefaultWriteTimeout
 	}
-	e := &Edge{options: options, closed: make(chan struct{})}
-	e.backend.init()
-	return e
+	return &Edge{options: options, backend: backendClients{pool: conns.Pool{Clock: options.Clock}}, closed: make(chan struct{})}
 }
 
 // Close refuses all requests that are waiting for the core.
--- a/internal/node/edge/exchange.go
+++ b/internal/node/edge/exchange.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -27,15 +28,12 @@
 	body          []byte
 	// commands queues the core's effects on this request.
 	commands chan event.Effect
-	// canceled is closed to cancel the attempt in flight.
-	canceled chan struct{}
+	// ctx ends the attempt in flight; cancel ends ctx.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// cancelSubmitted is true once the core was notified that the caller has
 	// disconnected. Only the goroutine of WatchCallers uses it.
 	cancelSubmitted bool
-
-	mu sync.Mutex
-	// abort closes the answer that is being read; nil if there is none.
-	abort func()
 }
 
 // maxCommands bounds the effects queued for one exchange. The core has at most one
@@ -43,41 +41,11 @@
 const maxCommands = 8
 
 func newExchange(conn net.Conn) *exchange {
-	return &exchange{conn: conn, arrivedAt: time.Now(), commands: make(chan event.Effect, maxCommands), canceled: make(chan struct{})}
-}
-
-// cancel cancels the attempt in flight. It does not block.
-func (x *exchange) cancel() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.isCanceled() {
-		return
-	}
-	close(x.canceled)
-	if x.abort != nil {
-		go x.abort()
-	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &exchange{conn: conn, arrivedAt: time.Now(), commands: make(chan event.Effect, maxCommands), ctx: ctx, cancel: cancel}
 }
 
-// onCancel sets the function that cancel calls to close the answer that is being read;
-// nil removes it.
-func (x *exchange) onCancel(abort func()) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.abort = abort
-	if abort != nil && x.isCanceled() {
-		go abort()
-	}
-}
-
-func (x *exchange) isCanceled() bool {
-	select {
-	case <-x.canceled:
-		return true
-	default:
-		return false
-	}
-}
+func (x *exchange) isCanceled() bool { return x.ctx.Err() != nil }
 
 // exchanges holds the open exchanges by request id. The zero value is ready to use.
 type exchanges struct {
--- a/internal/node/edge/forward.go
+++ b/internal/node/edge/forward.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"mangostile/internal/core/event"
+	"mangostile/internal/node/conns"
 
 	"github.com/valyala/fasthttp"
 )
@@ -12,10 +13,10 @@
 const servicesPath = "/services/"
 
 // fillForward turns req into a request to an entry VM of another failure domain.
-func (e *Edge) fillForward(req *fasthttp.Request, x *exchange, d event.Dispatch) {
-	header := &req.Header
+func (e *Edge) fillForward(req *conns.Request, x *exchange, d event.Dispatch) {
+	header := req.Header
 	if x.request.Service != "" {
-		req.SetRequestURI("http://" + d.Address + servicesPath + string(x.request.Service) + x.path)
+		req.Target = servicesPath + string(x.request.Service) + x.path
 	}
 	if x.authorization != "" {
 		header.Set(fasthttp.HeaderAuthorization, x.authorization)
@@ -37,10 +38,10 @@
 }
 
 // passHeaders copies the headers that only the entry VM that served the request can set.
-func passHeaders(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+func passHeaders(ctx *fasthttp.RequestCtx, answer *backendAnswer) {
 	for _, name := range []string{headerReplay, fasthttp.HeaderRetryAfter} {
-		if value := resp.Header.Peek(name); len(value) > 0 {
-			ctx.Response.Header.SetBytesV(name, value)
+		if value := answer.Header.Get(name); value != "" {
+			ctx.Response.Header.Set(name, value)
 		}
 	}
 }
--- a/internal/node/edge/fuzz_test.go
+++ b/internal/node/edge/fuzz_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"testing"
 
 	"mangostile/internal/base/clock"
@@ -60,9 +62,7 @@
 	f.Add([]byte(": comment\n\nevent: x\r\ndata: [DONE]\r\n\r\n"))
 	f.Add([]byte("\n\n\ndata:"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		resp := fasthttp.AcquireResponse()
-		resp.SetBody(body)
-		s := newAnswerStream(newExchange(nil), event.Dispatch{Request: "r", Adapter: testAdapter}, resp)
+		s := newAnswerStream(newExchange(nil), event.Dispatch{Request: "r", Adapter: testAdapter}, io.NopCloser(bytes.NewReader(body)))
 		defer s.close()
 		for range len(body) + 1 {
 			end, err := s.next()
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -105,7 +105,10 @@
 		h.dispatch(ev.Request.ID, 1, ev.Request.Service == "")
 	case event.RequestCanceled:
 		h.canceled <- ev.Request
-		h.edge.Do(ev.Request, event.CancelDispatch{Request: ev.Request})
+		// Like the core, it cancels no action.
+		if x := h.edge.exchanges.find(ev.Request); x != nil && x.request.Idempotent {
+			h.edge.Do(ev.Request, event.CancelDispatch{Request: ev.Request})
+		}
 	case event.DispatchDone:
 		h.dispatchDone(ev)
 	}
@@ -176,6 +179,9 @@
 	script
 	listener net.Listener
 
+	// closed gets a value for each connection that the other side closed.
+	closed chan struct{}
+
 	mu       sync.Mutex
 	received int
 	conns    []net.Conn
@@ -196,12 +202,14 @@
 	keepAlive int
 	// delay is the time before each answer.
 	delay time.Duration
+	// resume is written in reply to a request for the rest of a stream.
+	resume string
 }
 
 // startRaw starts a rawBackend that is closed at the end of the test.
 func startRaw(t *testing.T, script script) *rawBackend {
 	t.Helper()
-	b := &rawBackend{script: script}
+	b := &rawBackend{script: script, closed: make(chan struct{}, 16)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	b.listener = listener
@@ -261,6 +269,7 @@
 		var req fasthttp.Request
 		if req.Read(r) != nil {
 			_ = conn.Close()
+			b.closed <- struct{}{}
 			return
 		}
 		b.count(string(req.URI().Path()))
@@ -269,7 +278,11 @@
 			return
 		}
 		time.Sleep(b.delay)
-		answer := strings.ReplaceAll(b.answer, "<id>", string(req.Header.Peek(HeaderRequestID)))
+		text := b.answer
+		if string(req.URI().Path()) == "/v1/resume" {
+			text = b.resume
+		}
+		answer := strings.ReplaceAll(text, "<id>", string(req.Header.Peek(HeaderRequestID)))
 		_, _ = io.Copy(conn, bytes.NewReader([]byte(answer)))
 		if b.keepAlive == 0 && !b.hang {
 			_ = conn.Close()
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -29,10 +29,11 @@
 // answerStream reads a streamed answer event by event and checks that all of it
 // belongs to one request.
 type answerStream struct {
-	x    *exchange
-	d    event.Dispatch
-	resp *fasthttp.Response
-	r    *bufio.Reader
+	x *exchange
+	d event.Dispatch
+	// source is what r reads from.
+	source io.ReadCloser
+	r      *bufio.Reader
 	// buf holds the last event read.
 	buf []byte
 	// id is the answer's id as given in its first event.
@@ -50,30 +51,18 @@
 	Model string `json:"model"`
 }
 
-func newAnswerStream(x *exchange, d event.Dispatch, resp *fasthttp.Response) *answerStream {
+func newAnswerStream(x *exchange, d event.Dispatch, source io.ReadCloser) *answerStream {
 	s := &answerStream{x: x, d: d}
-	s.setSource(resp)
+	s.setSource(source)
 	return s
 }
 
-// setSource sets the body of resp as the source of the following events.
-func (s *answerStream) setSource(resp *fasthttp.Response) {
-	s.resp = resp
-	stream := resp.BodyStream()
-	if stream == nil {
-		s.r = bufio.NewReader(bytes.NewReader(resp.Body()))
-		return
-	}
-	s.r = bufio.NewReader(stream)
-	if closer, ok := stream.(io.Closer); ok {
-		s.x.onCancel(func() { _ = closer.Close() })
-	}
+// setSource sets the source of the following events.
+func (s *answerStream) setSource(source io.ReadCloser) {
+	s.source, s.r = source, bufio.NewReader(source)
 }
 
-func (s *answerStream) close() {
-	s.x.onCancel(nil)
-	release(s.resp)
-}
+func (s *answerStream) close() { _ = s.source.Close() }
 
 // Errors of a stream.
 var (
@@ -144,8 +133,8 @@
 // so that until then the request can be retried on another backend server. It reports true
 // if the answer has started, which is copied after the return, or the caller has
 // disconnected. Otherwise it has reported the failed attempt to the core.
-func (e *Edge) stream(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, resp *fasthttp.Response) bool {
-	s := newAnswerStream(x, d, resp)
+func (e *Edge) stream(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, answer *backendAnswer) bool {
+	s := newAnswerStream(x, d, answer)
 	end, err := s.next()
 	if err != nil {
 		kind := s.resultOf(err)
@@ -208,12 +197,12 @@
 	}
 	s.resumes++
 	remaining := (s.d.Deadline - e.options.Clock.Now()).Duration()
-	resp, err := e.backend.resume(s.x, s.d, s.tokens, remaining)
+	answer, err := e.backend.resume(s.x, s.d, s.tokens, remaining)
 	if err != nil {
 		return false
 	}
 	s.close()
-	s.setSource(resp)
+	s.setSource(answer)
 	e.options.Logger.Info("stream_resumed", "request", s.d.Request, "backend_server", s.d.Server, "events", s.tokens)
 	return true
 }
--- a/internal/node/edge/watch.go
+++ b/internal/node/edge/watch.go
@@ -9,19 +9,29 @@
 	"mangostile/internal/plat/call"
 )
 
-// watchPeriod is the time between two checks of the callers' connections.
-const watchPeriod = 100 * time.Millisecond
+const (
+	// watchPeriod is the time between two checks of the callers' connections.
+	watchPeriod = 100 * time.Millisecond
+	// sweepPeriod is the time between two looks for connections to backend servers that
+	// have been idle for too long.
+	sweepPeriod = time.Second
+)
 
 // WatchCallers notifies the core of callers that have disconnected, until ctx is done.
 // The HTTP server detects a closed connection only when it writes, so WatchCallers polls
-// the connections, without reading from them.
+// the connections, without reading from them. It also closes idle connections to backend servers.
 func (e *Edge) WatchCallers(ctx context.Context) {
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
+	sweep := time.NewTicker(sweepPeriod)
+	defer sweep.Stop()
 	var open []*exchange
 	for {
 		select {
 		case <-ticker.C:
+		case <-sweep.C:
+			e.backend.pool.Sweep()
+			continue
 		case <-ctx.Done():
 			return
 		}
