--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/node/conns"
+	"mangostile/internal/plat/call"
 
 	"github.com/valyala/fasthttp"
 )
@@ -75,6 +76,10 @@
 		e.reportDone(d, event.DispatchResult{Kind: event.ResultNotSent})
 		return false
 	}
+	if call.PeerClosed(rawConn(x.conn)) {
+		e.leaveUnsent(x, d)
+		return x.request.Idempotent
+	}
 	if d.LoadStall > 0 && d.Attempt == 1 {
 		e.options.Meter.LoadStalled(d.LoadStall.Duration())
 	}
@@ -99,6 +104,17 @@
 	return e.forwardBuffered(ctx, x, d, answer)
 }
 
+// leaveUnsent ends an attempt whose caller has disconnected before anything was sent. The core
+// refuses an action as not executed.
+func (e *Edge) leaveUnsent(x *exchange, d event.Dispatch) {
+	if !x.request.Idempotent {
+		e.reportDone(d, event.DispatchResult{Kind: event.ResultNotRun})
+		return
+	}
+	e.exchanges.remove(x.request.ID)
+	e.reportDone(d, event.DispatchResult{Kind: event.ResultCanceled})
+}
+
 // giveUp ends an exchange whose caller has disconnected, and cancels the request at the
 // engine.
 func (e *Edge) giveUp(x *exchange, d event.Dispatch) {
--- a/internal/node/edge/gone_callers_test.go
+++ b/internal/node/edge/gone_callers_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/event"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 )
 
 // TestCallsEndWhenTheirCallersLeave guards against backend servers that work on for callers that
@@ -44,3 +47,36 @@
 		})
 	}
 }
+
+// TestNothingIsSentForCallersThatHaveLeft guards against requests that reach a backend server long
+// after their callers have left: the entry VM read them late and did not look.
+func TestNothingIsSentForCallersThatHaveLeft(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		want       event.ResultKind
+	}{{"idempotent call", true, event.ResultCanceled}, {"action", false, event.ResultNotRun}} {
+		t.Run(tc.name, func(t *testing.T) {
+			backend := startRaw(t, script{answer: httpAnswer(fasthttp.StatusOK, "<id>", "{}")})
+			h := newHarness(t, backend.listener.Addr().String(), Options{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			must.NoError(t, err)
+			conn, err := listener.Accept()
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(caller, "POST")
+			must.NoError(t, err)
+			must.NoError(t, caller.Close())
+
+			x := newExchange(conn)
+			x.method, x.path, x.request.ID, x.request.Service, x.request.Idempotent = fasthttp.MethodPost, "/stock", "r", "ledger", tc.idempotent
+			now := h.edge.options.Clock.Now()
+			h.edge.attempt(&fasthttp.RequestCtx{}, x, event.Dispatch{Request: "r", Attempt: 1, Address: h.backend, Deadline: now + h.timeLimit})
+			must.Eq(t, tc.want, h.result())
+			must.Zero(t, backend.receivedCount())
+		})
+	}
+}
--- a/internal/node/edge/stream_test.go
+++ b/internal/node/edge/stream_test.go
@@ -181,6 +181,8 @@
 				_, err := conn.Read(make([]byte, 400))
 				must.NoError(t, err)
 			}
+			// A request whose caller has left before is not sent.
+			waitUntil(t, func() bool { return e.Counters().Requests == 1 })
 			must.NoError(t, conn.Close())
 			must.Eq(t, event.ResultCanceled, h.result())
 			waitUntil(t, func() bool { return e.Counters().Canceled == 1 })
