--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -97,6 +97,9 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	if id := req.Header.Get("Request-Id"); id != "" {
+		w.Header().Set("Request-Id", id)
+	}
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -221,7 +224,6 @@
 // run executes a request.
 func (r *Replica) run(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
 	for _, forged := range []string{"Hold", "Pin-Ms", "Kv-From", "Kv-Backup"} {
 		if req.Header.Get(forged) != "" {
 			r.grid.countViolation("forged header passed on")
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -271,7 +271,7 @@
 			return choose.EndCanceled, false
 		}
 		reused := conn.Reused
-		answer, doErr := a.node.pool.Do(a.ctx, conn, a.request())
+		answer, doErr := a.node.pool.Do(a.ctx, conn, a.request(reused))
 		if doErr == nil {
 			return a.handleAnswer(answer)
 		}
@@ -336,7 +336,9 @@
 	return out
 }
 
-func (a *attempt) request() *conns.Request {
+// request returns the request of the attempt. reused says that it is not the first one of its
+// connection.
+func (a *attempt) request(reused bool) *conns.Request {
 	header := withoutHopHeaders(a.r.Header)
 	lastEvent := a.lastEvent
 	if lastEvent == "" {
@@ -345,14 +347,25 @@
 	a.node.system.WriteAttempt(header, AttemptHead{
 		Server: a.to.Server, Remaining: max(1, a.req.Deadline-a.node.clock.Now()), Rank: a.route.Rank, Engine: a.req.Adapter != "", LastEvent: lastEvent,
 	})
-	return &conns.Request{Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: header, Body: a.body, Matches: a.matches}
+	return &conns.Request{Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: header, Body: a.body, Matches: func(resp *http.Response) bool { return a.matches(resp, reused) }}
 }
 
 // matches reports whether resp is the answer to this request. An error answer without
-// a request id matches too.
-func (a *attempt) matches(resp *http.Response) bool {
+// a request id matches too, unless it may be that of an earlier request of the connection.
+func (a *attempt) matches(resp *http.Response, reused bool) bool {
 	id := a.node.system.ReadAnswer(resp.StatusCode, resp.Header).ID
-	return id == a.head.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+	return id == a.head.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !reused
+}
+
+// promisesNoRun reports whether a caller takes an answer with this status as a promise that its
+// request did not run.
+func promisesNoRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 // handleAnswer classifies the answer of a backend server and forwards it to the caller
@@ -362,6 +375,10 @@
 	a.status = answer.StatusCode
 	head := a.node.system.ReadAnswer(answer.StatusCode, answer.Header)
 	switch {
+	case promisesNoRun(answer.StatusCode) && !head.NotExecuted, head.NotExecuted && head.ID != a.head.ID:
+		a.reason = "the refusal does not name the request, or does not say that it did not run"
+		a.mayHaveRun = true
+		return choose.EndFailed, false
 	case head.NotExecuted && answer.StatusCode == http.StatusMisdirectedRequest:
 		a.reason = "the backend server is another one or does not hold the adapter"
 		a.drain(answer)
