--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -126,6 +126,7 @@
 	if id == "" {
 		id = units.RequestID(uuid.NewString())
 	}
+	ctx.Response.Header.Set(headerRequestID, string(id))
 	r, err := e.submit(request.work(id))
 	if err != nil {
 		refuse(ctx, err)
--- a/internal/fake/plain/service.go
+++ b/internal/fake/plain/service.go
@@ -132,12 +132,12 @@
 }
 
 func (i *Instance) handleCall(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
 	if i.leaving.Load() {
 		reply.Refuse(ctx, fasthttp.StatusServiceUnavailable, "leaving", "the instance is leaving")
 		return
 	}
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
-	ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
 	count, faults := i.service.run(key)
 	if faults.DelayMillis > 0 {
 		time.Sleep(faults.DelayMillis.Duration())
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -93,6 +93,10 @@
 	complete bool
 }
 
+// OnKeptConnection reports whether the connection was used before, so that an answer which names
+// no request may be that of an earlier one.
+func (e *Exchange) OnKeptConnection() bool { return e.conn.Reused }
+
 // maxAnswers bounds the answers read for one request, including skipped ones to other
 // requests and interim (1xx) answers.
 const maxAnswers = 3
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -200,6 +200,10 @@
 		return false
 	}
 	if kind := notExecutedKind(answer.StatusCode, body); kind != 0 {
+		if answer.Header.Get(HeaderRequestID) == "" {
+			// It may be the refusal of an earlier request.
+			kind = event.ResultFailed
+		}
 		e.reportDone(d, event.DispatchResult{Kind: kind})
 		return false
 	}
--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -164,15 +164,18 @@
 	return answer, nil
 }
 
-// matchesRequest reports whether answer is that to the request of d. An engine's
-// answer without a request id can't be checked and counts as a match. An entry VM of
-// another failure domain appends to the id.
+// matchesRequest reports whether answer is that to the request of d. An answer without a
+// request id can't be checked and counts as a match, unless it is an error on a kept
+// connection. An entry VM of another failure domain appends to the id.
 func matchesRequest(answer *backendAnswer, d event.Dispatch) bool {
 	id := answer.Header.Get(HeaderRequestID)
 	if d.Forward {
 		return strings.HasPrefix(id, string(d.Request))
 	}
-	return id == "" || id == string(d.Request)
+	if id == "" {
+		return answer.StatusCode < http.StatusBadRequest || !answer.OnKeptConnection()
+	}
+	return id == string(d.Request)
 }
 
 // resultOfError classifies an error of a call. Only errors before the first byte of the
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -204,6 +204,8 @@
 	delay time.Duration
 	// resume is written in reply to a request for the rest of a stream.
 	resume string
+	// second is written in place of answer from the second request of a connection on, if set.
+	second string
 }
 
 // startRaw starts a rawBackend that is closed at the end of the test.
@@ -279,6 +281,9 @@
 		}
 		time.Sleep(b.delay)
 		text := b.answer
+		if i > 0 && b.second != "" {
+			text = b.second
+		}
 		if string(req.URI().Path()) == "/v1/resume" {
 			text = b.resume
 		}
