--- /dev/null
+++ b/internal/node/fleet/events.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// eventBuffer splits a stream of bytes into complete events.
+type eventBuffer struct {
+	data  []byte
+	count int
+}
+
+func (b *eventBuffer) add(data []byte) { b.data = append(b.data, data...) }
+
+// partial reports whether an incomplete event is buffered.
+func (b *eventBuffer) partial() bool { return len(bytes.TrimSpace(b.data)) > 0 }
+
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
+// errForeignEvent ends an attempt whose stream holds something else, such as another answer.
+var errForeignEvent = errors.New("the stream holds bytes that are no event of it")
+
+// take removes the complete events from the buffer and returns those that were not yet
+// forwarded to the caller, up to one that does not belong to the stream. It sets c.lastEvent to the
+// id of the last one that has an id.
+func (b *eventBuffer) take(c *exchange) ([]byte, error) {
+	var out []byte
+	for {
+		end := bytes.Index(b.data, eventEnd)
+		if end < 0 {
+			return out, nil
+		}
+		event := b.data[:end+len(eventEnd)]
+		b.data = b.data[end+len(eventEnd):]
+		id := eventID(event)
+		if !isEvent(event) || id == "" && c.lastEvent != "" && hasData(event) {
+			return out, errForeignEvent
+		}
+		b.count++
+		if id != "" && c.lastEvent != "" && !later(id, c.lastEvent) {
+			continue
+		}
+		if id != "" {
+			c.lastEvent = id
+		}
+		out = append(out, event...)
+	}
+}
+
+// isEvent reports whether event is one: it consists of fields and comments, and has data or an id
+// unless it is only a comment.
+func isEvent(event []byte) bool {
+	onlyComment, hasContent := true, false
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') }) {
+			return false
+		}
+		onlyComment = false
+		hasContent = hasContent || string(name) == "id" || string(name) == "data"
+	}
+	return onlyComment || hasContent
+}
+
+// dataField begins the lines of an event that hold its data.
+var dataField = []byte("data:")
+
+// hasData reports whether events hold data, unlike comments that keep a connection alive.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, dataField) || bytes.Contains(events, append([]byte("\n"), dataField...))
+}
+
+// eventID returns the id of an event, empty if it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
+
+// later reports whether the event id comes after other. If one of them is not a number,
+// any id other than other counts as later.
+func later(id, other string) bool {
+	a, errA := strconv.ParseInt(id, 10, 64)
+	b, errB := strconv.ParseInt(other, 10, 64)
+	if errA != nil || errB != nil {
+		return id != other
+	}
+	return a > b
+}
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -126,11 +125,14 @@
 			return choose.EndFailed, false
 		}
 		events.add(buf[:n])
-		if out := events.take(a.exchange); len(out) > 0 {
-			if !a.writeEvents(control, answer, out) {
-				a.reason = "the caller does not read"
-				return choose.EndCanceled, a.abandon()
-			}
+		out, foreign := events.take(a.exchange)
+		if len(out) > 0 && !a.writeEvents(control, answer, out) {
+			a.reason = "the caller does not read"
+			return choose.EndCanceled, a.abandon()
+		}
+		if foreign != nil {
+			a.events, a.reason = events.count, foreign.Error()
+			return choose.EndFailed, false
 		}
 		if err == nil {
 			continue
@@ -171,69 +173,3 @@
 	}
 	return control.Flush() == nil
 }
-
-// eventBuffer splits a stream of bytes into complete events.
-type eventBuffer struct {
-	data  []byte
-	count int
-}
-
-func (b *eventBuffer) add(data []byte) { b.data = append(b.data, data...) }
-
-// partial reports whether an incomplete event is buffered.
-func (b *eventBuffer) partial() bool { return len(bytes.TrimSpace(b.data)) > 0 }
-
-// eventEnd ends an event.
-var eventEnd = []byte("\n\n")
-
-// take removes the complete events from the buffer and returns those that were not yet
-// forwarded to the caller. It sets c.lastEvent to the id of the last one that has an id.
-func (b *eventBuffer) take(c *exchange) []byte {
-	var out []byte
-	for {
-		end := bytes.Index(b.data, eventEnd)
-		if end < 0 {
-			return out
-		}
-		event := b.data[:end+len(eventEnd)]
-		b.data = b.data[end+len(eventEnd):]
-		b.count++
-		id := eventID(event)
-		if id != "" && c.lastEvent != "" && !later(id, c.lastEvent) {
-			continue
-		}
-		if id != "" {
-			c.lastEvent = id
-		}
-		out = append(out, event...)
-	}
-}
-
-// dataField begins the lines of an event that hold its data.
-var dataField = []byte("data:")
-
-// hasData reports whether events hold data, unlike comments that keep a connection alive.
-func hasData(events []byte) bool {
-	return bytes.HasPrefix(events, dataField) || bytes.Contains(events, append([]byte("\n"), dataField...))
-}
-
-// eventID returns the id of an event, empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
-
-// later reports whether the event id comes after other. If one of them is not a number,
-// any id other than other counts as later.
-func later(id, other string) bool {
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(other, 10, 64)
-	if errA != nil || errB != nil {
-		return id != other
-	}
-	return a > b
-}
