--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -92,6 +92,13 @@
 	return c.Conn.Close()
 }
 
+// resetOnClose makes Close reset the connection.
+func (c *callerConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // left reports whether the caller has closed its end.
 func (c *callerConn) left() bool { return call.PeerClosed(c.Conn) }
 
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -124,6 +124,10 @@
 	switch {
 	case c.started:
 		c.log("stream_broken_off", "reason", reason, "last_event", c.lastEvent)
+		if c.conn != nil && !c.r.ProtoAtLeast(1, 1) {
+			// Without chunks, a usual end of the connection would end the answer.
+			c.conn.resetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	case c.fallback != nil:
 		c.log("failure_passed_on", "status", c.fallback.status, "reason", reason)
