--- a/internal/node/edge/answers_test.go
+++ b/internal/node/edge/answers_test.go
@@ -62,3 +62,30 @@
 	must.StrNotContains(t, got, "SECRET")
 	must.StrContains(t, got, `"ran":"unknown"`)
 }
+
+// TestErrorBehindABrokenStreamIsNotForwarded guards against an error's text, or its head, in the
+// middle of a caller's stream, and against a broken stream that ends as if it were complete.
+func TestErrorBehindABrokenStreamIsNotForwarded(t *testing.T) {
+	const errorText = `{"error":{"code":"SECRET","message":"SECRET"}}`
+	event1 := chunk("data: " + goodBody + "\n\n")
+	rawError := "HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\nX-Secret: SECRET\r\n\r\n" + errorText + "\n\n"
+	for _, tc := range []struct{ name, answer, resume string }{
+		{"an error instead of the rest", streamHead + event1, httpAnswer(fasthttp.StatusServiceUnavailable, "<id>", errorText)},
+		{"an error that is called the rest", streamHead + event1, httpAnswer(fasthttp.StatusOK, "<id>", errorText)},
+		{"an error that ends like an event and is called the rest", streamHead + event1, httpAnswer(fasthttp.StatusOK, "<id>", errorText+"\n\n")},
+		{"the head of an error in the rest", streamHead + event1, streamHead + chunk(rawError) + "0\r\n\r\n"},
+		{"an error in the stream", streamHead + event1 + chunk(rawError) + "0\r\n\r\n", ""},
+		{"the text of an error in the stream", streamHead + event1 + chunk(errorText+"\n\n") + "0\r\n\r\n", ""},
+		{"an error behind a stream without length", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: <id>\r\n\r\ndata: " + goodBody + "\n\n" + rawError, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			backend := startRaw(t, script{answer: tc.answer, resume: tc.resume})
+			h := newHarness(t, backend.listener.Addr().String(), Options{})
+			_, got := h.call("/v1/completions", streamBody("p", 3))
+			must.StrNotContains(t, got, "SECRET")
+			must.StrNotContains(t, got, "HTTP/1.1")
+			must.StrNotContains(t, got, string(endMark))
+			must.StrContains(t, got, `"ran":"unknown"`)
+		})
+	}
+}
--- a/internal/node/edge/fuzz_test.go
+++ b/internal/node/edge/fuzz_test.go
@@ -70,8 +70,8 @@
 				must.True(t, err == nil || s.resultOf(err).Ran() == errs.RanUnknown)
 				return
 			}
-			var ev streamEvent
-			if data, ok := cutData(s.buf); ok {
+			for _, data := range dataOf(s.buf) {
+				var ev streamEvent
 				must.NoError(t, json.Unmarshal(data, &ev))
 				must.EqOp(t, units.ParseAdapterVersion(ev.Model), testAdapter)
 			}
@@ -80,9 +80,13 @@
 	})
 }
 
-func cutData(event []byte) ([]byte, bool) {
-	if len(event) < len(dataPrefix) || string(event[:len(dataPrefix)]) != string(dataPrefix) {
-		return nil, false
+// dataOf returns the data of each line of an event that has some.
+func dataOf(event []byte) [][]byte {
+	var all [][]byte
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			all = append(all, data)
+		}
 	}
-	return event[len(dataPrefix):], true
+	return all
 }
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -20,11 +20,8 @@
 // maxEventBytes is the maximum length of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// Lines of a stream.
-var (
-	dataPrefix = []byte("data:")
-	endMark    = []byte("[DONE]")
-)
+// endMark is the data of a stream's last event.
+var endMark = []byte("[DONE]")
 
 // answerStream reads a streamed answer event by event and checks that all of it
 // belongs to one request.
@@ -90,20 +87,37 @@
 	return s.checkEvent()
 }
 
-// checkEvent verifies that the event in buf belongs to the answer, and counts it.
+// checkEvent verifies that the event in buf belongs to the answer, and counts it. It reports true
+// for the end mark.
 func (s *answerStream) checkEvent() (end bool, err error) {
 	s.bytes += len(s.buf)
-	data, ok := bytes.CutPrefix(s.buf, dataPrefix)
-	if !ok {
-		return false, nil
+	for line := range bytes.Lines(s.buf) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, value, found := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0 || line[0] == ':':
+		case found && string(name) == "data":
+			if end, err = s.checkData(bytes.TrimSpace(value)); end || err != nil {
+				return end, err
+			}
+		case !found || !eventFields[string(name)]:
+			return false, errForeignEvent
+		}
 	}
-	data = bytes.TrimSpace(data)
+	return false, nil
+}
+
+// eventFields are the fields of an event besides data.
+var eventFields = map[string]bool{"event": true, "id": true, "retry": true}
+
+// checkData verifies the data of an event.
+func (s *answerStream) checkData(data []byte) (end bool, err error) {
 	if bytes.Equal(data, endMark) {
 		return true, nil
 	}
 	var ev streamEvent
 	if err := json.Unmarshal(data, &ev); err != nil {
-		return false, errors.Wrap(err, "decode event")
+		return false, errForeignEvent
 	}
 	if s.id == "" {
 		s.id = ev.ID
