--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -83,7 +83,10 @@
 	if d.LoadStall > 0 && d.Attempt == 1 {
 		e.options.Meter.LoadStalled(d.LoadStall.Duration())
 	}
-	answer, err := e.backend.send(x.ctx, d.Address, req, (d.Deadline - now).Duration(), !x.request.Idempotent)
+	// On a kept connection, a refusal of the first attempt that is written once more would name the
+	// request too.
+	fresh := !x.request.Idempotent || d.Attempt > 1
+	answer, err := e.backend.send(x.ctx, d.Address, req, (d.Deadline - now).Duration(), fresh)
 	switch {
 	case err != nil && x.isCanceled():
 		e.giveUp(x, d)
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -264,7 +265,7 @@
 // more on a fresh one. over is true if the request needs no further attempt: the caller
 // has its answer or has disconnected.
 func (a *attempt) run() (end choose.End, over bool) {
-	conn, err := a.node.pool.Get(a.node.graceOver, a.to.Address, false)
+	conn, err := a.node.pool.Get(a.node.graceOver, a.to.Address, slices.Contains(a.refusedAt, a.to.Address))
 	for {
 		if err != nil {
 			a.reason = err.Error()
@@ -386,6 +387,7 @@
 	case head.NotExecuted && answer.StatusCode == http.StatusMisdirectedRequest:
 		a.reason = "the backend server is another one or does not hold the adapter"
 		a.drain(answer)
+		a.refusedAt = append(a.refusedAt, a.to.Address)
 		if head.Server != "" && head.Server != a.to.Server {
 			return choose.EndBroken, false
 		}
@@ -393,6 +395,7 @@
 	case head.NotExecuted:
 		a.reason = "the backend server has no place"
 		a.drain(answer)
+		a.refusedAt = append(a.refusedAt, a.to.Address)
 		return choose.EndFull, false
 	case answer.Header.Get("Content-Encoding") != "" || answer.StatusCode < http.StatusMultipleChoices && !head.Stamped:
 		a.reason = "the answer bears no signature or is encoded"
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -80,6 +80,9 @@
 	// those that broke the connection before its answer began.
 	executions    int
 	suspectBreaks int
+	// refusedAt lists the addresses at which the request was refused. It is sent there again only
+	// on a new connection: on a kept one, the refusal written once more would name it too.
+	refusedAt []string
 	// fallback is the failure answer of a backend server, forwarded if no later
 	// attempt succeeds.
 	fallback *bufferedAnswer
