--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -89,7 +89,8 @@
 	// stop removes the function that closes conn when the request's context ends. It
 	// reports false if that function has been started or removed before.
 	stop func() bool
-	// complete is true once the body was read to its end.
+	// hasBody is true once a part of the body was read, complete once all of it was.
+	hasBody  bool
 	complete bool
 }
 
@@ -177,15 +178,23 @@
 const maxSkippedBytes = 1 << 20
 
 // Read reads the body of the answer. It returns io.EOF at the end of the body; any other
-// error means that the answer is incomplete.
+// error means that the answer is incomplete. The empty body of a success that only the end of the
+// connection ends counts as incomplete: the backend server may have ended behind the head.
 func (e *Exchange) Read(buf []byte) (int, error) {
 	n, err := e.Body.Read(buf)
+	e.hasBody = e.hasBody || n > 0
 	if errors.Is(err, io.EOF) {
+		if !e.hasBody && !e.framed() && e.StatusCode < http.StatusMultipleChoices {
+			return n, io.ErrUnexpectedEOF
+		}
 		e.complete = true
 	}
 	return n, err
 }
 
+// framed reports whether the answer itself says where its body ends.
+func (e *Exchange) framed() bool { return e.ContentLength >= 0 || len(e.TransferEncoding) > 0 }
+
 // Done ends the exchange. The connection is kept for reuse if the answer was read in
 // full and nothing was received after it.
 func (e *Exchange) Done() {
@@ -193,7 +202,7 @@
 		e.conn.abandon()
 		return
 	}
-	if e.Close || e.ContentLength < 0 && len(e.TransferEncoding) == 0 || e.conn.r.Buffered() > 0 {
+	if e.Close || !e.framed() || e.conn.r.Buffered() > 0 {
 		_ = e.conn.Close()
 		return
 	}
--- a/internal/node/edge/answers_test.go
+++ b/internal/node/edge/answers_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -89,3 +90,26 @@
 		})
 	}
 }
+
+// TestHeadThatBreaksOff guards against a success with an empty or short body, made of an answer
+// whose head broke off.
+func TestHeadThatBreaksOff(t *testing.T) {
+	whole := strings.Replace(httpAnswer(fasthttp.StatusOK, "<id>", goodBody), goodBody, "", 1)
+	withoutLength := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: <id>\r\n\r\n"
+	cases := map[string]string{"whole head without a length": withoutLength}
+	for n := 1; n < len(whole); n += 3 {
+		cases[fmt.Sprintf("after %d bytes", n)] = whole[:n]
+	}
+	for name, answer := range cases {
+		for _, call := range callPaths {
+			t.Run(call.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				backend := startRaw(t, script{answer: answer})
+				h := newHarness(t, backend.listener.Addr().String(), Options{})
+				status, got := h.call(call.path, call.body, HeaderKey, "k1")
+				must.NotEq(t, fasthttp.StatusOK, status)
+				must.StrContains(t, got, `"ran":"unknown"`)
+			})
+		}
+	}
+}
