--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -37,6 +37,9 @@
 	// Pace is also the duration of a plain service's run.
 	Events int
 	Pace   time.Duration
+	// Linger is added to the time of requests whose path ends with LingerPath: before the
+	// answer, or in the middle of a stream.
+	Linger time.Duration
 	// BreakAfter is the number of events after which the next stream breaks; 0 is never.
 	BreakAfter atomic.Int64
 	// WithholdAnswers makes requests run without an answer until the caller disconnects.
@@ -79,6 +82,17 @@
 	state    string
 }
 
+// LingerPath ends the paths of requests that take longer than others.
+const LingerPath = "/linger"
+
+// lingerOf returns the additional time of a request.
+func (r *Replica) lingerOf(req *http.Request) time.Duration {
+	if strings.HasSuffix(req.URL.Path, LingerPath) {
+		return r.Linger
+	}
+	return 0
+}
+
 // Address returns the host and port on which r listens.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
 
@@ -260,7 +274,7 @@
 		r.stream(w, req)
 	default:
 		select {
-		case <-time.After(r.Pace + extra):
+		case <-time.After(r.Pace + extra + r.lingerOf(req)):
 			_, _ = fmt.Fprintf(w, "done %s", id)
 		case <-req.Context().Done():
 		}
@@ -294,8 +308,12 @@
 			r.BreakAfter.Store(0)
 			panic(http.ErrAbortHandler)
 		}
+		pause := r.Pace + time.Duration(r.ExtraDelay.Load())
+		if i == r.Events/2 {
+			pause += r.lingerOf(req)
+		}
 		select {
-		case <-time.After(r.Pace + time.Duration(r.ExtraDelay.Load())):
+		case <-time.After(pause):
 		case <-req.Context().Done():
 			return
 		}
--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"mangostile/internal/fake/grid"
@@ -25,8 +26,18 @@
 	sent int
 }
 
-// disconnectOneIn is the number of streams of which one is closed early by its caller.
-const disconnectOneIn = 12
+const (
+	// disconnectOneIn is the number of requests of which one is closed early by its caller.
+	disconnectOneIn = 12
+	// maxPatience is the longest time until a caller closes early.
+	maxPatience = 600 * time.Millisecond
+	// arrivalTime is the time for bytes to reach an entry VM.
+	arrivalTime = 20 * time.Millisecond
+)
+
+// behind is what callers send behind a request before they close early: nothing, or a part of
+// another request, which nobody reads.
+var behind = []string{"", "", "G", "GET /look/x HTTP/1.1\r\nHost: h.ex"}
 
 // call sends requests as one caller until ctx is done.
 func (d *deployment) call(ctx context.Context, index int) {
@@ -82,18 +93,23 @@
 		model = fmt.Sprint("m/a", adapter)
 	}
 	timeout := requestTimeout
-	if q.isStream() && c.r.IntN(disconnectOneIn) == 0 {
-		timeout = time.Duration(c.r.Int64N(int64(streamEvents * eventInterval)))
+	rest := ""
+	if c.r.IntN(disconnectOneIn) == 0 {
+		timeout = time.Duration(c.r.Int64N(int64(maxPatience)))
 		// The time is set when the connection is closed.
 		q.disconnectedAt = forever
+		rest = behind[c.r.IntN(len(behind))]
+		if c.r.IntN(2) == 0 {
+			q.path = strings.TrimSuffix(q.path, "/x") + grid.LingerPath
+		}
 	}
 	parts := c.prompt(q)
 	defer c.d.history.addRequest(q)
 	defer func() {
 		q.ended = time.Now()
 		if !q.disconnectedAt.IsZero() {
-			q.disconnectedAt = q.ended
-			c.close()
+			c.leave(rest)
+			q.disconnectedAt = time.Now()
 		}
 	}()
 	c.sent++
@@ -107,11 +123,22 @@
 	if q.err == nil {
 		c.read(q, method)
 	}
-	if q.err != nil {
+	if q.err != nil && q.disconnectedAt.IsZero() {
 		c.close()
 	}
 }
 
+// leave closes the connection behind the bytes rest, which the entry VM gets while it serves the
+// request.
+func (c *caller) leave(rest string) {
+	if c.conn != nil && rest != "" {
+		_ = c.conn.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(c.conn, rest)
+		time.Sleep(arrivalTime)
+	}
+	c.close()
+}
+
 // prompt returns the parts of a stream's prompt, nil if the plan has no deadly part. All
 // prompts share their first part.
 func (c *caller) prompt(q *request) []string {
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"mangostile/internal/fake/grid"
 )
 
 // coverage counts the cases that the checks examined. If a count is 0, the run could not
@@ -18,9 +16,9 @@
 	lookups int
 	// stops are the stops of entry VMs during which no other fault was active.
 	stops int
-	// left are executions whose callers disconnected, resumed those that continue a
-	// stream that broke on another server.
-	left, resumed int
+	// left are executions whose callers disconnected, leftLong those of them that would have
+	// lasted much longer, resumed those that continue a stream that broke on another server.
+	left, leftLong, resumed int
 	// lateDeadly are runs of requests with the deadly part after it has to be known,
 	// soundAfter the sound requests after that.
 	lateDeadly, soundAfter int
@@ -100,7 +98,7 @@
 }
 
 // countFreshRuns counts the executions that start from the beginning.
-func countFreshRuns(runs []grid.Run) (n int) {
+func countFreshRuns(runs []*execution) (n int) {
 	for _, run := range runs {
 		if run.ResumedFrom == "" {
 			n++
@@ -189,32 +187,46 @@
 const (
 	disconnectTimeout = 500 * time.Millisecond
 	// The check fails if more than minLateRuns executions, and more than one in
-	// lateRunsOneIn of all, continue after disconnectTimeout.
+	// lateRunsOneIn of those that would have lasted so long, continue after
+	// disconnectTimeout.
 	lateRunsOneIn = 4
 	minLateRuns   = 4
+	// maxLateArrivals is the number of executions that may begin after disconnectTimeout.
+	maxLateArrivals = 3
 )
 
-// runsAfterDisconnect finds executions that continue after their callers disconnected.
-func (d *deployment) runsAfterDisconnect() []string {
-	all, late := 0, 0
+// runsAfterDisconnect finds executions that begin or continue after their callers disconnected. An
+// action may continue, so that its outcome is known.
+func (d *deployment) runsAfterDisconnect() (list []string) {
+	long, late, arrivals := 0, 0, 0
 	for _, q := range d.history.requests {
-		if q.disconnectedAt.IsZero() || !d.undisturbed(q.vm, q.sent, q.disconnectedAt.Add(disconnectTimeout)) || !d.history.serverFaults.free(q.sent, q.disconnectedAt.Add(disconnectTimeout)) {
+		bound := q.disconnectedAt.Add(disconnectTimeout)
+		if q.disconnectedAt.IsZero() || !d.undisturbed(q.vm, q.sent, bound) || !d.history.serverFaults.free(q.sent, bound) {
 			continue
 		}
 		for _, run := range d.history.runs[q.id] {
-			all++
 			d.coverage.left++
-			select {
-			case <-run.Done:
-			default:
-				late++
+			if run.At.After(bound) {
+				arrivals++
+			}
+			if q.isNonIdempotent() {
+				continue
+			}
+			if outlived := run.outlived(bound); outlived {
+				late, long = late+1, long+1
+			} else if q.lingers() && run.At.Add(lingerTime).After(bound) {
+				long++
 			}
 		}
 	}
-	if late > minLateRuns && late*lateRunsOneIn > all {
-		return []string{fmt.Sprintf("%d of %d runs went on after their callers left", late, all)}
+	d.coverage.leftLong = long
+	if late > minLateRuns && late*lateRunsOneIn > long {
+		list = append(list, fmt.Sprintf("%d of %d runs went on after their callers left", late, long))
 	}
-	return nil
+	if arrivals > maxLateArrivals {
+		list = append(list, fmt.Sprintf("%d runs began after their callers had left", arrivals))
+	}
+	return list
 }
 
 // retriesOverBudget finds windows with more retries than the retry budget allows. Each
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -141,7 +141,32 @@
 				r.Done = running
 				d.history.recordRun(r)
 			}
-		}, "went on after their callers left"},
+		}, "10 of 10 runs went on after their callers left"},
+		{"runs that ended long after callers left", func(d *deployment) {
+			for i := range 10 {
+				id := fmt.Sprint("r", i)
+				d.history.addRequest(&request{id: id, path: "/look/linger", sent: at(0), ended: at(50), disconnectedAt: at(50)})
+				e := &execution{Run: run(id, "plain-1", "plain", 5), ended: at(100)}
+				if i < 5 {
+					e.ended = at(1400)
+				}
+				d.history.addRun(e)
+			}
+		}, "5 of 10 runs went on after their callers left"},
+		{"actions go on after callers left", func(d *deployment) {
+			for i := range 10 {
+				id := fmt.Sprint("r", i)
+				d.history.addRequest(&request{id: id, path: "/once/linger", sent: at(0), ended: at(50), disconnectedAt: at(50)})
+				d.history.addRun(&execution{Run: run(id, "plain-1", "plain", 5)})
+			}
+		}, ""},
+		{"runs that began after callers left", func(d *deployment) {
+			for i := range 4 {
+				id := fmt.Sprint("r", i)
+				d.history.addRequest(&request{id: id, path: "/once/x", sent: at(0), ended: at(50), disconnectedAt: at(50)})
+				d.history.addRun(&execution{Run: run(id, "plain-1", "plain", 600), ended: at(610)})
+			}
+		}, "4 runs began after their callers had left"},
 		{"too many repeats", func(d *deployment) {
 			for i := range 100 {
 				id := fmt.Sprint("r", i)
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -50,8 +50,10 @@
 	retryReserve = 60
 	retryWindow  = 10 * time.Second
 	// Lengths of streams, and time limits of callers, routes and the start.
-	streamEvents     = 20
-	eventInterval    = 15 * time.Millisecond
+	streamEvents  = 20
+	eventInterval = 15 * time.Millisecond
+	// lingerTime is the additional time of the longest requests.
+	lingerTime       = 1500 * time.Millisecond
 	requestTimeout   = 3 * time.Second
 	routeTimeout     = 4 * time.Second
 	readinessTimeout = 20 * time.Second
@@ -173,7 +175,7 @@
 	d.mu.Lock()
 	d.serversStarted++
 	r := &grid.Replica{
-		ID: fmt.Sprintf("%s-%d", service, d.serversStarted), Service: service, Zone: "z", Slots: d.plan.slots, Pace: 10 * time.Millisecond,
+		ID: fmt.Sprintf("%s-%d", service, d.serversStarted), Service: service, Zone: "z", Slots: d.plan.slots, Pace: 10 * time.Millisecond, Linger: lingerTime,
 	}
 	d.mu.Unlock()
 	if service == "llm" {
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -63,13 +63,24 @@
 
 func (q *request) isStream() bool        { return strings.HasPrefix(q.path, "/stream/") }
 func (q *request) isNonIdempotent() bool { return strings.HasPrefix(q.path, "/once/") }
+func (q *request) lingers() bool         { return strings.HasSuffix(q.path, grid.LingerPath) }
 func (q *request) served() bool          { return q.status == 200 && q.complete }
 
+// execution is a run and its end.
+type execution struct {
+	grid.Run
+	// ended is the zero time while the run goes on.
+	ended time.Time
+}
+
+// outlived reports whether the run went on after an instant, whether or not it has ended since.
+func (e *execution) outlived(at time.Time) bool { return e.ended.IsZero() || e.ended.After(at) }
+
 // history records what callers and backend servers saw. The zero value is empty.
 type history struct {
 	mu       sync.Mutex
 	requests []*request
-	runs     map[string][]grid.Run
+	runs     map[string][]*execution
 	// versions holds the time at which each configuration was written, by version.
 	versions []time.Time
 	// leavingSince holds the time at which each leaving server announced it.
@@ -91,12 +102,23 @@
 }
 
 func (h *history) recordRun(run grid.Run) {
+	e := &execution{Run: run}
+	h.addRun(e)
+	go func() {
+		<-run.Done
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		e.ended = time.Now()
+	}()
+}
+
+func (h *history) addRun(e *execution) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.runs == nil {
-		h.runs = map[string][]grid.Run{}
+		h.runs = map[string][]*execution{}
 	}
-	h.runs[run.ID] = append(h.runs[run.ID], run)
+	h.runs[e.ID] = append(h.runs[e.ID], e)
 }
 
 func (h *history) addRequest(q *request) {
