--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -17,6 +17,8 @@
 type Send struct {
 	Server  units.BackendServerID
 	Address string
+	// StartedAt identifies the process of Server.
+	StartedAt int64
 	// Region is that of the backend server.
 	Region units.Region
 	// Cost is the expected time to the first event in ms.
@@ -133,7 +135,7 @@
 			return false
 		}
 		if readyAt > c.now {
-			if string(v.Region) == shard && !v.Draining && (soonest == 0 || readyAt < soonest) {
+			if string(v.Region) == shard && !v.isLeaving() && (soonest == 0 || readyAt < soonest) {
 				soonest = readyAt
 			}
 			return false
@@ -184,7 +186,7 @@
 
 func (c *Core) hasServers(service units.ServiceName, shard string) bool {
 	for _, v := range c.byService[service] {
-		if string(v.Region) == shard && !v.Draining {
+		if string(v.Region) == shard && !v.isLeaving() {
 			return true
 		}
 	}
@@ -222,7 +224,7 @@
 // sent: one that isn't draining or being avoided and to which r wasn't sent before.
 func (c *Core) ownRegionServes(r *Request) bool {
 	for _, v := range c.byService[r.Service] {
-		if v.Region == c.cfg.Region && !v.Draining && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
+		if v.Region == c.cfg.Region && !v.isLeaving() && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
 			return true
 		}
 	}
@@ -258,7 +260,7 @@
 func (c *Core) cheapest(r *Request, list []*view, usable func(*view) bool) (best *view, candidates int) {
 	bestCost := 0.0
 	for _, v := range list {
-		if v.Draining || usable != nil && !usable(v) {
+		if v.isLeaving() || usable != nil && !usable(v) {
 			continue
 		}
 		candidates++
@@ -330,7 +332,7 @@
 	}
 	c.withdrawLoad(r)
 	choice := Send{
-		Server: v.ID, Address: v.Address, Region: v.Region, Cost: expected, Candidates: candidates,
+		Server: v.ID, Address: v.Address, StartedAt: v.StartedAt, Region: v.Region, Cost: expected, Candidates: candidates,
 		Active: v.own.active + v.others.active, Prefill: v.own.prefill + v.others.prefill, Tokens: v.own.tokens + v.others.tokens,
 		Cached: v.prefixes.cached(r),
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -120,6 +120,8 @@
 	adapters map[units.AdapterName]*adapterLoad
 	health   health
 	prefixes prefixes
+	// leaving reports that this process said in an answer that it leaves.
+	leaving bool
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
@@ -166,6 +168,10 @@
 	otherRegion map[units.AdapterName]int32
 	// members is the number of entry VMs in the last placement update, 0 before.
 	members int32
+	// leaving holds the start of the newest process of each backend server that said that it
+	// leaves, leavingNews those not yet reported to the placer.
+	leaving     map[units.BackendServerID]int64
+	leavingNews map[units.BackendServerID]int64
 	// placements holds the last placement of each backend server, including servers not
 	// listed yet.
 	placements map[units.BackendServerID]placement
@@ -217,6 +223,7 @@
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
 		loadRequests: map[units.AdapterName]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
+		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{},
 	}
 }
 
@@ -261,6 +268,8 @@
 			c.servers[s.ID] = v
 		}
 		v.Server = s
+		since, heard := c.leaving[s.ID]
+		v.leaving = heard && s.StartedAt <= since
 		if !v.placed {
 			v.useListing()
 		}
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -29,6 +29,9 @@
 	// EndUnsent means that the request did not reach the backend server, as a rule because
 	// no connection could be opened.
 	EndUnsent
+	// EndWithdrawn means that the request was not sent, since the backend server said
+	// meanwhile that it takes none.
+	EndWithdrawn
 	// EndCanceled means that the send was canceled, which says nothing about the health of
 	// the backend server.
 	EndCanceled
@@ -49,6 +52,8 @@
 		return "broken"
 	case EndUnsent:
 		return "unsent"
+	case EndWithdrawn:
+		return "withdrawn"
 	case EndCanceled:
 		return "canceled"
 	default:
@@ -124,7 +129,7 @@
 // Ended records how a send ended. started says whether Started was called for it.
 func (c *Core) Ended(now clock.Millis, r *Request, server units.BackendServerID, started bool, end End) {
 	c.now = max(c.now, now)
-	if end == EndUnsent {
+	if end == EndUnsent || end == EndWithdrawn {
 		r.Sends--
 	}
 	v := c.servers[server]
@@ -156,6 +161,8 @@
 	case EndUnsent:
 		v.health.unreachable(c.now)
 		c.unreached[server] = true
+	case EndWithdrawn:
+		r.Tried = r.Tried[:max(0, len(r.Tried)-1)]
 	case EndCanceled:
 	}
 }
@@ -234,6 +241,13 @@
 		}
 	}
 	sort.Slice(u.Unreachable, func(i, j int) bool { return u.Unreachable[i] < u.Unreachable[j] })
+	for id, startedAt := range c.leavingNews {
+		if v := c.servers[id]; v == nil || string(v.Region) == shard {
+			u.Leaving = append(u.Leaving, peer.LeavingServer{Server: id, StartedAt: startedAt})
+			delete(c.leavingNews, id)
+		}
+	}
+	sort.Slice(u.Leaving, func(i, j int) bool { return u.Leaving[i].Server < u.Leaving[j].Server })
 	kept := c.missing[:0]
 	for _, m := range c.missing {
 		if v := c.servers[m.Server]; v != nil && string(v.Region) == shard {
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -127,8 +127,11 @@
 
 // server is the placer's state of one backend server.
 type server struct {
+	// Server is its entry in the list; Draining is set too if saidLeaving is.
 	topo.Server
-	engine *topo.Engine
+	// saidLeaving reports that it said in an answer that it leaves.
+	saidLeaving bool
+	engine      *topo.Engine
 	// synced reports that orders and copies are known; no order is sent before.
 	synced bool
 	// down reports that the backend server does not answer. It may still hold its copies,
@@ -315,10 +318,12 @@
 		s.markChanged()
 		p.servers[entry.ID] = s
 	}
-	if s.Draining != entry.Draining {
+	draining := entry.Draining || s.saidLeaving
+	if s.Draining != draining {
 		s.markChanged()
 	}
 	s.Server, s.engine = *entry, engine
+	s.Draining = draining
 }
 
 // Announce records that a version of an adapter was announced. Versions that are not newer
@@ -350,9 +355,22 @@
 			s.nextReportAt = min(s.nextReportAt, p.now)
 		}
 	}
+	for _, l := range u.Leaving {
+		p.noteLeaving(l)
+	}
 	p.usageChanged = true
 }
 
+// noteLeaving treats a backend server as draining from now on, if l is about its process.
+func (p *Placer) noteLeaving(l peer.LeavingServer) {
+	s := p.servers[l.Server]
+	if s == nil || s.StartedAt > l.StartedAt || s.saidLeaving {
+		return
+	}
+	s.saidLeaving, s.Draining = true, true
+	s.markChanged()
+}
+
 func (p *Placer) addLoadRequest(from units.EntryVMID, r *peer.LoadRequest) {
 	w := p.loadRequests[r.Adapter]
 	if w == nil {
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -27,6 +27,15 @@
 	Missing []Missing `msgpack:"m,omitempty"`
 	// Unreachable lists the backend servers to which connecting failed.
 	Unreachable []units.BackendServerID `msgpack:"x,omitempty"`
+	// Leaving lists the backend servers that said in an answer that they leave.
+	Leaving []LeavingServer `msgpack:"l,omitempty"`
+}
+
+// LeavingServer is a process of a backend server that leaves.
+type LeavingServer struct {
+	Server units.BackendServerID `msgpack:"s"`
+	// StartedAt identifies the process.
+	StartedAt int64 `msgpack:"b"`
 }
 
 // ServerUsage is the load of one entry VM on one backend server.
@@ -152,7 +161,7 @@
 
 // HasContent reports whether m carries more than the sender's address.
 func (m *UsageReport) HasContent() bool {
-	return m.NeedsFull || len(m.Servers)+len(m.LoadRequests)+len(m.Missing)+len(m.Unreachable) > 0
+	return m.NeedsFull || len(m.Servers)+len(m.LoadRequests)+len(m.Missing)+len(m.Unreachable)+len(m.Leaving) > 0
 }
 
 func (*UsageReport) peerMessage()     {}
--- a/internal/fake/grid/caller.go
+++ b/internal/fake/grid/caller.go
@@ -35,6 +35,9 @@
 // Stamp returns the replica's Server-Stamp header of an answer, empty if there is none.
 func Stamp(h http.Header) string { return h.Get("Server-Stamp") }
 
+// Leaving reports whether the replica that answered says that it leaves.
+func Leaving(h http.Header) bool { return h.Get("Server-Leaving") != "" }
+
 // ForgetHistory drops the history of the operator's and the replicas' records; the newest
 // record of each key stays.
 func (g *Grid) ForgetHistory() {
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -44,6 +44,8 @@
 	BreakAfter atomic.Int64
 	// WithholdAnswers makes requests run without an answer until the caller disconnects.
 	WithholdAnswers atomic.Bool
+	// SaysLeaving makes answers say that the replica leaves, while its entry does not.
+	SaysLeaving atomic.Bool
 	// Fail makes requests run and answers them with status 500.
 	Fail atomic.Bool
 
@@ -114,6 +116,9 @@
 	if id := req.Header.Get("Request-Id"); id != "" {
 		w.Header().Set("Request-Id", id)
 	}
+	if r.SaysLeaving.Load() || r.isDraining() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -129,6 +134,12 @@
 	}
 }
 
+func (r *Replica) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == "draining"
+}
+
 // entry returns the content of the JSON object that r writes to the store and answers to
 // GET /report. Its slots are always 8, whatever the field Slots is. Each adapter has
 // version 1, because r keeps no versions; adapters that still load are listed as coming.
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -275,6 +275,10 @@
 			a.node.pool.Return(conn)
 			return choose.EndCanceled, false
 		}
+		if a.reason = a.withdrawn(); a.reason != "" {
+			a.node.pool.Return(conn)
+			return choose.EndWithdrawn, false
+		}
 		reused := conn.Reused
 		answer, doErr := a.node.pool.Do(a.ctx, conn, a.request(reused))
 		if doErr == nil {
@@ -358,7 +362,9 @@
 // matches reports whether resp is the answer to this request. An error answer without
 // a request id matches too, unless it may be that of an earlier request of the connection.
 func (a *attempt) matches(resp *http.Response, reused bool) bool {
-	id := a.node.system.ReadAnswer(resp.StatusCode, resp.Header).ID
+	head := a.node.system.ReadAnswer(resp.StatusCode, resp.Header)
+	a.noteHead(head)
+	id := head.ID
 	return id == a.head.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !reused
 }
 
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -204,6 +204,8 @@
 	Stamped bool
 	// NotExecuted is true if the backend server did not execute the request.
 	NotExecuted bool
+	// Leaving is true if the backend server says that it leaves.
+	Leaving bool
 	// Server is the backend server that answered, empty if the answer does not name it.
 	Server units.BackendServerID
 }
--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -159,7 +159,7 @@
 		q.err = err
 		return
 	}
-	q.status, q.stamp = resp.StatusCode, grid.Stamp(resp.Header)
+	q.status, q.stamp, q.leaving, q.headAt = resp.StatusCode, grid.Stamp(resp.Header), grid.Leaving(resp.Header), time.Now()
 	body, err := io.ReadAll(resp.Body)
 	q.body, q.err, q.complete = string(body), err, err == nil
 	if resp.Close {
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -16,6 +16,8 @@
 	lookups int
 	// stops are the stops of entry VMs during which no other fault was active.
 	stops int
+	// leaving are answers in which a server said that it leaves.
+	leaving int
 	// left are executions whose callers disconnected, leftLong those of them that would have
 	// lasted much longer, resumed those that continue a stream that broke on another server.
 	left, leftLong, resumed int
@@ -49,6 +51,7 @@
 	}
 	list = append(list, d.misroutedRequests(byID)...)
 	list = append(list, d.requestsCutByStops()...)
+	list = append(list, d.runsAtLeavingServers(byID)...)
 	list = append(list, d.runsAfterDisconnect()...)
 	list = append(list, h.retriesOverBudget()...)
 	return append(list, d.crashes()...)
@@ -147,6 +150,40 @@
 	return list
 }
 
+// runsAtLeavingServers finds requests that an entry VM took more than drainTimeout after it had
+// passed on an answer in which the server said that it leaves, and sent there all the same. It holds
+// for entry VMs that did not restart or pause since, whatever else is disturbed.
+func (d *deployment) runsAtLeavingServers(byID map[string]*request) (list []string) {
+	type hearing struct {
+		vm     int
+		server string
+	}
+	heard := map[hearing]time.Time{}
+	for _, q := range d.history.requests {
+		if !q.leaving {
+			continue
+		}
+		d.coverage.leaving++
+		h := hearing{q.vm, strings.TrimPrefix(q.stamp, "stamp-")}
+		if since, ok := heard[h]; !ok || q.headAt.Before(since) {
+			heard[h] = q.headAt
+		}
+	}
+	for id, runs := range d.history.runs {
+		q := byID[id]
+		if q == nil {
+			continue
+		}
+		for _, run := range runs {
+			since, ok := heard[hearing{q.vm, run.Replica}]
+			if ok && q.sent.After(since.Add(drainTimeout)) && d.vms[q.vm].faults.free(since, run.At) {
+				list = append(list, fmt.Sprintf("%s by vm%d reached %s %s after its answer said that it leaves", id, q.vm, run.Replica, run.At.Sub(since)))
+			}
+		}
+	}
+	return list
+}
+
 // versionAt returns the version of the configuration that was active at an instant.
 func (h *history) versionAt(at time.Time) int {
 	version := 1
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -125,6 +125,16 @@
 			d.history.addRequest(served("r", "/once/x"))
 			d.history.recordRun(run("r", "plain-1", "plain", 5))
 		}, "said that it leaves"},
+		{"server that said in an answer that it leaves", func(d *deployment) {
+			q := served("r", "/once/x")
+			q.leaving, q.headAt, q.stamp = true, at(20), "stamp-plain-1"
+			d.history.addRequest(q)
+			late := served("q", "/once/x")
+			late.sent = at(4100)
+			d.history.addRequest(late)
+			d.history.recordRun(run("q", "plain-1", "plain", 4105))
+			d.history.storeFaults.list = [][2]time.Time{{at(0), at(5000)}}
+		}, "its answer said that it leaves"},
 		{"cut off by a stop", func(d *deployment) {
 			d.history.stops = []stop{{requestedAt: at(0), ended: at(4000), undisturbed: true}}
 			d.history.addRequest(&request{id: "r", path: "/once/x", sent: at(10), ended: at(500), err: os.ErrClosed})
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -48,11 +48,24 @@
 		d.injectLinkFault(f, v)
 	case newConfig:
 		d.configure()
+	case serverSaysLeaving:
+		d.sayLeaving(f)
 	default:
 		d.injectServerFault(f)
 	}
 }
 
+// sayLeaving lets a server say in its answers that it leaves, which the list shows only later.
+func (d *deployment) sayLeaving(f fault) {
+	s := d.targetServer(f.target)
+	d.removeServer(s)
+	d.startServer(s.Service)
+	s.SaysLeaving.Store(true)
+	// A request reaches it too late after drainTimeout.
+	time.Sleep(drainTimeout + f.duration)
+	d.SetState(s.Replica, "draining")
+}
+
 func (d *deployment) injectVMFault(f fault, v *vm) {
 	switch f.kind {
 	case vmKill:
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -56,6 +56,10 @@
 	status         int
 	stamp          string
 	body           string
+	// leaving reports that the server said in the answer that it leaves, headAt when the head
+	// of the answer came.
+	leaving bool
+	headAt  time.Time
 	// complete reports whether the answer ended as HTTP requires.
 	complete bool
 	err      error
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -40,9 +40,11 @@
 	ordersLate        kind = "orders_late"
 	callersReset      kind = "caller_connections_reset"
 	newConfig         kind = "new_configuration"
+	serverSaysLeaving kind = "server_says_leaving"
 )
 
-// kinds lists the kinds that newPlan draws from. Another order gives seeds other faults.
+// kinds lists the kinds that newPlan draws first. Another order, or a new kind, gives seeds other
+// faults.
 var kinds = []kind{
 	vmKill, vmTerm, vmPause, vmHup, killAll, storeDown, storeSlow, storeLosesAnswers, storeLate, storeForgets, storeGarbage, linkSilent, linkOneWay,
 	linkRefuses, linkDelays, serverCrash, serverNoAnswer, serverFails, serverSlow, serverLeaves, serverBreaks, serverCut, serverReset,
@@ -105,6 +107,10 @@
 // deadlyOneIn is the number of seeds of which one has a part that crashes engines.
 const deadlyOneIn = 4
 
+// sayLeavingOneIn is the number of seeds of which one has a server that says only in its answers
+// that it leaves.
+const sayLeavingOneIn = 3
+
 // newPlan draws a plan from a seed. A quarter of the seeds have a series of faults of one
 // kind. New draws are added at the end: if the order or number of the draws changes, all seeds give other plans.
 func newPlan(seed uint64) plan {
@@ -135,5 +141,11 @@
 			downtime: (300*time.Millisecond + time.Duration(r.Int64N(int64(1700*time.Millisecond)))).Round(time.Millisecond),
 		}
 	}
+	if r.IntN(sayLeavingOneIn) == 0 {
+		p.faults = append(p.faults, fault{
+			kind: serverSaysLeaving, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow/2))).Round(time.Millisecond),
+			duration: time.Duration(r.Int64N(int64(maxFaultDuration))).Round(time.Millisecond), target: r.IntN(1 << 20),
+		})
+	}
 	return p
 }
