--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -108,6 +108,9 @@
 	}
 	best, candidates := c.cheapest(r, c.byService[r.Service], nil)
 	if best == nil {
+		if choice := c.awaitQuiet(r, nil); choice != nil {
+			return choice
+		}
 		return c.refuse(r, "no backend server of the service", retryDelay)
 	}
 	return c.send(r, best, candidates)
@@ -151,6 +154,11 @@
 		c.withdrawLoad(r)
 		return Wait{Until: soonest, Reason: "adapter is loading"}
 	}
+	if best == nil {
+		if choice := c.awaitQuietCopy(r, shard, usable); choice != nil {
+			return choice
+		}
+	}
 	if !topo.IsAdapter(r.Adapter) {
 		return c.refuse(r, "no backend server holds the model", retryDelay)
 	}
@@ -162,6 +170,29 @@
 	return c.wait(r, shard)
 }
 
+// awaitQuietCopy is awaitQuiet for an adapter all of whose usable copies are at backend servers that
+// ask for quiet. If that lasts long, a load elsewhere is requested too.
+func (c *Core) awaitQuietCopy(r *Request, shard string, usable func(*view) bool) Choice {
+	choice := c.awaitQuiet(r, usable)
+	if choice == nil || !topo.IsAdapter(r.Adapter) {
+		return choice
+	}
+	quiet, waits := choice.(Wait)
+	if waits && quiet.Until <= c.now+quietLoadTime {
+		return choice
+	}
+	load, loads := c.wait(r, shard).(Wait)
+	switch {
+	case loads && waits:
+		load.Until = min(load.Until, quiet.Until)
+		return load
+	case loads:
+		return load
+	default:
+		return choice
+	}
+}
+
 // targetShard returns the shard whose placer receives the load request for r's adapter:
 // that of the own region or, while its placer is down and firstPlacerTimeout has passed,
 // the one with the shortest load wait among those with servers of the service. It is empty
@@ -224,7 +255,7 @@
 // sent: one that isn't draining or being avoided and to which r wasn't sent before.
 func (c *Core) ownRegionServes(r *Request) bool {
 	for _, v := range c.byService[r.Service] {
-		if v.Region == c.cfg.Region && !v.isLeaving() && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
+		if v.Region == c.cfg.Region && !v.isLeaving() && v.quiet.admits(c.now) && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
 			return true
 		}
 	}
@@ -255,12 +286,12 @@
 	return !ok || held.revision >= announced.revision || c.now < announced.announcedAt+c.cfg.Policy.VersionGrace
 }
 
-// cheapest returns the backend server with the lowest cost among those that are not
-// draining and for which usable returns true, and their number. A nil usable allows all.
+// cheapest returns the backend server with the lowest cost among those that do not leave or ask
+// for quiet and for which usable returns true, and their number. A nil usable allows all.
 func (c *Core) cheapest(r *Request, list []*view, usable func(*view) bool) (best *view, candidates int) {
 	bestCost := 0.0
 	for _, v := range list {
-		if v.isLeaving() || usable != nil && !usable(v) {
+		if v.isLeaving() || !v.quiet.admits(c.now) || usable != nil && !usable(v) {
 			continue
 		}
 		candidates++
@@ -337,6 +368,7 @@
 		Cached: v.prefixes.cached(r),
 	}
 	c.recordSend(r, v)
+	v.quiet.began(r)
 	return choice
 }
 
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -89,6 +89,9 @@
 	// charged is the number of prompt tokens that the last send added to the backend
 	// server's load: those estimated not to be in its cache.
 	charged units.Tokens
+	// trial reports that the last send was one to a backend server that returns from a quiet
+	// time, and has no answer yet.
+	trial bool
 	// waiting reports that the request counts in the load request for its adapter.
 	waiting bool
 }
@@ -122,6 +125,7 @@
 	prefixes prefixes
 	// leaving reports that this process said in an answer that it leaves.
 	leaving bool
+	quiet   quiet
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
--- a/internal/core/choose/leaving.go
+++ b/internal/core/choose/leaving.go
@@ -40,18 +40,22 @@
 // isLeaving reports whether v gets no new requests because it leaves.
 func (v *view) isLeaving() bool { return v.Draining || v.leaving }
 
-// Withdrawn returns why nothing may be sent to a backend server although Choose chose it for r a
-// moment ago, or an empty string.
-func (c *Core) Withdrawn(now clock.Millis, r *Request, server units.BackendServerID) string {
+// Withdrawn returns why nothing may be sent to a backend server although Choose chose it a moment
+// ago, or an empty string.
+func (c *Core) Withdrawn(now clock.Millis, server units.BackendServerID) string {
 	c.now = max(c.now, now)
 	v := c.servers[server]
 	if v == nil {
 		return ""
 	}
-	if v.leaving {
+	switch {
+	case v.leaving:
 		return "the backend server leaves"
+	case c.now < v.quiet.until:
+		return "the backend server asks for quiet"
+	default:
+		return ""
 	}
-	return ""
 }
 
 // Leaving lists the backend servers that were recorded by NoteLeaving and are listed, in order.
--- a/internal/core/choose/leaving_test.go
+++ b/internal/core/choose/leaving_test.go
@@ -64,10 +64,10 @@
 					continue
 				}
 				must.Less(t, sent.StartedAt, said[sent.Server])
-				must.Eq(t, "", c.Withdrawn(now, r, sent.Server))
+				must.Eq(t, "", c.Withdrawn(now, sent.Server))
 				c.NoteLeaving(sent.Server, sent.StartedAt)
 				said[sent.Server] = sent.StartedAt
-				must.NotEq(t, "", c.Withdrawn(now, r, sent.Server))
+				must.NotEq(t, "", c.Withdrawn(now, sent.Server))
 				c.Ended(now, r, sent.Server, false, EndWithdrawn)
 				must.SliceEmpty(t, r.Tried)
 			}
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -363,7 +363,7 @@
 // a request id matches too, unless it may be that of an earlier request of the connection.
 func (a *attempt) matches(resp *http.Response, reused bool) bool {
 	head := a.node.system.ReadAnswer(resp.StatusCode, resp.Header)
-	a.noteHead(head)
+	a.noteHead(resp.StatusCode, head)
 	id := head.ID
 	return id == a.head.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !reused
 }
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -206,6 +206,9 @@
 	NotExecuted bool
 	// Leaving is true if the backend server says that it leaves.
 	Leaving bool
+	// RetryAfter is for how long the backend server wants no requests; 0 if it doesn't say, and
+	// negative if what it says makes no sense.
+	RetryAfter clock.Millis
 	// Server is the backend server that answered, empty if the answer does not name it.
 	Server units.BackendServerID
 }
