--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -25,6 +25,9 @@
 	// OnRun, if not nil, is called as each run starts. It must not call the Grid's methods,
 	// because mu is held. Set it before replicas start.
 	OnRun func(Run)
+	// OnQuiet, if not nil, is called for each request that a replica refuses while it asks for
+	// quiet. It must not call the Grid's methods.
+	OnQuiet func(Refusal)
 	// OnRestart, if not nil, is called after Restart has started next in place of old. Set
 	// it before replicas start.
 	OnRestart func(old, next *Replica)
@@ -198,6 +201,8 @@
 type Run struct {
 	ID      string
 	Replica string
+	// Version is that of the replica's software.
+	Version string
 	Service string
 	// ResumedFrom is the id of the last event of an earlier run, empty for a run from the
 	// beginning.
@@ -209,6 +214,22 @@
 	Done <-chan struct{}
 }
 
+// Refusal is a request that a replica refused while it asked for no requests for the time Quiet.
+type Refusal struct {
+	ID      string
+	Replica string
+	At      time.Time
+	Quiet   time.Duration
+}
+
+func (g *Grid) noteQuiet(r Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.OnQuiet != nil {
+		g.OnQuiet(r)
+	}
+}
+
 // countRun counts a run, unless it resumes an earlier one, and passes it to OnRun.
 func (g *Grid) countRun(run Run, call string) {
 	g.mu.Lock()
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -48,6 +48,8 @@
 	WithholdAnswers atomic.Bool
 	// SaysLeaving makes answers say that the replica leaves, while its entry does not.
 	SaysLeaving atomic.Bool
+	// QuietUntil is the time until which it refuses requests and asks for no more, in Unix ms.
+	QuietUntil atomic.Int64
 	// Fail makes requests run and answers them with status 500.
 	Fail atomic.Bool
 
@@ -264,6 +266,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if quiet := time.Until(time.UnixMilli(r.QuietUntil.Load())); quiet > 0 {
+		r.grid.noteQuiet(Refusal{ID: id, Replica: r.ID, At: time.Now(), Quiet: quiet})
+		w.Header().Set("Retry-After", strconv.FormatFloat(quiet.Seconds(), 'f', 3, 64))
+		w.Header().Set("Not-Executed", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !r.acquireSlot() {
 		w.Header().Set("Not-Executed", "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -275,7 +284,7 @@
 	// Without a header, remaining is 0.
 	remaining, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
 	r.grid.countRun(Run{
-		ID: id, Replica: r.ID, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Remaining: time.Duration(remaining) * time.Millisecond, Done: done,
+		ID: id, Replica: r.ID, Version: r.Version, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Remaining: time.Duration(remaining) * time.Millisecond, Done: done,
 	}, req.Method+req.RequestURI)
 	w.Header().Set("Server-Stamp", "stamp-"+r.ID)
 	extra := time.Duration(r.ExtraDelay.Load())
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mangostile/internal/fake/grid"
 )
 
 // coverage counts the cases that the checks examined. If a count is 0, the run could not
@@ -18,6 +20,8 @@
 	stops int
 	// leaving are answers in which a server said that it leaves.
 	leaving int
+	// quiet are requests that reached a server which asked for quiet.
+	quiet int
 	// left are executions whose callers disconnected, leftLong those of them that would have
 	// lasted much longer, resumed those that continue a stream that broke on another server.
 	left, leftLong, resumed int
@@ -52,6 +56,8 @@
 	list = append(list, d.misroutedRequests(byID)...)
 	list = append(list, d.requestsCutByStops()...)
 	list = append(list, d.runsAtLeavingServers(byID)...)
+	list = append(list, d.requestsInQuietTimes(byID)...)
+	list = append(list, d.mixedStreams()...)
 	list = append(list, d.runsAfterDisconnect()...)
 	list = append(list, h.retriesOverBudget()...)
 	return append(list, d.crashes()...)
@@ -184,6 +190,56 @@
 	return list
 }
 
+const (
+	// quietNotice is the time after which an entry VM heeds that a server asks for quiet, and
+	// maxInQuiet the number of its requests that may reach the server after that.
+	quietNotice = 500 * time.Millisecond
+	maxInQuiet  = 2
+)
+
+// requestsInQuietTimes finds entry VMs whose requests reach a server in the time for which it asked
+// them for none. It holds for entry VMs that did not restart or pause since.
+func (d *deployment) requestsInQuietTimes(byID map[string]*request) (list []string) {
+	type pair struct {
+		vm     int
+		server string
+	}
+	told := map[pair][]grid.Refusal{}
+	for _, r := range d.history.quiet {
+		d.coverage.quiet++
+		if q := byID[r.ID]; q != nil {
+			told[pair{q.vm, r.Replica}] = append(told[pair{q.vm, r.Replica}], r)
+		}
+	}
+	for p, refusals := range told {
+		for i, first := range refusals {
+			n := 0
+			for _, r := range refusals[i+1:] {
+				if since := r.At.Sub(first.At); since > quietNotice && since < first.Quiet && d.vms[p.vm].faults.free(first.At, r.At) {
+					n++
+				}
+			}
+			if n > maxInQuiet {
+				list = append(list, fmt.Sprintf("%d requests by vm%d reached %s in a quiet time of %s", n, p.vm, p.server, first.Quiet))
+				break
+			}
+		}
+	}
+	return list
+}
+
+// mixedStreams finds streams that went on at another software version than the one that began them.
+func (d *deployment) mixedStreams() (list []string) {
+	for id, runs := range d.history.runs {
+		for i, run := range runs {
+			if i > 0 && run.ResumedFrom != "" && run.Version != runs[i-1].Version {
+				list = append(list, fmt.Sprintf("%s went on at version %s, begun at %s", id, run.Version, runs[i-1].Version))
+			}
+		}
+	}
+	return list
+}
+
 // versionAt returns the version of the configuration that was active at an instant.
 func (h *history) versionAt(at time.Time) int {
 	version := 1
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -135,6 +135,29 @@
 			d.history.recordRun(run("q", "plain-1", "plain", 4105))
 			d.history.storeFaults.list = [][2]time.Time{{at(0), at(5000)}}
 		}, "its answer said that it leaves"},
+		{"requests in a quiet time", func(d *deployment) {
+			for i, ms := range []int{0, 400, 600, 700, 800} {
+				id := fmt.Sprint("r", i)
+				d.history.addRequest(served(id, "/look/x"))
+				d.history.recordQuiet(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Quiet: time.Second})
+			}
+		}, "3 requests by vm0 reached plain-1 in a quiet time"},
+		{"requests after a quiet time", func(d *deployment) {
+			for i, ms := range []int{0, 400, 600, 700, 1100, 1200} {
+				id := fmt.Sprint("r", i)
+				d.history.addRequest(served(id, "/look/x"))
+				d.history.recordQuiet(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Quiet: time.Second})
+			}
+		}, ""},
+		{"stream of two versions", func(d *deployment) {
+			q := served("r", "/stream/x")
+			q.body = completeBody("r", streamEvents)
+			d.history.addRequest(q)
+			first, second := run("r", "llm-1", "llm", 5), run("r", "llm-2", "llm", 50)
+			first.Version, second.Version, second.ResumedFrom = "1", "2", "4"
+			d.history.recordRun(first)
+			d.history.recordRun(second)
+		}, "went on at version 2, begun at 1"},
 		{"cut off by a stop", func(d *deployment) {
 			d.history.stops = []stop{{requestedAt: at(0), ended: at(4000), undisturbed: true}}
 			d.history.addRequest(&request{id: "r", path: "/once/x", sent: at(10), ended: at(500), err: os.ErrClosed})
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -140,7 +140,7 @@
 	g, err := grid.New(handoverInterval - resumeSlack)
 	must.NoError(t, err)
 	d := &deployment{Grid: g, t: t, plan: p, dir: dir, startedAt: time.Now()}
-	g.OnRun, g.OnRestart = d.history.recordRun, d.replaceServer
+	g.OnRun, g.OnQuiet, g.OnRestart = d.history.recordRun, d.history.recordQuiet, d.replaceServer
 	if p.deadly != nil {
 		d.deadly = &grid.DeadlyPart{ID: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
 		g.AddDeadlyPart(d.deadly)
@@ -176,6 +176,7 @@
 	d.serversStarted++
 	r := &grid.Replica{
 		ID: fmt.Sprintf("%s-%d", service, d.serversStarted), Service: service, Zone: "z", Slots: d.plan.slots, Pace: 10 * time.Millisecond, Linger: lingerTime,
+		Version: fmt.Sprint(d.serversStarted / 2 % max(1, d.plan.versions)),
 	}
 	d.mu.Unlock()
 	if service == "llm" {
