--- /dev/null
+++ b/internal/core/choose/backoff.go
@@ -0,0 +1,105 @@
+package choose
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+)
+
+const (
+	// maxBackoff bounds the time for which a backend server may ask for no requests.
+	maxBackoff = 60 * clock.Second
+	// trialPeriod is the time after which a request that waits for a returning backend
+	// server is considered again.
+	trialPeriod = 50 * clock.Millis(1)
+	// backoffLoadTime is the rest of a back-off from which on an adapter is loaded elsewhere
+	// rather than waited for.
+	backoffLoadTime = 500 * clock.Millis(1)
+	// minOpenTrials is the least number of trials at which a returned backend server gets
+	// requests without a limit again.
+	minOpenTrials = 8
+)
+
+// backoff tracks a backend server that asked for no requests for a time. When that is over, requests
+// come back by and by: one at first, twice as many after each that is answered. The zero value has
+// no limit.
+type backoff struct {
+	// until is the end of the back-off.
+	until clock.Millis
+	// limit is the number of requests that may be without an answer after that, 0 for any.
+	limit int32
+	// trials counts the requests sent under a limit that have no answer yet.
+	trials int32
+}
+
+func (b *backoff) admits(now clock.Millis) bool {
+	return now >= b.until && (b.limit == 0 || b.trials < b.limit)
+}
+
+// returnsAt returns when a request that is not admitted is to be considered again.
+func (b *backoff) returnsAt(now clock.Millis) clock.Millis {
+	if now < b.until {
+		return b.until
+	}
+	return now + trialPeriod
+}
+
+// began records a send to the backend server.
+func (b *backoff) began(r *Request) {
+	if b.limit > 0 {
+		b.trials++
+		r.trial = true
+	}
+}
+
+// answered records that r is no trial any more. open says that its answer lets more requests in.
+func (b *backoff) answered(r *Request, open bool, slots int32) {
+	if !r.trial {
+		return
+	}
+	r.trial = false
+	b.trials = max(0, b.trials-1)
+	if open && b.limit > 0 {
+		if b.limit *= 2; b.limit >= max(minOpenTrials, slots) {
+			b.limit = 0
+		}
+	}
+}
+
+// NoteBackoff records that a process of a backend server wants no requests for a time, of which at most
+// maxBackoff counts. It returns the time that remains, and reports whether that is longer than before.
+func (c *Core) NoteBackoff(now clock.Millis, server units.BackendServerID, startedAt int64, time clock.Millis) (clock.Millis, bool) {
+	c.now = max(c.now, now)
+	v := c.servers[server]
+	if v == nil || v.StartedAt != startedAt || time <= 0 {
+		return 0, false
+	}
+	until := c.now + min(time, maxBackoff)
+	if until <= v.backoff.until {
+		return v.backoff.until - c.now, false
+	}
+	v.backoff.until, v.backoff.limit = until, 1
+	return until - c.now, true
+}
+
+// awaitBackoff decides about a request for which every suitable backend server asks for a back-off or
+// returns from it: it waits for the first to return if its deadline allows that, and is else refused
+// with that time. It returns nil if there is no such backend server. A nil usable allows all.
+func (c *Core) awaitBackoff(r *Request, usable func(*view) bool) Choice {
+	var first clock.Millis
+	for _, v := range c.byService[r.Service] {
+		if v.isLeaving() || r.startedElsewhere(v) || v.backoff.admits(c.now) || usable != nil && !usable(v) {
+			continue
+		}
+		if at := v.backoff.returnsAt(c.now); first == 0 || at < first {
+			first = at
+		}
+	}
+	switch {
+	case first == 0:
+		return nil
+	case first+minRemaining < r.Deadline:
+		return Wait{Until: first, Reason: "backend servers ask for a back-off"}
+	default:
+		return c.refuse(r, "backend servers ask for a back-off", first-c.now)
+	}
+}
--- a/internal/core/choose/quiet_test.go
+++ b/internal/core/choose/backoff_test.go
@@ -29,10 +29,10 @@
 	return &Request{ID: units.RequestID(fmt.Sprint(id)), Route: route, Service: "plain", Arrived: now, Deadline: now + time}
 }
 
-// TestQuietTimesAreKept draws sends, answers and quiet times in any order. Nothing may be let through
-// in a quiet time, also if it was chosen before, and the returning server must get requests by and
+// TestNothingIsSentDuringABackoff draws sends, answers and back-offs in any order. Nothing may be let through
+// in a back-off, also if it was chosen before, and the returning server must get requests by and
 // by.
-func TestQuietTimesAreKept(t *testing.T) {
+func TestNothingIsSentDuringABackoff(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ids := []units.BackendServerID{"a", "b"}
 		c := plainCore(ids...)
@@ -78,7 +78,7 @@
 			default:
 				id := rapid.SampledFrom(ids).Draw(t, "server")
 				time := clock.Millis(rapid.IntRange(1, 1500).Draw(t, "time"))
-				left, _ := c.NoteQuiet(now, id, 1, time)
+				left, _ := c.NoteBackoff(now, id, 1, time)
 				until[id] = max(until[id], now+time)
 				must.Eq(t, until[id]-now, left)
 			}
@@ -86,13 +86,13 @@
 	})
 }
 
-// TestReturnFromQuietIsNoHerd guards against a backend server that is flooded when its quiet time
+// TestReturnFromBackoffIsNoHerd guards against a backend server that is flooded when its back-off
 // ends. The load is fifty requests that have waited for it.
-func TestReturnFromQuietIsNoHerd(t *testing.T) {
+func TestReturnFromBackoffIsNoHerd(t *testing.T) {
 	const waiting = 50
 	c := plainCore("a")
 	now := clock.Hour
-	c.NoteQuiet(now, "a", 1, 500)
+	c.NoteBackoff(now, "a", 1, 500)
 	requests := make([]*Request, waiting)
 	for i := range requests {
 		requests[i] = plainRequest(i, now, 10*clock.Second)
@@ -120,25 +120,25 @@
 	must.Eq(t, []int{1, 2, 8, 39}, sizes)
 }
 
-// TestQuietBeyondTheDeadlineIsRefused checks that a request whose deadline passes before any backend
+// TestBackoffBeyondTheDeadlineIsRefused checks that a request whose deadline passes before any backend
 // server returns is refused at once, with the time until then.
-func TestQuietBeyondTheDeadlineIsRefused(t *testing.T) {
+func TestBackoffBeyondTheDeadlineIsRefused(t *testing.T) {
 	c := plainCore("a", "b")
 	now := clock.Hour
-	c.NoteQuiet(now, "a", 1, 5*clock.Second)
-	c.NoteQuiet(now, "b", 1, 3*clock.Second)
-	must.Eq(t, Choice(Refuse{Reason: "backend servers ask for quiet", RetryAfter: 3 * clock.Second}), c.Choose(now, plainRequest(1, now, 2*clock.Second)))
+	c.NoteBackoff(now, "a", 1, 5*clock.Second)
+	c.NoteBackoff(now, "b", 1, 3*clock.Second)
+	must.Eq(t, Choice(Refuse{Reason: "backend servers ask for a back-off", RetryAfter: 3 * clock.Second}), c.Choose(now, plainRequest(1, now, 2*clock.Second)))
 	_, ok := c.Choose(now, plainRequest(2, now, 4*clock.Second)).(Wait)
 	must.True(t, ok)
 }
 
-// TestQuietTimesAreBounded checks that a huge time, or that of an earlier process, shuts no backend
+// TestBackoffIsBounded checks that a huge time, or that of an earlier process, shuts no backend
 // server out.
-func TestQuietTimesAreBounded(t *testing.T) {
+func TestBackoffIsBounded(t *testing.T) {
 	c := plainCore("a")
 	now := clock.Hour
-	left, _ := c.NoteQuiet(now, "a", 0, clock.Second)
+	left, _ := c.NoteBackoff(now, "a", 0, clock.Second)
 	must.Zero(t, left)
-	left, _ = c.NoteQuiet(now, "a", 1, clock.Hour)
-	must.Eq(t, maxQuiet, left)
+	left, _ = c.NoteBackoff(now, "a", 1, clock.Hour)
+	must.Eq(t, maxBackoff, left)
 }
--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -112,7 +112,7 @@
 	}
 	best, candidates := c.cheapest(r, c.byService[r.Service], nil)
 	if best == nil {
-		if choice := c.awaitQuiet(r, nil); choice != nil {
+		if choice := c.awaitBackoff(r, nil); choice != nil {
 			return choice
 		}
 		return c.refuse(r, "no backend server of the service", retryDelay)
@@ -120,7 +120,7 @@
 	return c.send(r, best, candidates)
 }
 
-// canGoOn reports whether the service has a backend server, also one that asks for quiet, at which
+// canGoOn reports whether the service has a backend server, also one that asks for a back-off, at which
 // the stream of r can go on.
 func (c *Core) canGoOn(r *Request) bool {
 	for _, v := range c.byService[r.Service] {
@@ -173,7 +173,7 @@
 		return Wait{Until: soonest, Reason: "adapter is loading"}
 	}
 	if best == nil {
-		if choice := c.awaitQuietCopy(r, shard, usable); choice != nil {
+		if choice := c.awaitBackoffCopy(r, shard, usable); choice != nil {
 			return choice
 		}
 	}
@@ -188,21 +188,21 @@
 	return c.wait(r, shard)
 }
 
-// awaitQuietCopy is awaitQuiet for an adapter all of whose usable copies are at backend servers that
-// ask for quiet. If that lasts long, a load elsewhere is requested too.
-func (c *Core) awaitQuietCopy(r *Request, shard string, usable func(*view) bool) Choice {
-	choice := c.awaitQuiet(r, usable)
+// awaitBackoffCopy is awaitBackoff for an adapter all of whose usable copies are at backend servers that
+// ask for a back-off. If that lasts long, a load elsewhere is requested too.
+func (c *Core) awaitBackoffCopy(r *Request, shard string, usable func(*view) bool) Choice {
+	choice := c.awaitBackoff(r, usable)
 	if choice == nil || !topo.IsAdapter(r.Adapter) {
 		return choice
 	}
-	quiet, waits := choice.(Wait)
-	if waits && quiet.Until <= c.now+quietLoadTime {
+	pause, waits := choice.(Wait)
+	if waits && pause.Until <= c.now+backoffLoadTime {
 		return choice
 	}
 	load, loads := c.wait(r, shard).(Wait)
 	switch {
 	case loads && waits:
-		load.Until = min(load.Until, quiet.Until)
+		load.Until = min(load.Until, pause.Until)
 		return load
 	case loads:
 		return load
@@ -273,7 +273,7 @@
 // sent: one that isn't draining or being avoided and to which r wasn't sent before.
 func (c *Core) ownRegionServes(r *Request) bool {
 	for _, v := range c.byService[r.Service] {
-		if v.Region == c.cfg.Region && !v.isLeaving() && !r.startedElsewhere(v) && v.quiet.admits(c.now) && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
+		if v.Region == c.cfg.Region && !v.isLeaving() && !r.startedElsewhere(v) && v.backoff.admits(c.now) && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
 			return true
 		}
 	}
@@ -304,12 +304,12 @@
 	return !ok || held.revision >= announced.revision || c.now < announced.announcedAt+c.cfg.Policy.VersionGrace
 }
 
-// cheapest returns the backend server with the lowest cost among those that do not leave or ask
-// for quiet and for which usable returns true, and their number. A nil usable allows all.
+// cheapest returns the backend server with the lowest cost among those that neither leave nor ask for
+// a back-off and for which usable returns true, and their number. A nil usable allows all.
 func (c *Core) cheapest(r *Request, list []*view, usable func(*view) bool) (best *view, candidates int) {
 	bestCost := 0.0
 	for _, v := range list {
-		if v.isLeaving() || r.startedElsewhere(v) || !v.quiet.admits(c.now) || usable != nil && !usable(v) {
+		if v.isLeaving() || r.startedElsewhere(v) || !v.backoff.admits(c.now) || usable != nil && !usable(v) {
 			continue
 		}
 		candidates++
@@ -386,7 +386,7 @@
 		Cached: v.prefixes.cached(r),
 	}
 	c.recordSend(r, v)
-	v.quiet.began(r)
+	v.backoff.began(r)
 	return choice
 }
 
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -91,8 +91,8 @@
 	// charged is the number of prompt tokens that the last send added to the backend
 	// server's load: those estimated not to be in its cache.
 	charged units.Tokens
-	// trial reports that the last send was one to a backend server that returns from a quiet
-	// time, and has no answer yet.
+	// trial reports that the last send was one to a backend server that returns from a back-off,
+	// and has no answer yet.
 	trial bool
 	// waiting reports that the request counts in the load request for its adapter.
 	waiting bool
@@ -127,7 +127,7 @@
 	prefixes prefixes
 	// leaving reports that this process said in an answer that it leaves.
 	leaving bool
-	quiet   quiet
+	backoff backoff
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -123,7 +123,7 @@
 func (c *Core) Started(r *Request, server units.BackendServerID) {
 	if v := c.servers[server]; v != nil {
 		v.own.prefill = max(0, v.own.prefill-r.charged)
-		v.quiet.answered(r, true, v.Slots)
+		v.backoff.answered(r, true, v.Slots)
 	}
 }
 
@@ -137,7 +137,7 @@
 	if v == nil {
 		return
 	}
-	v.quiet.answered(r, end == EndServed || end == EndFailed, v.Slots)
+	v.backoff.answered(r, end == EndServed || end == EndFailed, v.Slots)
 	v.own.active = max(0, v.own.active-1)
 	v.own.tokens = max(0, v.own.tokens-r.PromptTokens-r.MaxTokens)
 	if !started {
--- a/internal/core/choose/leaving.go
+++ b/internal/core/choose/leaving.go
@@ -51,8 +51,8 @@
 	switch {
 	case v.leaving:
 		return "the backend server leaves"
-	case c.now < v.quiet.until:
-		return "the backend server asks for quiet"
+	case c.now < v.backoff.until:
+		return "the backend server asks for a back-off"
 	default:
 		return ""
 	}
--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -25,9 +25,9 @@
 	// OnRun, if not nil, is called as each run starts. It must not call the Grid's methods,
 	// because mu is held. Set it before replicas start.
 	OnRun func(Run)
-	// OnQuiet, if not nil, is called for each request that a replica refuses while it asks for
-	// quiet. It must not call the Grid's methods.
-	OnQuiet func(Refusal)
+	// OnBackoff, if not nil, is called for each request that a replica refuses during a
+	// back-off. It must not call the Grid's methods.
+	OnBackoff func(Refusal)
 	// OnRestart, if not nil, is called after Restart has started next in place of old. Set
 	// it before replicas start.
 	OnRestart func(old, next *Replica)
@@ -214,19 +214,19 @@
 	Done <-chan struct{}
 }
 
-// Refusal is a request that a replica refused while it asked for no requests for the time Quiet.
+// Refusal is a request that a replica refused while it asked for no requests for the time Backoff.
 type Refusal struct {
 	ID      string
 	Replica string
 	At      time.Time
-	Quiet   time.Duration
+	Backoff time.Duration
 }
 
-func (g *Grid) noteQuiet(r Refusal) {
+func (g *Grid) noteBackoff(r Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.OnQuiet != nil {
-		g.OnQuiet(r)
+	if g.OnBackoff != nil {
+		g.OnBackoff(r)
 	}
 }
 
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -48,8 +48,8 @@
 	WithholdAnswers atomic.Bool
 	// SaysLeaving makes answers say that the replica leaves, while its entry does not.
 	SaysLeaving atomic.Bool
-	// QuietUntil is the time until which it refuses requests and asks for no more, in Unix ms.
-	QuietUntil atomic.Int64
+	// BackoffUntil is the time until which it refuses requests and asks for no more, in Unix ms.
+	BackoffUntil atomic.Int64
 	// Fail makes requests run and answers them with status 500.
 	Fail atomic.Bool
 
@@ -266,9 +266,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if quiet := time.Until(time.UnixMilli(r.QuietUntil.Load())); quiet > 0 {
-		r.grid.noteQuiet(Refusal{ID: id, Replica: r.ID, At: time.Now(), Quiet: quiet})
-		w.Header().Set("Retry-After", strconv.FormatFloat(quiet.Seconds(), 'f', 3, 64))
+	if backoff := time.Until(time.UnixMilli(r.BackoffUntil.Load())); backoff > 0 {
+		r.grid.noteBackoff(Refusal{ID: id, Replica: r.ID, At: time.Now(), Backoff: backoff})
+		w.Header().Set("Retry-After", strconv.FormatFloat(backoff.Seconds(), 'f', 3, 64))
 		w.Header().Set("Not-Executed", "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/node/fleet/notices.go
+++ b/internal/node/fleet/notices.go
@@ -18,11 +18,11 @@
 		a.noteLeaving()
 	}
 	if status == http.StatusServiceUnavailable && head.RetryAfter != 0 {
-		a.noteQuiet(head.RetryAfter)
+		a.noteBackoff(head.RetryAfter)
 	}
 }
 
-func (a *attempt) noteQuiet(time clock.Millis) {
+func (a *attempt) noteBackoff(time clock.Millis) {
 	if time < 0 {
 		a.log("retry_after_ignored", "server", a.to.Server)
 		return
@@ -30,10 +30,10 @@
 	var left clock.Millis
 	news := false
 	a.node.withCore(func(core *choose.Core) {
-		left, news = core.NoteQuiet(a.node.clock.Now(), a.to.Server, a.to.StartedAt, time)
+		left, news = core.NoteBackoff(a.node.clock.Now(), a.to.Server, a.to.StartedAt, time)
 	})
 	if news {
-		a.log("server_quiet", "server", a.to.Server, "for_ms", int64(left))
+		a.log("server_backoff", "server", a.to.Server, "for_ms", int64(left))
 	}
 }
 
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -20,8 +20,8 @@
 	stops int
 	// leaving are answers in which a server said that it leaves.
 	leaving int
-	// quiet are requests that reached a server which asked for quiet.
-	quiet int
+	// backoff are requests that reached a server which asked for a back-off.
+	backoff int
 	// left are executions whose callers disconnected, leftLong those of them that would have
 	// lasted much longer, resumed those that continue a stream that broke on another server.
 	left, leftLong, resumed int
@@ -56,7 +56,7 @@
 	list = append(list, d.misroutedRequests(byID)...)
 	list = append(list, d.requestsCutByStops()...)
 	list = append(list, d.runsAtLeavingServers(byID)...)
-	list = append(list, d.requestsInQuietTimes(byID)...)
+	list = append(list, d.requestsInBackoffs(byID)...)
 	list = append(list, d.mixedStreams()...)
 	list = append(list, d.runsAfterDisconnect()...)
 	list = append(list, h.retriesOverBudget()...)
@@ -191,22 +191,22 @@
 }
 
 const (
-	// quietNotice is the time after which an entry VM heeds that a server asks for quiet, and
-	// maxInQuiet the number of its requests that may reach the server after that.
-	quietNotice = 500 * time.Millisecond
-	maxInQuiet  = 2
+	// backoffNotice is the time after which an entry VM heeds that a server asks for a back-off, and
+	// maxInBackoff the number of its requests that may reach the server after that.
+	backoffNotice = 500 * time.Millisecond
+	maxInBackoff  = 2
 )
 
-// requestsInQuietTimes finds entry VMs whose requests reach a server in the time for which it asked
+// requestsInBackoffs finds entry VMs whose requests reach a server in the time for which it asked
 // them for none. It holds for entry VMs that did not restart or pause since.
-func (d *deployment) requestsInQuietTimes(byID map[string]*request) (list []string) {
+func (d *deployment) requestsInBackoffs(byID map[string]*request) (list []string) {
 	type pair struct {
 		vm     int
 		server string
 	}
 	told := map[pair][]grid.Refusal{}
-	for _, r := range d.history.quiet {
-		d.coverage.quiet++
+	for _, r := range d.history.backoff {
+		d.coverage.backoff++
 		if q := byID[r.ID]; q != nil {
 			told[pair{q.vm, r.Replica}] = append(told[pair{q.vm, r.Replica}], r)
 		}
@@ -215,12 +215,12 @@
 		for i, first := range refusals {
 			n := 0
 			for _, r := range refusals[i+1:] {
-				if since := r.At.Sub(first.At); since > quietNotice && since < first.Quiet && d.vms[p.vm].faults.free(first.At, r.At) {
+				if since := r.At.Sub(first.At); since > backoffNotice && since < first.Backoff && d.vms[p.vm].faults.free(first.At, r.At) {
 					n++
 				}
 			}
-			if n > maxInQuiet {
-				list = append(list, fmt.Sprintf("%d requests by vm%d reached %s in a quiet time of %s", n, p.vm, p.server, first.Quiet))
+			if n > maxInBackoff {
+				list = append(list, fmt.Sprintf("%d requests by vm%d reached %s in a back-off of %s", n, p.vm, p.server, first.Backoff))
 				break
 			}
 		}
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -135,18 +135,18 @@
 			d.history.recordRun(run("q", "plain-1", "plain", 4105))
 			d.history.storeFaults.list = [][2]time.Time{{at(0), at(5000)}}
 		}, "its answer said that it leaves"},
-		{"requests in a quiet time", func(d *deployment) {
+		{"requests in a back-off", func(d *deployment) {
 			for i, ms := range []int{0, 400, 600, 700, 800} {
 				id := fmt.Sprint("r", i)
 				d.history.addRequest(served(id, "/look/x"))
-				d.history.recordQuiet(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Quiet: time.Second})
+				d.history.recordBackoff(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Backoff: time.Second})
 			}
-		}, "3 requests by vm0 reached plain-1 in a quiet time"},
-		{"requests after a quiet time", func(d *deployment) {
+		}, "3 requests by vm0 reached plain-1 in a back-off"},
+		{"requests after a back-off", func(d *deployment) {
 			for i, ms := range []int{0, 400, 600, 700, 1100, 1200} {
 				id := fmt.Sprint("r", i)
 				d.history.addRequest(served(id, "/look/x"))
-				d.history.recordQuiet(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Quiet: time.Second})
+				d.history.recordBackoff(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Backoff: time.Second})
 			}
 		}, ""},
 		{"stream of two versions", func(d *deployment) {
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -140,7 +140,7 @@
 	g, err := grid.New(handoverInterval - resumeSlack)
 	must.NoError(t, err)
 	d := &deployment{Grid: g, t: t, plan: p, dir: dir, startedAt: time.Now()}
-	g.OnRun, g.OnQuiet, g.OnRestart = d.history.recordRun, d.history.recordQuiet, d.replaceServer
+	g.OnRun, g.OnBackoff, g.OnRestart = d.history.recordRun, d.history.recordBackoff, d.replaceServer
 	if p.deadly != nil {
 		d.deadly = &grid.DeadlyPart{ID: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
 		g.AddDeadlyPart(d.deadly)
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -50,8 +50,8 @@
 		d.configure()
 	case serverSaysLeaving:
 		d.sayLeaving(f)
-	case serverQuiet:
-		d.targetServer(f.target).QuietUntil.Store(time.Now().Add(f.duration).UnixMilli())
+	case serverBackoff:
+		d.targetServer(f.target).BackoffUntil.Store(time.Now().Add(f.duration).UnixMilli())
 		time.Sleep(f.duration)
 	default:
 		d.injectServerFault(f)
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -85,8 +85,8 @@
 	mu       sync.Mutex
 	requests []*request
 	runs     map[string][]*execution
-	// quiet are the refusals of servers that asked for quiet.
-	quiet []grid.Refusal
+	// backoff are the refusals of servers that asked for a back-off.
+	backoff []grid.Refusal
 	// versions holds the time at which each configuration was written, by version.
 	versions []time.Time
 	// leavingSince holds the time at which each leaving server announced it.
@@ -118,10 +118,10 @@
 	}()
 }
 
-func (h *history) recordQuiet(r grid.Refusal) {
+func (h *history) recordBackoff(r grid.Refusal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.quiet = append(h.quiet, r)
+	h.backoff = append(h.backoff, r)
 }
 
 func (h *history) addRun(e *execution) {
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -41,7 +41,7 @@
 	callersReset      kind = "caller_connections_reset"
 	newConfig         kind = "new_configuration"
 	serverSaysLeaving kind = "server_says_leaving"
-	serverQuiet       kind = "server_asks_for_quiet"
+	serverBackoff     kind = "server_asks_for_backoff"
 )
 
 // kinds lists the kinds that newPlan draws first. Another order, or a new kind, gives seeds other
@@ -114,8 +114,8 @@
 // that it leaves.
 const sayLeavingOneIn = 3
 
-// maxQuietSpells is the largest number of times at which a server asks for quiet.
-const maxQuietSpells = 3
+// maxBackoffs is the largest number of times at which a server asks for a back-off.
+const maxBackoffs = 3
 
 // newPlan draws a plan from a seed. A quarter of the seeds have a series of faults of one
 // kind. New draws are added at the end: if the order or number of the draws changes, all seeds give other plans.
@@ -153,9 +153,9 @@
 			duration: time.Duration(r.Int64N(int64(maxFaultDuration))).Round(time.Millisecond), target: r.IntN(1 << 20),
 		})
 	}
-	for range r.IntN(maxQuietSpells + 1) {
+	for range r.IntN(maxBackoffs + 1) {
 		p.faults = append(p.faults, fault{
-			kind: serverQuiet, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow))).Round(time.Millisecond),
+			kind: serverBackoff, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow))).Round(time.Millisecond),
 			duration: (600*time.Millisecond + time.Duration(r.Int64N(int64(maxFaultDuration)))).Round(time.Millisecond), target: r.IntN(1 << 20),
 		})
 	}
