--- a/internal/node/fleet/events.go
+++ b/internal/node/fleet/events.go
@@ -51,10 +51,10 @@
 	}
 }
 
-// isEvent reports whether event is one: it consists of fields and comments, and has data or an id
-// unless it is only a comment.
+// isEvent reports whether event is one: it consists of fields and comments. Fields that only the
+// backend server knows make an event together with data or an id.
 func isEvent(event []byte) bool {
-	onlyComment, hasContent := true, false
+	known, hasContent := true, false
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 || line[0] == ':' {
@@ -64,10 +64,15 @@
 		if !found || bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') }) {
 			return false
 		}
-		onlyComment = false
-		hasContent = hasContent || string(name) == "id" || string(name) == "data"
+		switch string(name) {
+		case "id", "data":
+			hasContent = true
+		case "event", "retry":
+		default:
+			known = false
+		}
 	}
-	return onlyComment || hasContent
+	return known || hasContent
 }
 
 // dataField begins the lines of an event that hold its data.
