--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -105,7 +105,7 @@
 		return c.refuse(r, "no time is left", 0)
 	}
 	if r.Started && !c.canGoOn(r) {
-		return c.refuse(r, "no backend server of the software version that began the stream", 0)
+		return c.refuse(r, noSoftwareReason, 0)
 	}
 	if r.Adapter != "" && c.isEngine(r.Service) {
 		return c.chooseEngine(r)
@@ -120,20 +120,6 @@
 	return c.send(r, best, candidates)
 }
 
-// canGoOn reports whether the service has a backend server, also one that asks for a back-off, at which
-// the stream of r can go on.
-func (c *Core) canGoOn(r *Request) bool {
-	for _, v := range c.byService[r.Service] {
-		if !v.isLeaving() && !r.startedElsewhere(v) {
-			return true
-		}
-	}
-	return false
-}
-
-// startedElsewhere reports whether r has begun at another version than that of v.
-func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.Software != r.Software }
-
 func (c *Core) isEngine(service units.ServiceName) bool {
 	return c.config != nil && c.config.Services[service] != nil && c.config.Services[service].Engine != nil
 }
@@ -212,18 +198,21 @@
 }
 
 // targetShard returns the shard whose placer receives the load request for r's adapter:
-// that of the own region or, while its placer is down and firstPlacerTimeout has passed,
-// the one with the shortest load wait among those with servers of the service. It is empty
+// that of the own region or, while its placer is down and firstPlacerTimeout has passed or
+// r can't run there, the one with the shortest load wait among those with servers of the service. It is empty
 // if none of their placers is up.
 func (c *Core) targetShard(r *Request) string {
 	own := string(c.cfg.Region)
-	if c.placer(own) != nil || c.readyAt > 0 && c.now < c.readyAt+firstPlacerTimeout {
+	if r.Started && !c.hasServers(r, own) {
+		own = ""
+	}
+	if own != "" && (c.placer(own) != nil || c.readyAt > 0 && c.now < c.readyAt+firstPlacerTimeout) {
 		return own
 	}
 	best := ""
 	for name := range c.shards {
 		s := c.placer(name)
-		if s == nil || !c.hasServers(r.Service, name) {
+		if s == nil || !c.hasServers(r, name) {
 			continue
 		}
 		if best == "" || s.loadWait < c.shards[best].loadWait || s.loadWait == c.shards[best].loadWait && name < best {
@@ -233,9 +222,10 @@
 	return best
 }
 
-func (c *Core) hasServers(service units.ServiceName, shard string) bool {
-	for _, v := range c.byService[service] {
-		if string(v.Region) == shard && !v.isLeaving() {
+// hasServers reports whether a shard has a backend server at which r may run.
+func (c *Core) hasServers(r *Request, shard string) bool {
+	for _, v := range c.byService[r.Service] {
+		if string(v.Region) == shard && !v.isLeaving() && !r.startedElsewhere(v) {
 			return true
 		}
 	}
@@ -245,7 +235,8 @@
 // wait requests a load for r, whose adapter has no usable copy, and keeps r waiting while
 // a load could still start before the wait ends; otherwise it refuses r.
 func (c *Core) wait(r *Request, shard string) Choice {
-	until := r.Arrived + min(clock.Millis(waitShare*float64(r.Deadline-r.Arrived)), waitTargets*r.Route.Target)
+	since := max(r.Arrived, r.BrokeAt)
+	until := since + min(clock.Millis(waitShare*float64(r.Deadline-since)), waitTargets*r.Route.Target)
 	if shard == "" {
 		return c.refuse(r, "adapter is not loaded and nobody loads any", retryDelay)
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -84,10 +84,12 @@
 	Tried []units.BackendServerID
 	// Sends is the number of sends, less those that ended with EndUnsent.
 	Sends int
-	// Started reports that a part of the answer was passed on to the caller. The rest may then
-	// come only from backend servers of the version Software.
+	// Started reports that the caller has a part of the answer, of this or an earlier attempt. The
+	// rest may then come only from backend servers of the version Software.
 	Started  bool
 	Software topo.Software
+	// BrokeAt is when a send last ended after Started, 0 if none did.
+	BrokeAt clock.Millis
 	// charged is the number of prompt tokens that the last send added to the backend
 	// server's load: those estimated not to be in its cache.
 	charged units.Tokens
@@ -160,7 +162,7 @@
 	servers      map[units.BackendServerID]*view
 	byService    map[units.ServiceName][]*view
 	shards       map[string]*shard
-	loadRequests map[units.AdapterName]*loadRequest
+	loadRequests map[loadKey]*loadRequest
 	versions     map[units.AdapterName]version
 	budgets      map[units.ServiceName]*budget
 	// missing lists the copies that backend servers reported not to hold, until this is
@@ -205,6 +207,20 @@
 	loadWait clock.Millis
 }
 
+// loadKey identifies a loadRequest: by an adapter and, for streams that have begun, the version
+// at which they can go on.
+type loadKey struct {
+	adapter  units.AdapterName
+	software topo.Software
+}
+
+func (r *Request) loadKey() loadKey {
+	if r.Started {
+		return loadKey{r.Adapter, r.Software}
+	}
+	return loadKey{adapter: r.Adapter}
+}
+
 // loadRequest asks a placer to load an adapter for which requests wait.
 type loadRequest struct {
 	// shard is the shard of the placer that receives the load request.
@@ -228,7 +244,7 @@
 	cfg.Policy = cfg.Policy.withDefaults()
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
-		loadRequests: map[units.AdapterName]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
+		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
 		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{},
 	}
 }
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"mangostile/internal/base/clock"
@@ -133,6 +135,9 @@
 	if end == EndUnsent || end == EndWithdrawn {
 		r.Sends--
 	}
+	if r.Started || started {
+		r.BrokeAt = c.now
+	}
 	v := c.servers[server]
 	if v == nil {
 		return
@@ -179,10 +184,10 @@
 
 // requestLoad counts r in the load request for its adapter.
 func (c *Core) requestLoad(r *Request, shard string) *loadRequest {
-	w := c.loadRequests[r.Adapter]
+	w := c.loadRequests[r.loadKey()]
 	if w == nil {
 		w = &loadRequest{shard: shard, since: c.now, changed: make(chan struct{}), rank: int8(r.Route.Rank)}
-		c.loadRequests[r.Adapter] = w
+		c.loadRequests[r.loadKey()] = w
 	}
 	if w.shard != shard {
 		// The placer that had the load request is down, or the own region's is up again.
@@ -194,7 +199,7 @@
 		w.arrived++
 		w.rank = min(w.rank, int8(r.Route.Rank))
 		prefill := clock.Millis(float64(r.PromptTokens) / c.cfg.Policy.PrefillPerMS)
-		w.loadDeadline = max(w.loadDeadline, r.Arrived+r.Route.Target-prefill)
+		w.loadDeadline = max(w.loadDeadline, max(r.Arrived, r.BrokeAt)+r.Route.Target-prefill)
 	}
 	return w
 }
@@ -205,9 +210,9 @@
 		return
 	}
 	r.waiting = false
-	if w := c.loadRequests[r.Adapter]; w != nil {
+	if w := c.loadRequests[r.loadKey()]; w != nil {
 		if w.count--; w.count <= 0 {
-			delete(c.loadRequests, r.Adapter)
+			delete(c.loadRequests, r.loadKey())
 		}
 	}
 }
@@ -265,23 +270,25 @@
 // addLoadRequests adds the load requests for a shard. For the own region they include
 // adapters for which no request waits but requests were sent to another region.
 func (c *Core) addLoadRequests(u *peer.UsageReport, shard string) {
-	for adapter, w := range c.loadRequests {
+	for key, w := range c.loadRequests {
 		if w.shard != shard {
 			continue
 		}
-		u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{Adapter: adapter, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, LoadDeadline: w.loadDeadline - c.now})
+		u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{Adapter: key.adapter, Software: key.software, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, LoadDeadline: w.loadDeadline - c.now})
 		w.arrived = 0
 	}
 	if shard != string(c.cfg.Region) {
 		return
 	}
 	for adapter, n := range c.otherRegion {
-		if c.loadRequests[adapter] == nil {
+		if c.loadRequests[loadKey{adapter: adapter}] == nil {
 			u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{Adapter: adapter, Arrived: n})
 		}
 	}
 	clear(c.otherRegion)
-	sort.Slice(u.LoadRequests, func(i, j int) bool { return u.LoadRequests[i].Adapter < u.LoadRequests[j].Adapter })
+	slices.SortFunc(u.LoadRequests, func(a, b peer.LoadRequest) int {
+		return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software))
+	})
 }
 
 // takeUsage returns the own load of v for the next usage report. It reports false if there
@@ -392,9 +399,9 @@
 
 // wakeWaiters wakes the requests whose adapter is loaded or loading at a backend server.
 func (c *Core) wakeWaiters() {
-	for adapter, w := range c.loadRequests {
+	for key, w := range c.loadRequests {
 		for _, v := range c.servers {
-			if _, ok := c.holds(v, adapter); ok && !v.Draining {
+			if _, ok := c.holds(v, key.adapter); ok && !v.Draining && (key.software == "" || v.Software == key.software) {
 				close(w.changed)
 				w.changed = make(chan struct{})
 				break
--- /dev/null
+++ b/internal/core/choose/software_test.go
@@ -0,0 +1,91 @@
+package choose
+
+import (
+	"fmt"
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestBrokenStreamAsksForALoadAtItsVersion guards against streams that can't go on because their
+// adapter is loaded at another version, or because the time to wait for a load counts from their
+// arrival: the one copy at their version is lost long after they began.
+func TestBrokenStreamAsksForALoadAtItsVersion(t *testing.T) {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
+	c.SetConfig(testConfig())
+	var list []*topo.Server
+	for i, version := range []topo.Software{"v1", "v1", "v2"} {
+		s := testServer(fmt.Sprint("n", i), "llm", "near", "d1")
+		s.Software = version
+		list = append(list, s)
+	}
+	c.SetServers(list)
+	applyPlacement(c, 4900, "near", 1, peer.ServerPlacement{Server: "n2", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+	r := testRequest("r", "m/a", 1000)
+	r.Started, r.Software, r.BrokeAt = true, "v1", 4900
+	wait, ok := c.Choose(5000, r).(Wait)
+	must.True(t, ok)
+	must.Greater(t, 5000+300, wait.Until)
+	other := testRequest("s", "m/b", 5000)
+	_, ok = c.Choose(5000, other).(Wait)
+	must.True(t, ok)
+	u := c.UsageReport(5000, "near", "address")
+	must.SliceLen(t, 2, u.LoadRequests)
+	must.Eq(t, "v1", u.LoadRequests[0].Software)
+	must.Eq(t, "", u.LoadRequests[1].Software)
+	must.Positive(t, u.LoadRequests[0].LoadDeadline)
+
+	applyPlacement(c, 5200, "near", 2, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+	select {
+	case <-wait.Changed:
+	default:
+		t.Fatal("the wait goes on")
+	}
+	must.Eq(t, "n1", sendTo(t, c.Choose(5200, r)))
+	must.MapLen(t, 1, c.loadRequests)
+}
+
+// TestStreamsStayAtTheirVersion draws lists of backend servers with versions, in any order with
+// sends of a stream that has begun and of new ones. The stream may only go on at its version, and
+// must not be refused for good while a backend server has it.
+func TestStreamsStayAtTheirVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := plainCore()
+		now := clock.Hour
+		versions := []topo.Software{"", "v1", "v2"}
+		var listed []topo.Software
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 200).Draw(t, "pause"))
+			if i == 0 || rapid.Bool().Draw(t, "release") {
+				var list []*topo.Server
+				listed = rapid.SliceOfN(rapid.SampledFrom(versions), 1, 4).Draw(t, "listed")
+				for n, version := range listed {
+					list = append(list, &topo.Server{ID: units.BackendServerID(fmt.Sprint("s", n)), Service: "plain", Domain: "z", Region: "r", Slots: 4, StartedAt: int64(i), Software: version})
+				}
+				c.SetServers(list)
+				continue
+			}
+			r := plainRequest(i, now, clock.Second)
+			r.Started = rapid.Bool().Draw(t, "started")
+			r.Software = rapid.SampledFrom(versions).Draw(t, "software")
+			has := !r.Started
+			for _, version := range listed {
+				has = has || version == r.Software
+			}
+			sent, ok := c.Choose(now, r).(Send)
+			must.Eq(t, has, ok)
+			if ok && r.Started {
+				must.Eq(t, r.Software, sent.Software)
+			}
+			if ok {
+				c.Ended(now, r, sent.Server, true, EndServed)
+			}
+		}
+	})
+}
--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -15,7 +15,7 @@
 		return
 	}
 	for _, s := range p.overloaded() {
-		if name := p.busiestAdapter(s); name != "" && p.place(plan, name, s, "copy of one that crowds its server") {
+		if name := p.busiestAdapter(s); name != "" && p.place(plan, loadKey{adapter: name}, s, "copy of one that crowds its server") {
 			p.lastCopyAt = p.now
 			return
 		}
--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -5,9 +5,10 @@
 	"mangostile/internal/core/topo"
 )
 
-// place loads an adapter on the best backend server other than exclude, or unloads another
+// place loads an adapter on the best backend server for key other than exclude, or unloads another
 // adapter there if it has no free capacity. It reports whether it added an order to plan.
-func (p *Placer) place(plan *Plan, adapter units.AdapterName, exclude *server, reason string) bool {
+func (p *Placer) place(plan *Plan, key loadKey, exclude *server, reason string) bool {
+	adapter := key.adapter
 	model := topo.ModelOf(adapter)
 	var best *server
 	var bestVictim units.AdapterName
@@ -15,7 +16,7 @@
 	slots := p.index().slots
 	for i := range slots {
 		s := slots[i].server
-		if s == exclude || s.orderPending || !s.models[model] || s.copies[adapter] != nil {
+		if s == exclude || !key.allows(s) || s.orderPending || !s.models[model] || s.copies[adapter] != nil {
 			continue
 		}
 		victim, victimDemand, ok := p.findSlot(&slots[i], adapter)
@@ -37,7 +38,7 @@
 		p.send(plan, best, Order{Kind: OrderUnload, Model: topo.ModelOf(bestVictim), Adapter: bestVictim, Reason: "makes room for " + string(adapter)})
 		return true
 	}
-	p.step.served[adapter] = true
+	p.step.addServed(best, adapter)
 	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.policy.AdapterLoad, usedAt: p.now}
 	p.send(plan, best, Order{Kind: OrderLoad, Model: model, Adapter: adapter, Revision: p.newestRevision(adapter), Reason: reason})
 	return true
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -220,7 +220,7 @@
 	// which was at aggregatedAt.
 	usageChanged bool
 	aggregatedAt clock.Millis
-	loadRequests map[units.AdapterName]*loadRequest
+	loadRequests map[loadKey]*loadRequest
 	demand       demand
 	announced    map[units.AdapterName]announced
 	// sequence is the number of the last update by scope, removed lists the backend servers
@@ -254,8 +254,18 @@
 	servers    []peer.ServerUsage
 }
 
-// loadRequest sums up the load requests of all entry VMs for one adapter. Of the embedded
-// LoadRequest only Adapter, Rank and Count are set, and Count only by sortedLoadRequests.
+// loadKey is what a load is requested for: an adapter, and the version of the backend server's
+// software, empty for any.
+type loadKey struct {
+	adapter  units.AdapterName
+	software topo.Software
+}
+
+// allows reports whether a copy at s serves the requests for key.
+func (k loadKey) allows(s *server) bool { return k.software == "" || s.Software == k.software }
+
+// loadRequest sums up the load requests of all entry VMs for one loadKey. Of the embedded
+// LoadRequest only Adapter, Software, Rank and Count are set, and Count only by sortedLoadRequests.
 type loadRequest struct {
 	peer.LoadRequest
 	// since is when the oldest request began to wait, receivedAt when the last usage
@@ -272,7 +282,7 @@
 func New(policy Policy) *Placer {
 	return &Placer{
 		policy: policy.withDefaults(), slowness: 1, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
-		loadRequests: map[units.AdapterName]*loadRequest{}, announced: map[units.AdapterName]announced{},
+		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]announced{},
 	}
 }
 
@@ -372,16 +382,17 @@
 }
 
 func (p *Placer) addLoadRequest(from units.EntryVMID, r *peer.LoadRequest) {
-	w := p.loadRequests[r.Adapter]
+	key := loadKey{r.Adapter, r.Software}
+	w := p.loadRequests[key]
 	if w == nil {
 		w = &loadRequest{since: p.now, countByVM: map[units.EntryVMID]int32{}}
-		p.loadRequests[r.Adapter] = w
+		p.loadRequests[key] = w
 	}
 	w.since = min(w.since, p.now-r.Waited)
 	w.receivedAt = p.now
 	w.loadDeadline = max(w.loadDeadline, p.now+r.LoadDeadline)
 	w.countByVM[from] = r.Count
-	w.Adapter, w.Rank = r.Adapter, r.Rank
+	w.Adapter, w.Software, w.Rank = r.Adapter, r.Software, r.Rank
 	p.demand.add(p.now, r.Adapter, float64(r.Arrived))
 	p.lastLoadRequestAt = p.now
 }
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -52,9 +52,9 @@
 			}
 		}
 	}
-	for adapter, w := range p.loadRequests {
+	for key, w := range p.loadRequests {
 		if p.now > w.receivedAt+loadRequestTTL {
-			delete(p.loadRequests, adapter)
+			delete(p.loadRequests, key)
 		}
 	}
 	p.demand.prune(p.now)
@@ -105,14 +105,15 @@
 		if w.Count == 0 && p.demand.get(p.now, w.Adapter) < minDemandToLoad {
 			continue
 		}
-		if p.hasUsableCopy(w.Adapter) || p.revive(w.Adapter) {
+		key := loadKey{w.Adapter, w.Software}
+		if p.hasUsableCopy(key) || p.revive(key) {
 			continue
 		}
 		if float64(inFlight) >= p.maxLoadsInFlight() {
 			p.loadLimit.bound(p.now)
 			return
 		}
-		if p.place(plan, w.Adapter, nil, "wanted") {
+		if p.place(plan, key, nil, "wanted") {
 			inFlight = p.loadsInFlight()
 		}
 	}
@@ -140,7 +141,10 @@
 		if a.since != b.since {
 			return a.since < b.since
 		}
-		return a.Adapter < b.Adapter
+		if a.Adapter != b.Adapter {
+			return a.Adapter < b.Adapter
+		}
+		return a.Software < b.Software
 	})
 	return list
 }
@@ -152,18 +156,21 @@
 // inTime reports whether a load that starts now ends before w's load deadline.
 func (p *Placer) inTime(w *loadRequest) bool { return p.now+p.policy.AdapterLoad <= w.loadDeadline }
 
-// hasUsableCopy reports whether an adapter has a copy that can be used now or once loaded.
-func (p *Placer) hasUsableCopy(adapter units.AdapterName) bool { return p.index().served[adapter] }
+// hasUsableCopy reports whether there is a copy for key that can be used now or once loaded.
+func (p *Placer) hasUsableCopy(key loadKey) bool { return p.index().served[key] }
 
-// revive makes a retired copy of an adapter ready again and reports whether there was one.
-func (p *Placer) revive(adapter units.AdapterName) bool {
-	s := p.index().retired[adapter]
+// revive makes a retired copy for key ready again and reports whether there was one.
+func (p *Placer) revive(key loadKey) bool {
+	s := p.index().retired[key]
 	if s == nil || s.orderPending {
 		return false
 	}
-	c := s.copies[adapter]
-	c.state, c.usedAt = copyReady, p.now
-	p.step.served[adapter] = true
+	c := s.copies[key.adapter]
+	if c.state == copyRetired {
+		c.state = copyReady
+	}
+	c.usedAt = p.now
+	p.step.addServed(s, key.adapter)
 	s.markChanged()
 	return true
 }
--- /dev/null
+++ b/internal/core/homes/software_test.go
@@ -0,0 +1,39 @@
+package homes
+
+import (
+	"testing"
+
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestAdapterIsLoadedAtTheVersionOfStreams guards against broken streams that wait in vain: a copy
+// at another version of the software counted as theirs. The load is an adapter that new requests
+// and broken streams want at the same time, with a release half done.
+func TestAdapterIsLoadedAtTheVersionOfStreams(t *testing.T) {
+	f := newTestPlacer(8, "s1", "s2", "s3")
+	servers := []*topo.Server{testServer("s1"), testServer("s2"), testServer("s3")}
+	for i, version := range []topo.Software{"v2", "v2", "v1"} {
+		servers[i].Software = version
+	}
+	f.SetServers(1000, servers, testServices(8))
+	request := func(software topo.Software) {
+		f.HandleUsage(f.now, "vm0", &peer.UsageReport{Shard: "r", Address: "a", LoadRequests: []peer.LoadRequest{{Adapter: "m/a1", Software: software, Count: 1, Arrived: 1, LoadDeadline: 500}}})
+	}
+	request("")
+	f.run(1200, 1800)
+	must.SliceLen(t, 1, f.orders)
+	must.Eq(t, "s1", f.orders[0].Server)
+	request("v2")
+	f.run(1800, 2400)
+	must.SliceLen(t, 1, f.orders)
+	request("v1")
+	f.run(2400, 3000)
+	must.SliceLen(t, 2, f.orders)
+	must.Eq(t, "s3", f.orders[1].Server)
+	request("v3")
+	f.run(3000, 3600)
+	must.SliceLen(t, 2, f.orders)
+}
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -7,11 +7,13 @@
 // that the step adds make single entries outdated, which their users check.
 type stepIndex struct {
 	built bool
-	// served holds the adapters with a copy that can be used now or once loaded.
-	served map[units.AdapterName]bool
-	// retired maps adapters to the first backend server with a retired copy that can be
-	// made ready again.
-	retired map[units.AdapterName]*server
+	// versioned reports that served and retired have entries for versions of the software, since
+	// a load is requested for one.
+	versioned bool
+	// served holds that for which there is a copy that can be used now or once loaded.
+	served map[loadKey]bool
+	// retired holds the first backend server with a retired copy that can be made ready again.
+	retired map[loadKey]*server
 	slots   []slot
 }
 
@@ -30,7 +32,10 @@
 	if p.step.built {
 		return &p.step
 	}
-	p.step = stepIndex{built: true, served: map[units.AdapterName]bool{}, retired: map[units.AdapterName]*server{}, slots: p.step.slots[:0]}
+	p.step = stepIndex{built: true, served: map[loadKey]bool{}, retired: map[loadKey]*server{}, slots: p.step.slots[:0]}
+	for key := range p.loadRequests {
+		p.step.versioned = p.step.versioned || key.software != ""
+	}
 	for _, id := range p.order {
 		s := p.servers[id]
 		if s.down {
@@ -53,13 +58,33 @@
 func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
 	switch {
 	case s.orderPending && c.state == copyLoading:
-		p.step.served[adapter] = true
+		p.step.addServed(s, adapter)
 	case p.isOld(adapter, c) || s.Draining || s.Remaining != 0:
 	case c.state == copyReady || c.state == copyLoading:
-		p.step.served[adapter] = true
-	case c.state == copyRetired && s.usable(p.now) && p.step.retired[adapter] == nil:
-		p.step.retired[adapter] = s
+		p.step.addServed(s, adapter)
+	case c.state == copyRetired && s.usable(p.now):
+		for _, key := range p.step.keys(s, adapter) {
+			if p.step.retired[key] == nil {
+				p.step.retired[key] = s
+			}
+		}
+	}
+}
+
+// addServed records that s has a copy of an adapter that can be used now or once loaded.
+func (x *stepIndex) addServed(s *server, adapter units.AdapterName) {
+	for _, key := range x.keys(s, adapter) {
+		x.served[key] = true
+	}
+}
+
+// keys returns what a copy of an adapter at s serves.
+func (x *stepIndex) keys(s *server, adapter units.AdapterName) []loadKey {
+	keys := []loadKey{{adapter: adapter}}
+	if x.versioned && s.Software != "" {
+		keys = append(keys, loadKey{adapter, s.Software})
 	}
+	return keys
 }
 
 // victim returns the retired copy with the least demand at s that may be unloaded, and that
--- a/internal/core/homes/versions.go
+++ b/internal/core/homes/versions.go
@@ -40,7 +40,7 @@
 	late := p.now >= p.announced[adapter].announcedAt+versionGrace
 	if c.active > 0 && !late {
 		if popular && !p.hasNewer(adapter) {
-			p.place(plan, adapter, s, "new version beside the old one")
+			p.place(plan, loadKey{adapter: adapter}, s, "new version beside the old one")
 		}
 		if p.hasNewerReady(adapter) {
 			p.retire(s, c)
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -6,6 +6,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/topo"
 )
 
 // UsageReport reports to the placer of a shard the sender's load on that shard.
@@ -63,6 +64,9 @@
 // 0 it only reports arrivals.
 type LoadRequest struct {
 	Adapter units.AdapterName `msgpack:"n"`
+	// Software is the version of the backend servers at which the streams of these requests can
+	// go on; empty if they may run at any.
+	Software topo.Software `msgpack:"v,omitempty"`
 	// Count is the number of requests that wait for the adapter.
 	Count int32 `msgpack:"c"`
 	// Arrived counts requests for it since the last report.
