--- a/internal/core/choose/backoff_test.go
+++ b/internal/core/choose/backoff_test.go
@@ -20,7 +20,7 @@
 	for _, id := range ids {
 		list = append(list, &topo.Server{ID: id, Service: "plain", Domain: "z", Region: "r", Slots: 16, StartedAt: 1})
 	}
-	c.SetServers(list)
+	c.SetServers(0, list)
 	return c
 }
 
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -26,7 +26,7 @@
 func newTestCore() *Core {
 	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
 	c.SetConfig(testConfig())
-	c.SetServers([]*topo.Server{
+	c.SetServers(0, []*topo.Server{
 		testServer("n1", "llm", "near", "d1"), testServer("n2", "llm", "near", "d2"), testServer("f1", "llm", "far", "d3"),
 		testServer("p1", "plain", "near", "d1"), testServer("p2", "plain", "near", "d2"), testServer("p3", "plain", "far", "d3"),
 	})
@@ -132,7 +132,7 @@
 				applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
 				leaving := testServer("n1", "llm", "near", "d1")
 				leaving.Draining = true
-				c.SetServers([]*topo.Server{leaving})
+				c.SetServers(0, []*topo.Server{leaving})
 			},
 			check: func(t *testing.T, _ *Core, choice Choice) { _, sent := choice.(Send); must.False(t, sent) },
 		},
@@ -221,7 +221,7 @@
 	const requests, ratio, reserve, vms = 300, 0.2, 54, 8
 	c := New(Config{Self: "vm", Region: "near", Domain: "d1", Policy: Policy{RetryRatio: ratio, RetryReserve: reserve}})
 	c.SetConfig(testConfig())
-	c.SetServers([]*topo.Server{testServer("p1", "plain", "near", "d1"), testServer("p2", "plain", "near", "d2")})
+	c.SetServers(0, []*topo.Server{testServer("p1", "plain", "near", "d1"), testServer("p2", "plain", "near", "d2")})
 	retries := 0
 	for i := range requests {
 		now := clock.Millis(10000 + 30*i)
@@ -242,7 +242,7 @@
 func TestReserveIsLeftForBrokenStreams(t *testing.T) {
 	c := New(Config{Self: "vm", Region: "near", Domain: "d1", Policy: Policy{RetryRatio: 0.2, RetryReserve: 54}})
 	c.SetConfig(testConfig())
-	c.SetServers([]*topo.Server{testServer("p1", "plain", "near", "d1")})
+	c.SetServers(0, []*topo.Server{testServer("p1", "plain", "near", "d1")})
 	for range 100 {
 		c.Arrived(10000, "plain")
 	}
@@ -278,7 +278,7 @@
 	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
 	c.SetConfig(testConfig())
 	applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
-	c.SetServers([]*topo.Server{testServer("n1", "llm", "near", "d1")})
+	c.SetServers(0, []*topo.Server{testServer("n1", "llm", "near", "d1")})
 	c.ApplyUpdate(1010, &peer.PlacementUpdate{Shard: "near", Fence: 1, Sequence: 2, Servers: []peer.ServerPlacement{{Server: "n1", LoadOnly: true, Active: 4, Prefill: 900}}})
 	choice := c.Choose(1020, testRequest("r", "m/a", 1020))
 	must.Eq(t, "n1", sendTo(t, choice))
@@ -293,7 +293,7 @@
 	applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
 	restarted := testServer("n1", "llm", "near", "d1")
 	restarted.StartedAt = 7
-	c.SetServers([]*topo.Server{restarted})
+	c.SetServers(0, []*topo.Server{restarted})
 	_, sent := c.Choose(1010, testRequest("r", "m/a", 1010)).(Send)
 	must.False(t, sent)
 }
@@ -330,7 +330,7 @@
 	for i := range 60 {
 		list = append(list, testServer(fmt.Sprint("s", i), "llm", "near", "d1"))
 	}
-	c.SetServers(list)
+	c.SetServers(0, list)
 	for i := range 60 {
 		h := peer.ServerPlacement{Server: units.BackendServerID(fmt.Sprint("s", i))}
 		for j := range 8 {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -163,6 +163,7 @@
 	byService    map[units.ServiceName][]*view
 	shards       map[string]*shard
 	loadRequests map[loadKey]*loadRequest
+	software     softwareHistory
 	versions     map[units.AdapterName]version
 	budgets      map[units.ServiceName]*budget
 	// missing lists the copies that backend servers reported not to hold, until this is
@@ -271,7 +272,9 @@
 
 // SetServers replaces the list of backend servers. A server that is no longer listed stays
 // as a draining one while requests of this entry VM are in flight there.
-func (c *Core) SetServers(list []*topo.Server) {
+func (c *Core) SetServers(now clock.Millis, list []*topo.Server) {
+	c.now = max(c.now, now)
+	c.software.observe(c.now, c.servers)
 	seen := map[units.BackendServerID]bool{}
 	for _, s := range list {
 		seen[s.ID] = true
@@ -306,6 +309,7 @@
 			v.Server = &removed
 		}
 	}
+	c.software.observe(c.now, c.servers)
 	c.index()
 }
 
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -226,7 +226,7 @@
 // since the last report. address is the peer address of this entry VM.
 func (c *Core) UsageReport(now clock.Millis, shard string, address string) *peer.UsageReport {
 	c.now = max(c.now, now)
-	u := &peer.UsageReport{Shard: shard, Address: address, Region: c.cfg.Region}
+	u := &peer.UsageReport{Shard: shard, Address: address, Region: c.cfg.Region, Domain: c.cfg.Domain}
 	if s := c.shards[shard]; s != nil {
 		u.NeedsFull, s.needsFull = s.needsFull, false
 	} else {
--- a/internal/core/choose/leaving_test.go
+++ b/internal/core/choose/leaving_test.go
@@ -32,7 +32,7 @@
 					servers = append(servers, &topo.Server{ID: id, Service: "plain", Domain: "z", Region: "r", Slots: 4, StartedAt: started[id]})
 				}
 			}
-			c.SetServers(servers)
+			c.SetServers(now, servers)
 		}
 		for _, id := range ids {
 			listed[id] = true
@@ -78,7 +78,7 @@
 // TestLeavingIsReportedToThePlacer checks that a placer hears once of a backend server that leaves.
 func TestLeavingIsReportedToThePlacer(t *testing.T) {
 	c := New(Config{Self: "vm0", Domain: "z", Region: "r"})
-	c.SetServers([]*topo.Server{{ID: "a", Service: "llm", Region: "r", StartedAt: 7}})
+	c.SetServers(0, []*topo.Server{{ID: "a", Service: "llm", Region: "r", StartedAt: 7}})
 	must.True(t, c.NoteLeaving("a", 7))
 	must.False(t, c.NoteLeaving("a", 7))
 	must.Eq(t, []units.BackendServerID{"a"}, c.Leaving())
--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -1,5 +1,11 @@
 package choose
 
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/topo"
+)
+
 // noSoftwareReason is the reason of refusing to go on with a stream that no backend server can go
 // on with.
 const noSoftwareReason = "no backend server of the software version that began the stream: send the request without the last event's id"
@@ -17,3 +23,53 @@
 
 // startedElsewhere reports whether r has begun at another version than that of v.
 func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.Software != r.Software }
+
+// softwareKept is how long a version counts as one that may have begun a stream after the last
+// backend server with it was removed.
+const softwareKept = 10 * clock.Minute
+
+// softwareHistory is when backend servers of each version were last listed. The zero value has
+// seen none.
+type softwareHistory struct {
+	seenAt map[serviceSoftware]clock.Millis
+	// since is the time of the first list, 0 before it.
+	since clock.Millis
+}
+
+type serviceSoftware struct {
+	service  units.ServiceName
+	software topo.Software
+}
+
+// observe records that backend servers are listed at now.
+func (h *softwareHistory) observe(now clock.Millis, servers map[units.BackendServerID]*view) {
+	if h.seenAt == nil {
+		h.seenAt = map[serviceSoftware]clock.Millis{}
+	}
+	if h.since == 0 && len(servers) > 0 {
+		h.since = now
+	}
+	for _, v := range servers {
+		h.seenAt[serviceSoftware{v.Service, v.Software}] = now
+	}
+	for key, at := range h.seenAt {
+		if now > at+softwareKept {
+			delete(h.seenAt, key)
+		}
+	}
+}
+
+// OnlySoftware returns a version of a service's backend servers, and reports whether no other one
+// was listed since a time, and whether backend servers have been listed all that time.
+func (c *Core) OnlySoftware(now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
+	c.now = max(c.now, now)
+	count := 0
+	c.software.observe(c.now, c.servers)
+	for key, at := range c.software.seenAt {
+		if key.service == service && at >= since {
+			software = key.software
+			count++
+		}
+	}
+	return software, count == 1, c.software.since > 0 && c.software.since <= since
+}
--- a/internal/core/choose/software_test.go
+++ b/internal/core/choose/software_test.go
@@ -25,7 +25,7 @@
 		s.Software = version
 		list = append(list, s)
 	}
-	c.SetServers(list)
+	c.SetServers(0, list)
 	applyPlacement(c, 4900, "near", 1, peer.ServerPlacement{Server: "n2", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
 	r := testRequest("r", "m/a", 1000)
 	r.Started, r.Software, r.BrokeAt = true, "v1", 4900
@@ -68,7 +68,7 @@
 				for n, version := range listed {
 					list = append(list, &topo.Server{ID: units.BackendServerID(fmt.Sprint("s", n)), Service: "plain", Domain: "z", Region: "r", Slots: 4, StartedAt: int64(i), Software: version})
 				}
-				c.SetServers(list)
+				c.SetServers(now, list)
 				continue
 			}
 			r := plainRequest(i, now, clock.Second)
@@ -89,3 +89,37 @@
 		}
 	})
 }
+
+// TestOnlySoftware checks when a version counts as the only one that may have begun a stream.
+func TestOnlySoftware(t *testing.T) {
+	const start = clock.Hour
+	server := func(id string, version topo.Software) *topo.Server {
+		return &topo.Server{ID: units.BackendServerID(id), Service: "plain", Software: version, StartedAt: 1}
+	}
+	for _, tc := range []struct {
+		name string
+		// lists are applied one second after the other from start on.
+		lists          [][]*topo.Server
+		now, since     clock.Millis
+		only, observed bool
+	}{
+		{"one version all the time", [][]*topo.Server{{server("a", "v1")}}, start + 20000, start + 10000, true, true},
+		{"started only then", [][]*topo.Server{{server("a", "v1")}}, start + 5000, start - 5000, true, false},
+		{"two versions", [][]*topo.Server{{server("a", "v1"), server("b", "v2")}}, start + 20000, start + 10000, false, true},
+		{"the other one is gone for long", [][]*topo.Server{{server("a", "v1"), server("b", "v2")}, {server("a", "v1")}}, start + 20000, start + 10000, true, true},
+		{"the other one has just gone", [][]*topo.Server{{server("a", "v1"), server("b", "v2")}, {server("a", "v1")}}, start + 5000, start + 500, false, true},
+		{"all replaced, gone for long", [][]*topo.Server{{server("a", "v1")}, {server("b", "v2")}}, start + 20000, start + 10000, true, true},
+		{"no version known", [][]*topo.Server{{server("a", "")}}, start + 20000, start + 10000, true, true},
+		{"nothing known", nil, start + 20000, start + 10000, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := plainCore()
+			for i, list := range tc.lists {
+				c.SetServers(start+clock.Millis(i)*clock.Second, list)
+			}
+			_, only, observed := c.OnlySoftware(tc.now, "plain", tc.since)
+			must.Eq(t, tc.only, only)
+			must.Eq(t, tc.observed, observed)
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/origin/starts.go
@@ -0,0 +1,106 @@
+// Package origin keeps which version of a backend server's software began a stream, and decides
+// which entry VMs know it, so that a caller that takes up the stream at another entry VM reaches
+// that version.
+package origin
+
+import (
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/topo"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Key identifies a stream by a hash of the id of the client attempt that brought its first event.
+type Key uint64
+
+// KeyOf returns the key of the stream that the client attempt id began.
+func KeyOf(id units.RequestID) Key { return Key(xxhash.Sum64String(string(id))) }
+
+// Limits of starts.
+const (
+	// MaxStarts is the number of starts that Starts holds.
+	MaxStarts = 16384
+	// MaxLifetime is the longest time for which a start is kept.
+	MaxLifetime = 10 * clock.Minute
+	// maxSoftwareBytes bounds the text of a version.
+	maxSoftwareBytes = 256
+)
+
+// Start is the begin of a stream.
+type Start struct {
+	Key      Key           `msgpack:"k"`
+	Software topo.Software `msgpack:"v"`
+	// Remaining is the time in ms for which the caller may still take up the stream; it is
+	// positive.
+	Remaining clock.Millis `msgpack:"r"`
+}
+
+// Check returns an error if s breaks an invariant of its type.
+func (s *Start) Check() error {
+	if s.Remaining <= 0 {
+		return errors.New("a start that has expired")
+	}
+	return CheckSoftware(s.Software)
+}
+
+// CheckSoftware returns an error if a version that another entry VM sent is too long.
+func CheckSoftware(v topo.Software) error {
+	if len(v) > maxSoftwareBytes {
+		return errors.Errorf("a version of %d bytes", len(v))
+	}
+	return nil
+}
+
+// Starts holds the latest starts. The zero value is empty.
+type Starts struct {
+	byKey map[Key]record
+	// order lists the keys by their first Add. It has each key of byKey once.
+	order []Key
+}
+
+type record struct {
+	software topo.Software
+	until    clock.Millis
+}
+
+// Add records a start. The version of a stream that is known already stays.
+func (s *Starts) Add(now clock.Millis, start Start) {
+	if s.byKey == nil {
+		s.byKey = map[Key]record{}
+	}
+	until := now + min(start.Remaining, MaxLifetime)
+	known, ok := s.byKey[start.Key]
+	if !ok {
+		s.forget(now)
+		s.order = append(s.order, start.Key)
+	}
+	if now >= known.until {
+		known.software = start.Software
+	}
+	known.until = max(known.until, until)
+	s.byKey[start.Key] = known
+}
+
+// forget drops the oldest starts while they have expired or leave no place for another one.
+func (s *Starts) forget(now clock.Millis) {
+	n := 0
+	for n < len(s.order) && (now >= s.byKey[s.order[n]].until || len(s.byKey) >= MaxStarts) {
+		delete(s.byKey, s.order[n])
+		n++
+	}
+	s.order = s.order[n:]
+}
+
+// Find returns the version that began a stream.
+func (s *Starts) Find(now clock.Millis, key Key) (topo.Software, bool) {
+	r, ok := s.byKey[key]
+	if !ok || now >= r.until {
+		return "", false
+	}
+	return r.software, true
+}
+
+// Len returns the number of starts, including some that have expired.
+func (s *Starts) Len() int { return len(s.byKey) }
--- /dev/null
+++ b/internal/core/peer/origin.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"mangostile/internal/core/origin"
+	"mangostile/internal/core/topo"
+)
+
+// StreamStart tells an entry VM that keeps starts of streams which version began one.
+type StreamStart struct {
+	origin.Start `msgpack:"s"`
+}
+
+// OriginRequest asks which version began a stream.
+type OriginRequest struct {
+	// Question identifies the request among those of the sender.
+	Question uint64     `msgpack:"q"`
+	Key      origin.Key `msgpack:"k"`
+	// Address is the peer address of the sender, to which the reply goes.
+	Address string `msgpack:"a"`
+}
+
+// OriginReply answers an OriginRequest.
+type OriginReply struct {
+	Question uint64 `msgpack:"q"`
+	// Known is true if the sender knows the stream.
+	Known    bool          `msgpack:"y,omitempty"`
+	Software topo.Software `msgpack:"v,omitempty"`
+}
+
+func (*StreamStart) peerMessage()   {}
+func (*OriginRequest) peerMessage() {}
+func (*OriginReply) peerMessage()   {}
+
+// Check implements Message.
+func (m *StreamStart) Check() error {
+	if err := m.Start.Check(); err != nil {
+		return invalid("stream_start", err.Error())
+	}
+	return nil
+}
+
+// Check implements Message.
+func (m *OriginRequest) Check() error {
+	if m.Address == "" {
+		return invalid("origin_request", "no address")
+	}
+	return nil
+}
+
+// Check implements Message.
+func (m *OriginReply) Check() error {
+	if err := origin.CheckSoftware(m.Software); err != nil {
+		return invalid("origin_reply", err.Error())
+	}
+	return nil
+}
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -6,6 +6,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/origin"
 	"mangostile/internal/core/topo"
 )
 
@@ -15,6 +16,9 @@
 	// Address is the address at which the sender receives messages.
 	Address string       `msgpack:"a"`
 	Region  units.Region `msgpack:"g,omitempty"`
+	// Domain is the sender's failure domain. Entry VMs of releases that don't keep the starts of
+	// streams leave it empty.
+	Domain units.FailureDomain `msgpack:"d,omitempty"`
 	// Capacity is what the sender can carry as a placer, in processor cores, 0 if unknown.
 	Capacity float64 `msgpack:"c,omitempty"`
 	// NeedsFull asks for a full placement update, since the sender missed one.
@@ -130,6 +134,8 @@
 	ID      units.EntryVMID `msgpack:"i"`
 	Address string          `msgpack:"a"`
 	Region  units.Region    `msgpack:"r,omitempty"`
+	// Domain is that of the member's last usage report.
+	Domain units.FailureDomain `msgpack:"d,omitempty"`
 	// Capacity is that of the member's last usage report.
 	Capacity float64 `msgpack:"c,omitempty"`
 }
@@ -188,6 +194,9 @@
 		if m.LoadRequests[i].Adapter == "" || m.LoadRequests[i].Waited < 0 {
 			return invalid("usage", "load request without adapter or with a negative wait")
 		}
+		if err := origin.CheckSoftware(m.LoadRequests[i].Software); err != nil {
+			return invalid("usage", err.Error())
+		}
 	}
 	return nil
 }
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -299,7 +299,7 @@
 	var count int
 	n.withCore(func(core *choose.Core) {
 		changed = n.mergeServers(update)
-		core.SetServers(n.servers.All())
+		core.SetServers(n.clock.Now(), n.servers.All())
 		count = n.servers.Len()
 	})
 	if len(changed) > 0 {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -42,11 +42,14 @@
 		c.conn.onLeft(cancel)
 		defer c.conn.onLeft(nil)
 	}
+	if !c.bindToOrigin(ctx) {
+		return
+	}
 	for len(c.req.Tried) <= maxSends {
 		if c.endIfQuarantined() || c.endIfStopping() {
 			return
 		}
-		c.req.Started = c.started
+		c.req.Started = c.started || c.resumed
 		var choice choose.Choice
 		n.withCore(func(core *choose.Core) { choice = core.Choose(n.clock.Now(), &c.req) })
 		switch choice := choice.(type) {
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -76,6 +76,8 @@
 	// is the id of the last event written.
 	started   bool
 	lastEvent string
+	// resumed is true if the caller goes on with a stream whose version is known.
+	resumed bool
 	// executions counts backend servers that may have executed the request, suspectBreaks
 	// those that broke the connection before its answer began.
 	executions    int
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -4,11 +4,9 @@
 	"context"
 	"time"
 
-	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/blame"
 	"mangostile/internal/core/peer"
-	"mangostile/internal/node/links"
 )
 
 // Timing and limits of what entry VMs tell each other about crashes. They tell it directly, so
@@ -22,63 +20,14 @@
 	// gossipPeriod is the time between two messages that make up for lost ones: the whole
 	// state, to one entry VM, or a request for it after the start.
 	gossipPeriod = time.Second
-	// gossipPeerTTL is how long an entry VM is told news after it was last heard of. It is long
-	// because without a store there may be no placer to list the entry VMs.
-	gossipPeerTTL = 5 * clock.Minute
 )
 
-// gossipPeer is an entry VM that news are sent to.
-type gossipPeer struct {
-	address string
-	heardAt clock.Millis
-}
-
-// heardOf records the address of another entry VM.
-func (n *Node) heardOf(id units.EntryVMID, address string) {
-	if id == n.settings.ID || address == "" {
-		return
-	}
-	q := &n.quarantine
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.peers == nil {
-		q.peers = map[units.EntryVMID]gossipPeer{}
-	}
-	q.peers[id] = gossipPeer{address: address, heardAt: n.clock.Now()}
-}
-
-// gossipPeers returns up to limit other entry VMs, in the random order of a map.
-func (n *Node) gossipPeers(limit int) []links.Recipient {
-	q := &n.quarantine
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var list []links.Recipient
-	for id, p := range q.peers {
-		if len(list) == limit {
-			break
-		}
-		if n.clock.Now() > p.heardAt+gossipPeerTTL {
-			delete(q.peers, id)
-			continue
-		}
-		list = append(list, links.Recipient{ID: id, Address: p.address})
-	}
-	return list
-}
-
-// gossipAddress returns the address of an entry VM, empty if it is not known.
-func (n *Node) gossipAddress(id units.EntryVMID) string {
-	n.quarantine.mu.Lock()
-	defer n.quarantine.mu.Unlock()
-	return n.quarantine.peers[id].address
-}
-
 // gossip tells other entry VMs news, and the one that they are from what it has wrong: the keys
 // on which answers began, and verdicts.
 func (n *Node) gossip(news blame.News, from units.EntryVMID) {
 	if from != "" && from != fromStore && len(news.Begun)+len(news.Verdicts) > 0 {
 		back := blame.News{Begun: news.Begun, Verdicts: news.Verdicts}
-		n.links.Send(from, n.gossipAddress(from), &peer.CrashNews{News: back, Address: n.settings.PeerAddress})
+		n.links.Send(from, n.peers.address(from), &peer.CrashNews{News: back, Address: n.settings.PeerAddress})
 	}
 	q := &n.quarantine
 	q.mu.Lock()
@@ -96,12 +45,12 @@
 	news := q.pending
 	q.pending = blame.News{}
 	q.mu.Unlock()
-	n.links.Broadcast(n.gossipPeers(gossipFanout), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
+	n.links.Broadcast(n.peers.some(n.clock.Now(), gossipFanout), &peer.CrashNews{News: news, Address: n.settings.PeerAddress})
 }
 
 // handleCrashNews applies the news of another entry VM.
 func (n *Node) handleCrashNews(from units.EntryVMID, m *peer.CrashNews) {
-	n.heardOf(from, m.Address)
+	n.heardOf(peer.Member{ID: from, Address: m.Address})
 	if m.NeedsState {
 		news, synced := n.crashState()
 		n.links.Send(from, m.Address, &peer.CrashNews{News: news, Whole: synced, Address: n.settings.PeerAddress})
@@ -147,5 +96,5 @@
 	if synced && m.Empty() {
 		return
 	}
-	n.links.Broadcast(n.gossipPeers(1), m)
+	n.links.Broadcast(n.peers.some(n.clock.Now(), 1), m)
 }
--- a/internal/node/fleet/leasing.go
+++ b/internal/node/fleet/leasing.go
@@ -122,7 +122,7 @@
 func (p *placerWorker) subscribeMembers(now clock.Millis) {
 	clear(p.subscribers)
 	for _, m := range p.members {
-		p.subscribers[m.ID] = subscriber{address: m.Address, region: m.Region, capacity: claim.Capacity(m.Capacity), lastReportAt: now}
+		p.subscribers[m.ID] = subscriber{address: m.Address, region: m.Region, domain: m.Domain, capacity: claim.Capacity(m.Capacity), lastReportAt: now}
 	}
 }
 
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -73,7 +73,9 @@
 	// members is the number of entry VMs that report to the placer of the own region.
 	members atomic.Int32
 
+	peers      peerBook
 	quarantine quarantine
+	origins    origins
 
 	callers  callers
 	inFlight atomic.Int64
@@ -121,14 +123,14 @@
 func (n *Node) handleMessage(ev event.PeerReceived) bool {
 	switch m := ev.Message.(type) {
 	case *peer.UsageReport:
-		n.heardOf(ev.From, m.Address)
+		n.heardOf(peer.Member{ID: ev.From, Address: m.Address, Region: m.Region, Domain: m.Domain})
 		if p := n.placers[m.Shard]; p != nil {
 			return p.inputs.Push(usageInput{from: ev.From, usage: m})
 		}
 	case *peer.PlacementUpdate:
-		n.heardOf(ev.From, m.Address)
+		n.heardOf(peer.Member{ID: ev.From, Address: m.Address})
 		for _, member := range m.Members {
-			n.heardOf(member.ID, member.Address)
+			n.heardOf(member)
 		}
 		n.applyPlacement(m)
 		if p := n.placers[m.Shard]; p != nil {
@@ -138,6 +140,12 @@
 		n.applyRelayed(m)
 	case *peer.CrashNews:
 		n.handleCrashNews(ev.From, m)
+	case *peer.StreamStart:
+		n.origins.add(n.clock.BootNow(), m.Start)
+	case *peer.OriginRequest:
+		n.answerOrigin(ev.From, m)
+	case *peer.OriginReply:
+		n.origins.answered(m)
 	}
 	return true
 }
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -85,6 +85,7 @@
 type subscriber struct {
 	address      string
 	region       units.Region
+	domain       units.FailureDomain
 	capacity     claim.Capacity
 	lastReportAt clock.Millis
 }
@@ -324,7 +325,7 @@
 		return
 	}
 	sub := p.subscribers[in.from]
-	sub.address, sub.region, sub.capacity, sub.lastReportAt = in.usage.Address, in.usage.Region, claim.Capacity(in.usage.Capacity), now
+	sub.address, sub.region, sub.domain, sub.capacity, sub.lastReportAt = in.usage.Address, in.usage.Region, in.usage.Domain, claim.Capacity(in.usage.Capacity), now
 	if in.usage.NeedsFull {
 		p.fullTo[in.from] = true
 	}
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -79,7 +79,7 @@
 func (p *placerWorker) memberList() []peer.Member {
 	list := make([]peer.Member, 0, len(p.subscribers))
 	for id, sub := range p.subscribers {
-		list = append(list, peer.Member{ID: id, Address: sub.address, Region: sub.region, Capacity: float64(sub.capacity)})
+		list = append(list, peer.Member{ID: id, Address: sub.address, Region: sub.region, Domain: sub.domain, Capacity: float64(sub.capacity)})
 	}
 	slices.SortFunc(list, func(a, b peer.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return list
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -41,8 +41,6 @@
 	unanswered map[*attempt]bool
 	// pending is what waits to be told to other entry VMs.
 	pending blame.News
-	// peers holds the other entry VMs heard of.
-	peers map[units.EntryVMID]gossipPeer
 	// synced is true once another entry VM has sent its state.
 	synced bool
 }
--- a/internal/node/fleet/quarantine_test.go
+++ b/internal/node/fleet/quarantine_test.go
@@ -51,7 +51,7 @@
 	address := runLinks(t, reporter)
 	for i := range 50 * gossipFanout {
 		// News reach the reporter by chance hardly ever.
-		n.heardOf(units.EntryVMID(fmt.Sprint("other", i)), "127.0.0.1:1")
+		n.heardOf(peer.Member{ID: units.EntryVMID(fmt.Sprint("other", i)), Address: "127.0.0.1:1"})
 	}
 	n.quarantine.registry.Began(n.clock.BootNow(), blame.Request{Parts: []blame.Key{sound}})
 	crash := blame.Crash{Server: "s1", Requests: []blame.Request{{Parts: []blame.Key{sound}}}}
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -163,6 +163,7 @@
 	if !a.started {
 		a.started = true
 		a.req.Software = a.to.Software
+		a.recordOrigin()
 		copyHeader(a.w.Header(), answer.Header)
 		a.writeHead(answer.StatusCode)
 	}
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -182,6 +182,9 @@
 	// LastEvent is the id of the last event that the caller received of a broken
 	// stream. It is empty for a new stream.
 	LastEvent string
+	// Resumes is the id of the client attempt that brought the first event of that stream, empty
+	// if the caller does not name it.
+	Resumes units.RequestID
 }
 
 // AttemptHead holds the values of the headers that an entry VM adds to a request.
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -28,6 +28,9 @@
 	tagPlacementUpdate
 	tagFeedUpdate
 	tagCrashNews
+	tagStreamStart
+	tagOriginRequest
+	tagOriginReply
 )
 
 // hello is the first frame of a connection and identifies both ends.
@@ -75,6 +78,12 @@
 		return tagFeedUpdate
 	case *peer.CrashNews:
 		return tagCrashNews
+	case *peer.StreamStart:
+		return tagStreamStart
+	case *peer.OriginRequest:
+		return tagOriginRequest
+	case *peer.OriginReply:
+		return tagOriginReply
 	default:
 		return 0
 	}
@@ -110,6 +119,12 @@
 		return &peer.FeedUpdate{}
 	case tagCrashNews:
 		return &peer.CrashNews{}
+	case tagStreamStart:
+		return &peer.StreamStart{}
+	case tagOriginRequest:
+		return &peer.OriginRequest{}
+	case tagOriginReply:
+		return &peer.OriginReply{}
 	default:
 		return nil
 	}
