--- a/internal/fake/grid/deadly.go
+++ b/internal/fake/grid/deadly.go
@@ -127,8 +127,8 @@
 	defer g.mu.Unlock()
 	g.restarts++
 	next := &Replica{
-		ID: r.ID, Service: r.Service, Zone: r.Zone, Model: r.Model, Slots: r.Slots, AdapterSlots: r.AdapterSlots, Load: r.Load,
-		Events: r.Events, Pace: r.Pace, address: r.Address(), OnListen: func(string) string { return r.advertised },
+		ID: r.ID, Service: r.Service, Zone: r.Zone, Version: r.Version, Model: r.Model, Slots: r.Slots, AdapterSlots: r.AdapterSlots, Load: r.Load,
+		Events: r.Events, Pace: r.Pace, Linger: r.Linger, address: r.Address(), OnListen: func(string) string { return r.advertised },
 	}
 	if g.KeepIDs || g.restarts%keptIDOneIn == 0 {
 		r.replaced.Store(true)
