--- a/internal/fake/grid/caller.go
+++ b/internal/fake/grid/caller.go
@@ -15,6 +15,10 @@
 	Model string
 	// Parts are the parts of the prompt, as hexadecimal ids.
 	Parts []string
+	// LastEvent is the id of the last event that the caller has of the stream which the attempt
+	// Resumes began; 0 for a new request.
+	LastEvent int
+	Resumes   string
 }
 
 // Head returns the head of a request without a body. It contains a Hold header, which only
@@ -28,6 +32,9 @@
 	if len(r.Parts) > 0 {
 		fmt.Fprintf(&b, "%s: %s\r\n", promptHeader, Prompt(r.Parts...))
 	}
+	if r.LastEvent > 0 {
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", r.LastEvent, r.Resumes)
+	}
 	b.WriteString("Content-Length: 0\r\n\r\n")
 	return b.String()
 }
--- a/internal/oper/soak/callers_test.go
+++ b/internal/oper/soak/callers_test.go
@@ -77,21 +77,10 @@
 	}
 }
 
-// send sends one request and reads its answer.
+// send sends one request and reads its answer. If that is a stream that breaks off, the caller may
+// take it up.
 func (c *caller) send() {
-	q := &request{id: fmt.Sprintf("s%d-c%d-%d", c.d.plan.seed, c.index, time.Now().UnixNano()), vm: c.vm.index, reused: c.sent > 0}
-	method, model := http.MethodPost, ""
-	switch c.r.IntN(5) {
-	case 0:
-		q.path = "/once/x"
-	case 1:
-		q.path, method = "/look/x", http.MethodGet
-	default:
-		q.path = "/stream/x"
-		// Adapters with low numbers are requested more often.
-		adapter := int(float64(c.d.plan.adapters) * c.r.Float64() * c.r.Float64())
-		model = fmt.Sprint("m/a", adapter)
-	}
+	q := c.newRequest()
 	timeout := requestTimeout
 	rest := ""
 	if c.r.IntN(disconnectOneIn) == 0 {
@@ -103,7 +92,41 @@
 			q.path = strings.TrimSuffix(q.path, "/x") + grid.LingerPath
 		}
 	}
-	parts := c.prompt(q)
+	q.parts = c.prompt(q)
+	c.attempt(q, timeout, rest)
+	for next := c.takeUp(q); next != nil; next = c.takeUp(next) {
+		c.attempt(next, requestTimeout, "")
+	}
+}
+
+func (c *caller) newID() string {
+	return fmt.Sprintf("s%d-c%d-%d", c.d.plan.seed, c.index, time.Now().UnixNano())
+}
+
+// newRequest draws a request.
+func (c *caller) newRequest() *request {
+	q := &request{id: c.newID(), vm: c.vm.index, reused: c.sent > 0}
+	switch c.r.IntN(5) {
+	case 0:
+		q.path = "/once/x"
+	case 1:
+		q.path = "/look/x"
+	default:
+		q.path = "/stream/x"
+		// Adapters with low numbers are requested more often.
+		adapter := int(float64(c.d.plan.adapters) * c.r.Float64() * c.r.Float64())
+		q.model = fmt.Sprint("m/a", adapter)
+	}
+	return q
+}
+
+// attempt sends q and reads its answer. If the caller disconnects early, it does so after timeout,
+// behind the bytes rest.
+func (c *caller) attempt(q *request, timeout time.Duration, rest string) {
+	method := http.MethodPost
+	if strings.HasPrefix(q.path, "/look/") {
+		method = http.MethodGet
+	}
 	defer c.d.history.addRequest(q)
 	defer func() {
 		q.ended = time.Now()
@@ -119,7 +142,7 @@
 	if !q.disconnectedAt.IsZero() {
 		_ = c.conn.SetDeadline(q.sent.Add(timeout))
 	}
-	_, q.err = io.WriteString(c.conn, grid.Request{Method: method, Path: q.path, ID: q.id, Timeout: requestTimeout, Model: model, Parts: parts}.Head())
+	_, q.err = io.WriteString(c.conn, grid.Request{Method: method, Path: q.path, ID: q.id, Timeout: requestTimeout, Model: q.model, Parts: q.parts, LastEvent: q.lastEvent, Resumes: q.resumes}.Head())
 	if q.err == nil {
 		c.read(q, method)
 	}
--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -25,6 +25,8 @@
 	// left are executions whose callers disconnected, leftLong those of them that would have
 	// lasted much longer, resumed those that continue a stream that broke on another server.
 	left, leftLong, resumed int
+	// takenUp are attempts that took up a stream, wentOn those of them that got events of it.
+	takenUp, wentOn int
 	// lateDeadly are runs of requests with the deadly part after it has to be known,
 	// soundAfter the sound requests after that.
 	lateDeadly, soundAfter int
@@ -58,6 +60,8 @@
 	list = append(list, d.runsAtLeavingServers(byID)...)
 	list = append(list, d.requestsInBackoffs(byID)...)
 	list = append(list, d.mixedStreams()...)
+	list = append(list, d.mixedAttempts(byID)...)
+	list = append(list, d.lostStreams()...)
 	list = append(list, d.runsAfterDisconnect()...)
 	list = append(list, h.retriesOverBudget()...)
 	return append(list, d.crashes()...)
@@ -94,7 +98,7 @@
 // normally has all of them.
 func streamViolation(q *request) string {
 	want := ""
-	for i := 1; i <= streamEvents; i++ {
+	for i := q.lastEvent + 1; i <= streamEvents; i++ {
 		want += fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, q.id, i)
 	}
 	switch {
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// recordTakeUp records a stream that began at version 1, broke off after four events and was taken
+// up at a version.
+func recordTakeUp(d *deployment, run func(id, server, service string, ms int) grid.Run, version string, sent time.Time) {
+	d.history.addRequest(&request{id: "a", path: "/stream/x", sent: sent, ended: sent, status: 200, stamp: "stamp-llm-1", body: completeBody("a", 4)})
+	rest := strings.TrimPrefix(completeBody("b", streamEvents), completeBody("b", 4))
+	d.history.addRequest(&request{id: "b", path: "/stream/x", sent: sent, ended: sent, status: 200, stamp: "stamp-llm-2", body: rest, complete: true, resumes: "a", lastEvent: 4})
+	first, second := run("a", "llm-1", "llm", 5), run("b", "llm-2", "llm", 50)
+	first.Version, second.Version, second.ResumedFrom = "1", version, "4"
+	d.history.recordRun(first)
+	d.history.recordRun(second)
+}
+
 // TestChecksFindBrokenPromises checks that each violation in a history is reported, and
 // that permitted histories are not. Otherwise a soak could pass with a check that finds
 // nothing.
@@ -158,6 +170,19 @@
 			d.history.recordRun(first)
 			d.history.recordRun(second)
 		}, "went on at version 2, begun at 1"},
+		{"stream of two versions over its attempts", func(d *deployment) { recordTakeUp(d, run, "2", at(40)) }, "went on at version 2, a began it at 1"},
+		{"stream taken up at its version", func(d *deployment) { recordTakeUp(d, run, "1", at(40)) }, ""},
+		{"streams that are taken up are refused", func(d *deployment) {
+			for i := range 2 * minTakenUp {
+				id := fmt.Sprint("r", i)
+				q := served(id, "/stream/x")
+				q.body = completeBody(id, streamEvents)
+				if i >= minTakenUp {
+					q.resumes, q.lastEvent, q.siblings, q.status, q.stamp = "r0", 4, minSiblings, 503, ""
+				}
+				d.history.addRequest(q)
+			}
+		}, "0 of 12 streams that were taken up went on, 12 of 12 new ones began"},
 		{"cut off by a stop", func(d *deployment) {
 			d.history.stops = []stop{{requestedAt: at(0), ended: at(4000), undisturbed: true}}
 			d.history.addRequest(&request{id: "r", path: "/once/x", sent: at(10), ended: at(500), err: os.ErrClosed})
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -170,13 +170,21 @@
 	return d
 }
 
-// startServer starts a replica of a service and its relay.
+// startServer starts a replica of a service, at one of the plan's software versions, and its relay.
 func (d *deployment) startServer(service string) {
+	d.mu.Lock()
+	version := fmt.Sprint((d.serversStarted + 1) / 2 % max(1, d.plan.versions))
+	d.mu.Unlock()
+	d.startServerOf(service, version)
+}
+
+// startServerOf starts a replica of a service at a software version, and its relay.
+func (d *deployment) startServerOf(service, version string) {
 	d.mu.Lock()
 	d.serversStarted++
 	r := &grid.Replica{
 		ID: fmt.Sprintf("%s-%d", service, d.serversStarted), Service: service, Zone: "z", Slots: d.plan.slots, Pace: 10 * time.Millisecond, Linger: lingerTime,
-		Version: fmt.Sprint(d.serversStarted / 2 % max(1, d.plan.versions)),
+		Version: version,
 	}
 	d.mu.Unlock()
 	if service == "llm" {
@@ -199,6 +207,20 @@
 	d.servers = append(d.servers, s)
 }
 
+// countVersion returns the number of running servers of a service at the software version of a
+// replica that has run a request of it.
+func (d *deployment) countVersion(service, replica string) (n int) {
+	version := d.history.softwareOf(replica)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		if s.Service == service && s.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // targetServer maps the target of a fault to one of the running servers.
 func (d *deployment) targetServer(target int) *server {
 	d.mu.Lock()
@@ -270,9 +292,10 @@
 
 func (v *vm) settings() string {
 	return fmt.Sprintf(`nodeName=%s
-zone=z
+zone=%s
 region=r
 zones.z=r
+zones.y=r
 ip=%s
 listen.front=%s
 listen.ready=%s:8141
@@ -283,7 +306,7 @@
 bounds.budgetRatio=%g
 bounds.budgetSlack=%d
 bounds.budgetWindowS=%d
-`, v.name(), v.ip, v.frontAddress(), v.ip, v.store.Address(), handoverInterval.Milliseconds(), int(stopGrace.Seconds()), retryRatio, retryReserve, int(retryWindow.Seconds()))
+`, v.name(), []string{"z", "y"}[v.index%2], v.ip, v.frontAddress(), v.ip, v.store.Address(), handoverInterval.Milliseconds(), int(stopGrace.Seconds()), retryRatio, retryReserve, int(retryWindow.Seconds()))
 }
 
 // start starts a process unless one is running.
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -50,6 +50,8 @@
 		d.configure()
 	case serverSaysLeaving:
 		d.sayLeaving(f)
+	case serverRelease:
+		d.release("llm", f.duration)
 	case serverBackoff:
 		d.targetServer(f.target).BackoffUntil.Store(time.Now().Add(f.duration).UnixMilli())
 		time.Sleep(f.duration)
@@ -69,6 +71,26 @@
 	d.SetState(s.Replica, "draining")
 }
 
+// release replaces the servers of a service, one after the other within a time, by ones of a new
+// software version.
+func (d *deployment) release(service string, duration time.Duration) {
+	var old []*server
+	d.mu.Lock()
+	for _, s := range d.servers {
+		if s.Service == service {
+			old = append(old, s)
+		}
+	}
+	d.mu.Unlock()
+	for _, s := range old {
+		d.startServerOf(service, "released")
+		d.removeServer(s)
+		d.history.recordLeaving(s.ID)
+		d.SetState(s.Replica, "draining")
+		time.Sleep(duration / time.Duration(len(old)))
+	}
+}
+
 func (d *deployment) injectVMFault(f fault, v *vm) {
 	switch f.kind {
 	case vmKill:
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -45,8 +45,15 @@
 // request is one request of a caller and its outcome.
 type request struct {
 	id, path string
+	model    string
+	parts    []string
 	vm       int
-	reused   bool
+	// resumes is the id of the attempt that began the stream which this one takes up, lastEvent
+	// the id of the last event that the caller has of it; siblings is the number of servers of
+	// the stream's version that ran then.
+	resumes             string
+	lastEvent, siblings int
+	reused              bool
 	// deadly reports whether the prompt has the part that crashes engines.
 	deadly bool
 	sent   time.Time
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -42,6 +42,7 @@
 	newConfig         kind = "new_configuration"
 	serverSaysLeaving kind = "server_says_leaving"
 	serverBackoff     kind = "server_asks_for_backoff"
+	serverRelease     kind = "server_release"
 )
 
 // kinds lists the kinds that newPlan draws first. Another order, or a new kind, gives seeds other
@@ -114,6 +115,9 @@
 // that it leaves.
 const sayLeavingOneIn = 3
 
+// releaseOneIn is the number of seeds of which one has a release of the engines' software.
+const releaseOneIn = 3
+
 // maxBackoffs is the largest number of times at which a server asks for a back-off.
 const maxBackoffs = 3
 
@@ -160,5 +164,14 @@
 		})
 	}
 	p.versions = 1 + r.IntN(2)
+	if r.IntN(releaseOneIn) == 0 {
+		p.faults = append(p.faults, fault{
+			kind: serverRelease, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow/2))).Round(time.Millisecond),
+			duration: (time.Second + time.Duration(r.Int64N(int64(maxFaultDuration)))).Round(time.Millisecond),
+		})
+	}
+	if p.versions > 1 && r.IntN(2) == 0 {
+		p.versions++
+	}
 	return p
 }
