--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -178,7 +178,7 @@
 				q := served(id, "/stream/x")
 				q.body = completeBody(id, streamEvents)
 				if i >= minTakenUp {
-					q.resumes, q.lastEvent, q.siblings, q.status, q.stamp = "r0", 4, minSiblings, 503, ""
+					q.resumes, q.lastEvent, q.siblings, q.status, q.stamp = "r0", i, minSiblings, 503, ""
 				}
 				d.history.addRequest(q)
 			}
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -53,7 +53,10 @@
 	// the stream's version that ran then.
 	resumes             string
 	lastEvent, siblings int
-	reused              bool
+	// began is the server that began the stream, tries the number of attempts at lastEvent.
+	began  string
+	tries  int
+	reused bool
 	// deadly reports whether the prompt has the part that crashes engines.
 	deadly bool
 	sent   time.Time
--- a/internal/oper/soak/soak_test.go
+++ b/internal/oper/soak/soak_test.go
@@ -29,6 +29,7 @@
 	seed  uint64
 	cause string
 }{
+	{7115, "streams that callers took up went on at another software version"},
 	{16, "crashes of backend servers behind a proxy were no evidence, so requests with a harmful part went on"},
 }
 
--- a/internal/oper/soak/takeup_test.go
+++ b/internal/oper/soak/takeup_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 const (
+	// maxTakeUps is the number of attempts to take up a stream at one event, takeUpDelay the time
+	// between them.
+	maxTakeUps  = 4
+	takeUpDelay = 300 * time.Millisecond
 	// minTakenUp is the number of streams taken up from which on the share that goes on is
 	// checked.
 	minTakenUp = 12
@@ -20,15 +25,28 @@
 // does not go on with it. That attempt is at any entry VM.
 func (c *caller) takeUp(q *request) *request {
 	got := strings.Count(q.body, "\n\n")
-	if !q.isStream() || q.status != 200 || q.complete || got == 0 || q.deadly || c.r.IntN(2) == 0 {
+	if !q.isStream() || q.complete || q.deadly || q.lastEvent+got == 0 {
+		return nil
+	}
+	next := &request{path: "/stream/x", model: q.model, parts: q.parts, resumes: q.root(), lastEvent: q.lastEvent + got, tries: 1}
+	switch {
+	case q.status != 200:
+		if next.tries += q.tries; next.tries > maxTakeUps {
+			return nil
+		}
+		time.Sleep(takeUpDelay)
+	case !q.disconnectedAt.IsZero() && c.r.IntN(2) == 0:
 		return nil
 	}
 	c.close()
 	if !c.connect() {
 		return nil
 	}
-	next := &request{id: c.newID(), path: "/stream/x", model: q.model, parts: q.parts, vm: c.vm.index, resumes: q.root(), lastEvent: q.lastEvent + got}
-	next.siblings = c.d.countVersion("llm", q.server())
+	next.id, next.vm, next.began = c.newID(), c.vm.index, q.began
+	if next.began == "" {
+		next.began = q.server()
+	}
+	next.siblings = c.d.countVersion("llm", next.began)
 	return next
 }
 
@@ -84,7 +102,9 @@
 // lostStreams reports whether streams that callers took up were refused more often than new ones,
 // although servers of their version ran and nothing else was disturbed.
 func (d *deployment) lostStreams() (list []string) {
-	var takenUp, wentOn, sent, began int
+	var sent, began, wentOn int
+	// takenUp holds whether each stream that was taken up went on, by its attempt and event.
+	takenUp := map[string]bool{}
 	for _, q := range d.history.requests {
 		if !q.isStream() || q.deadly || !q.disconnectedAt.IsZero() || !d.undisturbed(q.vm, q.sent, q.ended) || !d.history.serverFaults.free(q.sent, q.ended) {
 			continue
@@ -95,12 +115,15 @@
 			sent++
 			began += count(answered)
 		case q.siblings >= minSiblings:
-			takenUp++
-			wentOn += count(answered)
+			key := fmt.Sprint(q.resumes, " ", q.lastEvent)
+			takenUp[key] = takenUp[key] || answered
 		}
 	}
-	if takenUp >= minTakenUp && float64(wentOn*sent) < minShareOfNew*float64(began*takenUp) {
-		list = append(list, fmt.Sprintf("%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, takenUp, began, sent))
+	for _, answered := range takenUp {
+		wentOn += count(answered)
+	}
+	if len(takenUp) >= minTakenUp && float64(wentOn*sent) < minShareOfNew*float64(began*len(takenUp)) {
+		list = append(list, fmt.Sprintf("%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, len(takenUp), began, sent))
 	}
 	return list
 }
