--- /dev/null
+++ b/internal/oper/chaos/scenario.go
@@ -0,0 +1,95 @@
+// Package chaos plays disturbances of model engines against the decisions of several entry VMs in
+// virtual time: the choice of a backend server on each (core/choose) and one placer (core/homes).
+package chaos
+
+import (
+	"mangostile/internal/base/clock"
+)
+
+// Disturbance is what happens to backend servers.
+type Disturbance string
+
+// Disturbances.
+const (
+	// Backoff lets backend servers refuse requests and ask for a back-off.
+	Backoff Disturbance = "backoff"
+	// Leaving lets backend servers say that they leave, and end some time later.
+	Leaving Disturbance = "leaving"
+	// Release replaces backend servers by ones of another software version, one after the other.
+	Release Disturbance = "release"
+)
+
+// Disturbances lists all of them.
+func Disturbances() []Disturbance { return []Disturbance{Backoff, Leaving, Release} }
+
+// Scenario describes a run. The zero values of fields other than Disturbance take the defaults.
+type Scenario struct {
+	Name        string      `json:"name"`
+	Disturbance Disturbance `json:"disturbance"`
+	Seed        uint64      `json:"seed"`
+	EntryVMs    int         `json:"entry_vms"`
+	Engines     int         `json:"engines"`
+	// Share is the share of the engines that are disturbed.
+	Share float64 `json:"share"`
+	// Rate is the number of requests in a second, Adapters that of adapters, the first ones of
+	// which are requested more often.
+	Rate     float64 `json:"rate"`
+	Adapters int     `json:"adapters"`
+	// From and To bound the disturbance, Duration the run, in ms.
+	From     clock.Millis `json:"from_ms"`
+	To       clock.Millis `json:"to_ms"`
+	Duration clock.Millis `json:"duration_ms"`
+}
+
+// Defaults of Scenario.
+const (
+	defaultEntryVMs = 7
+	defaultEngines  = 18
+	defaultShare    = 1.0 / 3
+	defaultRate     = 60
+	defaultAdapters = 120
+	defaultFrom     = 20 * clock.Second
+	defaultTo       = 30 * clock.Second
+	defaultDuration = 50 * clock.Second
+)
+
+func (s Scenario) withDefaults() Scenario {
+	setDefault(&s.EntryVMs, defaultEntryVMs)
+	setDefault(&s.Engines, defaultEngines)
+	setDefault(&s.Share, defaultShare)
+	setDefault(&s.Rate, defaultRate)
+	setDefault(&s.Adapters, defaultAdapters)
+	setDefault(&s.From, defaultFrom)
+	setDefault(&s.To, defaultTo)
+	setDefault(&s.Duration, defaultDuration)
+	setDefault(&s.Name, string(s.Disturbance))
+	return s
+}
+
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
+
+// Phase is a part of a run, relative to the disturbance.
+type Phase string
+
+// Phases. After begins at the end of the disturbance.
+const (
+	Before Phase = "before"
+	During Phase = "during"
+	After  Phase = "after"
+)
+
+func (s *Scenario) phaseOf(at clock.Millis) Phase {
+	switch {
+	case at < s.From:
+		return Before
+	case at < s.To:
+		return During
+	default:
+		return After
+	}
+}
--- a/internal/oper/cmds/experimentcmd.go
+++ b/internal/oper/cmds/experimentcmd.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/oper/chaos"
 	"mangostile/internal/oper/trial"
 
 	"github.com/pkg/errors"
@@ -23,6 +27,7 @@
 		Usage:     "compare policies for routing, placement and loads in virtual time",
 		UsageText: "mangostile experiment --size guild --seed 1 --output results",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "disturbance", Usage: "play `NAME` instead: " + strings.Join(disturbances(), ", ")},
 			&cli.FloatFlag{Name: "load", Usage: "multiply the request rate by `FACTOR`", Value: 1},
 			&cli.StringFlag{Name: "output", Usage: "write NAME.json and NAME.png into `DIRECTORY`"},
 			&cli.IntFlag{Name: "seconds", Usage: "virtual `SECONDS` to play"},
@@ -30,6 +35,9 @@
 			&cli.StringFlag{Name: "size", Usage: "`SIZE` to play: guild, kanoride or overload; the first two if not given"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.IsSet("disturbance") {
+				return runDisturbance(cmd)
+			}
 			scenarios, err := experimentScenarios(cmd)
 			if err != nil {
 				return err
@@ -73,6 +81,38 @@
 
 func runExperiment(cmd *cli.Command, s trial.Scenario) error {
 	report := trial.Run(s)
+	return saveExperiment(cmd, s.Name, &report)
+}
+
+// disturbances returns the names of the disturbances.
+func disturbances() []string {
+	var names []string
+	for _, d := range chaos.Disturbances() {
+		names = append(names, string(d))
+	}
+	return names
+}
+
+// runDisturbance plays one disturbance of backend servers.
+func runDisturbance(cmd *cli.Command) error {
+	name := cmd.String("disturbance")
+	if !slices.Contains(disturbances(), name) {
+		return &usageError{"unknown disturbance " + name + ": use " + strings.Join(disturbances(), ", ")}
+	}
+	if cmd.IsSet("size") || cmd.IsSet("seconds") || cmd.IsSet("load") {
+		return &usageError{"--disturbance takes --seed and --output only"}
+	}
+	return saveExperiment(cmd, name, chaos.Run(chaos.Scenario{Disturbance: chaos.Disturbance(name), Seed: cmd.Uint64("seed")}))
+}
+
+// experimentReport is what an experiment found.
+type experimentReport interface {
+	WriteTable(w io.Writer) error
+	SavePlot(path string) error
+}
+
+// saveExperiment prints a report and, with --output, saves it as name.json and name.png.
+func saveExperiment(cmd *cli.Command, name string, report experimentReport) error {
 	if err := report.WriteTable(cmd.Root().Writer); err != nil {
 		return err
 	}
@@ -87,8 +127,8 @@
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return errors.Wrap(err, "choose a directory that can be written")
 	}
-	if err := os.WriteFile(filepath.Join(directory, s.Name+".json"), append(body, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(directory, name+".json"), append(body, '\n'), 0o644); err != nil {
 		return errors.Wrap(err, "choose a directory that can be written")
 	}
-	return report.SavePlot(filepath.Join(directory, s.Name+".png"))
+	return report.SavePlot(filepath.Join(directory, name+".png"))
 }
