--- a/internal/core/choose/backoff_test.go
+++ b/internal/core/choose/backoff_test.go
@@ -154,6 +154,7 @@
 	u := c.UsageReport(now+500, "r", "x")
 	must.Eq(t, []peer.ServerBackoff{{Server: "a", StartedAt: 1, Remaining: 1500}, {Server: "b", StartedAt: 1, Remaining: 500}}, u.Backoffs)
 	must.True(t, u.HasContent())
+	must.Eq(t, 1400, c.Status(now + 600)[0].Backoff)
 	c.NoteBackoff(now+600, "b", 1, 100)
 	must.SliceEmpty(t, c.UsageReport(now+600, "r", "x").Backoffs)
 	c.NoteBackoff(now+700, "b", 1, clock.Second)
--- a/internal/core/choose/leaving.go
+++ b/internal/core/choose/leaving.go
@@ -1,8 +1,6 @@
 package choose
 
 import (
-	"sort"
-
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
@@ -57,15 +55,3 @@
 		return ""
 	}
 }
-
-// Leaving lists the backend servers that were recorded by NoteLeaving and are listed, in order.
-func (c *Core) Leaving() []units.BackendServerID {
-	var list []units.BackendServerID
-	for id, v := range c.servers {
-		if v.leaving {
-			list = append(list, id)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
-	return list
-}
--- a/internal/core/choose/leaving_test.go
+++ b/internal/core/choose/leaving_test.go
@@ -81,7 +81,7 @@
 	c.SetServers(0, []*topo.Server{{ID: "a", Service: "llm", Region: "r", StartedAt: 7}})
 	must.True(t, c.NoteLeaving("a", 7))
 	must.False(t, c.NoteLeaving("a", 7))
-	must.Eq(t, []units.BackendServerID{"a"}, c.Leaving())
+	must.Eq(t, []ServerStatus{{Server: "a", Service: "llm", Region: "r", Leaving: true}}, c.Status(clock.Hour))
 	u := c.UsageReport(clock.Hour, "r", "x")
 	must.SliceLen(t, 1, u.Leaving)
 	must.Eq(t, 7, u.Leaving[0].StartedAt)
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -218,11 +219,28 @@
 	}
 }
 
-func (n *Node) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+// ServersPath is the path at the metrics address that lists the backend servers as JSON, as
+// []choose.ServerStatus. All other paths have the metrics.
+const ServersPath = "/servers"
+
+func (n *Node) answerMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ServersPath {
+		n.answerServers(w)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	n.meter.Write(w)
 }
 
+func (n *Node) answerServers(w http.ResponseWriter) {
+	var list []choose.ServerStatus
+	n.withCore(func(core *choose.Core) { list = core.Status(n.clock.Now()) })
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		n.log.Warn("servers_not_taken", "error", err)
+	}
+}
+
 const sweepPeriod = time.Second
 
 func (n *Node) sweep(ctx context.Context) error {
