--- a/internal/core/choose/backoff.go
+++ b/internal/core/choose/backoff.go
@@ -33,8 +33,6 @@
 	limit int32
 	// trials counts the requests sent under a limit that have no answer yet.
 	trials int32
-	// untold reports that the placer has not been told of it.
-	untold bool
 }
 
 func (b *backoff) admits(now clock.Millis) bool {
@@ -83,7 +81,8 @@
 	if until <= v.backoff.until {
 		return v.backoff.until - c.now, false
 	}
-	v.backoff.until, v.backoff.limit, v.backoff.untold = until, 1, true
+	v.backoff.until, v.backoff.limit = until, 1
+	c.backoffNews[server] = true
 	return until - c.now, true
 }
 
@@ -91,11 +90,15 @@
 // told, in order.
 func (c *Core) takeBackoffs(shard string) []peer.ServerBackoff {
 	var list []peer.ServerBackoff
-	for id, v := range c.servers {
-		if !v.backoff.untold || string(v.Region) != shard {
+	for id := range c.backoffNews {
+		v := c.servers[id]
+		if v != nil && string(v.Region) != shard {
+			continue
+		}
+		delete(c.backoffNews, id)
+		if v == nil {
 			continue
 		}
-		v.backoff.untold = false
 		if left := v.backoff.until - c.now; left > 0 {
 			list = append(list, peer.ServerBackoff{Server: id, StartedAt: v.StartedAt, Remaining: left})
 		}
--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -199,8 +199,8 @@
 
 // targetShard returns the shard whose placer receives the load request for r's adapter:
 // that of the own region or, while its placer is down and firstPlacerTimeout has passed or
-// r can't run there, the one with the shortest load wait among those with servers of the service. It is empty
-// if none of their placers is up.
+// r can't run there, the one with the shortest load wait among those with servers for r. It
+// is empty if none of their placers is up.
 func (c *Core) targetShard(r *Request) string {
 	own := string(c.cfg.Region)
 	if r.Started && !c.hasServers(r, own) {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -181,6 +181,8 @@
 	// leaves, leavingNews those not yet reported to the placer.
 	leaving     map[units.BackendServerID]int64
 	leavingNews map[units.BackendServerID]int64
+	// backoffNews holds the backend servers whose back-off was not yet reported to the placer.
+	backoffNews map[units.BackendServerID]bool
 	// placements holds the last placement of each backend server, including servers not
 	// listed yet.
 	placements map[units.BackendServerID]placement
@@ -246,7 +248,7 @@
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
 		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
-		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{},
+		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{}, backoffNews: map[units.BackendServerID]bool{},
 	}
 }
 
@@ -309,7 +311,9 @@
 			v.Server = &removed
 		}
 	}
-	c.software.observe(c.now, c.servers)
+	if c.software.since == 0 && len(c.servers) > 0 {
+		c.software.since = c.now
+	}
 	c.index()
 }
 
--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -28,8 +28,8 @@
 // backend server with it was removed.
 const softwareKept = 10 * clock.Minute
 
-// softwareHistory is when backend servers of each version were last listed. The zero value has
-// seen none.
+// softwareHistory is when backend servers of each version were last listed, apart from those that
+// are now. The zero value has seen none.
 type softwareHistory struct {
 	seenAt map[serviceSoftware]clock.Millis
 	// since is the time of the first list, 0 before it.
@@ -41,14 +41,11 @@
 	software topo.Software
 }
 
-// observe records that backend servers are listed at now.
+// observe records that backend servers are listed until now.
 func (h *softwareHistory) observe(now clock.Millis, servers map[units.BackendServerID]*view) {
 	if h.seenAt == nil {
 		h.seenAt = map[serviceSoftware]clock.Millis{}
 	}
-	if h.since == 0 && len(servers) > 0 {
-		h.since = now
-	}
 	for _, v := range servers {
 		h.seenAt[serviceSoftware{v.Service, v.Software}] = now
 	}
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -63,30 +63,30 @@
 	case c.state == copyReady || c.state == copyLoading:
 		p.step.addServed(s, adapter)
 	case c.state == copyRetired && s.usable(p.now):
-		for _, key := range p.step.keys(s, adapter) {
-			if p.step.retired[key] == nil {
-				p.step.retired[key] = s
-			}
+		p.step.addRetired(s, loadKey{adapter: adapter})
+		if p.step.isVersioned(s) {
+			p.step.addRetired(s, loadKey{adapter, s.Software})
 		}
 	}
 }
 
-// addServed records that s has a copy of an adapter that can be used now or once loaded.
-func (x *stepIndex) addServed(s *server, adapter units.AdapterName) {
-	for _, key := range x.keys(s, adapter) {
-		x.served[key] = true
+func (x *stepIndex) addRetired(s *server, key loadKey) {
+	if x.retired[key] == nil {
+		x.retired[key] = s
 	}
 }
 
-// keys returns what a copy of an adapter at s serves.
-func (x *stepIndex) keys(s *server, adapter units.AdapterName) []loadKey {
-	keys := []loadKey{{adapter: adapter}}
-	if x.versioned && s.Software != "" {
-		keys = append(keys, loadKey{adapter, s.Software})
+// addServed records that s has a copy of an adapter that can be used now or once loaded.
+func (x *stepIndex) addServed(s *server, adapter units.AdapterName) {
+	x.served[loadKey{adapter: adapter}] = true
+	if x.isVersioned(s) {
+		x.served[loadKey{adapter, s.Software}] = true
 	}
-	return keys
 }
 
+// isVersioned reports whether a copy at s also serves requests for its version of the software.
+func (x *stepIndex) isVersioned(s *server) bool { return x.versioned && s.Software != "" }
+
 // victim returns the retired copy with the least demand at s that may be unloaded, and that
 // demand. Copies in use or retired less than unloadDelay ago are excluded.
 func (p *Placer) victim(s *server) (victim units.AdapterName, demand float64) {
