--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -75,6 +75,7 @@
 	members atomic.Int32
 
 	peers      peerBook
+	traffic    traffic
 	quarantine quarantine
 	origins    origins
 
@@ -105,7 +106,7 @@
 	n.quarantine.stored = newQuarantineStore(n, n)
 	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
 	n.graceOver, n.endGrace = context.WithCancel(context.Background())
-	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, Logger: o.Logger})
+	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, OnSent: n.traffic.add, Logger: o.Logger})
 	for _, region := range o.Settings.Regions {
 		if shard := string(region); n.placers[shard] == nil {
 			n.placers[shard] = newPlacerWorker(n, shard)
@@ -183,6 +184,7 @@
 	group.Go(func() error { return n.reportUsage(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
 	group.Go(func() error { return n.watchCallers(ctx) })
+	group.Go(func() error { return n.reportTraffic(ctx) })
 	group.Go(func() error { return n.syncCrashState(ctx) })
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	for _, p := range n.placers {
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// kinds holds the name of each type of message, by its tag, for metrics.
+var kinds = [...]string{
+	tagHeartbeat: "heartbeat", tagGrantRequest: "grant_request", tagGrantReply: "grant_reply", tagGrantRelease: "grant_release",
+	tagConfigRecords: "config_records", tagConfigRequest: "config_request", tagConfigSnapshot: "config_snapshot", tagPoisonMark: "poison_mark",
+	tagDomainSummary: "domain_summary", tagHandover: "handover", tagUsageReport: "usage_report", tagPlacementUpdate: "placement_update",
+	tagFeedUpdate: "feed_update", tagCrashNews: "crash_news", tagStreamStart: "stream_start", tagOriginRequest: "origin_request", tagOriginReply: "origin_reply",
+}
+
+// kindOf returns the name of the type of m.
+func kindOf(m peer.Message) string { return kinds[tagOf(m)] }
+
 func newMessage(tag byte) peer.Message {
 	switch tag {
 	case tagHeartbeat:
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -28,6 +28,9 @@
 	// Deliver passes a received message to the core. It reports false if it dropped the
 	// message.
 	Deliver func(event.PeerReceived) bool
+	// OnSent, if not nil, is called for each message written, with its kind and the bytes of its
+	// frame. It is called from several goroutines.
+	OnSent func(kind string, bytes int)
 	// Logger receives a line for each failed TLS handshake, rate-limited; nil logs nothing.
 	Logger hclog.Logger
 	// TLS is nil for connections without encryption and authentication.
@@ -358,6 +361,9 @@
 		return false
 	}
 	l.sent.add(len(out))
+	if l.options.OnSent != nil {
+		l.options.OnSent(kindOf(m.Message), len(out))
+	}
 	return true
 }
 
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// PeerSent counts bytes of messages to other entry VMs, by kind of message.
+func (m *Meter) PeerSent(kind string, bytes int64) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"kind": kind}).Counter("peer_sent_bytes_total").Inc(bytes)
+	}
+}
+
 // SetPlacing sets the gauge that is 1 while the entry VM is the placer of a shard.
 func (m *Meter) SetPlacing(shard string, placing bool) {
 	if m != nil {
