--- a/internal/oper/chaos/world.go
+++ b/internal/oper/chaos/world.go
@@ -1,12 +1,12 @@
 package chaos
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/base/vtime"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/homes"
 	"mangostile/internal/core/topo"
@@ -60,28 +60,6 @@
 	running        map[*call]bool
 }
 
-// timer calls run at an instant. Timers of the same instant run in the order of seq.
-type timer struct {
-	at  clock.Millis
-	seq int
-	run func()
-}
-
-type timers []timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
-
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // world is the state of one run.
 type world struct {
 	scenario Scenario
@@ -92,8 +70,7 @@
 	arrivals, returns *rand.Rand
 
 	now     clock.Millis
-	pending timers
-	seq     int
+	pending vtime.Queue
 	cores   []*choose.Core
 	placer  *homes.Placer
 	servers []*server
@@ -108,6 +85,7 @@
 func newWorld(s Scenario, heeds bool) *world {
 	w := &world{scenario: s, heeds: heeds, arrivals: rand.New(rand.NewPCG(s.Seed, 1)), returns: rand.New(rand.NewPCG(s.Seed, 2)), now: clock.Second}
 	w.placer = homes.New(homes.Policy{AdapterLoad: adapterLoad})
+	w.pending.Start(w.now)
 	for i := range s.EntryVMs {
 		c := choose.New(choose.Config{Self: vmID(i), Domain: "d", Region: shard, Policy: choose.Policy{PrefillPerMS: prefillPerMS, RetryRatio: 0.2, RetryReserve: 54}})
 		c.SetConfig(w.config())
@@ -135,8 +113,7 @@
 
 // after calls run after a delay.
 func (w *world) after(delay clock.Millis, run func()) {
-	w.seq++
-	heap.Push(&w.pending, timer{at: w.now + max(0, delay), seq: w.seq, run: run})
+	w.pending.At(w.now+delay, run)
 }
 
 // every calls run once per period until the end of the run.
@@ -155,10 +132,9 @@
 	w.arrive()
 	w.disturb()
 	end := w.now + w.scenario.Duration
-	for len(w.pending) > 0 && w.pending[0].at < end+requestBudget {
-		next := heap.Pop(&w.pending).(timer)
-		w.now = next.at
-		next.run()
+	for run := w.pending.Next(end + requestBudget); run != nil; run = w.pending.Next(end + requestBudget) {
+		w.now = w.pending.Now()
+		run()
 	}
 }
 
--- a/internal/oper/trial/world.go
+++ b/internal/oper/trial/world.go
@@ -1,12 +1,12 @@
 package trial
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/base/vtime"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -74,8 +74,7 @@
 	trace    *trace
 	policy   policy
 	now      clock.Millis
-	seq      int64
-	pending  timers
+	pending  vtime.Queue
 	engines  []*engine
 	// storeFreeAt is the earliest time at which the store starts the next load.
 	storeFreeAt   clock.Millis
@@ -106,6 +105,7 @@
 // play runs the simulation until all deadlines have passed.
 func (w *world) play() {
 	w.now = 1
+	w.pending.Start(w.now)
 	w.policy.start(w)
 	for i := range w.calls {
 		c := &w.calls[i]
@@ -119,17 +119,15 @@
 		w.at(r.at+warmUp, func() { w.restart(e) })
 	}
 	end := w.scenario.Duration + warmUp + w.scenario.Deadline + clock.Second
-	for len(w.pending) > 0 && w.pending[0].at <= end {
-		next := heap.Pop(&w.pending).(timer)
-		w.now = next.at
-		next.run()
+	for run := w.pending.Next(end); run != nil; run = w.pending.Next(end) {
+		w.now = w.pending.Now()
+		run()
 	}
 }
 
 // at schedules f at a time. Functions due at the same time run in the order of the calls.
 func (w *world) at(at clock.Millis, f func()) {
-	w.seq++
-	heap.Push(&w.pending, timer{at: max(at, w.now), seq: w.seq, run: f})
+	w.pending.At(at, f)
 }
 
 func (w *world) after(d clock.Millis, f func()) { w.at(w.now+d, f) }
@@ -317,36 +315,3 @@
 		w.policy.restarted(e)
 	})
 }
-
-// timer is a function that is due at a time.
-type timer struct {
-	at  clock.Millis
-	seq int64
-	run func()
-}
-
-// timers is a heap ordered by time, then by sequence number.
-type timers []timer
-
-var _ heap.Interface = (*timers)(nil)
-
-// Len implements heap.Interface.
-func (t timers) Len() int { return len(t) }
-
-// Less implements heap.Interface.
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-
-// Swap implements heap.Interface.
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push implements heap.Interface.
-func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
