--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -16,8 +16,8 @@
 	// Address is the address at which the sender receives messages.
 	Address string       `msgpack:"a"`
 	Region  units.Region `msgpack:"g,omitempty"`
-	// Domain is the sender's failure domain. Entry VMs of releases that don't keep the starts of
-	// streams leave it empty.
+	// Domain is the sender's failure domain. Entry VMs of releases that neither keep the starts of
+	// streams nor read compressed frames leave it empty.
 	Domain units.FailureDomain `msgpack:"d,omitempty"`
 	// Capacity is what the sender can carry as a placer, in processor cores, 0 if unknown.
 	Capacity float64 `msgpack:"c,omitempty"`
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -90,6 +90,12 @@
 	lastReportAt clock.Millis
 }
 
+// recipient returns the subscriber as the recipient of a message. Entry VMs of releases that don't
+// tell their failure domain don't read compressed frames.
+func (s *subscriber) recipient(id units.EntryVMID) links.Recipient {
+	return links.Recipient{ID: id, Address: s.address, Packs: s.domain != ""}
+}
+
 // workerInput is an event for a placerWorker. The set of implementations is sealed.
 type workerInput interface{ workerInput() }
 
@@ -314,7 +320,7 @@
 	recipients := make([]links.Recipient, 0, len(p.subscribers))
 	for id, sub := range p.subscribers {
 		if id != p.node.settings.ID {
-			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
+			recipients = append(recipients, sub.recipient(id))
 		}
 	}
 	p.node.links.Broadcast(recipients, update)
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		if id != p.node.settings.ID && p.scopeOf(sub.region) == scope {
-			list = append(list, links.Recipient{ID: id, Address: sub.address})
+			list = append(list, sub.recipient(id))
 		}
 	}
 	return list
@@ -119,7 +119,7 @@
 		if id == p.node.settings.ID {
 			own = true
 		} else {
-			recipients = append(recipients, links.Recipient{ID: id, Address: sub.address})
+			recipients = append(recipients, sub.recipient(id))
 		}
 	}
 	if len(recipients) > maxFullUpdates {
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -90,13 +90,15 @@
 // that writes it.
 type outMessage struct {
 	peer.Message
-	once  sync.Once
-	frame []byte
-	err   error
+	// packed allows a compressed payload.
+	packed bool
+	once   sync.Once
+	frame  []byte
+	err    error
 }
 
 func (m *outMessage) encode() ([]byte, error) {
-	m.once.Do(func() { m.frame, m.err = frame.Append(nil, tagOf(m.Message), m.Message) })
+	m.once.Do(func() { m.frame, m.err = encode(m.Message, m.packed) })
 	return m.frame, m.err
 }
 
@@ -105,6 +107,8 @@
 	ID units.EntryVMID
 	// Address is the peer address; if it is empty, that of the last call is used.
 	Address string
+	// Packs is true if the entry VM reads compressed frames.
+	Packs bool
 }
 
 // New returns links; Run starts them.
@@ -273,7 +277,10 @@
 	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 	tag, payload, err := frame.Read(r)
 	l.received.add(len(payload))
-	return tag, payload, err
+	if err != nil {
+		return 0, nil, err
+	}
+	return unpack(tag, payload)
 }
 
 // Send queues a message for an entry VM. If address is empty, that of the last call is
@@ -290,9 +297,13 @@
 func (l *Links) Broadcast(recipients []Recipient, m peer.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := &outMessage{Message: m}
+	plain, packed := &outMessage{Message: m}, &outMessage{Message: m, packed: true}
 	for _, to := range recipients {
-		l.push(to, out)
+		if to.Packs {
+			l.push(to, packed)
+		} else {
+			l.push(to, plain)
+		}
 	}
 }
 
