--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -162,8 +162,8 @@
 		}
 	}
 	if only {
-		// This entry VM has not run long enough to have seen another version, and so has lost
-		// nothing that would tell.
+		// This entry VM started too late to rule out that the stream began at another version,
+		// but no entry VM knows of one.
 		return software, "only_version_since_start"
 	}
 	return "", ""
