--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -67,7 +67,8 @@
 	arrived clock.Millis
 	head    RequestHead
 	req     choose.Request
-	// subject holds the keys by which the request is quarantined.
+	// content is the key of the whole request, subject the keys by which it is quarantined.
+	content       blame.Key
 	subject       blame.Request
 	route         *topo.Route
 	configVersion int64
@@ -162,7 +163,7 @@
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
 		Arrived: c.arrived, Deadline: c.arrived + timeout,
 	}
-	c.subject = c.subjectOf(cfg)
+	c.identify(cfg)
 	return true
 }
 
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -54,20 +54,25 @@
 	return n.quarantine.known.Load() || n.clock.Now() >= n.startedAt+maxQuarantineWait
 }
 
-// subjectOf returns the keys of a request. Plain services don't look at the parts of a prompt:
-// what they answer says nothing about parts that a caller names.
-func (c *exchange) subjectOf(cfg *topo.Config) blame.Request {
-	var r blame.Request
+// identify sets the keys of the request. Plain services don't look at the parts of a prompt: what
+// they answer says nothing about parts that a caller names.
+func (c *exchange) identify(cfg *topo.Config) {
 	var parts []choose.Part
 	if service := cfg.Services[c.req.Service]; service != nil && service.Engine != nil && c.head.Adapter != "" {
 		parts = c.head.Parts
 	}
+	c.content = c.contentKey(parts)
 	for i := 0; i+1 < len(parts) && i < blame.MaxParts; i++ {
-		r.Parts = append(r.Parts, blame.Key(parts[i].ID))
+		c.subject.Parts = append(c.subject.Parts, blame.Key(parts[i].ID))
 	}
-	if len(parts)+len(c.body) == 0 {
-		return r
+	if len(parts)+len(c.body) > 0 {
+		c.subject.Content = c.content
 	}
+}
+
+// contentKey returns the key of the whole request: requests with the same key are the same for a
+// backend server.
+func (c *exchange) contentKey(parts []choose.Part) blame.Key {
 	h := xxhash.New()
 	for _, text := range []string{c.r.Method, c.r.Host, c.r.RequestURI, string(c.head.Adapter)} {
 		_, _ = h.WriteString(text + "\n")
@@ -76,8 +81,7 @@
 		_, _ = h.WriteString(blame.Key(part.ID).String())
 	}
 	_, _ = h.Write(c.body)
-	r.Content = blame.Key(h.Sum64())
-	return r
+	return blame.Key(h.Sum64())
 }
 
 // quarantined reports whether a key of the request is in quarantine.
@@ -139,8 +143,16 @@
 // backend server has crashed, without waiting for the result.
 func (a *attempt) noteBreak(at clock.Millis) {
 	n := a.node
+	notCounted := func(reason string) {
+		a.log("break_not_counted", "server", a.to.Server, "content", a.content, "reason", reason)
+	}
 	server := n.listed(a.to.Server)
-	if a.begun || server == nil || server.Draining {
+	switch {
+	case a.begun:
+		notCounted("the answer had begun")
+		return
+	case server == nil || server.Draining:
+		notCounted("the backend server leaves")
 		return
 	}
 	q := &n.quarantine
@@ -148,13 +160,16 @@
 	suspects := q.registry.Suspects(at, a.subject)
 	q.mu.Unlock()
 	if suspects.Empty() {
+		notCounted("no key is in doubt")
 		return
 	}
 	a.suspectBreaks++
 	go n.guard("check for a crash", func() {
-		if n.crashed(server) {
-			a.addCrash(server, at, suspects)
+		if !n.crashed(server) {
+			notCounted("the backend server accepts connections")
+			return
 		}
+		a.addCrash(server, at, suspects)
 	})
 }
 
