--- a/internal/fake/grid/deadly.go
+++ b/internal/fake/grid/deadly.go
@@ -24,76 +24,79 @@
 	return strings.Join(pairs, ",")
 }
 
-// DeadlyPart is a part of a prompt that crashes each replica that is about to write the
-// first event of an answer, unless it is the last part of the request. Set its fields before
-// AddDeadlyPart.
-type DeadlyPart struct {
-	// ID is hexadecimal.
-	ID string
-	// Prefill is the time from the start of a run to the crash. Every second run sends the
-	// head of its answer first.
+// Deadly is what crashes each replica that is about to answer: a part of a prompt, unless it is
+// the last part of the request, or a path. Set its fields before AddDeadly.
+type Deadly struct {
+	// Part is the hexadecimal id of the part. It crashes engines only.
+	Part string
+	// Path is that of the requests that crash replicas of any service; empty for none.
+	Path string
+	// Prefill is the time from the start of a run to the crash. Every second run on an engine sends
+	// the head of its answer first.
 	Prefill time.Duration
 	// Downtime is the time from a crash until the replica is back.
 	Downtime time.Duration
 
 	mu sync.Mutex
-	// arrivals are the times at which requests with the part reached replicas, refused ones
+	// arrivals are the times at which such requests reached replicas, refused ones
 	// included, and crashes those of the crashes.
 	arrivals, crashes []time.Time
 }
 
-// AddDeadlyPart makes p crash replicas from now on.
-func (g *Grid) AddDeadlyPart(p *DeadlyPart) {
+// AddDeadly makes d crash replicas from now on.
+func (g *Grid) AddDeadly(d *Deadly) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deadly = append(g.deadly, p)
+	g.deadly = append(g.deadly, d)
 }
 
-// Times returns when requests with the part reached replicas and when replicas crashed on
-// it, both in order.
-func (p *DeadlyPart) Times() (arrivals, crashes []time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.arrivals), slices.Clone(p.crashes)
+// Times returns when such requests reached replicas and when replicas crashed on them, both in
+// order.
+func (d *Deadly) Times() (arrivals, crashes []time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.arrivals), slices.Clone(d.crashes)
 }
 
-// deadlyPart returns the deadly part of a request and counts its arrival. It returns nil if
-// the request has none.
-func (g *Grid) deadlyPart(req *http.Request) *DeadlyPart {
+// deadlyOf returns what of a request crashes replicas and counts its arrival. It returns nil if
+// nothing does.
+func (g *Grid) deadlyOf(req *http.Request) *Deadly {
 	pairs := strings.Split(req.Header.Get(promptHeader), ",")
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	var ids []string
 	for _, pair := range pairs[:len(pairs)-1] {
 		id, _, _ := strings.Cut(pair, ":")
-		for _, p := range g.deadly {
-			if p.ID == id {
-				p.mu.Lock()
-				p.arrivals = append(p.arrivals, time.Now())
-				p.mu.Unlock()
-				return p
-			}
+		ids = append(ids, id)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range g.deadly {
+		if d.Path != "" && d.Path == req.URL.Path || slices.Contains(ids, d.Part) {
+			d.mu.Lock()
+			d.arrivals = append(d.arrivals, time.Now())
+			d.mu.Unlock()
+			return d
 		}
 	}
 	return nil
 }
 
 // runDeadly crashes r after the prefill time, unless the caller disconnects before.
-func (r *Replica) runDeadly(w http.ResponseWriter, req *http.Request, p *DeadlyPart) {
-	p.mu.Lock()
-	sendHead := len(p.arrivals)%2 == 0
-	p.mu.Unlock()
+func (r *Replica) runDeadly(w http.ResponseWriter, req *http.Request, d *Deadly) {
+	d.mu.Lock()
+	sendHead := r.Model != "" && len(d.arrivals)%2 == 0
+	d.mu.Unlock()
 	if flusher, ok := w.(http.Flusher); ok && sendHead {
 		flusher.Flush()
 	}
 	select {
-	case <-time.After(p.Prefill):
+	case <-time.After(d.Prefill):
 	case <-req.Context().Done():
 		return
 	}
-	if r.grid.Restart(r, p.Downtime) {
-		p.mu.Lock()
-		p.crashes = append(p.crashes, time.Now())
-		p.mu.Unlock()
+	if r.grid.Restart(r, d.Downtime) {
+		d.mu.Lock()
+		d.crashes = append(d.crashes, time.Now())
+		d.mu.Unlock()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -40,7 +40,7 @@
 	runs       map[string]int
 	violations map[string]int
 	replicas   []*Replica
-	deadly     []*DeadlyPart
+	deadly     []*Deadly
 	// restarts counts the restarts of replicas.
 	restarts int
 	// closed reports whether Close was called. No replica starts from then on.
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -261,7 +261,7 @@
 			r.grid.countViolation("forged header passed on")
 		}
 	}
-	deadly := r.grid.deadlyPart(req)
+	deadly := r.grid.deadlyOf(req)
 	if model := req.Header.Get("Model"); model != "" && !r.hasAdapter(model) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -293,7 +293,7 @@
 		<-req.Context().Done()
 	case r.Fail.Load():
 		w.WriteHeader(http.StatusInternalServerError)
-	case deadly != nil && r.Model != "":
+	case deadly != nil && (r.Model != "" || deadly.Path != ""):
 		r.runDeadly(w, req, deadly)
 	case r.Model != "":
 		r.stream(w, req)
--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -69,7 +69,7 @@
 	history  history
 	coverage coverage
 	// deadly is nil if the plan has no deadly part.
-	deadly *grid.DeadlyPart
+	deadly *grid.Deadly
 
 	mu      sync.Mutex
 	servers []*server
@@ -142,8 +142,8 @@
 	d := &deployment{Grid: g, t: t, plan: p, dir: dir, startedAt: time.Now()}
 	g.OnRun, g.OnBackoff, g.OnRestart = d.history.recordRun, d.history.recordBackoff, d.replaceServer
 	if p.deadly != nil {
-		d.deadly = &grid.DeadlyPart{ID: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
-		g.AddDeadlyPart(d.deadly)
+		d.deadly = &grid.Deadly{Part: deadlyPartID, Prefill: p.deadly.prefill, Downtime: p.deadly.downtime}
+		g.AddDeadly(d.deadly)
 	}
 	for range p.engines {
 		d.startServer("llm")
