--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -160,8 +160,8 @@
 		n.meter.LoadWait((sentAt - c.arrived).Duration())
 		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
 	}
-	c.log("attempt_ended", "adapter", c.req.Adapter, "content", c.content, "server", to.Server, "ways", to.Candidates, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
-		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events, "outlived_ms", int64(a.outlived()))
+	c.log("attempt_ended", "adapter", c.req.Adapter, "server", to.Server, "ways", to.Candidates, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
+		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events, "outlived_ms", int64(a.outlived()), "content", c.content)
 	if over {
 		return true
 	}
