Look for the cause of crashes among requests without a body, too

Cause: a request with neither a body nor parts of a prompt had no key. It was never a suspect, no crash counted against it, and nothing held it back. The key was left out because such requests have no content that tells them apart, but method, host, path and query do, and an answer that begins on a popular lookup clears it.

Now each request has a key.

--- a/internal/core/blame/news.go
+++ b/internal/core/blame/news.go
@@ -14,8 +14,7 @@
 	// Parts are the keys of the parts of its prompt, in their order, without the last, which
 	// belongs to the request alone.
 	Parts []Key `msgpack:"p,omitempty"`
-	// Content is the key of the whole request, 0 if it has no content that tells it from
-	// others.
+	// Content is the key of the whole request, 0 if it does not count.
 	Content Key `msgpack:"c,omitempty"`
 }
 
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -65,9 +65,7 @@
 	for i := 0; i+1 < len(parts) && i < blame.MaxParts; i++ {
 		c.subject.Parts = append(c.subject.Parts, blame.Key(parts[i].ID))
 	}
-	if len(parts)+len(c.body) > 0 {
-		c.subject.Content = c.content
-	}
+	c.subject.Content = c.content
 }
 
 // contentKey returns the key of the whole request: requests with the same key are the same for a
