Count crashes that follow each other through one request

Crashes within 400 ms count as one moment, since a rack may fail, so three deaths by one request were one or two pieces of evidence of the three that are needed, and the next wave of crashes followed when the backend servers were back.

A request now says whether a crash was known to count against it when it was sent. A crash at which it is in flight then counts by itself: a common failure would have hit it where it was before.

The new rows of TestQuarantine failed before (three crashes in 380 ms, with and without a neighbor).

--- a/internal/core/blame/decide.go
+++ b/internal/core/blame/decide.go
@@ -9,7 +9,8 @@
 	"mangostile/internal/base/clock"
 )
 
-// moments is a set of moments at which backend servers crashed, one bit each.
+// moments is a set of moments at which backend servers crashed. The bit of a moment is the index of
+// its first crash in a registry.
 type moments uint64
 
 func (m moments) count() int { return bits.OnesCount64(uint64(m)) }
@@ -128,23 +129,26 @@
 // collect returns the suspects of the crashes among the requests that use returns.
 func (g *Registry) collect(now clock.Millis, use func(*crash) []Request) *evidence {
 	e := &evidence{suspects: map[Key]*suspect{}}
-	moment, momentAt := -1, clock.Millis(0)
-	for _, c := range g.crashes {
+	var moment moments
+	var momentAt clock.Millis
+	for i, c := range g.crashes {
 		requests := use(c)
 		if c.at < now-evidenceTerm || len(requests) == 0 {
 			continue
 		}
-		if moment < 0 || c.at >= momentAt+momentSpan {
-			moment, momentAt = moment+1, c.at
+		if moment == 0 || c.at >= momentAt+momentSpan {
+			moment, momentAt = 1<<i, c.at
 		}
 		for _, r := range requests {
-			e.add(g.suspects(c.at, r), c, 1<<moment)
+			e.add(g.suspects(c.at, r), c, moment, 1<<i)
 		}
 	}
 	return e
 }
 
-func (e *evidence) add(r Request, c *crash, moment moments) {
+// add adds a request in flight at crash c, which is of a moment. For a request that was sent again
+// after another crash of that moment, c counts as a moment of its own.
+func (e *evidence) add(r Request, c *crash, moment, own moments) {
 	e.requests = append(e.requests, r)
 	for _, key := range r.keys() {
 		s := e.suspects[key]
@@ -152,6 +156,9 @@
 			s = &suspect{key: key}
 			e.suspects[key] = s
 		}
+		if key == r.Content && r.Again && s.last != c && s.crashes&moment != 0 {
+			s.crashes |= own
+		}
 		s.crashes |= moment
 		s.whole, s.last = key == r.Content, c
 	}
--- a/internal/core/blame/news.go
+++ b/internal/core/blame/news.go
@@ -16,6 +16,9 @@
 	Parts []Key `msgpack:"p,omitempty"`
 	// Content is the key of the whole request, 0 if it does not count.
 	Content Key `msgpack:"c,omitempty"`
+	// Again is true if the request was sent to the backend server although a crash was known to
+	// count against Content. A common failure of both servers is unlikely then.
+	Again bool `msgpack:"a,omitempty"`
 }
 
 // keys returns the keys of r, more specific ones later.
--- a/internal/core/blame/registry.go
+++ b/internal/core/blame/registry.go
@@ -273,8 +273,10 @@
 // many, it keeps those with parts before others, and of these the same ones on all entry VMs:
 // no request is left out because it was reported late, and none at all crashes.
 func (c *crash) add(r Request) bool {
-	if slices.ContainsFunc(c.requests, r.within) {
-		return false
+	if i := slices.IndexFunc(c.requests, r.within); i >= 0 {
+		sentAgain := r.Again && !c.requests[i].Again && r.Content == c.requests[i].Content
+		c.requests[i].Again = c.requests[i].Again || sentAgain
+		return sentAgain
 	}
 	if len(c.requests) < maxRequests {
 		c.requests = append(c.requests, r)
@@ -307,6 +309,7 @@
 	if out.Content != 0 && cleared(out.Content) {
 		out.Content = 0
 	}
+	out.Again = r.Again && out.Content != 0
 	return out
 }
 
@@ -397,6 +400,9 @@
 // the cause if a backend server crashes now.
 func (g *Registry) Suspects(now clock.Millis, r Request) Request { return g.suspects(now, r) }
 
+// CountsAgainst reports whether a known crash counts against the whole request r.
+func (g *Registry) CountsAgainst(r Request) bool { return r.Content != 0 && g.counted(r.Content) }
+
 // State returns the verdicts and the crashes without a part in quarantine, for an entry VM that
 // may have missed some of them.
 func (g *Registry) State(now clock.Millis) News {
--- a/internal/core/blame/registry_test.go
+++ b/internal/core/blame/registry_test.go
@@ -25,6 +25,11 @@
 
 func whole(content Key, keys ...Key) Request { return Request{Parts: keys, Content: content} }
 
+// again returns a request that was sent although a crash was known to count against it.
+func again(content Key, keys ...Key) Request {
+	return Request{Parts: keys, Content: content, Again: true}
+}
+
 // Keys of the tests.
 const (
 	first, harmful, sound, rare, content = Key(1), Key(13), Key(5), Key(7), Key(99)
@@ -101,6 +106,22 @@
 		{"a request that comes again", []step{
 			{0, "a", []Request{whole(content, sound)}}, {1000, "b", []Request{whole(content, sound)}}, {2000, "c", []Request{whole(content, sound)}},
 		}, []Key{content}},
+		{"a request that is sent on at once after each crash", []step{
+			{0, "a", []Request{whole(content)}}, {150, "b", []Request{again(content)}}, {380, "c", []Request{again(content)}},
+		}, []Key{content}},
+		{"a request in flight on servers that fail at once", []step{
+			{0, "a", []Request{whole(content)}}, {50, "b", []Request{whole(content)}}, {90, "c", []Request{whole(content)}},
+		}, nil},
+		{"a request sent twice to each of two servers", []step{
+			{0, "a", []Request{whole(content)}}, {0, "a", []Request{whole(content)}},
+			{150, "b", []Request{again(content)}}, {150, "b", []Request{again(content)}},
+		}, nil},
+		{"a neighbor of a request that is sent on at once", []step{
+			{0, "a", []Request{whole(content), whole(98)}}, {150, "b", []Request{again(content), whole(98)}}, {380, "c", []Request{again(content), whole(97)}},
+		}, []Key{content}},
+		{"a request sent on while an answer begins on it", []step{
+			{0, "a", []Request{whole(content)}}, {50, "", []Request{whole(content)}}, {150, "b", []Request{again(content)}}, {380, "c", []Request{again(content)}},
+		}, nil},
 		{"a part of requests that come again often", []step{
 			{0, "a", []Request{whole(98, harmful)}},
 			{1000, "b", []Request{whole(98, harmful)}},
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -223,6 +223,8 @@
 	cancel context.CancelCauseFunc
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
+	// again is true if a crash was known to count against the request when it was sent.
+	again bool
 	// begun is true once a part of the answer itself was received, not only comments.
 	begun   bool
 	firstAt clock.Millis
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -113,6 +113,7 @@
 		q.unanswered = map[*attempt]bool{}
 	}
 	q.unanswered[a] = true
+	a.again = q.registry.CountsAgainst(a.subject)
 	return func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -156,6 +157,7 @@
 	q := &n.quarantine
 	q.mu.Lock()
 	suspects := q.registry.Suspects(at, a.subject)
+	suspects.Again = a.again && suspects.Content != 0
 	q.mu.Unlock()
 	if suspects.Empty() {
 		notCounted("no key is in doubt")
