Read and log the limit that a backend server names

Each entry VM now keeps what the answers of a backend server's process name last, logs a change (server_limit) and shows it in its status. An answer without a limit ends one only if its request was sent after the last answer with one, since answers on different connections may overtake each other. Several values count as the smallest; what is no rate is logged and ignored. Nothing is chosen differently yet.

--- a/internal/base/units/units.go
+++ b/internal/base/units/units.go
@@ -54,6 +54,8 @@
 	Tokens int32
 	// Bytes is a number of bytes.
 	Bytes int64
+	// Rate is a number of requests per second.
+	Rate float64
 	// Fingerprint identifies the content of a request.
 	Fingerprint uint64
 )
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -130,6 +130,7 @@
 	// leaving reports that this process said in an answer that it leaves.
 	leaving bool
 	backoff backoff
+	limit   rateLimit
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
--- a/internal/core/choose/status.go
+++ b/internal/core/choose/status.go
@@ -21,6 +21,8 @@
 	Leaving  bool `json:"leaving,omitempty"`
 	// Backoff is the remaining time in ms for which it asked for no requests.
 	Backoff clock.Millis `json:"backoff_ms,omitempty"`
+	// Limit is the rate of requests per second that it named for all entry VMs together.
+	Limit units.Rate `json:"limit_per_s,omitempty"`
 	// Active is the number of requests of this entry VM in flight there.
 	Active int32 `json:"active"`
 }
@@ -32,7 +34,7 @@
 	for id, v := range c.servers {
 		list = append(list, ServerStatus{
 			Server: id, Service: v.Service, Region: v.Region, Software: v.Software, Draining: v.Draining, Leaving: v.leaving,
-			Backoff: max(0, v.backoff.until-c.now), Active: v.own.active,
+			Backoff: max(0, v.backoff.until-c.now), Limit: v.limit.named, Active: v.own.active,
 		})
 	}
 	slices.SortFunc(list, func(a, b ServerStatus) int {
--- /dev/null
+++ b/internal/core/peer/limit.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"math"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+)
+
+// ServerLimit is the rate of requests of all entry VMs together that a process of a backend server
+// takes, as it said in an answer.
+type ServerLimit struct {
+	Server units.BackendServerID `msgpack:"s"`
+	// StartedAt identifies the process.
+	StartedAt int64 `msgpack:"b"`
+	// Limit is 0 if the process names no limit any more.
+	Limit units.Rate `msgpack:"l,omitempty"`
+	// Age is the time in ms since the answer.
+	Age clock.Millis `msgpack:"a,omitempty"`
+}
+
+// Check reports whether l is valid.
+func (l *ServerLimit) Check() error {
+	if l.Server == "" || math.IsNaN(float64(l.Limit)) || l.Limit < 0 || l.Age < 0 {
+		return invalid("limit", "no backend server, no rate or an answer from the future")
+	}
+	return nil
+}
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -153,7 +153,7 @@
 	defer release()
 	attemptCtx, cancel := context.WithCancelCause(attemptCtx)
 	defer cancel(nil)
-	a := attempt{exchange: c, to: to, ctx: attemptCtx, cancel: cancel}
+	a := attempt{exchange: c, to: to, ctx: attemptCtx, cancel: cancel, sentAt: sentAt}
 	end, over := a.runCounted()
 	n.meter.AttemptEnded(end.String())
 	if a.hasAnswer && c.req.Sends == 1 {
@@ -221,6 +221,8 @@
 	ctx context.Context
 	// cancel ends ctx with a cause.
 	cancel context.CancelCauseFunc
+	// sentAt is when the attempt began.
+	sentAt clock.Millis
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
 	// again is true if a crash was known to count against the request when it was sent.
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -212,6 +212,9 @@
 	// RetryAfter is for how long the backend server wants no requests; 0 if it doesn't say, and
 	// negative if what it says makes no sense.
 	RetryAfter clock.Millis
+	// Limit is the rate of requests of all entry VMs together that the backend server takes for as
+	// long as its answers say so; 0 if it doesn't say, and negative if what it says makes no sense.
+	Limit units.Rate
 	// Server is the backend server that answered, empty if the answer does not name it.
 	Server units.BackendServerID
 }
