--- a/internal/core/blame/registry_test.go
+++ b/internal/core/blame/registry_test.go
@@ -113,8 +113,10 @@
 			{0, "a", []Request{whole(content)}}, {50, "b", []Request{whole(content)}}, {90, "c", []Request{whole(content)}},
 		}, nil},
 		{"a request sent twice to each of two servers", []step{
-			{0, "a", []Request{whole(content)}}, {0, "a", []Request{whole(content)}},
-			{150, "b", []Request{again(content)}}, {150, "b", []Request{again(content)}},
+			{0, "a", []Request{whole(content)}},
+			{0, "a", []Request{whole(content)}},
+			{150, "b", []Request{again(content)}},
+			{150, "b", []Request{again(content)}},
 		}, nil},
 		{"a neighbor of a request that is sent on at once", []step{
 			{0, "a", []Request{whole(content), whole(98)}}, {150, "b", []Request{again(content), whole(98)}}, {380, "c", []Request{again(content), whole(97)}},
