--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -50,6 +50,9 @@
 	SaysLeaving atomic.Bool
 	// BackoffUntil is the time until which it refuses requests and asks for no more, in Unix ms.
 	BackoffUntil atomic.Int64
+	// LimitPerMinute is the rate of requests per minute that its answers name for all entry VMs
+	// together, 0 for none.
+	LimitPerMinute atomic.Int64
 	// Fail makes requests run and answers them with status 500.
 	Fail atomic.Bool
 
@@ -123,6 +126,9 @@
 	if r.SaysLeaving.Load() || r.isDraining() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit := r.LimitPerMinute.Load(); limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(float64(limit)/60, 'f', -1, 64))
+	}
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
