Keep the limits that backend servers name, all entry VMs together

Cause: nothing acted on what an answer said of its backend server's rate.

A few entry VMs, the holders, now have a fixed share each of a limit, and the others send that backend server nothing. Limits travel with the news of crashes, directly between entry VMs, and are bound to the process. A request beyond the limit goes elsewhere, waits for its turn if that comes in time, or is refused at once; the placer loads adapters elsewhere.

TestNamedLimitIsKept failed before. Without network, 1 to 340 entry VMs and limits of 0.1 to 20 a second: kept, at least half of each used (TestLimitHoldsForAllEntryVMs, TestLimitHoldsWhileViewsDiffer).

--- a/internal/core/choose/backoff.go
+++ b/internal/core/choose/backoff.go
@@ -107,22 +107,41 @@
 	return list
 }
 
-// awaitBackoff decides about a request for which every suitable backend server asks for a back-off or
-// returns from it: it waits for the first to return if its deadline allows that, and is else refused
-// with that time. It returns nil if there is no such backend server. A nil usable allows all.
-func (c *Core) awaitBackoff(r *Request, usable func(*view) bool) Choice {
+// awaitReturn decides about a request for which every suitable backend server asks for a back-off or
+// returns from it, or has a limit that is used up: it waits for the first to take it if its deadline
+// allows that, and is else refused with that time. It returns nil if there is no such backend server.
+// A nil usable allows all.
+func (c *Core) awaitReturn(r *Request, usable func(*view) bool) Choice {
 	var first clock.Millis
+	var limited *view
+	held := false
 	for _, v := range c.byService[r.Service] {
-		if v.isLeaving() || r.startedElsewhere(v) || v.backoff.admits(c.now) || usable != nil && !usable(v) {
+		if v.isLeaving() || r.startedElsewhere(v) || usable != nil && !usable(v) || c.admits(r, v) {
 			continue
 		}
-		if at := v.backoff.returnsAt(c.now); first == 0 || at < first {
-			first = at
+		at, ok := v.backoff.returnsAt(c.now), true
+		byLimit := v.backoff.admits(c.now)
+		if byLimit {
+			at, ok = c.turnAt(v)
+			held = held || !ok
+		}
+		if ok && (first == 0 || at < first) {
+			first, limited = at, nil
+			if byLimit {
+				limited = v
+			}
 		}
 	}
 	switch {
+	case first == 0 && held:
+		return c.refuse(r, limitedReason, limitRetryDelay)
 	case first == 0:
 		return nil
+	case limited != nil && first <= r.maxTurnAt():
+		c.enqueue(r, limited, first)
+		return Wait{Until: first, Reason: limitedReason}
+	case limited != nil:
+		return c.refuse(r, limitedReason, first-c.now)
 	case first+minRemaining < r.Deadline:
 		return Wait{Until: first, Reason: "backend servers ask for a back-off"}
 	default:
--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -101,6 +101,7 @@
 // Choose decides whether r is sent to a backend server, waits or is refused.
 func (c *Core) Choose(now clock.Millis, r *Request) Choice {
 	c.now = max(c.now, now)
+	c.dequeue(r)
 	if c.now+minRemaining >= r.Deadline && r.Deadline-r.Arrived > 2*minRemaining {
 		return c.refuse(r, "no time is left", 0)
 	}
@@ -112,7 +113,7 @@
 	}
 	best, candidates := c.cheapest(r, c.byService[r.Service], nil)
 	if best == nil {
-		if choice := c.awaitBackoff(r, nil); choice != nil {
+		if choice := c.awaitReturn(r, nil); choice != nil {
 			return choice
 		}
 		return c.refuse(r, "no backend server of the service", retryDelay)
@@ -159,7 +160,7 @@
 		return Wait{Until: soonest, Reason: "adapter is loading"}
 	}
 	if best == nil {
-		if choice := c.awaitBackoffCopy(r, shard, usable); choice != nil {
+		if choice := c.awaitCopy(r, shard, usable); choice != nil {
 			return choice
 		}
 	}
@@ -174,10 +175,10 @@
 	return c.wait(r, shard)
 }
 
-// awaitBackoffCopy is awaitBackoff for an adapter all of whose usable copies are at backend servers that
-// ask for a back-off. If that lasts long, a load elsewhere is requested too.
-func (c *Core) awaitBackoffCopy(r *Request, shard string, usable func(*view) bool) Choice {
-	choice := c.awaitBackoff(r, usable)
+// awaitCopy is awaitReturn for an adapter all of whose usable copies are at backend servers that ask
+// for a back-off or have a limit. If that lasts long, a load elsewhere is requested too.
+func (c *Core) awaitCopy(r *Request, shard string, usable func(*view) bool) Choice {
+	choice := c.awaitReturn(r, usable)
 	if choice == nil || !topo.IsAdapter(r.Adapter) {
 		return choice
 	}
@@ -232,11 +233,16 @@
 	return false
 }
 
+// waitsUntil returns the end of the longest wait of r before it is sent.
+func (r *Request) waitsUntil() clock.Millis {
+	since := max(r.Arrived, r.BrokeAt)
+	return since + min(clock.Millis(waitShare*float64(r.Deadline-since)), waitTargets*r.Route.Target)
+}
+
 // wait requests a load for r, whose adapter has no usable copy, and keeps r waiting while
 // a load could still start before the wait ends; otherwise it refuses r.
 func (c *Core) wait(r *Request, shard string) Choice {
-	since := max(r.Arrived, r.BrokeAt)
-	until := since + min(clock.Millis(waitShare*float64(r.Deadline-since)), waitTargets*r.Route.Target)
+	until := r.waitsUntil()
 	if shard == "" {
 		return c.refuse(r, "adapter is not loaded and nobody loads any", retryDelay)
 	}
@@ -264,7 +270,7 @@
 // sent: one that isn't draining or being avoided and to which r wasn't sent before.
 func (c *Core) ownRegionServes(r *Request) bool {
 	for _, v := range c.byService[r.Service] {
-		if v.Region == c.cfg.Region && !v.isLeaving() && !r.startedElsewhere(v) && v.backoff.admits(c.now) && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
+		if v.Region == c.cfg.Region && !v.isLeaving() && !r.startedElsewhere(v) && c.admits(r, v) && c.now >= v.health.avoidUntil && !r.tried(v.ID) {
 			return true
 		}
 	}
@@ -295,12 +301,12 @@
 	return !ok || held.revision >= announced.revision || c.now < announced.announcedAt+c.cfg.Policy.VersionGrace
 }
 
-// cheapest returns the backend server with the lowest cost among those that neither leave nor ask for
-// a back-off and for which usable returns true, and their number. A nil usable allows all.
+// cheapest returns the backend server with the lowest cost among those that don't leave, admit r and
+// for which usable returns true, and their number. A nil usable allows all.
 func (c *Core) cheapest(r *Request, list []*view, usable func(*view) bool) (best *view, candidates int) {
 	bestCost := 0.0
 	for _, v := range list {
-		if v.isLeaving() || r.startedElsewhere(v) || !v.backoff.admits(c.now) || usable != nil && !usable(v) {
+		if v.isLeaving() || r.startedElsewhere(v) || usable != nil && !usable(v) || !c.admits(r, v) {
 			continue
 		}
 		candidates++
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -96,6 +96,8 @@
 	// trial reports that the last send was one to a backend server that returns from a back-off,
 	// and has no answer yet.
 	trial bool
+	// turn is its place in the queue for a backend server with a limit.
+	turn turn
 	// waiting reports that the request counts in the load request for its adapter.
 	waiting bool
 }
@@ -178,6 +180,10 @@
 	otherRegion map[units.AdapterName]int32
 	// members is the number of entry VMs in the last placement update, 0 before.
 	members int32
+	// others are the other entry VMs that are known to run, sorted by id. othersVersion counts the
+	// changes.
+	others        []peer.Member
+	othersVersion uint64
 	// leaving holds the start of the newest process of each backend server that said that it
 	// leaves, leavingNews those not yet reported to the placer.
 	leaving     map[units.BackendServerID]int64
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -105,6 +105,7 @@
 func (c *Core) recordSend(r *Request, v *view) {
 	r.Tried = append(r.Tried, v.ID)
 	r.Sends++
+	v.takeToken()
 	r.charged = r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r))
 	v.own.active++
 	v.own.prefill += r.charged
@@ -143,6 +144,9 @@
 		return
 	}
 	v.backoff.answered(r, end == EndServed || end == EndFailed, v.Slots)
+	if end == EndUnsent || end == EndWithdrawn {
+		v.returnToken()
+	}
 	v.own.active = max(0, v.own.active-1)
 	v.own.tokens = max(0, v.own.tokens-r.PromptTokens-r.MaxTokens)
 	if !started {
@@ -218,9 +222,12 @@
 }
 
 // Abandoned removes r from the load request for its adapter, so that no load is requested
-// for it any more. It is for a request whose caller has disconnected or whose deadline has
+// for it any more, and ends its wait for its turn. It is for a request whose caller has disconnected or whose deadline has
 // passed.
-func (c *Core) Abandoned(r *Request) { c.withdrawLoad(r) }
+func (c *Core) Abandoned(r *Request) {
+	c.dequeue(r)
+	c.withdrawLoad(r)
+}
 
 // UsageReport returns the usage report for the placer of a shard and resets the counts
 // since the last report. address is the peer address of this entry VM.
--- a/internal/core/peer/crash.go
+++ b/internal/core/peer/crash.go
@@ -2,9 +2,11 @@
 
 import "mangostile/internal/core/blame"
 
-// CrashNews tells another entry VM about crashes of backend servers and what causes them.
+// CrashNews tells another entry VM about crashes of backend servers and what causes them, and about
+// the limits that backend servers named.
 type CrashNews struct {
 	blame.News `msgpack:"n"`
+	Limits     []ServerLimit `msgpack:"l,omitempty"`
 	// Whole is true if the news are all that the sender knows.
 	Whole bool `msgpack:"w,omitempty"`
 	// NeedsState asks for all that the receiver knows.
@@ -23,5 +25,10 @@
 	if err := m.News.Check(); err != nil {
 		return invalid("crash_news", err.Error())
 	}
+	for i := range m.Limits {
+		if err := m.Limits[i].Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/node/fleet/gossip.go
+++ b/internal/node/fleet/gossip.go
@@ -6,6 +6,7 @@
 
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/blame"
+	"mangostile/internal/core/choose"
 	"mangostile/internal/core/peer"
 )
 
@@ -61,6 +62,7 @@
 		n.quarantine.mu.Unlock()
 	}
 	n.merge(&m.News, from)
+	n.mergeLimits(m.Limits, from)
 }
 
 // crashState returns what is known of crashes, and whether it includes the state of another entry
@@ -83,6 +85,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		n.guard("members", n.updateMembers)
 		n.guard("crash state", n.sendCrashState)
 	}
 }
@@ -93,7 +96,8 @@
 	synced := n.quarantine.synced
 	n.quarantine.mu.Unlock()
 	m := &peer.CrashNews{News: news, Whole: whole, NeedsState: !synced, Address: n.settings.PeerAddress}
-	if synced && m.Empty() {
+	n.withCore(func(core *choose.Core) { m.Limits = core.Limits(n.clock.Now()) })
+	if synced && m.Empty() && len(m.Limits) == 0 {
 		return
 	}
 	n.links.Broadcast(n.peers.some(n.clock.Now(), 1), m)
--- a/internal/node/fleet/notices.go
+++ b/internal/node/fleet/notices.go
@@ -5,7 +5,6 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/core/choose"
-	"mangostile/internal/core/peer"
 )
 
 // noteHead records what the head of an answer says of the backend server itself. It is called for
@@ -24,24 +23,6 @@
 	a.noteLimit(head)
 }
 
-// noteLimit records the rate that the backend server names for all entry VMs together, or that it
-// names none any more.
-func (a *attempt) noteLimit(head AnswerHead) {
-	changed := false
-	switch now := a.node.clock.Now(); {
-	case head.Limit < 0:
-		a.log("server_limit_ignored", "server", a.to.Server)
-	case head.Limit > 0:
-		limit := peer.ServerLimit{Server: a.to.Server, StartedAt: a.to.StartedAt, Limit: head.Limit}
-		a.node.withCore(func(core *choose.Core) { changed = core.NoteLimit(now, limit) })
-	case head.ID == a.head.ID && (head.Stamped || head.NotExecuted):
-		a.node.withCore(func(core *choose.Core) { changed = core.NoteNoLimit(now, a.sentAt, a.to.Server, a.to.StartedAt) })
-	}
-	if changed {
-		a.log("server_limit", "server", a.to.Server, "per_s", float64(max(0, head.Limit)))
-	}
-}
-
 func (a *attempt) noteBackoff(time clock.Millis) {
 	if time < 0 {
 		a.log("retry_after_ignored", "server", a.to.Server)
--- a/internal/node/fleet/usage.go
+++ b/internal/node/fleet/usage.go
@@ -67,6 +67,8 @@
 	}
 	p.reportedContent, p.reportedAt, p.reportedTo = usage.HasContent(), now, holder
 	if holder == n.settings.ID {
+		// Each placer's own entry VM knows the limits.
+		n.withCore(func(core *choose.Core) { usage.Backoffs = append(usage.Backoffs, core.HeldBack(now, p.shard)...) })
 		p.inputs.Push(usageInput{from: holder, usage: usage})
 		return
 	}
