Ask the store which versions were there when no entry VM knows

Cause: the starts of streams are kept by entry VMs alone, and after a start nothing else was looked at. The store outlasts the kill: its records of backend servers go back some seconds, those that have left included. An entry VM now reads them once before it takes the only version listed for that of an unknown stream, and refuses the take-up if they name another one or can't be read. With one version for long, take-ups go on.

What is left: a store that has also forgotten these records names no other version.

--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -31,23 +31,18 @@
 // softwareHistory is when backend servers of each version were last listed, apart from those that
 // are now. The zero value has seen none.
 type softwareHistory struct {
-	seenAt map[serviceSoftware]clock.Millis
+	seenAt map[topo.ServiceSoftware]clock.Millis
 	// since is the time of the first list, 0 before it.
 	since clock.Millis
 }
 
-type serviceSoftware struct {
-	service  units.ServiceName
-	software topo.Software
-}
-
 // observe records that backend servers are listed until now.
 func (h *softwareHistory) observe(now clock.Millis, servers map[units.BackendServerID]*view) {
 	if h.seenAt == nil {
-		h.seenAt = map[serviceSoftware]clock.Millis{}
+		h.seenAt = map[topo.ServiceSoftware]clock.Millis{}
 	}
 	for _, v := range servers {
-		h.seenAt[serviceSoftware{v.Service, v.Software}] = now
+		h.seenAt[topo.ServiceSoftware{Service: v.Service, Software: v.Software}] = now
 	}
 	for key, at := range h.seenAt {
 		if now > at+softwareKept {
@@ -56,6 +51,15 @@
 	}
 }
 
+// AddSoftware records versions that were listed until now, as the store has kept them.
+func (c *Core) AddSoftware(now clock.Millis, list []topo.ServiceSoftware) {
+	c.now = max(c.now, now)
+	c.software.observe(c.now, c.servers)
+	for _, key := range list {
+		c.software.seenAt[key] = c.now
+	}
+}
+
 // OnlySoftware returns a version of a service's backend servers, and reports whether no other one
 // was listed since a time, and whether backend servers have been listed all that time.
 func (c *Core) OnlySoftware(now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
@@ -63,8 +67,8 @@
 	count := 0
 	c.software.observe(c.now, c.servers)
 	for key, at := range c.software.seenAt {
-		if key.service == service && at >= since {
-			software = key.software
+		if key.Service == service && at >= since {
+			software = key.Software
 			count++
 		}
 	}
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -14,6 +14,12 @@
 // Software is a version of a backend server's software. Versions have no order; empty is one too.
 type Software string
 
+// ServiceSoftware is a version of the backend servers of a service.
+type ServiceSoftware struct {
+	Service  units.ServiceName
+	Software Software
+}
+
 // Copy is an adapter that a backend server has loaded or is loading.
 type Copy struct {
 	Adapter  units.AdapterName
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -24,6 +24,8 @@
 type origins struct {
 	mu     sync.Mutex
 	starts origin.Starts
+	// historyRead is true once the versions that the store has kept were read.
+	historyRead bool
 	// questions holds the questions to other entry VMs that wait for replies, by their number;
 	// asked is the number of the last one.
 	questions map[uint64]*question
@@ -161,14 +163,46 @@
 			return began, "entry_vm"
 		}
 	}
-	if only {
-		// This entry VM started too late to rule out that the stream began at another version,
-		// but no entry VM knows of one.
-		return software, "only_version_since_start"
+	// This entry VM started too late to rule out that the stream began at another version that has
+	// left, and no entry VM knows of one, as after all of them were killed. The store does.
+	if only && n.readHistory(ctx) {
+		n.withCore(func(core *choose.Core) {
+			software, only, _ = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
+		})
+		if only {
+			return software, "only_version_in_store"
+		}
 	}
 	return "", ""
 }
 
+// historyTimeout bounds the read of the versions that the store has kept.
+const historyTimeout = 500 * time.Millisecond
+
+// readHistory reads the versions of backend servers that the store has kept, unless that was done
+// already, and reports whether they are known.
+func (n *Node) readHistory(ctx context.Context) bool {
+	o := &n.origins
+	o.mu.Lock()
+	known := o.historyRead
+	o.mu.Unlock()
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	list, err := n.system.ReadSoftware(ctx)
+	if err != nil {
+		n.log.Warn("software_history_not_read", "error", err)
+		return false
+	}
+	n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), list) })
+	o.mu.Lock()
+	o.historyRead = true
+	o.mu.Unlock()
+	return true
+}
+
 // askOrigin asks other entry VMs which version began a stream.
 func (n *Node) askOrigin(ctx context.Context, key origin.Key) (topo.Software, bool) {
 	sources := origin.Sources(n.peers.keepers(n.clock.Now()), key)
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -137,6 +137,9 @@
 	// DecodeUpdate decodes relayed records into the update that ReadUpdates would
 	// return.
 	DecodeUpdate(feed Feed, records []peer.FeedRecord) *FeedUpdate
+	// ReadSoftware returns the versions of the backend servers in the records of FeedServers that
+	// the store still has, those of removed backend servers included.
+	ReadSoftware(ctx context.Context) ([]topo.ServiceSoftware, error)
 	// ReadLease returns the records of a shard's lease from an offset on. The error is
 	// an ExpiredError if some of them have expired.
 	ReadLease(ctx context.Context, shard string, from units.Offset) (*LeaseRecords, error)
