Don't trust an old list with the version of a stream that nobody knows

Cause: an entry VM that had run for long believed its list whatever its age. Now it does so only if the list was read to its end within 1.5 s. Otherwise the other entry VMs must all have replied that they don't know the stream either; one that knows of no other entry VM has nobody to be out of step with.

--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -46,7 +46,7 @@
 // feed tracks how far one of the two feeds was read.
 type feed struct {
 	name Feed
-	// mu guards next, fullReadAt, synced and relayedAt.
+	// mu guards next, fullReadAt, synced, relayedAt and confirmedAt.
 	mu         sync.Mutex
 	next       units.Offset
 	fullReadAt clock.Millis
@@ -54,6 +54,9 @@
 	synced bool
 	// relayedAt is the time of the last relayed update without a gap before it.
 	relayedAt clock.Millis
+	// confirmedAt is when the feed was last known to be read to its end, by the clock that counts
+	// suspended time.
+	confirmedAt clock.Millis
 	// failures counts the last reads in a row that failed. Only the goroutine that follows
 	// the feed changes it, and uses source, that of the last update.
 	failures atomic.Int32
@@ -74,6 +77,13 @@
 	return f.synced && f.relayedAt > 0 && now < f.relayedAt+ttl
 }
 
+// isCurrent reports whether f was read to its end within some time.
+func (f *feed) isCurrent(bootNow, within clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt > 0 && bootNow < f.confirmedAt+within
+}
+
 // relayTTL returns how long the feeds count as up to date after a relayed update.
 func (n *Node) relayTTL() clock.Millis {
 	spread := min(clock.Millis(n.members.Load())*relaySpread, maxRelaySpread)
@@ -168,14 +178,14 @@
 	f.mu.Lock()
 	synced, from, fullReadAt := f.synced, f.next, f.fullReadAt
 	f.mu.Unlock()
-	now := n.clock.Now()
+	now, bootNow := n.clock.Now(), n.clock.BootNow()
 	if !synced || now >= fullReadAt+fullReadPeriod {
 		full, err := n.system.ReadFull(ctx, f.name)
 		if err != nil {
 			return 0, nil, errors.WithStack(err)
 		}
 		f.mu.Lock()
-		f.synced, f.fullReadAt, f.next = true, now, full.Next
+		f.synced, f.fullReadAt, f.next, f.confirmedAt = true, now, full.Next, bootNow
 		f.mu.Unlock()
 		return from, full, nil
 	}
@@ -191,7 +201,7 @@
 		return 0, nil, errors.WithStack(err)
 	}
 	f.mu.Lock()
-	f.next = max(f.next, update.Next)
+	f.next, f.confirmedAt = max(f.next, update.Next), max(f.confirmedAt, bootNow)
 	f.mu.Unlock()
 	return from, update, nil
 }
@@ -212,7 +222,7 @@
 	fits := f.synced && m.From <= f.next && m.Next >= f.next
 	isNew := fits && m.Next > f.next
 	if fits {
-		f.relayedAt, f.next = n.clock.Now(), m.Next
+		f.relayedAt, f.next, f.confirmedAt = n.clock.Now(), m.Next, n.clock.BootNow()
 	}
 	f.mu.Unlock()
 	// A full read by the placer may find changes at the same offset.
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -142,6 +142,11 @@
 	return true
 }
 
+// maxListAge is the age of the list of backend servers up to which it shows all versions that may
+// have begun a stream which is taken up now: one that has just come has to be read by another entry
+// VM, load the adapter and break first.
+const maxListAge = 1500 * clock.Millis(1)
+
 // findOrigin returns the version that began the stream which the request goes on with, and how it
 // is known; source is empty if it is not.
 func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
@@ -151,29 +156,40 @@
 	n.withCore(func(core *choose.Core) {
 		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
 	})
-	if only && observed {
+	current := n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge)
+	if only && observed && current {
 		return software, "only_version"
 	}
+	inStep := current || n.KnownEntryVMs() == 0
 	if c.head.Resumes != "" {
 		key := c.streamKey()
 		if began, known := n.origins.find(n.clock.BootNow(), key); known {
 			return began, "own_record"
 		}
-		if began, known := n.askOrigin(ctx, key); known {
+		began, known, replied := n.askOrigin(ctx, key)
+		if known {
 			return began, "entry_vm"
 		}
+		inStep = inStep || replied
+	}
+	switch {
+	case !only || !inStep:
+		// With an old list, and cut off from other entry VMs, it can't know of new versions.
+		return "", ""
+	case observed:
+		return software, "only_version"
+	case !n.readHistory(ctx):
+		return "", ""
 	}
 	// This entry VM started too late to rule out that the stream began at another version that has
 	// left, and no entry VM knows of one, as after all of them were killed. The store does.
-	if only && n.readHistory(ctx) {
-		n.withCore(func(core *choose.Core) {
-			software, only, _ = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
-		})
-		if only {
-			return software, "only_version_in_store"
-		}
+	n.withCore(func(core *choose.Core) {
+		software, only, _ = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
+	})
+	if !only {
+		return "", ""
 	}
-	return "", ""
+	return software, "only_version_in_store"
 }
 
 // historyTimeout bounds the read of the versions that the store has kept.
@@ -203,11 +219,12 @@
 	return true
 }
 
-// askOrigin asks other entry VMs which version began a stream.
-func (n *Node) askOrigin(ctx context.Context, key origin.Key) (topo.Software, bool) {
+// askOrigin asks other entry VMs which version began a stream. replied reports whether all that were
+// asked have replied, or one knows it.
+func (n *Node) askOrigin(ctx context.Context, key origin.Key) (software topo.Software, known, replied bool) {
 	sources := origin.Sources(n.peers.keepers(n.clock.Now()), key)
 	if len(sources) == 0 {
-		return "", false
+		return "", false, false
 	}
 	q, number := n.origins.ask(len(sources))
 	for _, m := range sources {
@@ -215,11 +232,12 @@
 	}
 	timer := time.NewTimer(originTimeout)
 	defer timer.Stop()
+	defer n.origins.drop(number)
 	select {
 	case <-q.done:
+		return q.software, q.known, true
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	n.origins.drop(number)
-	return q.software, q.known
+	return "", false, false
 }
