Let servers name limits in the soak

One seed in three has a server that names a limit of half a request to three and a half requests a second for 8 s or more, beside the other faults, and counts what it gets from entry VMs that had been told. The draw is the last one, so no other fault of a seed changes.

--- a/internal/oper/soak/checks_test.go
+++ b/internal/oper/soak/checks_test.go
@@ -22,6 +22,8 @@
 	leaving int
 	// backoff are requests that reached a server which asked for a back-off.
 	backoff int
+	// limited are requests that reached a server with a limit, limitWindow after it named that or later.
+	limited int
 	// left are executions whose callers disconnected, leftLong those of them that would have
 	// lasted much longer, resumed those that continue a stream that broke on another server.
 	left, leftLong, resumed int
@@ -59,6 +61,7 @@
 	list = append(list, d.requestsCutByStops()...)
 	list = append(list, d.runsAtLeavingServers(byID)...)
 	list = append(list, d.requestsInBackoffs(byID)...)
+	list = append(list, d.requestsBeyondLimits(byID)...)
 	list = append(list, d.mixedStreams()...)
 	list = append(list, d.mixedAttempts(byID)...)
 	list = append(list, d.lostStreams()...)
--- a/internal/oper/soak/checks_unit_test.go
+++ b/internal/oper/soak/checks_unit_test.go
@@ -56,6 +56,18 @@
 	d.history.recordRun(second)
 }
 
+// recordLimited records calls at a server with a limit of one a second, a period apart.
+func recordLimited(d *deployment, run func(id, server, service string, ms int) grid.Run, period time.Duration) {
+	from := run("", "", "", 0).At
+	d.history.limits = []namedLimit{{server: "plain-1", perMinute: 60, from: from.Add(-time.Millisecond), to: from.Add(time.Minute)}}
+	for i := range int(8500 * time.Millisecond / period) {
+		id, ms := fmt.Sprint("r", i), i*int(period.Milliseconds())
+		r := run(id, "plain-1", "plain", ms)
+		d.history.addRequest(&request{id: id, path: "/once/x", sent: r.At, ended: r.At.Add(20 * time.Millisecond), status: 200, stamp: "stamp-plain-1", body: "done " + id, complete: true})
+		d.history.recordRun(r)
+	}
+}
+
 // TestChecksFindBrokenPromises checks that each violation in a history is reported, and
 // that permitted histories are not. Otherwise a soak could pass with a check that finds
 // nothing.
@@ -161,6 +173,8 @@
 				d.history.recordBackoff(grid.Refusal{ID: id, Replica: "plain-1", At: at(ms), Backoff: time.Second})
 			}
 		}, ""},
+		{"requests beyond a limit", func(d *deployment) { recordLimited(d, run, 200*time.Millisecond) }, "plain-1 with a limit of 60 requests a minute got 20 in 4s, 11 are allowed"},
+		{"requests within a limit", func(d *deployment) { recordLimited(d, run, 400*time.Millisecond) }, ""},
 		{"stream of two versions", func(d *deployment) {
 			q := served("r", "/stream/x")
 			q.body = completeBody("r", streamEvents)
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -52,6 +52,8 @@
 		d.sayLeaving(f)
 	case serverRelease:
 		d.release("llm", f.duration)
+	case serverLimit:
+		d.nameLimit(f)
 	case serverBackoff:
 		d.targetServer(f.target).BackoffUntil.Store(time.Now().Add(f.duration).UnixMilli())
 		time.Sleep(f.duration)
--- a/internal/oper/soak/history_test.go
+++ b/internal/oper/soak/history_test.go
@@ -97,6 +97,8 @@
 	runs     map[string][]*execution
 	// backoff are the refusals of servers that asked for a back-off.
 	backoff []grid.Refusal
+	// limits are those that servers named.
+	limits []namedLimit
 	// versions holds the time at which each configuration was written, by version.
 	versions []time.Time
 	// leavingSince holds the time at which each leaving server announced it.
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -43,6 +43,7 @@
 	serverSaysLeaving kind = "server_says_leaving"
 	serverBackoff     kind = "server_asks_for_backoff"
 	serverRelease     kind = "server_release"
+	serverLimit       kind = "server_names_limit"
 )
 
 // kinds lists the kinds that newPlan draws first. Another order, or a new kind, gives seeds other
@@ -118,6 +119,9 @@
 // releaseOneIn is the number of seeds of which one has a release of the engines' software.
 const releaseOneIn = 3
 
+// limitOneIn is the number of seeds of which one has a server that names a limit.
+const limitOneIn = 3
+
 // maxBackoffs is the largest number of times at which a server asks for a back-off.
 const maxBackoffs = 3
 
@@ -173,5 +177,11 @@
 	if p.versions > 1 && r.IntN(2) == 0 {
 		p.versions++
 	}
+	if r.IntN(limitOneIn) == 0 {
+		p.faults = append(p.faults, fault{
+			kind: serverLimit, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow/2))).Round(time.Millisecond),
+			duration: (2*limitWindow + time.Duration(r.Int64N(int64(maxFaultDuration)))).Round(time.Millisecond), target: r.IntN(1 << 20),
+		})
+	}
 	return p
 }
