Bound limits that other entry VMs tell, and test what is no rate

A rate beyond all bounds in a message would overflow the number of its holders; such a message is now invalid.

--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -221,9 +221,9 @@
 	}
 }
 
-// Abandoned removes r from the load request for its adapter, so that no load is requested
-// for it any more, and ends its wait for its turn. It is for a request whose caller has disconnected or whose deadline has
-// passed.
+// Abandoned removes r from the load request for its adapter, so that no load is requested for it any
+// more, and ends its wait for its turn. It is for a request whose caller has disconnected or whose
+// deadline has passed.
 func (c *Core) Abandoned(r *Request) {
 	c.dequeue(r)
 	c.withdrawLoad(r)
--- a/internal/core/peer/limit.go
+++ b/internal/core/peer/limit.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"math"
-
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
@@ -19,10 +17,13 @@
 	Age clock.Millis `msgpack:"a,omitempty"`
 }
 
+// maxServerLimit bounds the rate that a backend server may name.
+const maxServerLimit = 1e6
+
 // Check reports whether l is valid.
 func (l *ServerLimit) Check() error {
-	if l.Server == "" || math.IsNaN(float64(l.Limit)) || l.Limit < 0 || l.Age < 0 {
-		return invalid("limit", "no backend server, no rate or an answer from the future")
+	if l.Server == "" || !(l.Limit >= 0 && l.Limit <= maxServerLimit) || l.Age < 0 {
+		return invalid("limit", "no backend server, no rate within its bounds or an answer from the future")
 	}
 	return nil
 }
