review: a thawed entry VM goes on with streams at another software version

Tried: six entry VMs and four replicas at v1. While one entry VM is frozen for 7.5 s, a replica of v2 comes, serves and is taken away; callers take up the streams that break with it.

The commit also has the code of the next case.

--- a/review/cases/deploy.go
+++ b/review/cases/deploy.go
@@ -62,8 +62,10 @@
 	dir      string
 	zones    []zone
 	machines []*machine
-	stop     chan struct{}
-	group    sync.WaitGroup
+	// holders has the name of the machine that gave the last order, by zone.
+	holders sync.Map
+	stop    chan struct{}
+	group   sync.WaitGroup
 }
 
 // newDeployment starts the store. start starts the entry VMs.
@@ -269,6 +271,22 @@
 	}
 }
 
+// lastHolder returns the machine that gave the last order to a replica of a region, nil if none did.
+func (d *deployment) lastHolder(region string) *machine {
+	for _, z := range d.zones {
+		holder, ok := d.holders.Load(z.name)
+		if !ok || z.region != region {
+			continue
+		}
+		for _, m := range d.machines {
+			if m.name == holder {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
 func (m *machine) inRotation() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/cases/inplaceupgrade.go
+++ b/review/cases/inplaceupgrade.go
@@ -33,7 +33,7 @@
 	for i, software := range []string{"v1", "v1", "v2", "v2"} {
 		p := &replica{
 			id: fmt.Sprintf("i-%d", i+1), service: "llm", zone: zones[i%2].name, modelLoad: 600 * time.Millisecond, adapterLoad: 250 * time.Millisecond, adapterSlots: 8,
-			events: longEvents, pace: longPace, record: r, store: d.Store,
+			events: longEvents, pace: longPace, record: r, store: d.Store, holders: &d.holders,
 		}
 		if err := p.start(software, "m0"); err != nil {
 			return result{}, err
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,8 +24,10 @@
 
 // cases maps the name of a case to its function.
 var cases = map[string]func(r *recorder, trouble bool) (result, error){
-	"region-killed":     runRegionKilled,
-	"upgrade-in-outage": runUpgradeInOutage,
+	"region-killed":      runRegionKilled,
+	"upgrade-in-outage":  runUpgradeInOutage,
+	"rollback-in-freeze": runRollbackInFreeze,
+	"power-loss":         runPowerLoss,
 }
 
 func main() {
--- a/review/cases/replica.go
+++ b/review/cases/replica.go
@@ -24,13 +24,17 @@
 	// modelLoad and adapterLoad are the times of loads; events and pace those of streams.
 	modelLoad, adapterLoad time.Duration
 	adapterSlots           int
-	events                 int
-	pace                   time.Duration
+	// slots limits the requests that run at a time; 0 is no limit.
+	slots  int
+	events int
+	pace   time.Duration
 
 	record *recorder
 	store  *keylog.Store
-	server *http.Server
-	quit   chan struct{}
+	// holders has the holder of the last order by zone.
+	holders *sync.Map
+	server  *http.Server
+	quit    chan struct{}
 
 	mu sync.Mutex
 	// address stays the same over restarts.
@@ -39,13 +43,16 @@
 	software string
 	born     int64
 	sequence int64
+	running  int
+	// unlisted is true once the entry was dropped.
+	unlisted bool
 	// models and adapters hold the time at which each load ends, adapters by MODEL/NAME.
 	models, adapters map[string]time.Time
-	runs             []run
+	executions       []execution
 }
 
-// run is one execution of a request.
-type run struct {
+// execution is one run of a request.
+type execution struct {
 	id, software string
 	after        int
 }
@@ -89,9 +96,7 @@
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
-		if value, err := json.Marshal(r.state()); err == nil && !r.store.Down.Load() {
-			r.store.Put("keyed.servers", r.id, value)
-		}
+		r.put()
 		select {
 		case <-ticker.C:
 		case <-quit:
@@ -127,6 +132,25 @@
 	}
 }
 
+// unlist drops the entry. The process serves on.
+func (r *replica) unlist() {
+	r.mu.Lock()
+	r.unlisted = true
+	r.mu.Unlock()
+	r.store.Put("keyed.servers", r.id, nil)
+	r.record.write("replica_unlisted", "id", r.id)
+}
+
+// put writes the entry to the store.
+func (r *replica) put() {
+	r.mu.Lock()
+	unlisted := r.unlisted
+	r.mu.Unlock()
+	if value, err := json.Marshal(r.state()); err == nil && !unlisted && !r.store.Down.Load() {
+		r.store.Put("keyed.servers", r.id, value)
+	}
+}
+
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
 	if id := req.Header.Get("Request-Id"); id != "" {
 		w.Header().Set("Request-Id", id)
@@ -143,7 +167,7 @@
 	case "POST /order":
 		r.order(w, req)
 	default:
-		r.stream(w, req)
+		r.run(w, req)
 	}
 }
 
@@ -170,6 +194,9 @@
 		status = r.execute(&o)
 	}
 	r.record.write("order", "replica", r.id, "operation", o.Operation, "model", o.Model, "adapter", o.Adapter, "holder", o.Holder, "fence", o.Fence, "status", status)
+	if status == http.StatusOK || status == http.StatusAccepted {
+		r.holders.Store(r.zone, o.Holder)
+	}
 	w.WriteHeader(status)
 }
 
@@ -219,8 +246,8 @@
 	return ok && !time.Now().Before(readyAt)
 }
 
-// stream runs a request: it answers with the events after Last-Event-Id.
-func (r *replica) stream(w http.ResponseWriter, req *http.Request) {
+// run runs a request: it answers with the events after Last-Event-Id.
+func (r *replica) run(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	if !r.holds(req.Header.Get("Model")) {
 		refuse(w, http.StatusMisdirectedRequest)
@@ -230,11 +257,22 @@
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r.mu.Lock()
 	software := r.software
-	r.runs = append(r.runs, run{id: id, software: software, after: after})
+	if r.slots > 0 && r.running >= r.slots {
+		r.mu.Unlock()
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	r.running++
+	defer func() {
+		r.mu.Lock()
+		r.running--
+		r.mu.Unlock()
+	}()
+	r.executions = append(r.executions, execution{id: id, software: software, after: after})
 	r.mu.Unlock()
 	r.record.write("run", "id", id, "replica", r.id, "software", software, "after_event", after)
-	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Server-Stamp", r.id+"."+software)
+	w.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := w.(http.Flusher)
 	for i := after + 1; i <= r.events; i++ {
 		select {
--- a/review/cases/streams.go
+++ b/review/cases/streams.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,8 @@
 	maxRetries = 4
 	// adapters are those that callers ask for.
 	adapters = 4
+	// shiftedAdapters is the first of the adapters that they ask for after a shift.
+	shiftedAdapters = 100
 )
 
 // streamConfig is a configuration with one resumable route.
@@ -25,8 +28,8 @@
 		"services": []any{map[string]any{
 			"name": "llm", "healthPath": "/health", "maxConnections": 490,
 			"engine": map[string]any{
-				"slots": 96, "kvCapacityTokens": 200056, "stride": 5, "weightsMb": 35300, "adapterSlots": 8, "loadsPerS": 2.1,
-				"models": []any{map[string]any{"name": "m0", "weightsMb": 34300, "loadS": 1, "adapters": 3000, "adapterMb": 40}},
+				"slots": 96, "kvCapacityTokens": 200056, "stride": 5, "weightsMb": 35300, "adapterSlots": 8, "loadsPerS": 4.2,
+				"models": []any{map[string]any{"name": "m0", "weightsMb": 34300, "loadS": 0.6, "adapters": 3000, "adapterMb": 40}},
 			},
 		}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -38,6 +41,8 @@
 	*deployment
 	quit  chan struct{}
 	group sync.WaitGroup
+	// shifted is true once the callers ask for other adapters than at first.
+	shifted atomic.Bool
 
 	mu       sync.Mutex
 	killedAt time.Time
@@ -78,7 +83,11 @@
 // run sends one stream after the other and takes up those that break off.
 func (c *streamClients) run(z zone, index int) {
 	for n := 0; !c.quitting(); n++ {
-		s := &stream{first: &attempt{id: fmt.Sprintf("%s-%d-%d", z.name, index, n), path: "/fit/x", model: fmt.Sprintf("m0/a%d", index%adapters), machine: c.pick(z)}}
+		model := fmt.Sprintf("m0/a%d", index%adapters)
+		if c.shifted.Load() {
+			model = fmt.Sprintf("m0/a%d", shiftedAdapters+index%adapters)
+		}
+		s := &stream{first: &attempt{id: fmt.Sprintf("%s-%d-%d", z.name, index, n), path: "/fit/x", model: model, machine: c.pick(z)}}
 		s.first.send(streamDeadline)
 		s.first.log(c.record)
 		c.takeUp(z, s)
