--- a/review/cases/deploy.go
+++ b/review/cases/deploy.go
@@ -55,6 +55,30 @@
 
 func (m *machine) front() string { return m.ip + ":8149" }
 
+// processes are those that were started. The zero value is ready to use.
+type processes struct {
+	mu   sync.Mutex
+	list []*os.Process
+}
+
+// started holds the processes that must not outlive this one.
+var started processes
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, process)
+}
+
+// kill kills all processes that have not been waited for.
+func (p *processes) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.list {
+		_ = process.Kill()
+	}
+}
+
 // deployment is the platform's stand-in with the entry VMs.
 type deployment struct {
 	*grid.Grid
@@ -188,6 +212,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started.add(cmd.Process)
 	m.cmd, m.undisturbedSince = cmd, time.Now()
 	d.record.write("started", "vm", m.name, "pid", cmd.Process.Pid)
 	return nil
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -45,6 +47,13 @@
 		return exitNotRun
 	}
 	defer r.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		started.kill()
+		os.Exit(exitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.write("case", "name", name, "trouble", trouble)
 	got, err := cases[name](r, trouble)
