--- a/review/cases/powerloss.go
+++ b/review/cases/powerloss.go
@@ -8,13 +8,14 @@
 
 // Sizes and times of the case power-loss.
 const (
-	powerReplicas = 30
+	powerReplicas = 40
 	powerSlots    = 3
 	powerEvents   = 20
-	// requestPeriod is the time between two requests. At this rate they take 0.8 of the slots.
-	requestPeriod = 17 * time.Millisecond
+	// requestPeriod is the time between two requests. At this rate they take 0.9 of the slots.
+	requestPeriod = 12 * time.Millisecond
 	powerWarm     = 8 * time.Second
-	// machinesDown and replicasDown are the times from the power loss to the starts.
+	// crashed is the number of replicas that crash together, a quarter.
+	crashed      = powerReplicas / 4
 	machinesDown = time.Second
 	replicasDown = 2 * time.Second
 	recoverTime  = 12 * time.Second
@@ -22,8 +23,8 @@
 	minServed    = 0.25
 )
 
-// runPowerLoss kills all entry VMs and, at the same moment, all replicas. The callers ask for the model
-// without an adapter.
+// runPowerLoss kills all entry VMs and crashes the replicas after that, a quarter at a time. The callers
+// ask for the model without an adapter.
 func runPowerLoss(r *recorder, trouble bool) (result, error) {
 	zones := []zone{{"galle", "southern", 3}, {"matara", "southern", 2}, {"kandy", "central", 2}}
 	d, err := newDeployment(r, zones)
@@ -57,22 +58,26 @@
 	clients.Go(func() { c.run(quit) })
 	time.Sleep(powerWarm)
 	lostAt := time.Now()
+	backAt := lostAt
 	if trouble {
-		for _, p := range replicas {
-			p.stop()
-		}
 		d.kill(d.machines, machinesDown)
-		time.Sleep(time.Until(lostAt.Add(replicasDown)))
-		for _, p := range replicas {
-			if err := p.start("v1"); err != nil {
-				return result{}, err
+		for first := 0; first < powerReplicas; first += crashed {
+			for _, p := range replicas[first : first+crashed] {
+				p.stop()
+			}
+			time.Sleep(replicasDown)
+			for _, p := range replicas[first : first+crashed] {
+				if err := p.start("v1"); err != nil {
+					return result{}, err
+				}
 			}
 		}
+		backAt = time.Now()
 	}
-	time.Sleep(time.Until(lostAt.Add(replicasDown + recoverTime + afterRecover)))
+	time.Sleep(recoverTime + afterRecover)
 	close(quit)
 	clients.Wait()
-	return c.recovered(lostAt, lostAt.Add(replicasDown+recoverTime)), nil
+	return c.recovered(lostAt, backAt.Add(recoverTime)), nil
 }
 
 // steadyClients send requests at fixed times, each once.
@@ -127,7 +132,7 @@
 			servedAfter += count(a.complete)
 		}
 	}
-	summary := fmt.Sprintf("%d of %d requests were served before the power loss, %d of %d of those sent later than %s after the machines were back", servedBefore, before, servedAfter, after, recoverTime)
+	summary := fmt.Sprintf("%d of %d requests were served before the final fault, %d of %d of those sent later than %s after the machines and replicas were back", servedBefore, before, servedAfter, after, recoverTime)
 	broken := before > 0 && after > 0 && float64(servedBefore) >= minServed*float64(before) && float64(servedAfter) < minServed*float64(after)
 	return result{broken: broken, summary: summary}
 }
