Don't take a version that was not on the list when it was read for one that never was

Cause: absence from a list counted as proof of absence. An update merged an entry with its removal, a full read skipped the records before it, a relayed update left out what its sender had merged, and the time that was watched began once, at the first list, whatever was missed later. An updated list also counted as current by the arrival of a relayed update, though that may have waited while the process stood still; as did a read that did not reach the end of the list.

Change: each read names the versions of all its records; records before a full read are read for theirs; relayed updates carry those that their records don't name, and gaps. After a gap the watched time begins anew. After the process has stood still for a second a feed counts as current only once it was read from the store. Records of the stream, own ones and then those of other entry VMs, come before the list, and entry VMs that may have missed the start don't vouch that there was none. The store's kept records are read again after each gap, requests together. An own read that a newer relayed update has overtaken is no longer applied.

With the new parts of the change taken out one by one, TestVersionsListedUnseen fails each time.

--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -32,7 +32,7 @@
 // are now. The zero value has seen none.
 type softwareHistory struct {
 	seenAt map[topo.ServiceSoftware]clock.Millis
-	// since is the time of the first list, 0 before it.
+	// since is the begin of the time in which no version was listed unseen, 0 before the first list.
 	since clock.Millis
 }
 
@@ -42,7 +42,7 @@
 		h.seenAt = map[topo.ServiceSoftware]clock.Millis{}
 	}
 	for _, v := range servers {
-		h.seenAt[topo.ServiceSoftware{Service: v.Service, Software: v.Software}] = now
+		h.seenAt[v.ServiceSoftware()] = now
 	}
 	for key, at := range h.seenAt {
 		if now > at+softwareKept {
@@ -51,7 +51,8 @@
 	}
 }
 
-// AddSoftware records versions that were listed until now, as the store has kept them.
+// AddSoftware records versions that were listed until now, those of removed backend servers
+// included.
 func (c *Core) AddSoftware(now clock.Millis, list []topo.ServiceSoftware) {
 	c.now = max(c.now, now)
 	c.software.observe(c.now, c.servers)
@@ -60,8 +61,23 @@
 	}
 }
 
+// RestartSoftwareHistory records that versions may have been listed unseen until now. It reports
+// whether any list came before.
+func (c *Core) RestartSoftwareHistory(now clock.Millis) bool {
+	c.now = max(c.now, now)
+	if c.software.since == 0 {
+		return false
+	}
+	c.software.since = c.now
+	return true
+}
+
+// SoftwareSince returns the begin of the time in which no version was listed unseen, 0 before the
+// first list.
+func (c *Core) SoftwareSince() clock.Millis { return c.software.since }
+
 // OnlySoftware returns a version of a service's backend servers, and reports whether no other one
-// was listed since a time, and whether backend servers have been listed all that time.
+// was seen since a time, and whether none was listed unseen in all that time.
 func (c *Core) OnlySoftware(now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
 	c.now = max(c.now, now)
 	count := 0
--- a/internal/core/origin/starts.go
+++ b/internal/core/origin/starts.go
@@ -58,6 +58,8 @@
 	byKey map[Key]record
 	// order lists the keys by their first Add. It has each key of byKey once.
 	order []Key
+	// overflowedUntil is the end of the last one of the starts that were dropped before it.
+	overflowedUntil clock.Millis
 }
 
 type record struct {
@@ -87,6 +89,7 @@
 func (s *Starts) forget(now clock.Millis) {
 	n := 0
 	for n < len(s.order) && (now >= s.byKey[s.order[n]].until || len(s.byKey) >= MaxStarts) {
+		s.overflowedUntil = max(s.overflowedUntil, s.byKey[s.order[n]].until)
 		delete(s.byKey, s.order[n])
 		n++
 	}
@@ -102,5 +105,8 @@
 	return r.software, true
 }
 
+// Overflowed reports whether a start was dropped before its time that would still be kept now.
+func (s *Starts) Overflowed(now clock.Millis) bool { return now < s.overflowedUntil }
+
 // Len returns the number of starts, including some that have expired.
 func (s *Starts) Len() int { return len(s.byKey) }
--- a/internal/core/peer/feed.go
+++ b/internal/core/peer/feed.go
@@ -1,6 +1,10 @@
 package peer
 
-import "mangostile/internal/base/units"
+import (
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/origin"
+	"mangostile/internal/core/topo"
+)
 
 // FeedUpdate forwards records that a placer has read from the store, so that not
 // every entry VM has to read it.
@@ -11,6 +15,12 @@
 	Next units.Offset `msgpack:"n"`
 	// Records holds the newest record of each key that changed in that range.
 	Records []FeedRecord `msgpack:"r,omitempty"`
+	// Software lists the versions that only records which were replaced in that range name.
+	Software []topo.ServiceSoftware `msgpack:"s,omitempty"`
+	// Gap is true if some records of that range were not read.
+	Gap bool `msgpack:"g,omitempty"`
+	// Behind is true if records from Next on were in the store already when it was read.
+	Behind bool `msgpack:"b,omitempty"`
 }
 
 // FeedRecord is a record as the store holds it. An empty value deletes the key.
@@ -31,5 +41,10 @@
 			return invalid("feed_news", "record without key")
 		}
 	}
+	for i := range m.Software {
+		if err := origin.CheckSoftware(m.Software[i].Software); err != nil || m.Software[i].Service == "" {
+			return invalid("feed_news", "version without service or too long")
+		}
+	}
 	return nil
 }
--- a/internal/core/peer/origin.go
+++ b/internal/core/peer/origin.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"mangostile/internal/base/clock"
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/topo"
 )
@@ -15,6 +16,9 @@
 	// Question identifies the request among those of the sender.
 	Question uint64     `msgpack:"q"`
 	Key      origin.Key `msgpack:"k"`
+	// Window is the time in ms in which the stream may have begun; 0 if the sender is of a release
+	// that does not tell it.
+	Window clock.Millis `msgpack:"w,omitempty"`
 	// Address is the peer address of the sender, to which the reply goes.
 	Address string `msgpack:"a"`
 }
@@ -23,7 +27,10 @@
 type OriginReply struct {
 	Question uint64 `msgpack:"q"`
 	// Known is true if the sender knows the stream.
-	Known    bool          `msgpack:"y,omitempty"`
+	Known bool `msgpack:"y,omitempty"`
+	// Covers is true if the sender has kept all starts that it was told in the Window of the
+	// request.
+	Covers   bool          `msgpack:"c,omitempty"`
 	Software topo.Software `msgpack:"v,omitempty"`
 }
 
@@ -41,8 +48,8 @@
 
 // Check implements Message.
 func (m *OriginRequest) Check() error {
-	if m.Address == "" {
-		return invalid("origin_request", "no address")
+	if m.Address == "" || m.Window < 0 {
+		return invalid("origin_request", "no address, or a window below 0")
 	}
 	return nil
 }
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -16,8 +16,8 @@
 
 // ServiceSoftware is a version of the backend servers of a service.
 type ServiceSoftware struct {
-	Service  units.ServiceName
-	Software Software
+	Service  units.ServiceName `msgpack:"s"`
+	Software Software          `msgpack:"v,omitempty"`
 }
 
 // Copy is an adapter that a backend server has loaded or is loading.
@@ -52,6 +52,11 @@
 	Copies []Copy
 }
 
+// ServiceSoftware returns the version of s as one of its service.
+func (s *Server) ServiceSoftware() ServiceSoftware {
+	return ServiceSoftware{Service: s.Service, Software: s.Software}
+}
+
 // Holds reports whether s has loaded a model.
 func (s *Server) Holds(model units.ModelName) bool {
 	for _, m := range s.Models {
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -46,7 +47,9 @@
 // feed tracks how far one of the two feeds was read.
 type feed struct {
 	name Feed
-	// mu guards next, fullReadAt, synced, relayedAt and confirmedAt.
+	// applying is held while an update is applied, so that none is applied after a newer one.
+	applying sync.Mutex
+	// mu guards next, fullReadAt, synced, relayedAt, readAt and confirmedAt.
 	mu         sync.Mutex
 	next       units.Offset
 	fullReadAt clock.Millis
@@ -54,9 +57,9 @@
 	synced bool
 	// relayedAt is the time of the last relayed update without a gap before it.
 	relayedAt clock.Millis
-	// confirmedAt is when the feed was last known to be read to its end, by the clock that counts
-	// suspended time.
-	confirmedAt clock.Millis
+	// readAt is when the last read from the store that succeeded began, confirmedAt when the feed
+	// was last known to be read to its end. Both are by the clock that counts suspended time.
+	readAt, confirmedAt clock.Millis
 	// failures counts the last reads in a row that failed. Only the goroutine that follows
 	// the feed changes it, and uses source, that of the last update.
 	failures atomic.Int32
@@ -70,18 +73,63 @@
 	return f.next
 }
 
-// relayed reports whether f has missed no update and the placer relayed one within ttl.
-func (f *feed) relayed(now, ttl clock.Millis) bool {
+// relayed reports whether f has missed no update, the placer relayed one within ttl, and f was read
+// from the store since resumedAt.
+func (f *feed) relayed(now, ttl, resumedAt clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.synced && f.relayedAt > 0 && now < f.relayedAt+ttl
+	return f.synced && f.relayedAt > 0 && now < f.relayedAt+ttl && f.readAt >= resumedAt
 }
 
-// isCurrent reports whether f was read to its end within some time.
-func (f *feed) isCurrent(bootNow, within clock.Millis) bool {
+// isCurrent reports whether f was read to its end within some time, and from the store since
+// resumedAt: relayed updates that waited while the process stood still don't tell how old they are.
+func (f *feed) isCurrent(bootNow, within, resumedAt clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.confirmedAt > 0 && bootNow < f.confirmedAt+within
+	return f.confirmedAt > 0 && bootNow < f.confirmedAt+within && f.readAt >= resumedAt
+}
+
+// storeRead is a read of a feed from the store.
+type storeRead struct {
+	update *FeedUpdate
+	// from is the offset that was due to be read.
+	from units.Offset
+	// at and bootAt are the times at which it began.
+	at, bootAt clock.Millis
+}
+
+// accept records a read from the store. It reports false if a relayed update that came meanwhile is
+// newer.
+func (f *feed) accept(r *storeRead) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next != r.from && f.next > r.update.Next {
+		return false
+	}
+	if r.update.Full {
+		f.synced, f.fullReadAt = true, r.at
+	}
+	f.next, f.readAt = r.update.Next, r.bootAt
+	if !r.update.Behind {
+		f.confirmedAt = max(f.confirmedAt, r.bootAt)
+	}
+	return true
+}
+
+// acceptRelayed records a relayed update, and reports whether it follows what was read and whether
+// it reaches beyond that.
+func (f *feed) acceptRelayed(m *peer.FeedUpdate, now, bootNow clock.Millis) (fits, isNew bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.synced || m.From > f.next || m.Next < f.next {
+		return false, false
+	}
+	isNew = m.Next > f.next
+	f.relayedAt, f.next = now, m.Next
+	if !m.Behind {
+		f.confirmedAt = bootNow
+	}
+	return true, isNew
 }
 
 // relayTTL returns how long the feeds count as up to date after a relayed update.
@@ -94,33 +142,47 @@
 // follow reads a feed from the store until ctx is done. It pauses while the placer of this
 // entry VM's region relays the feed, since applyRelayed applies those updates. A read waits
 // up to wait for an update unless it is a full one; interval is the time between two reads.
-// apply returns the records to relay. The error is always nil.
-func (n *Node) follow(ctx context.Context, f *feed, wait clock.Millis, interval time.Duration, apply func(*FeedUpdate) []peer.FeedRecord) error {
+// apply returns the update to relay. The error is always nil.
+func (n *Node) follow(ctx context.Context, f *feed, wait clock.Millis, interval time.Duration, apply func(*FeedUpdate) *peer.FeedUpdate) error {
 	for ctx.Err() == nil {
-		relayed := !n.relaysFeeds() && f.relayed(n.clock.Now(), n.relayTTL())
+		relayed := !n.relaysFeeds() && f.relayed(n.clock.Now(), n.relayTTL(), n.noteRunning())
 		n.logSource(f, relayed)
 		if relayed {
 			sleep(ctx, relayPollPeriod)
 			continue
 		}
-		var from units.Offset
-		var update *FeedUpdate
+		var r *storeRead
 		err := errPanic
-		n.guard("read of feed "+string(f.name), func() { from, update, err = n.readFeed(ctx, f, wait) })
+		n.guard("read of feed "+string(f.name), func() { r, err = n.readFeed(ctx, f, wait) })
 		n.meter.StoreRead(string(f.name), err == nil)
 		n.logDependency(ctx, f, err)
 		if err != nil {
 			sleep(ctx, n.retryDelay(f))
 			continue
 		}
-		n.guard("feed "+string(f.name), func() {
-			n.passOn(&peer.FeedUpdate{Feed: string(f.name), From: from, Next: update.Next, Records: apply(update)}, update.Full)
-		})
+		n.guard("feed "+string(f.name), func() { n.applyRead(f, r, apply) })
 		sleep(ctx, interval)
 	}
 	return nil
 }
 
+// applyRead applies a read of a feed from the store and passes it on, unless a newer relayed update
+// was applied meanwhile.
+func (n *Node) applyRead(f *feed, r *storeRead, apply func(*FeedUpdate) *peer.FeedUpdate) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if !f.accept(r) {
+		return
+	}
+	m := apply(r.update)
+	m.Feed, m.From, m.Next, m.Behind = string(f.name), r.from, r.update.Next, r.update.Behind
+	if m.Next < m.From {
+		// The store has lost records. Only full reads tell what is left.
+		m.From = m.Next
+	}
+	n.passOn(m, r.update.Full)
+}
+
 // retryDelay returns the time to wait after the failed read of a feed.
 func (n *Node) retryDelay(f *feed) time.Duration {
 	longest := maxReadRetryDelay
@@ -171,39 +233,51 @@
 // relaysFeeds reports whether this entry VM relays feed updates to others.
 func (n *Node) relaysFeeds() bool { return n.ownPlacer().relaysFeeds.Load() }
 
-// readFeed reads an update of f from the store and returns it with the offset that was
-// due to be read. The update is a full one if an earlier one may have been missed or the
-// last full read is fullReadPeriod old. After an ExpiredError the next read is a full one.
-func (n *Node) readFeed(ctx context.Context, f *feed, wait clock.Millis) (units.Offset, *FeedUpdate, error) {
+// readFeed reads an update of f from the store. The update is a full one if an earlier one may
+// have been missed or the last full read is fullReadPeriod old. After an ExpiredError the next read
+// is a full one.
+func (n *Node) readFeed(ctx context.Context, f *feed, wait clock.Millis) (*storeRead, error) {
 	f.mu.Lock()
-	synced, from, fullReadAt := f.synced, f.next, f.fullReadAt
+	synced, fullReadAt := f.synced, f.fullReadAt
+	r := &storeRead{from: f.next, at: n.clock.Now(), bootAt: n.clock.BootNow()}
 	f.mu.Unlock()
-	now, bootNow := n.clock.Now(), n.clock.BootNow()
-	if !synced || now >= fullReadAt+fullReadPeriod {
-		full, err := n.system.ReadFull(ctx, f.name)
-		if err != nil {
-			return 0, nil, errors.WithStack(err)
+	var err error
+	if !synced || r.at >= fullReadAt+fullReadPeriod {
+		if r.update, err = n.system.ReadFull(ctx, f.name); err != nil {
+			return nil, errors.WithStack(err)
 		}
-		f.mu.Lock()
-		f.synced, f.fullReadAt, f.next, f.confirmedAt = true, now, full.Next, bootNow
-		f.mu.Unlock()
-		return from, full, nil
+		return r, n.readSkipped(ctx, f, synced, r)
 	}
-	update, err := n.system.ReadUpdates(ctx, f.name, from, wait)
+	r.update, err = n.system.ReadUpdates(ctx, f.name, r.from, wait)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
-		n.log.Warn("feed_expired", "feed", f.name, "next", from, "oldest", expired.Oldest)
+		n.log.Warn("feed_expired", "feed", f.name, "next", r.from, "oldest", expired.Oldest)
 		f.mu.Lock()
 		f.synced = false
 		f.mu.Unlock()
 	}
-	if err != nil {
-		return 0, nil, errors.WithStack(err)
+	return r, errors.WithStack(err)
+}
+
+// readSkipped adds to a full read of the backend servers the versions that only records before it
+// name: those of servers that were listed and removed since the last update.
+func (n *Node) readSkipped(ctx context.Context, f *feed, synced bool, r *storeRead) error {
+	if f.name != FeedServers {
+		return nil
 	}
-	f.mu.Lock()
-	f.next, f.confirmedAt = max(f.next, update.Next), max(f.confirmedAt, bootNow)
-	f.mu.Unlock()
-	return from, update, nil
+	if !synced || r.update.Next < r.from {
+		r.update.Gap = true
+		return nil
+	}
+	list, err := n.system.ReadSoftware(ctx, r.from, r.update.Next)
+	var expired *ExpiredError
+	if errors.As(err, &expired) {
+		n.log.Warn("feed_expired", "feed", f.name, "next", r.from, "oldest", expired.Oldest)
+		r.update.Gap = true
+		return nil
+	}
+	r.update.Software = append(r.update.Software, list...)
+	return errors.WithStack(err)
 }
 
 // applyRelayed applies an update that another entry VM has read, unless there is a gap before
@@ -218,18 +292,20 @@
 	if placer && f.failures.Load() == 0 {
 		return
 	}
-	f.mu.Lock()
-	fits := f.synced && m.From <= f.next && m.Next >= f.next
-	isNew := fits && m.Next > f.next
-	if fits {
-		f.relayedAt, f.next, f.confirmedAt = n.clock.Now(), m.Next, n.clock.BootNow()
+	n.noteRunning()
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	fits, isNew := f.acceptRelayed(m, n.clock.Now(), n.clock.BootNow())
+	if !fits {
+		return
 	}
-	f.mu.Unlock()
 	// A full read by the placer may find changes at the same offset.
-	if isNew || fits && len(m.Records) > 0 {
-		apply(n.system.DecodeUpdate(f.name, m.Records))
+	if isNew || len(m.Records) > 0 || m.Gap {
+		update := n.system.DecodeUpdate(f.name, m.Records)
+		update.Software, update.Gap = append(update.Software, m.Software...), m.Gap
+		apply(update)
 	}
-	if placer && fits {
+	if placer {
 		n.ownPlacer().inputs.Push(relayInput{update: m})
 	}
 }
@@ -252,9 +328,9 @@
 	}
 }
 
-// applyConfig applies the configuration and the named versions. It returns the records
-// to relay.
-func (n *Node) applyConfig(update *FeedUpdate) []peer.FeedRecord {
+// applyConfig applies the configuration and the named versions. It returns the update with the
+// records to relay.
+func (n *Node) applyConfig(update *FeedUpdate) *peer.FeedUpdate {
 	now := n.clock.Now()
 	changed := false
 	n.withCore(func(core *choose.Core) {
@@ -280,7 +356,7 @@
 		n.log.Warn("entries_passed_over", "feed", FeedConfig, "count", update.Skipped)
 	}
 	n.propagateUpdate()
-	return feedRecords(update, nil)
+	return &peer.FeedUpdate{Records: feedRecords(update, nil)}
 }
 
 // feedRecords returns the records of an update sorted by key. If changed is not nil,
@@ -302,21 +378,46 @@
 	return list
 }
 
-// applyServers applies the list of backend servers. It returns the records to relay:
-// only those that changed, since most only report that a backend server is alive.
-func (n *Node) applyServers(update *FeedUpdate) []peer.FeedRecord {
+// applyServers applies the list of backend servers. It returns the update to relay: with the
+// records that changed only, since most only report that a backend server is alive, and with the
+// versions that these records don't name.
+func (n *Node) applyServers(update *FeedUpdate) *peer.FeedUpdate {
 	var changed map[units.BackendServerID]bool
+	var unlisted []topo.ServiceSoftware
 	var count int
+	var restarted bool
 	n.withCore(func(core *choose.Core) {
+		now := n.clock.Now()
+		if update.Gap {
+			restarted = core.RestartSoftwareHistory(now)
+		}
+		core.AddSoftware(now, update.Software)
 		changed = n.mergeServers(update)
-		core.SetServers(n.clock.Now(), n.servers.All())
+		core.SetServers(now, n.servers.All())
 		count = n.servers.Len()
+		unlisted = n.unlistedSoftware(update.Software)
 	})
+	if restarted {
+		n.log.Info("software_history_restarted", "next", update.Next)
+	}
 	if len(changed) > 0 {
 		n.log.Info("servers_changed", "count", count, "changed", len(changed), "whole", update.Full, "dropped", len(update.Removed), "passed_over", update.Skipped)
 	}
 	n.propagateUpdate()
-	return feedRecords(update, changed)
+	return &peer.FeedUpdate{Records: feedRecords(update, changed), Software: unlisted, Gap: update.Gap}
+}
+
+// unlistedSoftware returns those of some versions that no listed backend server has. n.mu must be
+// held.
+func (n *Node) unlistedSoftware(list []topo.ServiceSoftware) []topo.ServiceSoftware {
+	if len(list) == 0 {
+		return nil
+	}
+	listed := map[topo.ServiceSoftware]bool{}
+	for _, s := range n.servers.All() {
+		listed[s.ServiceSoftware()] = true
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(v topo.ServiceSoftware) bool { return listed[v] })
 }
 
 // mergeServers merges an update into the server list and returns the backend servers
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -82,6 +82,7 @@
 	callers  callers
 	inFlight atomic.Int64
 	delay    processDelay
+	running  running
 
 	// stoppedAt is the time of Stop, in ms, or 0.
 	stoppedAt atomic.Int64
--- /dev/null
+++ b/internal/node/fleet/observed_test.go
@@ -0,0 +1,291 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/core/origin"
+	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
+
+	"github.com/shoenig/test/must"
+)
+
+// listLog is a System with a list of backend servers of one service. A record with an empty version
+// removes its server.
+type listLog struct {
+	System
+	records []*topo.Server
+	// oldest is the offset of the first record that has not expired.
+	oldest int
+	// hidden is the number of the last records that reads of updates don't show yet.
+	hidden int
+	kept   int
+	err    error
+}
+
+func (l *listLog) put(id units.BackendServerID, version topo.Software) {
+	l.records = append(l.records, &topo.Server{ID: id, Service: "plain", Software: version, StartedAt: int64(len(l.records))})
+}
+
+func (l *listLog) merge(records []*topo.Server, update *FeedUpdate) *FeedUpdate {
+	newest := map[units.BackendServerID]*topo.Server{}
+	for _, s := range records {
+		newest[s.ID] = s
+		if s.Software != "" {
+			update.Software = append(update.Software, s.ServiceSoftware())
+		}
+	}
+	update.Records = map[string][]byte{}
+	for id, s := range newest {
+		update.Records[string(id)] = []byte(s.Software)
+		if s.Software == "" {
+			update.Removed = append(update.Removed, id)
+		} else {
+			update.Servers = append(update.Servers, s)
+		}
+	}
+	return update
+}
+
+// ReadFull implements Store.
+func (l *listLog) ReadFull(context.Context, Feed) (*FeedUpdate, error) {
+	update := l.merge(l.records, &FeedUpdate{Full: true, Next: units.Offset(len(l.records))})
+	update.Software, update.Removed = nil, nil
+	return update, nil
+}
+
+// ReadUpdates implements Store.
+func (l *listLog) ReadUpdates(_ context.Context, _ Feed, from units.Offset, _ clock.Millis) (*FeedUpdate, error) {
+	if int(from) < l.oldest {
+		return nil, &ExpiredError{Oldest: units.Offset(l.oldest)}
+	}
+	end := max(int(from), len(l.records)-l.hidden)
+	return l.merge(l.records[from:end], &FeedUpdate{Next: units.Offset(end), Behind: l.hidden > 0}), nil
+}
+
+// ReadSoftware implements Store.
+func (l *listLog) ReadSoftware(_ context.Context, from, to units.Offset) ([]topo.ServiceSoftware, error) {
+	if int(from) < l.oldest {
+		return nil, &ExpiredError{Oldest: units.Offset(l.oldest)}
+	}
+	return l.merge(l.records[from:to], &FeedUpdate{}).Software, nil
+}
+
+// ReadKeptSoftware implements Store.
+func (l *listLog) ReadKeptSoftware(context.Context) ([]topo.ServiceSoftware, error) {
+	l.kept++
+	return l.merge(l.records[l.oldest:], &FeedUpdate{}).Software, l.err
+}
+
+// DecodeUpdate implements Store.
+func (l *listLog) DecodeUpdate(_ Feed, records []peer.FeedRecord) *FeedUpdate {
+	var list []*topo.Server
+	for _, r := range records {
+		list = append(list, &topo.Server{ID: units.BackendServerID(r.Key), Service: "plain", Software: topo.Software(r.Value), StartedAt: 1})
+	}
+	return l.merge(list, &FeedUpdate{})
+}
+
+// listReader is an entry VM that reads a listLog.
+type listReader struct {
+	*Node
+	log *listLog
+}
+
+func newListReader(log *listLog, time clock.Clock) *listReader {
+	n := New(Options{Settings: Settings{ID: "vm0", Region: "r", Regions: map[units.FailureDomain]units.Region{"z": "r"}}, System: log, Clock: time})
+	n.noteRunning()
+	return &listReader{Node: n, log: log}
+}
+
+// read reads the list once.
+func (r *listReader) read(t *testing.T) {
+	t.Helper()
+	got, err := r.readFeed(t.Context(), &r.serversFeed, 0)
+	if err == nil {
+		r.applyRead(&r.serversFeed, got, r.applyServers)
+	}
+}
+
+// origin returns how the version of a stream that has just broken is known.
+func (r *listReader) origin(t *testing.T) (topo.Software, string) {
+	t.Helper()
+	c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
+	return c.findOrigin(t.Context())
+}
+
+// run lets the process run for a time.
+func (r *listReader) run(t *testing.T, d clock.Millis) {
+	t.Helper()
+	for range d / 500 {
+		r.clock.Advance(500)
+		r.noteRunning()
+		r.read(t)
+	}
+}
+
+// TestVersionsListedUnseen guards against a stream with events of two software versions: a version
+// that came and went while the list was not read, or was read with a gap, counted as one that had
+// never been there. After reads without a gap, take-ups must go on.
+func TestVersionsListedUnseen(t *testing.T) {
+	comeAndGo := func(l *listLog) {
+		l.put("s2", "v2")
+		l.put("s2", "")
+	}
+	relayed := func(r *listReader, m peer.FeedUpdate) {
+		m.Feed = string(FeedServers)
+		r.applyRelayed(&m)
+	}
+	for _, tc := range []struct {
+		name   string
+		events func(t *testing.T, r *listReader)
+		want   string
+	}{
+		{"one version all the time", func(*testing.T, *listReader) {}, "only_version"},
+		{"frozen for a time in which nothing came", func(t *testing.T, r *listReader) {
+			r.clock.Advance(7500)
+			r.read(t)
+		}, "only_version"},
+		{"frozen, and the list not read since", func(_ *testing.T, r *listReader) { r.clock.Advance(7500) }, ""},
+		{"one read of coming and going", func(t *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.read(t)
+		}, ""},
+		{"a server that starts again with another version, twice in one read", func(t *testing.T, r *listReader) {
+			r.log.put("s1", "v2")
+			r.log.put("s1", "v1")
+			r.read(t)
+		}, ""},
+		{"a full read of coming and going", func(t *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.clock.Advance(fullReadPeriod)
+			r.read(t)
+		}, ""},
+		{"expired records", func(t *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.log.put("s1", "v1")
+			r.log.oldest = len(r.log.records) - 1
+			r.log.err = errors.New("store is away")
+			r.read(t)
+			r.read(t)
+		}, ""},
+		{"expired records long ago", func(t *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.log.oldest = len(r.log.records)
+			r.read(t)
+			r.run(t, 31*clock.Second)
+		}, "only_version"},
+		{"a store that lost records", func(t *testing.T, r *listReader) {
+			r.log.records = r.log.records[:1]
+			r.clock.Advance(fullReadPeriod)
+			r.log.err = errors.New("store is away")
+			r.read(t)
+		}, ""},
+		{"a store that answers from behind", func(t *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.log.hidden = 2
+			r.run(t, 3*clock.Second)
+		}, ""},
+		{"a relayed update of coming and going", func(_ *testing.T, r *listReader) {
+			software := []topo.ServiceSoftware{{Service: "plain", Software: "v2"}}
+			relayed(r, peer.FeedUpdate{From: 2, Next: 4, Records: []peer.FeedRecord{{Key: "s2"}}, Software: software})
+		}, ""},
+		{"a relayed update behind a gap", func(_ *testing.T, r *listReader) {
+			r.log.err = errors.New("store is away")
+			relayed(r, peer.FeedUpdate{From: 2, Next: 4, Gap: true})
+		}, ""},
+		{"a relayed update that does not reach the end", func(_ *testing.T, r *listReader) {
+			r.clock.Advance(900)
+			r.noteRunning()
+			r.clock.Advance(900)
+			relayed(r, peer.FeedUpdate{From: 2, Next: 3, Behind: true})
+		}, ""},
+		{"relayed updates that waited while it was frozen", func(_ *testing.T, r *listReader) {
+			comeAndGo(r.log)
+			r.clock.Advance(7500)
+			relayed(r, peer.FeedUpdate{From: 2, Next: 2})
+		}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			log := &listLog{}
+			log.put("s1", "v1")
+			log.put("s3", "v1")
+			r := newListReader(log, clock.NewManual(clock.Hour))
+			r.heardOf(peer.Member{ID: "vm1", Address: "127.0.0.1:1", Domain: "z"})
+			r.read(t)
+			r.run(t, 40*clock.Second)
+			must.Eq(t, 2, r.serversFeed.offset())
+			tc.events(t, r)
+			_, source := r.origin(t)
+			must.Eq(t, tc.want, source)
+		})
+	}
+}
+
+// TestRelayCarriesVersionsOfRemovedServers guards against a version that only the entry VM which
+// reads the store has seen: it came and went within one of its reads.
+func TestRelayCarriesVersionsOfRemovedServers(t *testing.T) {
+	log := &listLog{}
+	log.put("s1", "v1")
+	r := newListReader(log, clock.NewManual(clock.Hour))
+	r.read(t)
+	log.put("s2", "v2")
+	log.put("s2", "")
+	log.put("s1", "v1")
+	got, err := r.readFeed(t.Context(), &r.serversFeed, 0)
+	must.NoError(t, err)
+	must.Eq(t, []topo.ServiceSoftware{{Service: "plain", Software: "v2"}}, r.applyServers(got.update).Software)
+}
+
+// TestKeptVersionsAreReadAgainAfterAGap guards against a read of the store's kept versions that
+// counted for the whole life of the process.
+func TestKeptVersionsAreReadAgainAfterAGap(t *testing.T) {
+	log := &listLog{}
+	log.put("s1", "v1")
+	r := newListReader(log, clock.NewManual(clock.Hour))
+	r.read(t)
+	for range 3 {
+		_, source := r.origin(t)
+		must.Eq(t, "only_version_in_store", source)
+	}
+	must.Eq(t, 1, log.kept)
+	r.run(t, clock.Second)
+	log.put("s2", "v2")
+	log.put("s2", "")
+	r.applyRelayed(&peer.FeedUpdate{Feed: string(FeedServers), From: 1, Next: 3, Gap: true})
+	_, source := r.origin(t)
+	must.Eq(t, "", source)
+	must.Eq(t, 2, log.kept)
+}
+
+// TestCoversStarts checks when an entry VM that doesn't know a stream rules out that it was told.
+func TestCoversStarts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		window clock.Millis
+		events func(r *listReader)
+		want   bool
+	}{
+		{"runs for long", 30 * clock.Second, func(*listReader) {}, true},
+		{"started within the window", 60 * clock.Second, func(*listReader) {}, false},
+		{"asked by an older release", 0, func(*listReader) {}, false},
+		{"frozen within the window", 30 * clock.Second, func(r *listReader) { r.clock.Advance(1200) }, false},
+		{"more starts than it keeps", 30 * clock.Second, func(r *listReader) {
+			for i := range origin.MaxStarts + 1 {
+				r.origins.add(r.clock.BootNow(), origin.Start{Key: origin.Key(i), Software: "v1", Remaining: clock.Second})
+			}
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newListReader(&listLog{}, clock.NewManual(clock.Hour))
+			r.run(t, 40*clock.Second)
+			tc.events(r)
+			must.Eq(t, tc.want, r.coversStarts(tc.window))
+		})
+	}
+}
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -11,6 +11,9 @@
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 )
 
 // originTimeout bounds the wait for replies of entry VMs that may know which version began a
@@ -24,20 +27,26 @@
 type origins struct {
 	mu     sync.Mutex
 	starts origin.Starts
-	// historyRead is true once the versions that the store has kept were read.
-	historyRead bool
+	// reading makes requests that need the versions that the store has kept share one read.
+	reading singleflight.Group
+	// historyOf is the begin of the own software history for which they were read last, 0 before the
+	// first read.
+	historyOf clock.Millis
 	// questions holds the questions to other entry VMs that wait for replies, by their number;
 	// asked is the number of the last one.
 	questions map[uint64]*question
 	asked     uint64
 }
 
-// question asks other entry VMs which version began a stream. software and known are set once done
+// question asks other entry VMs which version began a stream. The fields below done are set once it
 // is closed.
 type question struct {
-	// missing is the number of replies that are awaited.
-	missing  int
-	done     chan struct{}
+	// missing is the number of replies that are awaited. partial is true once one came from an
+	// entry VM that may have missed the start.
+	missing int
+	partial bool
+	done    chan struct{}
+
 	software topo.Software
 	known    bool
 }
@@ -54,6 +63,13 @@
 	return o.starts.Find(now, key)
 }
 
+// overflowed reports whether a start was dropped before its time that would still be kept now.
+func (o *origins) overflowed(now clock.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.starts.Overflowed(now)
+}
+
 // ask returns a new question to some entry VMs and its number.
 func (o *origins) ask(replies int) (*question, uint64) {
 	o.mu.Lock()
@@ -76,6 +92,7 @@
 	if q == nil {
 		return
 	}
+	q.partial = q.partial || !m.Covers
 	if q.missing--; !m.Known && q.missing > 0 {
 		return
 	}
@@ -94,7 +111,12 @@
 // answerOrigin replies to a question of another entry VM.
 func (n *Node) answerOrigin(from units.EntryVMID, m *peer.OriginRequest) {
 	software, known := n.origins.find(n.clock.BootNow(), m.Key)
-	n.links.Send(from, m.Address, &peer.OriginReply{Question: m.Question, Known: known, Software: software})
+	n.links.Send(from, m.Address, &peer.OriginReply{Question: m.Question, Known: known, Covers: n.coversStarts(m.Window), Software: software})
+}
+
+// coversStarts reports whether this entry VM has kept all starts that it was told in the last window.
+func (n *Node) coversStarts(window clock.Millis) bool {
+	return window > 0 && n.clock.BootNow() >= n.noteRunning()+window && !n.origins.overflowed(n.clock.BootNow())
 }
 
 // resumeWindow returns the time after the begin of a stream in which its caller may take it up.
@@ -142,47 +164,47 @@
 	return true
 }
 
-// maxListAge is the age of the list of backend servers up to which it shows all versions that may
-// have begun a stream which is taken up now: one that has just come has to be read by another entry
-// VM, load the adapter and break first.
+// maxListAge is the age of the list of backend servers up to which it counts as current.
 const maxListAge = 1500 * clock.Millis(1)
 
 // findOrigin returns the version that began the stream which the request goes on with, and how it
 // is known; source is empty if it is not.
+//
+// Records of the stream come first: a list shows a new version only some time after other entry VMs
+// may use it. With none, all versions that were listed since the stream may have begun must be the
+// same, and the list current, or the other entry VMs must rule out that they began the stream.
 func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
 	n := c.node
-	since := c.req.Arrived - c.resumeWindow()
-	var only, observed bool
-	n.withCore(func(core *choose.Core) {
-		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
-	})
-	current := n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge)
-	if only && observed && current {
-		return software, "only_version"
-	}
-	inStep := current || n.KnownEntryVMs() == 0
+	window := c.resumeWindow()
+	inStep := !n.peers.knewAny()
 	if c.head.Resumes != "" {
 		key := c.streamKey()
 		if began, known := n.origins.find(n.clock.BootNow(), key); known {
 			return began, "own_record"
 		}
-		began, known, replied := n.askOrigin(ctx, key)
+		began, known, unknownToAll := n.askOrigin(ctx, key, window)
 		if known {
 			return began, "entry_vm"
 		}
-		inStep = inStep || replied
+		inStep = inStep || unknownToAll
 	}
+	since := c.req.Arrived - window
+	var only, observed bool
+	n.withCore(func(core *choose.Core) {
+		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
+	})
+	inStep = inStep || n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge, n.noteRunning())
 	switch {
 	case !only || !inStep:
-		// With an old list, and cut off from other entry VMs, it can't know of new versions.
 		return "", ""
 	case observed:
 		return software, "only_version"
 	case !n.readHistory(ctx):
 		return "", ""
 	}
-	// This entry VM started too late to rule out that the stream began at another version that has
-	// left, and no entry VM knows of one, as after all of them were killed. The store does.
+	// This entry VM started too late, or missed too much, to rule out that the stream began at
+	// another version that has left, and no entry VM knows of one, as after all of them were killed.
+	// The store does.
 	n.withCore(func(core *choose.Core) {
 		software, only, _ = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
 	})
@@ -196,46 +218,60 @@
 const historyTimeout = 500 * time.Millisecond
 
 // readHistory reads the versions of backend servers that the store has kept, unless that was done
-// already, and reports whether they are known.
+// since this entry VM may have missed some, and reports whether they are known.
 func (n *Node) readHistory(ctx context.Context) bool {
+	done := n.origins.reading.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
+		defer cancel()
+		return nil, n.readKeptSoftware(ctx)
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case r := <-done:
+		return r.Err == nil
+	}
+}
+
+func (n *Node) readKeptSoftware(ctx context.Context) error {
 	o := &n.origins
+	var since clock.Millis
+	n.withCore(func(core *choose.Core) { since = core.SoftwareSince() })
 	o.mu.Lock()
-	known := o.historyRead
+	read := since > 0 && o.historyOf == since
 	o.mu.Unlock()
-	if known {
-		return true
+	if read {
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	list, err := n.system.ReadSoftware(ctx)
+	list, err := n.system.ReadKeptSoftware(ctx)
 	if err != nil {
 		n.log.Warn("software_history_not_read", "error", err)
-		return false
+		return errors.WithStack(err)
 	}
 	n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), list) })
 	o.mu.Lock()
-	o.historyRead = true
-	o.mu.Unlock()
-	return true
+	defer o.mu.Unlock()
+	o.historyOf = since
+	return nil
 }
 
-// askOrigin asks other entry VMs which version began a stream. replied reports whether all that were
-// asked have replied, or one knows it.
-func (n *Node) askOrigin(ctx context.Context, key origin.Key) (software topo.Software, known, replied bool) {
+// askOrigin asks other entry VMs which version began a stream. unknownToAll reports whether all that
+// could know it have replied that they don't, and have missed no start in the last window.
+func (n *Node) askOrigin(ctx context.Context, key origin.Key, window clock.Millis) (software topo.Software, known, unknownToAll bool) {
 	sources := origin.Sources(n.peers.keepers(n.clock.Now()), key)
 	if len(sources) == 0 {
 		return "", false, false
 	}
 	q, number := n.origins.ask(len(sources))
 	for _, m := range sources {
-		n.links.Send(m.ID, m.Address, &peer.OriginRequest{Question: number, Key: key, Address: n.settings.PeerAddress})
+		n.links.Send(m.ID, m.Address, &peer.OriginRequest{Question: number, Key: key, Window: window, Address: n.settings.PeerAddress})
 	}
 	timer := time.NewTimer(originTimeout)
 	defer timer.Stop()
 	defer n.origins.drop(number)
 	select {
 	case <-q.done:
-		return q.software, q.known, true
+		return q.software, q.known, !q.known && !q.partial
 	case <-ctx.Done():
 	case <-timer.C:
 	}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -23,6 +23,8 @@
 type peerBook struct {
 	mu   sync.Mutex
 	byID map[units.EntryVMID]knownPeer
+	// heard is true once any was heard of.
+	heard bool
 }
 
 type knownPeer struct {
@@ -46,6 +48,14 @@
 		m.Region, m.Domain = known.Region, known.Domain
 	}
 	b.byID[m.ID] = knownPeer{Member: m, heardAt: now}
+	b.heard = true
+}
+
+// knewAny reports whether any other entry VM was heard of, however long ago.
+func (b *peerBook) knewAny() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heard
 }
 
 // some returns up to limit entry VMs, in the random order of a map.
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -64,6 +64,14 @@
 	Removed  []units.BackendServerID
 	// Next is the offset of the next read.
 	Next units.Offset
+	// Behind is true if the store had records from Next on, or had lost some before it.
+	Behind bool
+	// Gap is true if records since the last update were not read: versions of backend servers
+	// that were listed and removed meanwhile are not known.
+	Gap bool
+	// Software lists the versions that the records name, also those that were replaced by later
+	// records.
+	Software []topo.ServiceSoftware
 	// Skipped counts entries that were skipped because they could not be read.
 	Skipped int
 	// Records are the records as read, by key; an empty value removes the key.
@@ -137,9 +145,12 @@
 	// DecodeUpdate decodes relayed records into the update that ReadUpdates would
 	// return.
 	DecodeUpdate(feed Feed, records []peer.FeedRecord) *FeedUpdate
-	// ReadSoftware returns the versions of the backend servers in the records of FeedServers that
+	// ReadSoftware returns the versions of the backend servers in the records of FeedServers from an
+	// offset on, before the offset to. The error is an ExpiredError if some of them have expired.
+	ReadSoftware(ctx context.Context, from, to units.Offset) ([]topo.ServiceSoftware, error)
+	// ReadKeptSoftware returns the versions of the backend servers in the records of FeedServers that
 	// the store still has, those of removed backend servers included.
-	ReadSoftware(ctx context.Context) ([]topo.ServiceSoftware, error)
+	ReadKeptSoftware(ctx context.Context) ([]topo.ServiceSoftware, error)
 	// ReadLease returns the records of a shard's lease from an offset on. The error is
 	// an ExpiredError if some of them have expired.
 	ReadLease(ctx context.Context, shard string, from units.Offset) (*LeaseRecords, error)
--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -23,6 +23,7 @@
 			return nil
 		case <-timer.C:
 		}
+		n.noteRunning()
 		n.noteDelay(time.Since(due))
 		n.callers.cancelLeft()
 		timer.Reset(watchPeriod)
