Bound the memory that answers, bodies and messages take together

Another operator lost the requests of all callers at a machine that ran out of memory: a faulty backend server sent bytes without end, and the machine kept them.

Cause: a bound for one, none for all, on every path that holds bytes of others; io.ReadAll and the copy of the request's body behind the head of each attempt multiplied it.

Change: one pool, a quarter of the process's memory, for heads, answers, failures kept for a second try, events, bodies of requests and messages of other entry VMs, on `serve` too (new setting limits.memory_mb). An owner, such as a backend server, may hold no more than is then left for all others, and one answer no more than is left for its owner: the one in trouble gives way. Its request may have run; it is sent elsewhere if it may be repeated, else the answer is 502. A body without room is refused with 503 at once. Buffers grow as bytes arrive and are not copied for each attempt. Metrics: held_bytes, held_refused.

On `serve`, bodies of callers' requests are still read in full by the HTTP server before.

--- a/internal/base/frame/frame.go
+++ b/internal/base/frame/frame.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"io"
 
+	"mangostile/internal/base/quota"
+	"mangostile/internal/base/units"
+
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -56,10 +59,10 @@
 	return payload.Bytes(), err
 }
 
-// Read reads one frame and returns its type tag and payload. It returns a TooLongError if
+// Read reads one frame into memory that h holds, and returns its type tag and payload. It returns a TooLongError if
 // the header gives more than MaxBytes, and io.EOF if the stream ends between two frames.
 // Compare that with ==: a stream that ends right after a header gives a wrapped io.EOF.
-func Read(r *bufio.Reader) (tag byte, payload []byte, err error) {
+func Read(r *bufio.Reader, h *quota.Hold) (tag byte, payload []byte, err error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return 0, nil, err
@@ -68,8 +71,11 @@
 	if length > MaxBytes {
 		return 0, nil, &TooLongError{Bytes: int(length)}
 	}
-	payload = make([]byte, length)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err = h.ReadAll(io.LimitReader(r, int64(length)), units.Bytes(length), MaxBytes)
+	if err == nil && len(payload) < int(length) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return 0, nil, errors.Wrap(err, "read frame payload")
 	}
 	return header[4], payload, nil
--- a/internal/base/frame/fuzz_test.go
+++ b/internal/base/frame/fuzz_test.go
@@ -18,7 +18,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
 	f.Add([]byte{0, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		tag, payload, err := Read(bufio.NewReader(bytes.NewReader(data)))
+		tag, payload, err := Read(bufio.NewReader(bytes.NewReader(data)), nil)
 		if err != nil {
 			return
 		}
--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/plat/call"
 
 	"github.com/pkg/errors"
@@ -50,8 +51,11 @@
 // Pool holds idle connections. The zero value is ready to use.
 type Pool struct {
 	Clock clock.Clock
-	mu    sync.Mutex
-	idle  map[string][]*Conn
+	// Memory bounds the memory that long heads of answers take, on account of their addresses; nil
+	// means no bound.
+	Memory *quota.Pool
+	mu     sync.Mutex
+	idle   map[string][]*Conn
 }
 
 // Conn is a connection to a backend server.
@@ -86,7 +90,7 @@
 	if err != nil {
 		return nil, &NotSentError{Refused: errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET), Err: err}
 	}
-	head := &headReader{Reader: conn, left: noLimit}
+	head := &headReader{Reader: conn, left: noLimit, hold: p.Memory.Hold(quota.Owner(address))}
 	return &Conn{Conn: conn, head: head, r: bufio.NewReaderSize(head, readBuffer), address: address, idleTimeout: defaultIdleTimeout}, nil
 }
 
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -47,12 +48,11 @@
 	Matches func(*http.Response) bool
 }
 
-// head returns the encoded head of r, with room for the body, which Do appends. r.Header must
-// not hold hop-by-hop headers, nor Host or Content-Length, which head writes itself. GET, HEAD
+// head returns the encoded head of r. r.Header must not hold hop-by-hop headers, nor Host or Content-Length, which head writes itself. GET, HEAD
 // and DELETE requests without a body need no Content-Length.
 func (r *Request) head() *bytes.Buffer {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), smallBody))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -109,8 +109,8 @@
 	e := &Exchange{conn: c, pool: p, written: make(chan error, 1)}
 	e.stop = context.AfterFunc(ctx, c.abandon)
 	out := r.head()
-	out.Write(r.Body)
 	if len(r.Body) <= smallBody {
+		out.Write(r.Body)
 		if n, err := c.Write(out.Bytes()); err != nil {
 			e.abort()
 			if n == 0 {
@@ -122,7 +122,7 @@
 	} else {
 		// The answer may arrive before the backend server has read the body.
 		go func() {
-			_, err := c.Write(out.Bytes())
+			_, err := (&net.Buffers{out.Bytes(), r.Body}).WriteTo(c.Conn)
 			e.written <- err
 		}()
 	}
@@ -198,6 +198,7 @@
 // Done ends the exchange. The connection is kept for reuse if the answer was read in
 // full and nothing was received after it.
 func (e *Exchange) Done() {
+	e.conn.head.hold.Release()
 	if !e.stop() || !e.complete {
 		e.conn.abandon()
 		return
@@ -225,6 +226,7 @@
 
 // abort ends an exchange without an answer and abandons its connection.
 func (e *Exchange) abort() {
+	e.conn.head.hold.Release()
 	e.stop()
 	e.conn.abandon()
 }
--- a/internal/node/edge/attempt.go
+++ b/internal/node/edge/attempt.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"net/http"
@@ -8,6 +9,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/node/conns"
@@ -223,7 +225,7 @@
 	e.answerHeaders(ctx, x, d)
 	ctx.SetStatusCode(answer.StatusCode)
 	ctx.SetContentType(answer.Header.Get(fasthttp.HeaderContentType))
-	ctx.SetBody(body)
+	setBody(ctx, body, answer)
 	result := event.DispatchResult{Kind: event.ResultServed, CallerGotBytes: true}
 	if d.RecordAnswer {
 		result.Status, result.ContentType, result.Body = answer.StatusCode, answer.Header.Get(fasthttp.HeaderContentType), body
@@ -233,6 +235,31 @@
 	return true
 }
 
+// longBody is the length from which on a body counts as held until the caller has taken it.
+const longBody = 64 << 10
+
+// heldBody is a body with its memory, which Close gives back.
+type heldBody struct {
+	*bytes.Reader
+	held *quota.Hold
+}
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error {
+	b.held.Release()
+	return nil
+}
+
+// setBody sets the body of the answer to the caller, with the memory that answer holds for it.
+func setBody(ctx *fasthttp.RequestCtx, body []byte, answer *backendAnswer) {
+	if len(body) < longBody {
+		ctx.SetBody(body)
+		return
+	}
+	ctx.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), held: answer.held}, len(body))
+	answer.held = nil
+}
+
 // forwardable reports whether an engine's answer may be forwarded: a completion by the
 // requested adapter and version, or an error caused by the request itself.
 func forwardable(status int, body []byte, d event.Dispatch) bool {
--- a/internal/node/edge/backend_clients.go
+++ b/internal/node/edge/backend_clients.go
@@ -10,6 +10,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/errs"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 	"mangostile/internal/node/conns"
@@ -34,6 +35,8 @@
 // backendAnswer is an answer of a backend server whose head was read. It must be closed.
 type backendAnswer struct {
 	*conns.Exchange
+	// held is the memory of what was read of the body.
+	held *quota.Hold
 	// ctx ends the exchange.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -42,6 +45,7 @@
 // Close ends the exchange. Its connection is closed if the answer was not read to its end. It
 // returns no error.
 func (a *backendAnswer) Close() error {
+	a.held.Release()
 	a.Done()
 	a.cancel()
 	return nil
@@ -62,7 +66,7 @@
 		cancel()
 		return nil, err
 	}
-	return &backendAnswer{Exchange: exchange, ctx: ctx, cancel: cancel}, nil
+	return &backendAnswer{Exchange: exchange, held: b.pool.Memory.Hold(quota.Owner(address)), ctx: ctx, cancel: cancel}, nil
 }
 
 func (b *backendClients) exchange(ctx context.Context, address string, req *conns.Request, fresh bool) (*conns.Exchange, error) {
@@ -105,11 +109,7 @@
 
 // readAll reads the rest of the body.
 func (a *backendAnswer) readAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.New("the answer is too long")
-	}
-	return body, err
+	return a.held.ReadAll(a, units.Bytes(a.ContentLength), maxAnswerBytes)
 }
 
 // newRequest returns a request for path at address.
@@ -183,11 +183,14 @@
 func resultOfError(err error) event.ResultKind {
 	var unsent *conns.NotSentError
 	var late *deadlineError
+	var full *quota.FullError
 	switch {
 	case errors.As(err, &unsent):
 		return event.ResultNotSent
 	case errors.As(err, &late):
 		return event.ResultTimeout
+	case errors.As(err, &full), errors.Is(err, quota.ErrTooLong):
+		return event.ResultFailed
 	default:
 		return event.ResultBroken
 	}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mangostile/internal/base/quota"
 	"mangostile/internal/node/render"
 
 	"mangostile/internal/base/clock"
@@ -57,6 +58,9 @@
 	// WriteTimeout is the time for a caller to read a part of a stream; 0 means
 	// DefaultWriteTimeout.
 	WriteTimeout time.Duration
+	// Memory bounds the memory of answers and events, on account of the backend servers that send
+	// them; nil means no bound.
+	Memory *quota.Pool
 	// Submit hands an event to the core. It reports false if the core's queue is full.
 	Submit func(event.Event) bool
 	// Ready reports whether the entry VM accepts requests.
@@ -98,7 +102,7 @@
 	if options.WriteTimeout == 0 {
 		options.WriteTimeout = DefaultWriteTimeout
 	}
-	return &Edge{options: options, backend: backendClients{pool: conns.Pool{Clock: options.Clock}}, closed: make(chan struct{})}
+	return &Edge{options: options, backend: backendClients{pool: conns.Pool{Clock: options.Clock, Memory: options.Memory}}, closed: make(chan struct{})}
 }
 
 // Close refuses all requests that are waiting for the core.
--- a/internal/node/edge/fuzz_test.go
+++ b/internal/node/edge/fuzz_test.go
@@ -62,7 +62,7 @@
 	f.Add([]byte(": comment\n\nevent: x\r\ndata: [DONE]\r\n\r\n"))
 	f.Add([]byte("\n\n\ndata:"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		s := newAnswerStream(newExchange(nil), event.Dispatch{Request: "r", Adapter: testAdapter}, io.NopCloser(bytes.NewReader(body)))
+		s := newAnswerStream(newExchange(nil), event.Dispatch{Request: "r", Adapter: testAdapter}, io.NopCloser(bytes.NewReader(body)), nil)
 		defer s.close()
 		for range len(body) + 1 {
 			end, err := s.next()
--- a/internal/node/edge/stream.go
+++ b/internal/node/edge/stream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"mangostile/internal/base/errs"
+	"mangostile/internal/base/quota"
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
 
 	"github.com/pkg/errors"
@@ -31,8 +33,9 @@
 	// source is what r reads from.
 	source io.ReadCloser
 	r      *bufio.Reader
-	// buf holds the last event read.
-	buf []byte
+	// buf is the last event read, held its memory.
+	buf  []byte
+	held *quota.Hold
 	// id is the answer's id as given in its first event.
 	id string
 	// tokens counts the events with data other than the end mark; each holds one token.
@@ -48,8 +51,8 @@
 	Model string `json:"model"`
 }
 
-func newAnswerStream(x *exchange, d event.Dispatch, source io.ReadCloser) *answerStream {
-	s := &answerStream{x: x, d: d}
+func newAnswerStream(x *exchange, d event.Dispatch, source io.ReadCloser, held *quota.Hold) *answerStream {
+	s := &answerStream{x: x, d: d, held: held}
 	s.setSource(source)
 	return s
 }
@@ -59,7 +62,11 @@
 	s.source, s.r = source, bufio.NewReader(source)
 }
 
-func (s *answerStream) close() { _ = s.source.Close() }
+func (s *answerStream) close() {
+	_ = s.source.Close()
+	s.buf = nil
+	s.held.Release()
+}
 
 // Errors of a stream.
 var (
@@ -73,10 +80,17 @@
 	s.buf = s.buf[:0]
 	for {
 		line, err := s.r.ReadSlice('\n')
-		s.buf = append(s.buf, line...)
-		if len(s.buf) > maxEventBytes {
+		size := len(s.buf) + len(line)
+		if size > maxEventBytes {
 			return false, errLongEvent
 		}
+		if size > cap(s.buf) {
+			if err := s.held.Resize(units.Bytes(2 * size)); err != nil {
+				return false, err
+			}
+			s.buf = append(make([]byte, 0, 2*size), s.buf...)
+		}
+		s.buf = append(s.buf, line...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return false, err
 		}
@@ -148,7 +162,7 @@
 // if the answer has started, which is copied after the return, or the caller has
 // disconnected. Otherwise it has reported the failed attempt to the core.
 func (e *Edge) stream(ctx *fasthttp.RequestCtx, x *exchange, d event.Dispatch, answer *backendAnswer) bool {
-	s := newAnswerStream(x, d, answer)
+	s := newAnswerStream(x, d, answer, e.options.Memory.Hold(quota.Owner(d.Address)))
 	end, err := s.next()
 	if err != nil {
 		kind := s.resultOf(err)
--- a/internal/node/fleet/events.go
+++ b/internal/node/fleet/events.go
@@ -4,16 +4,42 @@
 	"bytes"
 	"strconv"
 
+	"mangostile/internal/base/quota"
+	"mangostile/internal/base/units"
+
 	"github.com/pkg/errors"
 )
 
+// maxEventBytes bounds one event of a stream. A backend server in trouble may send bytes
+// without end that are no event.
+const maxEventBytes = 1 << 20
+
+// errLongEvent ends an attempt whose stream has an event of more than maxEventBytes.
+var errLongEvent = errors.New("an event of the stream does not end")
+
 // eventBuffer splits a stream of bytes into complete events.
 type eventBuffer struct {
 	data  []byte
 	count int
+	// held is the memory of data.
+	held *quota.Hold
 }
 
-func (b *eventBuffer) add(data []byte) { b.data = append(b.data, data...) }
+// add appends what was read of the stream. The error is errLongEvent or a quota.FullError.
+func (b *eventBuffer) add(data []byte) error {
+	size := len(b.data) + len(data)
+	if size > maxEventBytes {
+		return errLongEvent
+	}
+	if size > cap(b.data) {
+		if err := b.held.Resize(units.Bytes(2 * size)); err != nil {
+			return err
+		}
+		b.data = append(make([]byte, 0, 2*size), b.data...)
+	}
+	b.data = append(b.data, data...)
+	return nil
+}
 
 // partial reports whether an incomplete event is buffered.
 func (b *eventBuffer) partial() bool { return len(bytes.TrimSpace(b.data)) > 0 }
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/blame"
 	"mangostile/internal/core/choose"
@@ -47,6 +48,8 @@
 	if c.conn != nil && c.conn.closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	c.held = n.memory.Hold(callersAccount)
+	defer c.release()
 	if c.admit() {
 		if c.conn != nil {
 			c.conn.endRequest()
@@ -55,6 +58,14 @@
 	}
 }
 
+// release gives back the memory of the request's body and of a failure that was kept.
+func (c *exchange) release() {
+	c.held.Release()
+	if c.fallback != nil {
+		c.fallback.held.Release()
+	}
+}
+
 // exchange is one request of a caller and its answer.
 type exchange struct {
 	node *Node
@@ -73,6 +84,8 @@
 	route         *topo.Route
 	configVersion int64
 	body          []byte
+	// held is the memory of body.
+	held *quota.Hold
 	// started is true once a part of the answer was written to the caller; lastEvent
 	// is the id of the last event written.
 	started   bool
@@ -128,10 +141,16 @@
 	if c.r.Body == nil || c.r.ContentLength == 0 {
 		return true
 	}
-	var tooLarge *http.MaxBytesError
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if c.r.ContentLength > 0 && !c.held.Fits(units.Bytes(c.r.ContentLength)) {
+		c.refuse(noMemoryReason, noMemoryRetryAfter)
+		return false
+	}
+	body, err := c.held.ReadAll(c.r.Body, units.Bytes(c.r.ContentLength), units.Bytes(limit))
 	switch {
-	case errors.As(err, &tooLarge):
+	case isFull(err):
+		c.refuse(noMemoryReason, noMemoryRetryAfter)
+		return false
+	case errors.Is(err, quota.ErrTooLong):
 		c.fail(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 		return false
 	case err != nil:
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/event"
@@ -66,6 +67,7 @@
 	serversFeed feed
 
 	pool    conns.Pool
+	memory  quota.Pool
 	links   *links.Links
 	placers map[string]*placerWorker
 	// reportNow requests a usage report ahead of its period.
@@ -104,10 +106,12 @@
 		core:       choose.New(choose.Config{Self: o.Settings.ID, Domain: o.Settings.Domain, Region: o.Settings.Region, Policy: o.Settings.Choose}),
 		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placerWorker{}, reportNow: make(chan struct{}, 1),
 	}
+	n.memory.Limit = quota.LimitOf(o.Settings.MemoryMB)
+	n.pool.Memory = &n.memory
 	n.quarantine.stored = newQuarantineStore(n, n)
 	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
 	n.graceOver, n.endGrace = context.WithCancel(context.Background())
-	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, OnSent: n.traffic.add, Logger: o.Logger})
+	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, OnSent: n.traffic.add, Logger: o.Logger, Memory: &n.memory})
 	for _, region := range o.Settings.Regions {
 		if shard := string(region); n.placers[shard] == nil {
 			n.placers[shard] = newPlacerWorker(n, shard)
@@ -255,6 +259,7 @@
 			return nil
 		case <-ticker.C:
 			n.pool.Sweep()
+			n.meter.Held(&n.memory)
 		}
 	}
 }
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"mangostile/internal/base/quota"
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/topo"
 	"mangostile/internal/node/conns"
@@ -22,10 +24,6 @@
 	return parts
 }
 
-// maxEventBytes bounds one event of a stream. A backend server in trouble may send bytes
-// without end that are no event.
-const maxEventBytes = 1 << 20
-
 // maxBufferedBytes bounds an answer that is read in full before it is forwarded.
 const maxBufferedBytes = 8 << 20
 
@@ -34,6 +32,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// held is the memory of body.
+	held *quota.Hold
 }
 
 func (h *bufferedAnswer) write(c *exchange) {
@@ -71,21 +71,31 @@
 // forwardBuffered reads an answer in full and forwards it. A failure is not forwarded
 // but kept as the fallback if another backend server may still succeed.
 func (a *attempt) forwardBuffered(answer *conns.Exchange) (choose.End, bool) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
-	if err != nil || len(body) > maxBufferedBytes {
-		a.reason = "the answer was cut short or is too long"
-		if err != nil {
-			a.reason += ": " + err.Error()
+	buffered := &bufferedAnswer{status: answer.StatusCode, header: answer.Header, held: a.holdAnswer()}
+	defer func() {
+		if a.fallback != buffered {
+			buffered.held.Release()
 		}
+	}()
+	var err error
+	buffered.body, err = buffered.held.ReadAll(answer, units.Bytes(answer.ContentLength), maxBufferedBytes)
+	if isFull(err) {
+		a.reason = err.Error()
+		return choose.EndFailed, false
+	}
+	if err != nil {
+		a.reason = "the answer was cut short or is too long: " + err.Error()
 		return a.classifyError(&conns.BrokenError{Err: errors.New(a.reason)}), false
 	}
 	a.noteFirst()
-	buffered := &bufferedAnswer{status: answer.StatusCode, header: answer.Header, body: body}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		a.reason = "the backend server answered with a failure"
 		if a.started {
 			return choose.EndFailed, false
 		}
+		if a.fallback != nil {
+			a.fallback.held.Release()
+		}
 		a.fallback = buffered
 		if a.route.Kind == topo.KindOnce || !a.route.Repeatable() {
 			buffered.write(a.exchange)
@@ -116,15 +126,15 @@
 // forwardStream forwards the events of a stream as they arrive.
 func (a *attempt) forwardStream(answer *conns.Exchange) (choose.End, bool) {
 	control := http.NewResponseController(a.w)
-	var events eventBuffer
+	events := eventBuffer{held: a.holdAnswer()}
+	defer events.held.Release()
 	buf := make([]byte, 4096)
 	for {
 		n, err := answer.Read(buf)
-		if len(events.data)+n > maxEventBytes {
-			a.events, a.reason = events.count, "an event of the stream does not end"
+		if full := events.add(buf[:n]); full != nil {
+			a.events, a.reason = events.count, full.Error()
 			return choose.EndFailed, false
 		}
-		events.add(buf[:n])
 		out, foreign := events.take(a.exchange)
 		if len(out) > 0 && !a.writeEvents(control, answer, out) {
 			a.reason = "the caller does not read"
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mangostile/internal/base/frame"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/ring"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/event"
@@ -33,6 +34,9 @@
 	OnSent func(kind string, bytes int)
 	// Logger receives a line for each failed TLS handshake, rate-limited; nil logs nothing.
 	Logger hclog.Logger
+	// Memory bounds the memory of received messages, on account of each connection; nil means no
+	// bound.
+	Memory *quota.Pool
 	// TLS is nil for connections without encryption and authentication.
 	TLS *certs.Mutual
 }
@@ -255,13 +259,16 @@
 // an invalid frame.
 func (l *Links) receiveFrom(ctx context.Context, conn net.Conn) {
 	r := bufio.NewReader(conn)
+	held := l.options.Memory.Hold(quota.Owner("peer " + conn.RemoteAddr().String()))
+	defer held.Release()
 	var remote hello
-	tag, payload, err := l.read(conn, r)
+	tag, payload, err := l.read(conn, r, held)
 	if err != nil || tag != tagHello || frame.Decode(payload, &remote) != nil || remote.To != l.options.Self {
 		return
 	}
 	for ctx.Err() == nil {
-		tag, payload, err := l.read(conn, r)
+		held.Release()
+		tag, payload, err := l.read(conn, r, held)
 		if err != nil {
 			return
 		}
@@ -273,14 +280,15 @@
 	}
 }
 
-func (l *Links) read(conn net.Conn, r *bufio.Reader) (byte, []byte, error) {
+// read reads one message into memory that held holds.
+func (l *Links) read(conn net.Conn, r *bufio.Reader, held *quota.Hold) (byte, []byte, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-	tag, payload, err := frame.Read(r)
+	tag, payload, err := frame.Read(r, held)
 	l.received.add(len(payload))
 	if err != nil {
 		return 0, nil, err
 	}
-	return unpack(tag, payload)
+	return unpack(tag, payload, held)
 }
 
 // Send queues a message for an entry VM. If address is empty, that of the last call is
--- a/internal/node/links/pack.go
+++ b/internal/node/links/pack.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"compress/flate"
 	"encoding/binary"
-	"io"
 	"sync"
 
 	"mangostile/internal/base/frame"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/core/peer"
 
 	"github.com/pkg/errors"
@@ -59,18 +59,19 @@
 	return out, nil
 }
 
-// unpack returns the tag and the payload of a frame as they were before encode compressed them.
-func unpack(tag byte, payload []byte) (byte, []byte, error) {
+// unpack returns the tag and the payload of a frame as they were before encode compressed them, in
+// memory that held holds.
+func unpack(tag byte, payload []byte, held *quota.Hold) (byte, []byte, error) {
 	if tag&packedTag == 0 {
 		return tag, payload, nil
 	}
 	r := flate.NewReader(bytes.NewReader(payload))
-	long, err := io.ReadAll(io.LimitReader(r, frame.MaxBytes+1))
+	long, err := held.ReadAll(r, -1, frame.MaxBytes)
 	switch {
+	case errors.Is(err, quota.ErrTooLong):
+		return 0, nil, &frame.TooLongError{Bytes: len(long)}
 	case err != nil:
 		return 0, nil, errors.Wrap(err, "decompress a frame")
-	case len(long) > frame.MaxBytes:
-		return 0, nil, &frame.TooLongError{Bytes: len(long)}
 	default:
 		return tag &^ packedTag, long, nil
 	}
--- a/internal/node/links/pack_test.go
+++ b/internal/node/links/pack_test.go
@@ -47,10 +47,10 @@
 			out, err := encode(m, tc.packs)
 			must.NoError(t, err)
 			must.Eq(t, tc.smaller, len(out) < len(plain))
-			tag, payload, err := frame.Read(bufio.NewReader(bytes.NewReader(out)))
+			tag, payload, err := frame.Read(bufio.NewReader(bytes.NewReader(out)), nil)
 			must.NoError(t, err)
 			must.Eq(t, tc.smaller, tag&packedTag != 0)
-			tag, payload, err = unpack(tag, payload)
+			tag, payload, err = unpack(tag, payload, nil)
 			must.NoError(t, err)
 			got, err := decodeMessage(tag, payload)
 			must.NoError(t, err)
@@ -70,12 +70,12 @@
 		must.NoError(t, err)
 	}
 	must.NoError(t, w.Close())
-	_, _, err = unpack(packedTag|tagFeedUpdate, bomb.Bytes())
+	_, _, err = unpack(packedTag|tagFeedUpdate, bomb.Bytes(), nil)
 	var tooLong *frame.TooLongError
 	must.True(t, errors.As(err, &tooLong))
-	_, _, err = unpack(packedTag|tagFeedUpdate, bomb.Bytes()[:bomb.Len()/2])
+	_, _, err = unpack(packedTag|tagFeedUpdate, bomb.Bytes()[:bomb.Len()/2], nil)
 	must.Error(t, err)
-	_, _, err = unpack(packedTag|tagFeedUpdate, []byte("no flate"))
+	_, _, err = unpack(packedTag|tagFeedUpdate, []byte("no flate"), nil)
 	must.Error(t, err)
 }
 
@@ -97,7 +97,7 @@
 	out, err := encode(placements(100), true)
 	must.NoError(b, err)
 	for range b.N {
-		_, payload, err := unpack(packedTag|tagPlacementUpdate, out[headerBytes:])
+		_, payload, err := unpack(packedTag|tagPlacementUpdate, out[headerBytes:], nil)
 		must.NoError(b, err)
 		b.SetBytes(int64(len(payload)))
 	}
--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangostile/internal/base/errs"
+	"mangostile/internal/base/quota"
 
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
@@ -129,6 +130,12 @@
 	}
 }
 
+// Held sets the memory that requests hold together, and how often more was refused.
+func (m *Meter) Held(p *quota.Pool) {
+	m.Set("held_bytes", float64(p.Used()))
+	m.Set("held_refused", float64(p.Refused()))
+}
+
 // Set sets a gauge. tags are alternating label names and values. A gauge that is no longer
 // set keeps its last value.
 func (m *Meter) Set(name string, value float64, tags ...string) {
--- a/internal/node/server/gauges.go
+++ b/internal/node/server/gauges.go
@@ -55,6 +55,7 @@
 	} {
 		m.Set("ring_depth", float64(depth), "ring", name)
 	}
+	m.Held(&s.memory)
 	frames, bytes := s.links.Sent().Counts()
 	m.Set("link_sent_frames", float64(frames))
 	m.Set("link_sent_bytes", float64(bytes))
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/quota"
 	"mangostile/internal/base/ring"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/entry"
@@ -46,6 +47,8 @@
 	// PeerTLS is nil for plain connections between entry VMs.
 	PeerTLS *certs.Mutual
 	HTTP    HTTPLimits
+	// MemoryMB is the memory of the process in MiB; 0 means no limit.
+	MemoryMB int
 	// Admin returns the handler of the admin API.
 	Admin func(*Server) fasthttp.RequestHandler
 }
@@ -57,6 +60,8 @@
 	core    *entry.Core
 	edge    *edge.Edge
 	links   *links.Links
+	// memory is that of answers, events and messages of other entry VMs.
+	memory  quota.Pool
 	inputs  *ring.Ring[input]
 	appends *ring.Ring[event.AppendRecord]
 	orders  *ring.Ring[event.OrderServer]
@@ -111,9 +116,12 @@
 	edgeOptions.Logger = options.Logger
 	edgeOptions.Meter = options.Meter
 	edgeOptions.EntryVM = units.EntryVMID(options.Core.Self.ID)
+	s.memory.Limit = quota.LimitOf(options.MemoryMB)
+	edgeOptions.Memory = &s.memory
 	s.edge = edge.New(edgeOptions)
 	s.links = links.New(links.Options{
 		Self: edgeOptions.EntryVM, Deliver: func(ev event.PeerReceived) bool { return s.Submit(ev) }, TLS: options.PeerTLS, Logger: options.Logger,
+		Memory: &s.memory,
 	})
 	return s
 }
--- a/internal/oper/cmds/platformcmd.go
+++ b/internal/oper/cmds/platformcmd.go
@@ -63,10 +63,15 @@
 	}
 }
 
-func runPlatform(ctx context.Context, settings *platform.Settings, path string) error {
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB) * (1 << 20)))
+// limitMemory sets the memory limit of the Go runtime for a process with memoryMB, 0 for no limit.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * (1 << 20)))
 	}
+}
+
+func runPlatform(ctx context.Context, settings *platform.Settings, path string) error {
+	limitMemory(settings.MemoryMB)
 	out := lines.New(os.Stdout)
 	logger := hclog.New(&hclog.LoggerOptions{Name: "mangostile", Level: hclog.Info, Output: out})
 	node := fleet.New(fleet.Options{
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -64,6 +64,7 @@
 			s.Leave()
 		}
 	}()
+	limitMemory(settings.Limits.MemoryMB)
 	logger.Info("entry_vm_started", "entry_vm", settings.EntryVM.ID, "serve_address", settings.EntryVM.ServeAddress)
 	return s.Run(ctx)
 }
@@ -118,7 +119,8 @@
 			MaxBody: settings.Limits.MaxBodyBytes, MaxHeader: settings.Limits.MaxHeaderBytes,
 			ReadTimeout: settings.Limits.ReadTimeoutMS.Duration(), WriteTimeout: settings.Limits.WriteTimeoutMS.Duration(),
 		},
-		Admin: admin.New(admin.Options{Operators: operatorTokens(settings)}),
+		MemoryMB: settings.Limits.MemoryMB,
+		Admin:    admin.New(admin.Options{Operators: operatorTokens(settings)}),
 	}), nil
 }
 
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -14,6 +14,8 @@
 	maxTimeout          = 10 * clock.Minute
 	minBodyBytes        = 1 << 10
 	maxBodyBytes        = 256 << 20
+	minMemoryMB         = 64
+	maxMemoryMB         = 1 << 20
 	minHeaderBytes      = 1 << 10
 	maxHeaderBytes      = 1 << 20
 	maxBackendSlots     = 1 << 16
@@ -56,6 +58,9 @@
 	if l.MaxHeaderBytes != 0 && (l.MaxHeaderBytes < minHeaderBytes || l.MaxHeaderBytes > maxHeaderBytes) {
 		c.fault("limits.max_header_bytes", outOfRangeFormat, l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	}
+	if l.MemoryMB != 0 && (l.MemoryMB < minMemoryMB || l.MemoryMB > maxMemoryMB) {
+		c.fault("limits.memory_mb", outOfRangeFormat, l.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
 	c.duration("limits.read_timeout_ms", l.ReadTimeoutMS, maxTimeout)
 	c.duration("limits.write_timeout_ms", l.WriteTimeoutMS, maxTimeout)
 }
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -69,6 +69,8 @@
 	ReadTimeoutMS clock.Millis `toml:"read_timeout_ms"`
 	// WriteTimeoutMS bounds the time until a caller accepts a part of its answer.
 	WriteTimeoutMS clock.Millis `toml:"write_timeout_ms"`
+	// MemoryMB is the memory of the process in MiB; 0 means no limit.
+	MemoryMB int `toml:"memory_mb"`
 }
 
 // Log configures logging.
