Publish a model once its load is over

A state that changes as time passes has to be published then.

Change: the placer remembers, for each scope, to whom it published a server without models that were loading, and marks it as changed once they are there; a new subscriber counts too.

Evidence: TestLoadedModelIsPublished failed before in both rows, and passes now.

--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -165,6 +165,9 @@
 	// is the load that was last sent.
 	changed  [scopes]bool
 	lastSent [scopes]load
+	// hidden reports, by scope, whether the placement that was last sent left out models since their
+	// load was not over.
+	hidden [scopes]bool
 }
 
 // load is the load of a backend server: its requests, their prompt tokens not yet read,
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -44,6 +44,7 @@
 // were not repeated within loadRequestTTL and prunes the demand.
 func (p *Placer) advance() {
 	for _, s := range p.servers {
+		p.showModels(s)
 		for _, c := range s.copies {
 			if c.state == copyLoading && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -42,6 +42,9 @@
 			continue
 		}
 		listed++
+		if s.changed[scope] {
+			s.hidden[scope] = p.now < s.modelReadyAt
+		}
 		s.changed[scope], s.lastSent[scope] = false, s.load()
 	}
 	if listed < limit {
@@ -60,7 +63,9 @@
 	m := p.newUpdate(now, scope, shard, fence)
 	m.Full = true
 	for _, id := range p.order {
-		m.Servers = append(m.Servers, p.placementOf(p.servers[id]))
+		s := p.servers[id]
+		m.Servers = append(m.Servers, p.placementOf(s))
+		s.hidden[scope] = s.hidden[scope] || p.now < s.modelReadyAt
 	}
 	return m
 }
@@ -118,6 +123,18 @@
 	return h
 }
 
+// showModels marks s as changed for the scopes to which it was sent without models whose load is over
+// now.
+func (p *Placer) showModels(s *server) {
+	if p.now < s.modelReadyAt {
+		return
+	}
+	for scope, hidden := range s.hidden {
+		s.changed[scope] = s.changed[scope] || hidden
+		s.hidden[scope] = false
+	}
+}
+
 // loadWait estimates the queueing time in ms of a load that is requested now.
 func (p *Placer) loadWait() clock.Millis {
 	queued := 0
--- a/internal/core/homes/update_test.go
+++ b/internal/core/homes/update_test.go
@@ -7,6 +7,7 @@
 
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/peer"
+	"mangostile/internal/core/topo"
 
 	"github.com/shoenig/test/must"
 )
@@ -78,3 +79,42 @@
 	f.Step(1200+2*usageTTL, true)
 	must.Zero(t, f.servers["s1"].active)
 }
+
+// TestLoadedModelIsPublished guards against a backend server that loaded its model again after a restart and
+// got no request for it: it was published without the model while that was loading, and not again after.
+func TestLoadedModelIsPublished(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// publish returns the models that are published for s1, nil if it is not listed.
+		publish func(f *testPlacer) *peer.PlacementUpdate
+	}{
+		{"to subscribers", func(f *testPlacer) *peer.PlacementUpdate { return f.Update(f.now, OtherRegions, "r", 1, math.MaxInt) }},
+		{"to a new subscriber", func(f *testPlacer) *peer.PlacementUpdate { return f.FullUpdate(f.now, OtherRegions, "r", 1) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestPlacer(8, "s1")
+			restarted := testServer("s1")
+			restarted.StartedAt, restarted.Models = 99, nil
+			f.SetServers(1200, []*topo.Server{restarted}, testServices(8))
+			f.HandleReport(1200, "s1", &topo.Report{StartedAt: 99})
+			orders := f.Step(1210, true).Orders
+			must.SliceLen(t, 1, orders)
+			f.HandleOrderResult(1220, orders[0], Taken)
+			f.Update(f.now, OtherRegions, "r", 1, math.MaxInt)
+			m := tc.publish(f)
+			for _, s := range m.Servers {
+				must.SliceEmpty(t, s.Models)
+			}
+			// The report confirms what the placer expects, so that nothing else changes.
+			f.Step(1820, true)
+			f.HandleReport(2600, "s1", &topo.Report{StartedAt: 99, Orders: 1, Models: []units.ModelName{testModel}})
+			f.Step(2610, true)
+			must.True(t, f.Changed(OtherRegions))
+			servers := f.Update(f.now, OtherRegions, "r", 1, math.MaxInt).Servers
+			must.SliceLen(t, 1, servers)
+			must.Eq(t, []units.ModelName{testModel}, servers[0].Models)
+			f.Step(2700, true)
+			must.False(t, f.Changed(OtherRegions))
+		})
+	}
+}
