Keep starts of streams in another region, too

Cause: a start is kept by the entry VM that began the stream, one of its failure domain and one of another, in the same region if there is one. Change: one of another region keeps it as well.

Evidence: the new row 'its region' of TestAStartIsFoundAfterFaults fails with two keepers.

--- a/internal/core/origin/bench_test.go
+++ b/internal/core/origin/bench_test.go
@@ -14,8 +14,8 @@
 	}
 	members := testMembers(perDomain)
 	for i := range b.N {
-		if len(Keepers(members[0], members, Key(i))) != 2 {
-			b.Fatal("not two keepers")
+		if len(Keepers(members[0], members, Key(i))) != 3 {
+			b.Fatal("not three keepers")
 		}
 	}
 }
--- a/internal/core/origin/keepers.go
+++ b/internal/core/origin/keepers.go
@@ -23,12 +23,16 @@
 const sourcesPerDomain = 2
 
 // Keepers returns the members to which the entry VM self tells a start: one in its own failure
-// domain, which may be cut off from the others, and one in another failure domain, which may
-// outlive the own one.
+// domain, which may be cut off from the others, one in another failure domain, which may outlive the
+// own one, and one in another region, which may outlive the own region.
 func Keepers(self Member, members []Member, key Key) []Member {
-	other := partner(self, members)
-	keepers := make([]Member, 0, 2)
-	for _, domain := range []units.FailureDomain{self.Domain, other} {
+	nearest := partner(self, members, func(m Member) bool { return m.Domain != self.Domain })
+	var remote Member
+	if nearest.Region == self.Region {
+		remote = partner(self, members, func(m Member) bool { return m.Region != self.Region })
+	}
+	keepers := make([]Member, 0, 3)
+	for _, domain := range []units.FailureDomain{self.Domain, nearest.Domain, remote.Domain} {
 		if m, ok := highest(members, domain, key); ok {
 			keepers = append(keepers, m)
 		}
@@ -59,16 +63,16 @@
 	return list
 }
 
-// partner returns the failure domain that keeps the starts of self's besides the own one: the
-// next one by name, in the same region if there is one. It is empty if there is no other.
-func partner(self Member, members []Member) units.FailureDomain {
+// partner returns a member of the failure domain that keeps the starts of self's besides the own one, of
+// those that may: the next one by name, in the same region if there is one. It is empty if there is none.
+func partner(self Member, members []Member, may func(Member) bool) Member {
 	var best Member
 	for _, m := range members {
-		if m.Domain != self.Domain && (best.Domain == "" || isNearer(self, m, best)) {
+		if may(m) && (best.Domain == "" || isNearer(self, m, best)) {
 			best = m
 		}
 	}
-	return best.Domain
+	return best
 }
 
 // isNearer reports whether the failure domain of a comes before that of b in the choice of self's
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -70,13 +70,14 @@
 		writer := all[int(key)%len(all)]
 		others := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m == writer })
 		keepers := Keepers(writer, others, key)
-		must.SliceLen(t, 2-strings.Count(string(writer.Domain), "bb"), keepers, must.Sprint(writer))
+		must.SliceLen(t, 3-strings.Count(string(writer.Domain), "bb"), keepers, must.Sprint(writer))
 		if writer.Domain != "bb" {
 			must.Eq(t, writer.Domain, keepers[0].Domain)
 		}
-		last := keepers[len(keepers)-1]
-		must.NotEq(t, writer.Domain, last.Domain)
-		must.Eq(t, writer.Region, last.Region)
+		near, remote := keepers[len(keepers)-2], keepers[len(keepers)-1]
+		must.NotEq(t, writer.Domain, near.Domain)
+		must.Eq(t, writer.Region, near.Region)
+		must.NotEq(t, writer.Region, remote.Region)
 		for _, tc := range []struct {
 			name string
 			lost func(Member) bool
@@ -84,6 +85,8 @@
 			{"the entry VM that began it", func(m Member) bool { return m == writer }},
 			{"it and one that was told", func(m Member) bool { return m == writer || m == keepers[0] && len(keepers) > 1 }},
 			{"its failure domain", func(m Member) bool { return m.Domain == writer.Domain }},
+			{"its region", func(m Member) bool { return m.Region == writer.Region }},
+			{"its failure domain, and one that was told", func(m Member) bool { return m.Domain == writer.Domain || m == remote }},
 			{"all others, since its failure domain is cut off", func(m Member) bool { return m.Domain != writer.Domain && writer.Domain != "bb" }},
 			{"a member that the writer did not know of", func(Member) bool { return false }},
 		} {
@@ -112,3 +115,28 @@
 	}
 	must.MapLen(t, len(all), kept)
 }
+
+// TestKeepersWithoutAnotherRegion checks who keeps starts where regions have a single failure domain, or
+// there is a single region.
+func TestKeepersWithoutAnotherRegion(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		perDomain map[units.FailureDomain]int
+		want      []units.FailureDomain
+	}{
+		{"one region", map[units.FailureDomain]int{"aa": 2, "ab": 2, "ac": 2}, []units.FailureDomain{"aa", "ab"}},
+		{"regions of one failure domain", map[units.FailureDomain]int{"aa": 2, "ba": 2, "ca": 2}, []units.FailureDomain{"aa", "ba"}},
+		{"one failure domain", map[units.FailureDomain]int{"aa": 2}, []units.FailureDomain{"aa"}},
+		{"alone", map[units.FailureDomain]int{"aa": 1}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			all := testMembers(tc.perDomain)
+			self := Member{ID: "aa0", Domain: "aa", Region: "a"}
+			var domains []units.FailureDomain
+			for _, m := range Keepers(self, slices.DeleteFunc(all, func(m Member) bool { return m.ID == self.ID }), 7) {
+				domains = append(domains, m.Domain)
+			}
+			must.Eq(t, tc.want, domains)
+		})
+	}
+}
