Leave old versions of adapters by when a new one may have been named

Cause, of two parts: an entry VM counted from when it learned of a version, up to 1.7 s late while it waited for the updates of a dead placer; and what it had sent in time waited at a busy backend server and was not looked at again.

Change: a version counts from the last time at which the entry VM had read the feed to its end, since when it may have been named. A request that was sent to an old copy and has not begun 0.3 s before the bound is canceled; it is sent elsewhere if it may be repeated.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -24,6 +24,9 @@
 	Region units.Region
 	// Cost is the expected time to the first event in ms.
 	Cost clock.Millis
+	// BeginBy is when the request must have begun, since a newer version of its adapter was
+	// announced; 0 if none was.
+	BeginBy clock.Millis
 	// Candidates is the number of backend servers that were compared.
 	Candidates int
 	// Active, Prefill and Tokens are estimates for the backend server before this send:
@@ -368,6 +371,9 @@
 	queueCost = 2000
 )
 
+// cancelTime is the time in which a canceled request is dropped by its backend server.
+const cancelTime = 300 * clock.Millis(1)
+
 func (c *Core) send(r *Request, v *view, candidates int) Choice {
 	expected := clock.Millis(c.expected(r, v))
 	if c.now+expected >= r.Deadline {
@@ -382,6 +388,9 @@
 		Active: v.own.active + v.others.active, Prefill: v.own.prefill + v.others.prefill, Tokens: v.own.tokens + v.others.tokens,
 		Cached: v.prefixes.cached(r),
 	}
+	if announced := c.versions[r.Adapter]; c.cfg.Policy.VersionLimit > 0 && v.copies[r.Adapter].revision < announced.revision {
+		choice.BeginBy = announced.announcedAt + c.cfg.Policy.VersionLimit - cancelTime
+	}
 	c.recordSend(r, v)
 	v.backoff.began(r)
 	return choice
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -126,6 +126,15 @@
 			},
 			check: func(t *testing.T, _ *Core, choice Choice) { _, waits := choice.(Wait); must.True(t, waits) },
 		},
+		{
+			name: "a request on an old version must begin before its bound",
+			setup: func(c *Core) {
+				c.SetPolicy(Policy{VersionLimit: 5000})
+				c.Announce(700, "m/a", 2)
+				applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, 700+5000-cancelTime, choice.(Send).BeginBy) },
+		},
 		{
 			name: "a draining server receives no requests",
 			setup: func(c *Core) {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -27,8 +27,9 @@
 	RetryReserve float64
 	RetryWindow  clock.Millis
 	// VersionGrace is how long older copies may still be used after a version was
-	// announced.
+	// announced, VersionLimit the time after which no request may begin at one; 0 means no limit.
 	VersionGrace clock.Millis
+	VersionLimit clock.Millis
 }
 
 // Defaults of Policy.
@@ -352,11 +353,11 @@
 	}
 }
 
-// Announce records that a version of an adapter was announced. Versions that are not newer
-// than the last one are ignored. Older copies remain usable for Policy.VersionGrace.
-func (c *Core) Announce(now clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
+// Announce records that a version of an adapter was announced at some time, or later. Versions that are
+// not newer than the last one are ignored. Older copies remain usable for Policy.VersionGrace.
+func (c *Core) Announce(at clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
 	if c.versions[adapter].revision < revision {
-		c.versions[adapter] = version{revision: revision, announcedAt: now}
+		c.versions[adapter] = version{revision: revision, announcedAt: at}
 	}
 }
 
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -89,6 +89,20 @@
 	return f.confirmedAt > 0 && bootNow < f.confirmedAt+within && f.readAt >= resumedAt
 }
 
+// maxUnread bounds the time for which a feed counts as not read.
+const maxUnread = clock.Minute
+
+// unreadSince returns the time since which entries of a feed may have been in the store unread.
+func (n *Node) unreadSince(f *feed) clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := n.clock.Now()
+	if f.confirmedAt == 0 {
+		return now
+	}
+	return now - min(n.clock.BootNow()-f.confirmedAt, maxUnread)
+}
+
 // storeRead is a read of a feed from the store.
 type storeRead struct {
 	update *FeedUpdate
@@ -171,6 +185,7 @@
 func (n *Node) applyRead(f *feed, r *storeRead, apply func(*FeedUpdate) *peer.FeedUpdate) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	r.update.Since = n.unreadSince(f)
 	if !f.accept(r) {
 		return
 	}
@@ -295,6 +310,7 @@
 	n.noteRunning()
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	since := n.unreadSince(f)
 	fits, isNew := f.acceptRelayed(m, n.clock.Now(), n.clock.BootNow())
 	if !fits {
 		return
@@ -302,7 +318,7 @@
 	// A full read by the placer may find changes at the same offset.
 	if isNew || len(m.Records) > 0 || m.Gap {
 		update := n.system.DecodeUpdate(f.name, m.Records)
-		update.Software, update.Gap = append(update.Software, m.Software...), m.Gap
+		update.Software, update.Gap, update.Since = append(update.Software, m.Software...), m.Gap, since
 		apply(update)
 	}
 	if placer {
@@ -331,12 +347,11 @@
 // applyConfig applies the configuration and the named versions. It returns the update with the
 // records to relay.
 func (n *Node) applyConfig(update *FeedUpdate) *peer.FeedUpdate {
-	now := n.clock.Now()
 	changed := false
 	n.withCore(func(core *choose.Core) {
 		changed = update.Config != nil && core.SetConfig(update.Config)
 		for _, v := range update.Versions {
-			core.Announce(now, v.Adapter, v.Revision)
+			core.Announce(update.Since, v.Adapter, v.Revision)
 		}
 	})
 	if changed {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -225,6 +225,8 @@
 	sentAt clock.Millis
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
+	// beginTimer cancels the attempt if it has not begun by to.BeginBy; nil if there is no such time.
+	beginTimer *time.Timer
 	// again is true if a crash was known to count against the request when it was sent.
 	again bool
 	// begun is true once a part of the answer itself was received, not only comments.
@@ -245,9 +247,23 @@
 		a.node.withCore(func(core *choose.Core) { core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end) })
 	}()
 	defer a.node.quarantine.watch(a)()
+	defer a.limitBegin()()
 	return a.run()
 }
 
+// errOldVersion is the cause of an attempt that was canceled since it would begin too late on an old
+// version of its adapter.
+var errOldVersion = errors.New("the request did not begin before the old version of its adapter had to be left")
+
+// limitBegin cancels the attempt at to.BeginBy unless it has begun. The function that it returns ends that.
+func (a *attempt) limitBegin() (end func()) {
+	if a.to.BeginBy == 0 {
+		return func() {}
+	}
+	a.beginTimer = time.AfterFunc((a.to.BeginBy - a.node.clock.Now()).Duration(), func() { a.cancel(errOldVersion) })
+	return func() { a.beginTimer.Stop() }
+}
+
 // useless returns why the request should not be sent any more, or an empty string. Opening
 // the connection, or a stop of the process, may have taken longer than the caller waits.
 func (a *attempt) useless() string {
@@ -323,6 +339,9 @@
 	case errors.Is(context.Cause(a.ctx), errQuarantined):
 		a.reason = reasonQuarantined
 		return choose.EndCanceled
+	case errors.Is(context.Cause(a.ctx), errOldVersion):
+		a.reason = errOldVersion.Error()
+		return choose.EndCanceled
 	case errors.As(err, &invalid):
 		return choose.EndFailed
 	case a.ctx.Err() != nil:
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -120,6 +120,9 @@
 		return
 	}
 	a.hasAnswer, a.firstAt = true, a.node.clock.Now()
+	if a.beginTimer != nil {
+		a.beginTimer.Stop()
+	}
 	a.node.withCore(func(core *choose.Core) { core.Started(&a.req, a.to.Server) })
 }
 
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -64,6 +64,9 @@
 	Removed  []units.BackendServerID
 	// Next is the offset of the next read.
 	Next units.Offset
+	// Since is the time since which the entries may have been in the store, by the clock of the
+	// entry VM. The Store does not set it.
+	Since clock.Millis
 	// Behind is true if the store had records from Next on, or had lost some before it.
 	Behind bool
 	// Gap is true if records since the last update were not read: versions of backend servers
