Take a backend server that was started again in place for another version until it is listed

The placer learns from a report that another process runs there, and loads adapters on it, but its placements did not name the process.

Change: a placement names the process that has it as long as that is not listed. Until then its version counts as one of its own: streams of others stay away, and what begins there goes on there alone. Loads for the former version don't count there, and an old list entry no longer clears what the new process has loaded.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -384,7 +384,7 @@
 	}
 	c.withdrawLoad(r)
 	choice := Send{
-		Server: v.ID, Address: v.Address, StartedAt: v.StartedAt, Software: v.Software, Region: v.Region, Cost: expected, Candidates: candidates,
+		Server: v.ID, Address: v.Address, StartedAt: v.StartedAt, Software: v.software(), Region: v.Region, Cost: expected, Candidates: candidates,
 		Active: v.own.active + v.others.active, Prefill: v.own.prefill + v.others.prefill, Tokens: v.own.tokens + v.others.tokens,
 		Cached: v.prefixes.cached(r),
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -120,6 +120,8 @@
 	copies map[units.AdapterName]copyView
 	// placed reports that a placer has sent a placement of the server.
 	placed bool
+	// placedStart is the start of the process that has the placement, if it is not listed yet.
+	placedStart int64
 	// others is the load by other entry VMs, as aggregated by the placer.
 	others load
 	// own is the load by the requests of this entry VM.
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -382,7 +382,10 @@
 
 // setPlacement sets the models, copies and load of a backend server.
 func (c *Core) setPlacement(v *view, placed placement) {
-	v.placed = true
+	if v.placedStart != placed.StartedAt {
+		c.software.observe(c.now, c.servers)
+	}
+	v.placed, v.placedStart = true, placed.StartedAt
 	v.models = placed.Models
 	clear(v.copies)
 	for _, held := range placed.Copies {
@@ -409,7 +412,7 @@
 func (c *Core) wakeWaiters() {
 	for key, w := range c.loadRequests {
 		for _, v := range c.servers {
-			if _, ok := c.holds(v, key.adapter); ok && !v.Draining && (key.software == "" || v.Software == key.software) {
+			if _, ok := c.holds(v, key.adapter); ok && !v.Draining && (key.software == "" || v.software() == key.software) {
 				close(w.changed)
 				w.changed = make(chan struct{})
 				break
--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -22,7 +22,10 @@
 }
 
 // startedElsewhere reports whether r has begun at another version than that of v.
-func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.Software != r.Software }
+func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.software() != r.Software }
+
+// software returns the version that the process of v runs.
+func (v *view) software() topo.Software { return v.SoftwareOf(v.placedStart) }
 
 // softwareKept is how long a version counts as one that may have begun a stream after the last
 // backend server with it was removed.
@@ -42,7 +45,7 @@
 		h.seenAt = map[topo.ServiceSoftware]clock.Millis{}
 	}
 	for _, v := range servers {
-		h.seenAt[v.ServiceSoftware()] = now
+		h.seenAt[topo.ServiceSoftware{Service: v.Service, Software: v.software()}] = now
 	}
 	for key, at := range h.seenAt {
 		if now > at+softwareKept {
--- a/internal/core/choose/software_test.go
+++ b/internal/core/choose/software_test.go
@@ -90,6 +90,36 @@
 	})
 }
 
+// TestStreamsStayOutOfUnlistedProcesses guards against a stream with events of two software versions: a
+// backend server was started again in place with other software while the store was away, so that the
+// list still showed the version before.
+func TestStreamsStayOutOfUnlistedProcesses(t *testing.T) {
+	c := New(Config{Self: "vm", Region: "near", Domain: "d1"})
+	c.SetConfig(testConfig())
+	s := testServer("n1", "llm", "near", "d1")
+	s.Software, s.StartedAt = "v1", 10
+	c.SetServers(0, []*topo.Server{s})
+	placed := peer.ServerPlacement{Server: "n1", StartedAt: 20, Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}}
+	applyPlacement(c, 900, "near", 1, placed)
+	begun := testRequest("r", "m/a", 1000)
+	begun.Started, begun.Software = true, "v1"
+	_, sent := c.Choose(1000, begun).(Send)
+	must.False(t, sent)
+	_, only, _ := c.OnlySoftware(1000, "llm", 900)
+	must.False(t, only)
+	fresh, sent := c.Choose(1000, testRequest("s", "m/a", 1000)).(Send)
+	must.True(t, sent)
+	must.NotEq(t, "v1", fresh.Software)
+
+	next := *s
+	next.Software, next.StartedAt = "v2", 20
+	c.SetServers(1100, []*topo.Server{&next})
+	applyPlacement(c, 1100, "near", 2, placed)
+	listed, sent := c.Choose(1100, testRequest("t", "m/a", 1100)).(Send)
+	must.True(t, sent)
+	must.Eq(t, "v2", listed.Software)
+}
+
 // TestOnlySoftware checks when a version counts as the only one that may have begun a stream.
 func TestOnlySoftware(t *testing.T) {
 	const start = clock.Hour
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -167,8 +167,9 @@
 	}
 	s.down = false
 	s.nextReportAt = p.now + reportPeriod
-	if r.StartedAt > s.StartedAt {
-		s.StartedAt = r.StartedAt
+	if r.StartedAt > max(s.StartedAt, s.reportedStart) {
+		s.reportedStart = r.StartedAt
+		s.markChanged()
 		s.orders = 0
 		s.copies, s.models = map[units.AdapterName]*heldCopy{}, map[units.ModelName]bool{}
 	}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -129,6 +129,8 @@
 type server struct {
 	// Server is its entry in the list; Draining is set too if saidLeaving is.
 	topo.Server
+	// reportedStart is the start of the process that reported last, which may not be listed yet.
+	reportedStart int64
 	// saidLeaving reports that it said in an answer that it leaves.
 	saidLeaving bool
 	// backoffUntil is until when it asked an entry VM for no requests. Until then its copies don't
@@ -178,6 +180,9 @@
 	tokens  units.Tokens
 }
 
+// software returns the version that the process of s runs.
+func (s *server) software() topo.Software { return s.SoftwareOf(s.reportedStart) }
+
 func (s *server) load() load { return load{s.active, s.prefill, s.tokens} }
 
 func (s *server) markChanged() { s.changed = [scopes]bool{true, true} }
@@ -268,7 +273,7 @@
 }
 
 // allows reports whether a copy at s serves the requests for key.
-func (k loadKey) allows(s *server) bool { return k.software == "" || s.Software == k.software }
+func (k loadKey) allows(s *server) bool { return k.software == "" || s.software() == k.software }
 
 // loadRequest sums up the load requests of all entry VMs for one loadKey. Of the embedded
 // LoadRequest only Adapter, Software, Rank and Count are set, and Count only by sortedLoadRequests.
@@ -326,7 +331,7 @@
 
 func (p *Placer) setServer(entry *topo.Server, engine *topo.Engine) {
 	s := p.servers[entry.ID]
-	if s == nil || s.StartedAt != entry.StartedAt && entry.StartedAt > s.StartedAt {
+	if s == nil || entry.StartedAt > max(s.StartedAt, s.reportedStart) {
 		s = &server{
 			copies: map[units.AdapterName]*heldCopy{}, models: map[units.ModelName]bool{},
 			cached: map[units.AdapterName]clock.Millis{}, nextReportAt: p.now,
--- a/internal/core/homes/software_test.go
+++ b/internal/core/homes/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 
@@ -37,3 +38,30 @@
 	f.run(3000, 3600)
 	must.SliceLen(t, 2, f.orders)
 }
+
+// TestUnlistedProcessIsNamed guards against streams that go on at a backend server which was started again in
+// place with other software while the list was not current: its placement must name the process until it is
+// listed, loads for its former version must not count there, and an old list entry must not undo that.
+func TestUnlistedProcessIsNamed(t *testing.T) {
+	f := newTestPlacer(8, "s1")
+	listed := testServer("s1")
+	listed.StartedAt, listed.Software = 10, "v1"
+	placement := func() peer.ServerPlacement {
+		return f.FullUpdate(f.now, SameRegion, "r", 1).Servers[0]
+	}
+	f.SetServers(1200, []*topo.Server{listed}, testServices(8))
+	f.HandleReport(1200, "s1", &topo.Report{StartedAt: 10, Models: []units.ModelName{testModel}})
+	must.Zero(t, placement().StartedAt)
+	f.HandleReport(3000, "s1", &topo.Report{StartedAt: 20, Models: []units.ModelName{testModel}, Copies: []topo.Copy{{Adapter: "m/a"}}})
+	must.Eq(t, 20, placement().StartedAt)
+	must.False(t, loadKey{"m/a", "v1"}.allows(f.servers["s1"]))
+	f.SetServers(3100, []*topo.Server{listed}, testServices(8))
+	must.Eq(t, 20, placement().StartedAt)
+	must.SliceLen(t, 1, placement().Copies)
+	next := *listed
+	next.StartedAt, next.Software = 20, "v2"
+	f.SetServers(3200, []*topo.Server{&next}, testServices(8))
+	must.Zero(t, placement().StartedAt)
+	must.SliceLen(t, 1, placement().Copies)
+	must.True(t, loadKey{"m/a", "v2"}.allows(f.servers["s1"]))
+}
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -65,7 +65,7 @@
 	case c.state == copyRetired && s.usable(p.now):
 		p.step.addRetired(s, loadKey{adapter: adapter})
 		if p.step.isVersioned(s) {
-			p.step.addRetired(s, loadKey{adapter, s.Software})
+			p.step.addRetired(s, loadKey{adapter, s.software()})
 		}
 	}
 }
@@ -80,12 +80,12 @@
 func (x *stepIndex) addServed(s *server, adapter units.AdapterName) {
 	x.served[loadKey{adapter: adapter}] = true
 	if x.isVersioned(s) {
-		x.served[loadKey{adapter, s.Software}] = true
+		x.served[loadKey{adapter, s.software()}] = true
 	}
 }
 
 // isVersioned reports whether a copy at s also serves requests for its version of the software.
-func (x *stepIndex) isVersioned(s *server) bool { return x.versioned && s.Software != "" }
+func (x *stepIndex) isVersioned(s *server) bool { return x.versioned && s.software() != "" }
 
 // victim returns the retired copy with the least demand at s that may be unloaded, and that
 // demand. Copies in use or retired less than unloadDelay ago are excluded.
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -107,6 +107,9 @@
 	if s.down {
 		return h
 	}
+	if s.reportedStart > s.StartedAt {
+		h.StartedAt = s.reportedStart
+	}
 	if p.now >= s.modelReadyAt {
 		for m := range s.models {
 			h.Models = append(h.Models, m)
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -158,7 +158,10 @@
 	// Removed is set if the placer no longer has the backend server.
 	Removed bool `msgpack:"g,omitempty"`
 	// LoadOnly is set if Models and Copies are left out because they are unchanged.
-	LoadOnly bool              `msgpack:"l,omitempty"`
+	LoadOnly bool `msgpack:"l,omitempty"`
+	// StartedAt is the start of the process that has them, as in topo.Server, if the backend server
+	// has reported one that is not listed yet; else 0.
+	StartedAt int64             `msgpack:"b,omitempty"`
 	Models   []units.ModelName `msgpack:"m,omitempty"`
 	Copies   []PlacedCopy      `msgpack:"c,omitempty"`
 	// Active, Prefill and Tokens are the sums over the reports of all entry VMs.
@@ -175,9 +178,10 @@
 	Ready clock.Millis `msgpack:"t,omitempty"`
 }
 
-// SameCopies reports whether p and q have the same models and copies. Their loads may differ.
+// SameCopies reports whether p and q have the same models and copies in one process. Their loads may
+// differ.
 func (p ServerPlacement) SameCopies(q ServerPlacement) bool {
-	return slices.Equal(p.Models, q.Models) && slices.Equal(p.Copies, q.Copies)
+	return p.StartedAt == q.StartedAt && slices.Equal(p.Models, q.Models) && slices.Equal(p.Copies, q.Copies)
 }
 
 // HasContent reports whether m carries more than the sender's address.
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -1,6 +1,7 @@
 package topo
 
 import (
+	"strconv"
 	"strings"
 
 	"mangostile/internal/base/clock"
@@ -57,6 +58,15 @@
 	return ServiceSoftware{Service: s.Service, Software: s.Software}
 }
 
+// SoftwareOf returns the version that a process of s runs, by its start as in StartedAt. That of a process
+// which is not listed yet is not known: it counts as a version of its own, which nothing else runs.
+func (s *Server) SoftwareOf(startedAt int64) Software {
+	if startedAt <= s.StartedAt {
+		return s.Software
+	}
+	return Software("process " + string(s.ID) + " " + strconv.FormatInt(startedAt, 10))
+}
+
 // Holds reports whether s has loaded a model.
 func (s *Server) Holds(model units.ModelName) bool {
 	for _, m := range s.Models {
