--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -162,8 +162,8 @@
 	// StartedAt is the start of the process that has them, as in topo.Server, if the backend server
 	// has reported one that is not listed yet; else 0.
 	StartedAt int64             `msgpack:"b,omitempty"`
-	Models   []units.ModelName `msgpack:"m,omitempty"`
-	Copies   []PlacedCopy      `msgpack:"c,omitempty"`
+	Models    []units.ModelName `msgpack:"m,omitempty"`
+	Copies    []PlacedCopy      `msgpack:"c,omitempty"`
 	// Active, Prefill and Tokens are the sums over the reports of all entry VMs.
 	Active  int32        `msgpack:"a,omitempty"`
 	Prefill units.Tokens `msgpack:"p,omitempty"`
