Resolve the version of a process once it is listed

A stream that began at a backend server before its new process was listed could not go on once that was listed: its version had a name that nothing else had. Where backend servers crash and come back with the same software, callers would have been refused, and for 30 s the service would not have counted as one of a single version (seen by reading the change before, not in a run).

Change: once the process is listed its version is known, also for what began before; the provisional one is forgotten. A panic in the read of the store's kept versions, which now runs beside the request, is caught as elsewhere.

Evidence: TestStreamsStayOutOfUnlistedProcesses has new steps for it, for code that was not there before.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -108,6 +108,7 @@
 	if c.now+minRemaining >= r.Deadline && r.Deadline-r.Arrived > 2*minRemaining {
 		return c.refuse(r, "no time is left", 0)
 	}
+	c.resolveSoftware(r)
 	if r.Started && !c.canGoOn(r) {
 		return c.refuse(r, noSoftwareReason, 0)
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -299,6 +299,7 @@
 				c.setPlacement(v, placed)
 			}
 		case s.StartedAt > v.StartedAt:
+			c.software.listed(v, s)
 			// The placement is that of the previous process.
 			delete(c.placements, s.ID)
 			v = newView(s)
--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -24,6 +24,20 @@
 // startedElsewhere reports whether r has begun at another version than that of v.
 func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.software() != r.Software }
 
+// resolveSoftware replaces the version of a stream that began at a process before it was listed by the one
+// with which it is now.
+func (c *Core) resolveSoftware(r *Request) {
+	if !r.Started || !r.Software.IsProcess() {
+		return
+	}
+	for _, v := range c.byService[r.Service] {
+		if v.Ran(r.Software) {
+			r.Software = v.Software
+			return
+		}
+	}
+}
+
 // software returns the version that the process of v runs.
 func (v *view) software() topo.Software { return v.SoftwareOf(v.placedStart) }
 
@@ -54,6 +68,13 @@
 	}
 }
 
+// listed records that the process of v is now listed as s: its version is known, also for the time before.
+func (h *softwareHistory) listed(v *view, s *topo.Server) {
+	if v.placedStart == s.StartedAt {
+		delete(h.seenAt, topo.ServiceSoftware{Service: v.Service, Software: v.software()})
+	}
+}
+
 // AddSoftware records versions that were listed until now, those of removed backend servers
 // included.
 func (c *Core) AddSoftware(now clock.Millis, list []topo.ServiceSoftware) {
--- a/internal/core/choose/software_test.go
+++ b/internal/core/choose/software_test.go
@@ -118,6 +118,17 @@
 	listed, sent := c.Choose(1100, testRequest("t", "m/a", 1100)).(Send)
 	must.True(t, sent)
 	must.Eq(t, "v2", listed.Software)
+	// What began there before it was listed goes on at its version, whose name is known now.
+	early := testRequest("u", "m/a", 1100)
+	early.Started, early.Software = true, fresh.Software
+	_, sent = c.Choose(1100, early).(Send)
+	must.True(t, sent)
+	must.Eq(t, "v2", early.Software)
+	software, only, _ := c.OnlySoftware(60000, "llm", 30000)
+	must.True(t, only)
+	must.Eq(t, "v2", software)
+	_, only, _ = c.OnlySoftware(1200, "llm", 850)
+	must.False(t, only, must.Sprint("v1 was there until the report"))
 }
 
 // TestOnlySoftware checks when a version counts as the only one that may have begun a stream.
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -64,9 +64,23 @@
 	if startedAt <= s.StartedAt {
 		return s.Software
 	}
-	return Software("process " + string(s.ID) + " " + strconv.FormatInt(startedAt, 10))
+	return s.processSoftware(startedAt)
 }
 
+// processPrefix begins the versions of processes that are not listed yet.
+const processPrefix = "process "
+
+func (s *Server) processSoftware(startedAt int64) Software {
+	return Software(processPrefix + string(s.ID) + " " + strconv.FormatInt(startedAt, 10))
+}
+
+// IsProcess reports whether v stands for the version of a process that was not listed yet.
+func (v Software) IsProcess() bool { return strings.HasPrefix(string(v), processPrefix) }
+
+// Ran reports whether v stands for the version of the listed process of s from the time before it was
+// listed.
+func (s *Server) Ran(v Software) bool { return v.IsProcess() && v == s.processSoftware(s.StartedAt) }
+
 // Holds reports whether s has loaded a model.
 func (s *Server) Holds(model units.ModelName) bool {
 	for _, m := range s.Models {
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -223,7 +223,9 @@
 	done := n.origins.reading.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 		defer cancel()
-		return nil, n.readKeptSoftware(ctx)
+		err := errPanic
+		n.guard("read of kept versions", func() { err = n.readKeptSoftware(ctx) })
+		return nil, err
 	})
 	select {
 	case <-ctx.Done():
