Hold memory only for heads that are long, and keep the placement of a process that gets listed

A head of an answer that came in several parts held 128 KiB although it was short: many answers of a sound backend server at once could have been refused for lack of memory. Memory is held from the 4,097th byte on. TestOnlyLongHeadsHoldMemory failed before in its first row (131,072 bytes held for one of 4,095).

When the process that a placement names was listed, entry VMs dropped the placement as that of an earlier process, and the placer published nothing new, so that the backend server's adapters were those of its list entry until something changed. Now the placement stays, and the placer publishes it again without the name of the process.

--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -300,10 +300,14 @@
 			}
 		case s.StartedAt > v.StartedAt:
 			c.software.listed(v, s)
-			// The placement is that of the previous process.
-			delete(c.placements, s.ID)
 			v = newView(s)
 			c.servers[s.ID] = v
+			if placed, ok := c.placements[s.ID]; ok && placed.StartedAt == s.StartedAt {
+				c.setPlacement(v, placed)
+			} else {
+				// The placement is that of a previous process.
+				delete(c.placements, s.ID)
+			}
 		}
 		v.Server = s
 		since, heard := c.leaving[s.ID]
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -340,7 +340,7 @@
 		p.servers[entry.ID] = s
 	}
 	draining := entry.Draining || s.saidLeaving
-	if s.Draining != draining {
+	if s.Draining != draining || s.StartedAt != entry.StartedAt {
 		s.markChanged()
 	}
 	s.Server, s.engine = *entry, engine
--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -48,8 +48,9 @@
 	Matches func(*http.Response) bool
 }
 
-// head returns the encoded head of r. r.Header must not hold hop-by-hop headers, nor Host or Content-Length, which head writes itself. GET, HEAD
-// and DELETE requests without a body need no Content-Length.
+// head returns the encoded head of r. r.Header must not hold hop-by-hop headers, nor Host or
+// Content-Length, which head writes itself. GET, HEAD and DELETE requests without a body need no
+// Content-Length.
 func (r *Request) head() *bytes.Buffer {
 	var b bytes.Buffer
 	b.Grow(512 + min(len(r.Body), smallBody))
--- a/internal/node/conns/head_reader.go
+++ b/internal/node/conns/head_reader.go
@@ -40,7 +40,7 @@
 	if h.left == 0 {
 		return 0, errLongHead
 	}
-	if h.left < maxHeadBytes {
+	if h.left <= maxHeadBytes-readBuffer {
 		if err := h.hold.Resize(longHeadMemory); err != nil {
 			return 0, err
 		}
