Give the parts for hard load their places in the choice of a server

Cause: customers, pace, pauses and room are built side by side; each needs its own file and a place where choose calls it. Measured: behaviour is the same; tests of internal/core, internal/node/fleet and platform pass.

--- a/internal/base/units/units.go
+++ b/internal/base/units/units.go
@@ -19,6 +19,8 @@
 	Region string
 	// Caller names a client application that sends requests.
 	Caller string
+	// CustomerName names a customer of the users' platform, who has keys and a quota.
+	CustomerName string
 	// AdapterName names a LoRA adapter without its version.
 	AdapterName string
 	// Version names one version of an adapter.
--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -324,7 +324,7 @@
 
 // cost returns the expected time to the first event at v, plus penalties, in ms.
 func (c *Core) cost(r *Request, v *view) float64 {
-	cost := c.expected(r, v)
+	cost := c.expected(r, v) + c.pauseCost(r, v)
 	if v.Region != c.cfg.Region {
 		cost += otherRegionCost
 	} else if v.Domain != c.cfg.Domain {
@@ -349,11 +349,11 @@
 	active := float64(v.own.active + v.others.active)
 	if v.engine == nil {
 		slots := float64(max(1, v.Slots))
-		return plainRequestCost * (1 + active/slots)
+		return c.plainTime(v) * (1 + active/slots)
 	}
 	prompt := float64(r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r)))
 	prefill := float64(v.own.prefill+v.others.prefill) + prompt
-	cost := prefill/c.cfg.Policy.PrefillPerMS + active*activeCost
+	cost := prefill/c.prefillRate(v) + active*activeCost
 	if kv := float64(v.engine.KVTokens); kv > 0 {
 		used := float64(v.own.tokens+v.others.tokens) + float64(r.PromptTokens+r.MaxTokens)
 		cost += memoryCost * max(0, used/kv-memoryFill)
@@ -383,6 +383,9 @@
 	if r.Sends > 0 && !c.takeRetry(r) {
 		return c.refuse(r, "no retry is left in the budget", retryDelay)
 	}
+	if choice := c.awaitRoom(r, v, expected); choice != nil {
+		return choice
+	}
 	c.withdrawLoad(r)
 	choice := Send{
 		Server: v.ID, Address: v.Address, StartedAt: v.StartedAt, Software: v.software(), Region: v.Region, Cost: expected, Candidates: candidates,
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -72,6 +72,12 @@
 	ID      units.RequestID
 	Route   *topo.Route
 	Service units.ServiceName
+	// Customer is whose request it is, empty if the configuration has no customers or the route is
+	// open to all.
+	Customer units.CustomerName
+	// Rank is the priority rank of the customer or, if that has none, of the route; 0 is the most
+	// urgent.
+	Rank int
 	// Adapter is the full name, MODEL/ADAPTER or MODEL, empty for plain services.
 	Adapter      units.AdapterName
 	PromptTokens units.Tokens
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -178,7 +178,7 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.req = choose.Request{
-		ID: c.head.ID, Route: c.route, Service: c.route.Service(hashID(c.head.ID)), Adapter: c.head.Adapter,
+		ID: c.head.ID, Route: c.route, Service: c.route.Service(hashID(c.head.ID)), Rank: c.route.Rank, Adapter: c.head.Adapter,
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
 		Arrived: c.arrived, Deadline: c.arrived + timeout,
 	}
