Go on after the store came back from an older copy

What callers would see: adapters are never loaded again. The store lost the last records of the lease, reads from the known offset got 410, appends a conflict, and no entry VM could claim it any more. Reused offsets gave reused fences. Cause: offsets, conditional appends and fences were taken to be valid for ever. The store names its era in all answers.

--- a/internal/base/units/units.go
+++ b/internal/base/units/units.go
@@ -45,6 +45,9 @@
 	Incarnation uint64
 	// Offset is a position in a stream of the log service. The first is 0.
 	Offset int64
+	// Era counts how often the platform's store was restored from a copy that lacked its last writes.
+	// Offsets of two eras can't be compared.
+	Era int64
 	// Fence is a fencing number. A backend server that checks it rejects an order with a
 	// smaller number than the greatest it has seen.
 	Fence uint64
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -32,6 +32,9 @@
 	// OrderDelay is the time during which the holder gives no orders yet, in ms from
 	// the sending of the record.
 	OrderDelay clock.Millis `msgpack:"w,omitempty"`
+	// Era is that of the offset at which the holder appended the record. A record found in a later
+	// era says nothing about the lease.
+	Era units.Era `msgpack:"e,omitempty"`
 }
 
 // Bounds of the lease.
@@ -69,7 +72,13 @@
 	// ClaimDelay is added to ClaimTimeout; entry VMs that should claim later have a
 	// longer one.
 	ClaimDelay clock.Millis
+	// Rejoins reports that the whole system has started before: an empty partition may be one that
+	// has lost the records of a lease which is still valid.
+	Rejoins bool
 
+	// era is that of the offsets; restored says that it is not the first one of this process.
+	era      units.Era
+	restored bool
 	// caughtUp reports that the end of the partition, next, is known.
 	caughtUp bool
 	next     units.Offset
@@ -146,7 +155,7 @@
 	}
 	for i := range records {
 		offset := from + units.Offset(i)
-		if offset < l.next && l.caughtUp {
+		if offset < l.next && l.caughtUp || records[i].Era < l.era {
 			continue
 		}
 		l.fold(now, offset, &records[i])
@@ -173,8 +182,8 @@
 // apply makes r the last record.
 func (l *Lease) apply(now clock.Millis, offset units.Offset, r *Record) {
 	l.failures = 0
-	if r.Kind == KindClaim || l.fence == 0 {
-		l.fence = units.Fence(offset) + 1
+	if fence := fenceAt(l.era, offset); r.Kind == KindClaim || eraOf(l.fence) != l.era || l.fence == 0 {
+		l.fence = fence
 	}
 	l.last, l.grewAt, l.next = r, now, offset+1
 }
@@ -188,17 +197,24 @@
 }
 
 // Gap handles the expiry of unread records before offset oldest, which ends this entry VM's
-// lease, since one of them may have been another entry VM's claim.
-func (l *Lease) Gap(now clock.Millis, oldest units.Offset) {
-	if oldest > l.next {
-		l.next, l.grewAt, l.validUntil = oldest, now, 0
+// lease, since one of them may have been another entry VM's claim. It reports whether oldest is ahead
+// of what was read.
+func (l *Lease) Gap(now clock.Millis, oldest units.Offset) bool {
+	if oldest <= l.next {
+		return false
+	}
+	l.next, l.grewAt = oldest, now
+	if !l.heldBefore(now) {
+		l.validUntil = 0
 	}
+	return true
 }
 
 // ObserveHolder handles a holder's own report that its lease ends after remaining, in ms,
 // unless the partition grows beyond next. Reports older than the records read are ignored.
 func (l *Lease) ObserveHolder(now clock.Millis, holder Record, fence units.Fence, next units.Offset, remaining clock.Millis) {
-	if next < l.next || l.Holds(now) {
+	l.EnterEra(now, eraOf(fence))
+	if eraOf(fence) < l.era || next < l.next || l.Holds(now) {
 		return
 	}
 	if next > l.next || l.last == nil {
@@ -234,6 +250,8 @@
 	}
 	var record Record
 	switch {
+	case l.heldBefore(now):
+		record = l.record(KindClaim, now)
 	case l.Holds(now):
 		if now < l.renewAt {
 			return nil
@@ -251,7 +269,7 @@
 
 func (l *Lease) record(kind Kind, now clock.Millis) Record {
 	l.appends++
-	return Record{Kind: kind, Holder: l.Self, Address: l.Address, Incarnation: l.Incarnation, Number: l.appends, OrderDelay: max(0, l.orderFrom-now)}
+	return Record{Kind: kind, Holder: l.Self, Address: l.Address, Incarnation: l.Incarnation, Number: l.appends, OrderDelay: max(0, l.orderFrom-now), Era: l.era}
 }
 
 // claimable reports whether the lease may be claimed at now.
@@ -259,7 +277,7 @@
 	switch {
 	case now < l.yieldedUntil:
 		return false
-	case l.last == nil && l.next == 0:
+	case l.isUnclaimed():
 		return now >= l.grewAt+l.ClaimDelay
 	case l.last != nil && l.last.Holder == l.Self:
 		return true
@@ -272,11 +290,14 @@
 	}
 }
 
+// isUnclaimed reports whether no entry VM can ever have held the lease.
+func (l *Lease) isUnclaimed() bool { return l.last == nil && l.next == 0 && !l.restored && !l.Rejoins }
+
 // orderFromAfterClaim returns when orders may begin after a claim, so that orders of two
 // holders are HandoverInterval apart.
 func (l *Lease) orderFromAfterClaim(now clock.Millis) clock.Millis {
 	switch {
-	case l.last == nil && l.next == 0:
+	case l.isUnclaimed():
 		return now
 	case l.last != nil && l.last.Holder == l.Self:
 		return max(l.orderFrom, now+l.last.OrderDelay)
@@ -301,6 +322,8 @@
 	Refused
 	// Unknown means that the record may have been appended or may be later.
 	Unknown
+	// Restored means that the offset is of an era of the store that has ended.
+	Restored
 )
 
 // String returns the name of r in log lines.
@@ -312,6 +335,8 @@
 		return "conflict"
 	case Refused:
 		return "refused"
+	case Restored:
+		return "restored"
 	default:
 		return "unknown"
 	}
@@ -329,6 +354,9 @@
 	case Conflict:
 		l.pending, l.stale = nil, true
 		l.validUntil = 0
+	case Restored:
+		// If the record was appended all the same, its era shows that it is void.
+		l.pending, l.stale = nil, true
 	case Refused:
 		if a.Record.Kind == KindRelease {
 			l.yieldedUntil = 0
--- a/internal/core/peer/feed.go
+++ b/internal/core/peer/feed.go
@@ -13,6 +13,9 @@
 	// From is the first offset of the range that was read, Next the first one after it.
 	From units.Offset `msgpack:"o"`
 	Next units.Offset `msgpack:"n"`
+	// FromEra and Era are the eras of From and Next.
+	FromEra units.Era `msgpack:"x,omitempty"`
+	Era     units.Era `msgpack:"e,omitempty"`
 	// Records holds the newest record of each key that changed in that range.
 	Records []FeedRecord `msgpack:"r,omitempty"`
 	// Software lists the versions that only records which were replaced in that range name.
@@ -29,11 +32,15 @@
 	Value []byte `msgpack:"v,omitempty"`
 }
 
+// Restored reports whether the store was restored in the range that was read. Its offsets can't be
+// compared then.
+func (m *FeedUpdate) Restored() bool { return m.Era > m.FromEra }
+
 func (*FeedUpdate) peerMessage() {}
 
 // Check implements Message.
 func (m *FeedUpdate) Check() error {
-	if m.Feed == "" || m.From < 0 || m.Next < m.From {
+	if m.Feed == "" || m.From < 0 || m.Next < 0 || m.Era < m.FromEra || m.Next < m.From && !m.Restored() {
 		return invalid("feed_news", "feed is missing or offsets are out of order")
 	}
 	for i := range m.Records {
--- a/internal/fake/keylog/store.go
+++ b/internal/fake/keylog/store.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -33,6 +34,8 @@
 
 	mu         sync.Mutex
 	partitions map[string]*partition
+	// era counts the calls of Restore. All answers name it.
+	era int
 }
 
 type partition struct {
@@ -105,9 +108,48 @@
 	p.first, p.records = p.end(), nil
 }
 
+// Restore brings the store back as from a copy that lacks the last records of each partition: their
+// offsets are given out again. The writers of the topics named in rewritten write what was lost there
+// again.
+func (s *Store) Restore(lost int, rewritten ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, p := range s.partitions {
+		kept := max(0, len(p.records)-lost)
+		last := p.records[kept:]
+		p.records = p.records[:kept:kept]
+		topic, _, _ := strings.Cut(name, "/")
+		if !strings.HasPrefix(topic, keyedTopicPrefix) {
+			continue
+		}
+		for key, newest := range p.newest {
+			if newest.Offset >= p.end() {
+				delete(p.newest, key)
+			}
+		}
+		before := p.records
+		p.records = nil
+		for _, record := range before {
+			p.appendKeyed(record)
+		}
+		if slices.Contains(rewritten, topic) {
+			for _, record := range last {
+				p.appendKeyed(record)
+			}
+		}
+	}
+}
+
+// eraHeader is the header of all answers that names the era.
+const eraHeader = "Store-Era"
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Calls.Add(1)
+	s.mu.Lock()
+	w.Header().Set(eraHeader, strconv.Itoa(s.era))
+	s.mu.Unlock()
 	if s.Down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -194,7 +236,7 @@
 	for waited := wait == 0; ; {
 		s.mu.Lock()
 		p := s.partition(query.Get("topic"), query.Get("part"))
-		if from < p.first {
+		if from < p.first || s.era > 0 && from > p.end() {
 			first := p.first
 			s.mu.Unlock()
 			answerJSON(w, http.StatusGone, map[string]int{"first": first})
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -31,6 +31,10 @@
 	maxPlacerRetryDelay = 500 * time.Millisecond
 	// fullReadPeriod is the time between two reads of all entries.
 	fullReadPeriod = 15 * clock.Second
+	// restoredReadDelay is the time from the first full read of a restored store to the next one. By
+	// then backend servers that run have written their entries again, which the platform promises
+	// within two seconds.
+	restoredReadDelay = 2500 * clock.Millis(1)
 	// relayTTL is how long a feed counts as up to date after an update relayed by
 	// the placer. It leaves time to read the store within the bound on the age of
 	// configurations.
@@ -49,8 +53,10 @@
 	name Feed
 	// applying is held while an update is applied, so that none is applied after a newer one.
 	applying sync.Mutex
-	// mu guards next, fullReadAt, synced, relayedAt, readAt and confirmedAt.
-	mu         sync.Mutex
+	// mu guards era, next, fullReadAt, synced, relayedAt, readAt and confirmedAt.
+	mu sync.Mutex
+	// era is that of next.
+	era        units.Era
 	next       units.Offset
 	fullReadAt clock.Millis
 	// synced is true if the feed was read in full and no update was missed since.
@@ -106,8 +112,9 @@
 // storeRead is a read of a feed from the store.
 type storeRead struct {
 	update *FeedUpdate
-	// from is the offset that was due to be read.
-	from units.Offset
+	// from is the offset that was due to be read, fromEra its era.
+	from    units.Offset
+	fromEra units.Era
 	// at and bootAt are the times at which it began.
 	at, bootAt clock.Millis
 }
@@ -117,13 +124,16 @@
 func (f *feed) accept(r *storeRead) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next != r.from && f.next > r.update.Next {
+	if r.update.Era < f.era || r.update.Era == f.era && f.next != r.from && f.next > r.update.Next {
 		return false
 	}
 	if r.update.Full {
 		f.synced, f.fullReadAt = true, r.at
 	}
-	f.next, f.readAt = r.update.Next, r.bootAt
+	if r.update.Restored {
+		f.fullReadAt += restoredReadDelay - fullReadPeriod
+	}
+	f.era, f.next, f.readAt = r.update.Era, r.update.Next, r.bootAt
 	if !r.update.Behind {
 		f.confirmedAt = max(f.confirmedAt, r.bootAt)
 	}
@@ -135,11 +145,11 @@
 func (f *feed) acceptRelayed(m *peer.FeedUpdate, now, bootNow clock.Millis) (fits, isNew bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.synced || m.From > f.next || m.Next < f.next {
+	if !f.synced || m.From > f.next || m.FromEra != f.era || !m.Restored() && m.Next < f.next {
 		return false, false
 	}
-	isNew = m.Next > f.next
-	f.relayedAt, f.next = now, m.Next
+	isNew = m.Restored() || m.Next > f.next
+	f.relayedAt, f.era, f.next = now, m.Era, m.Next
 	if !m.Behind {
 		f.confirmedAt = bootNow
 	}
@@ -191,7 +201,8 @@
 	}
 	m := apply(r.update)
 	m.Feed, m.From, m.Next, m.Behind = string(f.name), r.from, r.update.Next, r.update.Behind
-	if m.Next < m.From {
+	m.FromEra, m.Era = r.fromEra, r.update.Era
+	if m.Next < m.From && !m.Restored() {
 		// The store has lost records. Only full reads tell what is left.
 		m.From = m.Next
 	}
@@ -254,16 +265,16 @@
 func (n *Node) readFeed(ctx context.Context, f *feed, wait clock.Millis) (*storeRead, error) {
 	f.mu.Lock()
 	synced, fullReadAt := f.synced, f.fullReadAt
-	r := &storeRead{from: f.next, at: n.clock.Now(), bootAt: n.clock.BootNow()}
+	r := &storeRead{from: f.next, fromEra: f.era, at: n.clock.Now(), bootAt: n.clock.BootNow()}
 	f.mu.Unlock()
 	var err error
 	if !synced || r.at >= fullReadAt+fullReadPeriod {
-		if r.update, err = n.system.ReadFull(ctx, f.name); err != nil {
-			return nil, errors.WithStack(err)
-		}
-		return r, n.readSkipped(ctx, f, synced, r)
+		return r, n.readAll(ctx, f, synced, r)
 	}
 	r.update, err = n.system.ReadUpdates(ctx, f.name, r.from, wait)
+	if err == nil && r.update.Era > r.fromEra {
+		return r, n.readAll(ctx, f, synced, r)
+	}
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
 		n.log.Warn("feed_expired", "feed", f.name, "next", r.from, "oldest", expired.Oldest)
@@ -274,13 +285,31 @@
 	return r, errors.WithStack(err)
 }
 
+// readAll reads a feed in full.
+func (n *Node) readAll(ctx context.Context, f *feed, synced bool, r *storeRead) error {
+	var err error
+	if r.update, err = n.system.ReadFull(ctx, f.name); err != nil {
+		return errors.WithStack(err)
+	}
+	if r.update.Era > r.fromEra && r.from > 0 {
+		n.logRestored(f, r.update.Era)
+		r.update.Restored = true
+	}
+	return n.readSkipped(ctx, f, synced, r)
+}
+
+// logRestored logs that the store has lost its last records.
+func (n *Node) logRestored(f *feed, era units.Era) {
+	n.log.Warn("store_restored", "feed", f.name, "era", int64(era), "read_to", f.next, "remedy", "none: what was lost is written again")
+}
+
 // readSkipped adds to a full read of the backend servers the versions that only records before it
 // name: those of servers that were listed and removed since the last update.
 func (n *Node) readSkipped(ctx context.Context, f *feed, synced bool, r *storeRead) error {
 	if f.name != FeedServers {
 		return nil
 	}
-	if !synced || r.update.Next < r.from {
+	if !synced || r.update.Restored || r.update.Next < r.from {
 		r.update.Gap = true
 		return nil
 	}
@@ -440,8 +469,12 @@
 func (n *Node) mergeServers(update *FeedUpdate) map[units.BackendServerID]bool {
 	changed := map[units.BackendServerID]bool{}
 	listed := map[units.BackendServerID]bool{}
+	fresh := n.servers.Len() == 0
 	for _, s := range update.Servers {
 		listed[s.ID] = true
+		if update.Restored && !fresh && !n.confirms(s) {
+			continue
+		}
 		if n.servers.Put(s) {
 			changed[s.ID] = true
 		}
@@ -451,7 +484,7 @@
 			changed[id] = true
 		}
 	}
-	if !update.Full {
+	if !update.Full || update.Restored {
 		return changed
 	}
 	for _, s := range n.servers.All() {
@@ -463,6 +496,14 @@
 	return changed
 }
 
+// confirms reports whether an entry of a restored store may replace what is known: it is neither that of
+// a backend server that was removed since, nor one from before its process began to leave or another one
+// started. Later entries of those that run follow. n.mu must be held.
+func (n *Node) confirms(s *topo.Server) bool {
+	known := n.servers.Get(s.ID)
+	return known != nil && s.StartedAt >= known.StartedAt && (s.StartedAt > known.StartedAt || s.Draining || !known.Draining)
+}
+
 // propagateUpdate hands a new configuration or server list to the placer workers and
 // marks the entry VM as ready once it has a configuration, a backend server and the verdicts in
 // the store.
--- a/internal/node/fleet/leasing.go
+++ b/internal/node/fleet/leasing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/homes"
@@ -46,19 +47,33 @@
 	p.readPending = false
 	boot := p.node.clock.BootNow()
 	p.readFailures++
-	if in.err == nil || in.oldest > 0 {
+	if in.err == nil || in.expired != nil {
 		p.readFailures = 0
 	}
 	p.nextReadAt += leaseReadPeriod * clock.Millis(min(p.readFailures, maxReadBackoff))
 	switch {
-	case in.oldest > 0:
-		p.lease.Gap(boot, in.oldest)
-		p.nextReadAt = boot
-	case in.err == nil:
+	case in.expired != nil:
+		p.enterEra(boot, in.expired.Era)
+		if p.lease.Gap(boot, in.expired.Oldest) {
+			p.nextReadAt = boot
+		}
+	case in.err == nil && !p.enterEra(boot, in.records.Era):
 		p.lease.Fold(boot, in.records.From, in.records.Records, in.records.End)
 	}
 }
 
+// enterEra handles the era of an answer of the store. It reports whether the store was restored, so that
+// the lease is to be read from its beginning.
+func (p *placerWorker) enterEra(boot clock.Millis, era units.Era) bool {
+	readTo := p.lease.Next()
+	if !p.lease.EnterEra(boot, era) || p.lease.Next() == readTo {
+		return false
+	}
+	p.nextReadAt = boot
+	p.node.log.Warn("lease_restored", "shard", p.shard, "era", int64(era), "read_to", readTo, "placing", p.lease.Holds(boot))
+	return true
+}
+
 // append makes an append of the lease without waiting for its result.
 func (p *placerWorker) append(ctx context.Context, a claim.Append) {
 	go func() {
@@ -156,10 +171,7 @@
 		case from := <-p.readRequests:
 			in := leaseInput{err: errPanic}
 			p.node.guard("lease read", func() { in.records, in.err = p.node.system.ReadLease(ctx, p.shard, from) })
-			var expired *ExpiredError
-			if errors.As(in.err, &expired) {
-				in.oldest = expired.Oldest
-			}
+			errors.As(in.err, &in.expired)
 			p.inputs.Push(in)
 		}
 	}
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -126,9 +126,9 @@
 
 type leaseInput struct {
 	records *LeaseRecords
-	// oldest is the first offset still readable if records have expired, else 0.
-	oldest units.Offset
-	err    error
+	// expired is set if err is one.
+	expired *ExpiredError
+	err     error
 }
 
 type appendInput struct {
@@ -215,7 +215,7 @@
 		claimDelay += remoteClaimDelay
 	}
 	p.claimDelay = claimDelay
-	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Incarnation: n.incarnation, HandoverInterval: n.settings.HandoverInterval}
+	p.lease = claim.Lease{Self: n.settings.ID, Address: n.settings.PeerAddress, Incarnation: n.incarnation, HandoverInterval: n.settings.HandoverInterval, Rejoins: n.settings.Rejoins}
 	return p
 }
 
--- a/internal/node/fleet/quarantine_store.go
+++ b/internal/node/fleet/quarantine_store.go
@@ -183,6 +183,16 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
+		if got.Era > q.feed.era {
+			// The store may have lost verdicts that were saved: sync saves anew those that hold.
+			q.node.logRestored(&q.feed, got.Era)
+			q.feed.era = got.Era
+			clear(q.known)
+			if from > 0 {
+				q.feed.synced = false
+				continue
+			}
+		}
 		q.feed.synced, q.feed.next = true, got.Next
 		q.apply(got)
 		if !got.More {
@@ -237,7 +247,7 @@
 			q.feed.next++
 			q.known[r.Key] = r
 			q.unqueue(r)
-		case claim.Conflict:
+		case claim.Conflict, claim.Restored:
 			return true
 		default:
 			// The next read shows whether an unanswered append was executed.
--- a/internal/node/fleet/quarantine_store_test.go
+++ b/internal/node/fleet/quarantine_store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -29,6 +31,8 @@
 	// and fails them.
 	down, readOnly bool
 	loseAnswers    int
+	// era is that of the store.
+	era units.Era
 	reads          int
 	// beforeAppend, if not nil, is called before the next append.
 	beforeAppend func()
@@ -53,7 +57,10 @@
 	if from > 0 && from < l.oldest {
 		return nil, &ExpiredError{Oldest: l.oldest}
 	}
-	return &QuarantineRecords{Records: append([]QuarantineRecord(nil), l.records[from:]...), Next: units.Offset(len(l.records))}, nil
+	if l.era > 0 && int(from) > len(l.records) {
+		return nil, &ExpiredError{Era: l.era}
+	}
+	return &QuarantineRecords{Era: l.era, Records: append([]QuarantineRecord(nil), l.records[from:]...), Next: units.Offset(len(l.records))}, nil
 }
 
 // AppendQuarantine implements Store.
@@ -82,6 +89,8 @@
 type verdicts struct {
 	mu     sync.Mutex
 	newest map[blame.Key]blame.Verdict
+	// lists is true if Verdicts returns them.
+	lists bool
 }
 
 // ApplyVerdicts implements verdictSink.
@@ -94,7 +103,14 @@
 }
 
 // Verdicts implements verdictSink.
-func (s *verdicts) Verdicts() []blame.Verdict { return nil }
+func (s *verdicts) Verdicts() []blame.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.lists {
+		return nil
+	}
+	return slices.Collect(maps.Values(s.newest))
+}
 
 func (s *verdicts) get(key blame.Key) blame.Verdict {
 	s.mu.Lock()
@@ -157,6 +173,43 @@
 	})
 }
 
+// TestLostVerdictsAreSavedAgain guards against verdicts that nobody saves again after the store was
+// restored from a copy without them, since they had been saved, and against reads from offsets that the
+// store gives out again.
+func TestLostVerdictsAreSavedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// foreign is the number of records that others write before the next read.
+		foreign int
+	}{
+		{"read beyond the end", 0},
+		{"read from an offset that was given out again", 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &verdictLog{era: 1}
+				q, sink := startQuarantineStore(t, "vm0", log)
+				sink.lists = true
+				sink.ApplyVerdicts([]blame.Verdict{verdictOf(7, 1, true), verdictOf(8, 2, false)})
+				let(quarantineReadPeriod)
+				must.Len(t, 2, log.records)
+				log.set(func(l *verdictLog) {
+					l.era, l.records = 2, nil
+					for i := range tc.foreign {
+						l.records = append(l.records, NewQuarantineRecord(verdictOf(blame.Key(20+i), 1, true), clock.WallNow()))
+					}
+				})
+				let(2 * quarantineReadPeriod)
+				must.Len(t, 2+tc.foreign, log.records)
+				must.Eq(t, 2, q.feed.era)
+				for i := range tc.foreign {
+					must.Eq(t, uint64(1), sink.get(blame.Key(20+i)).Version)
+				}
+			})
+		})
+	}
+}
+
 // TestVerdictsAreReadWithinThePeriod guards against a lift that others read late.
 func TestVerdictsAreReadWithinThePeriod(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -31,6 +31,8 @@
 	MetricsAddress string
 	// MemoryMB bounds the memory of the process; 0 means no limit.
 	MemoryMB int
+	// Rejoins is true unless the whole system starts for the first time.
+	Rejoins bool
 	// Capacity is what the entry VM can carry as a placer.
 	Capacity claim.Capacity
 	// Grace is the time from the request to stop until the process is killed.
@@ -56,6 +58,11 @@
 // FeedUpdate is what was read from the operator's configuration or from the list of
 // backend servers.
 type FeedUpdate struct {
+	// Era is that of Next.
+	Era units.Era
+	// Restored is true if the store was restored from a copy since the last update. Entries may then
+	// be older than known ones, or missing. The Store does not set it.
+	Restored bool
 	// Full is true if all current entries are listed, not only those that changed.
 	Full     bool
 	Config   *topo.Config
@@ -92,6 +99,8 @@
 
 // LeaseRecords are records of a shard's lease.
 type LeaseRecords struct {
+	// Era is that of the offsets.
+	Era     units.Era
 	From    units.Offset
 	Records []claim.Record
 	End     units.Offset
@@ -123,17 +132,22 @@
 type QuarantineRecords struct {
 	// Records are those that have not expired, in the order of the store.
 	Records []QuarantineRecord
-	// Next is the offset of the next read, which is to follow at once if More is true.
+	// Next is the offset of the next read, which is to follow at once if More is true. Era is that of
+	// Next.
 	Next units.Offset
+	Era  units.Era
 	More bool
 	// Expired and Skipped count other records: Skipped those that could not be read.
 	Expired int
 	Skipped int
 }
 
-// ExpiredError is returned by a read from an offset whose records have expired. Oldest
-// is the first offset that can still be read.
-type ExpiredError struct{ Oldest units.Offset }
+// ExpiredError is returned by a read from an offset whose records have expired, or that the store does
+// not have since it was restored. Oldest is the first offset that can still be read, Era that of Oldest.
+type ExpiredError struct {
+	Oldest units.Offset
+	Era    units.Era
+}
 
 // Error implements error.
 func (e *ExpiredError) Error() string { return "records have expired: read everything anew" }
--- a/internal/oper/cmds/platformquarantinecmd.go
+++ b/internal/oper/cmds/platformquarantinecmd.go
@@ -118,7 +118,7 @@
 		case claim.Accepted:
 			fmt.Fprintf(cmd.Root().Writer, "lifted %s: entry VMs that relay feeds read it within 2 s, all others within 10 s\n", key)
 			return nil
-		case claim.Conflict:
+		case claim.Conflict, claim.Restored:
 			continue
 		case claim.Unknown:
 			return errors.Wrapf(err, "%s may be lifted, the store gave no answer: see platform quarantine list", key)
