--- a/internal/node/fleet/quarantine_store_test.go
+++ b/internal/node/fleet/quarantine_store_test.go
@@ -32,8 +32,8 @@
 	down, readOnly bool
 	loseAnswers    int
 	// era is that of the store.
-	era units.Era
-	reads          int
+	era   units.Era
+	reads int
 	// beforeAppend, if not nil, is called before the next append.
 	beforeAppend func()
 }
