Serve customers by their keys on the users' platform

A configuration may have customers, whose keys open its routes. Nothing read them: requests ran without a key, backend servers saw keys and whatever name the caller claimed, and a customer's rank was not used.

A request without a known key gets 401 before its body is read, unless the route is open; without a configuration it still gets 503. The backend server gets the customer's name from the entry VM and never the key. A customer's rank goes before the route's. A configuration with an empty list of customers lets nobody in, one without a list needs no keys.

--- a/internal/core/topo/config.go
+++ b/internal/core/topo/config.go
@@ -66,6 +66,8 @@
 	MaxAttempts int
 	// Resumable reports whether a broken stream may be resumed on another backend server.
 	Resumable bool
+	// Open reports that requests need no key and are of no customer.
+	Open bool
 }
 
 // Service selects a service by weight. draw is a random number, uniform over all values.
@@ -155,6 +157,8 @@
 	Routes   []Route
 	Services map[units.ServiceName]*Service
 	Limits   Limits
+	// Customers is nil if the configuration has none; then no request needs a key.
+	Customers *Customers
 }
 
 // Match returns the route with the longest matching prefix for a host and a path, or nil.
--- a/internal/fake/grid/grid.go
+++ b/internal/fake/grid/grid.go
@@ -210,6 +210,8 @@
 	At          time.Time
 	// Remaining is the time that the replica was given; 0 if it was given none.
 	Remaining time.Duration
+	// Header is that of the request.
+	Header http.Header
 	// Done is closed at the end of the run.
 	Done <-chan struct{}
 }
--- a/internal/fake/grid/replica.go
+++ b/internal/fake/grid/replica.go
@@ -290,7 +290,7 @@
 	// Without a header, remaining is 0.
 	remaining, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
 	r.grid.countRun(Run{
-		ID: id, Replica: r.ID, Version: r.Version, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Remaining: time.Duration(remaining) * time.Millisecond, Done: done,
+		ID: id, Replica: r.ID, Version: r.Version, Service: r.Service, ResumedFrom: req.Header.Get("Last-Event-Id"), At: time.Now(), Remaining: time.Duration(remaining) * time.Millisecond, Header: req.Header, Done: done,
 	}, req.Method+req.RequestURI)
 	w.Header().Set("Server-Stamp", "stamp-"+r.ID)
 	extra := time.Duration(r.ExtraDelay.Load())
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -380,7 +380,7 @@
 		lastEvent = a.head.LastEvent
 	}
 	a.node.system.WriteAttempt(header, AttemptHead{
-		Server: a.to.Server, Remaining: max(1, a.req.Deadline-a.node.clock.Now()), Rank: a.req.Rank, Engine: a.req.Adapter != "", LastEvent: lastEvent,
+		Server: a.to.Server, Remaining: max(1, a.req.Deadline-a.node.clock.Now()), Customer: a.req.Customer, Rank: a.req.Rank, Engine: a.req.Adapter != "", LastEvent: lastEvent,
 	})
 	return &conns.Request{Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: header, Body: a.body, Matches: func(resp *http.Response) bool { return a.matches(resp, reused) }}
 }
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -83,7 +83,9 @@
 	subject       blame.Request
 	route         *topo.Route
 	configVersion int64
-	body          []byte
+	// customer is whose request it is; nil if the configuration has no customers or the route is open.
+	customer *topo.Customer
+	body     []byte
 	// held is the memory of body.
 	held *quota.Hold
 	// started is true once a part of the answer was written to the caller; lastEvent
@@ -120,6 +122,9 @@
 		c.fail(http.StatusNotFound, "no route for this host and path")
 		return false
 	}
+	if !c.identifyCustomer(cfg) {
+		return false
+	}
 	head, err := n.system.ReadRequest(c.r.Header)
 	if err != nil {
 		c.fail(http.StatusBadRequest, err.Error())
@@ -182,6 +187,12 @@
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
 		Arrived: c.arrived, Deadline: c.arrived + timeout,
 	}
+	if c.customer != nil {
+		c.req.Customer = c.customer.Name
+		if c.customer.HasRank {
+			c.req.Rank = c.customer.Rank
+		}
+	}
 	c.identify(cfg)
 	return true
 }
@@ -242,5 +253,8 @@
 	if c.route != nil {
 		all = append(all, "route", c.route.Name, "config", c.configVersion)
 	}
+	if c.customer != nil {
+		all = append(all, "customer", c.customer.Name)
+	}
 	c.node.log.Info(line, append(all, pairs...)...)
 }
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -223,7 +223,9 @@
 	Server units.BackendServerID
 	// Remaining is the remaining time until the request's deadline.
 	Remaining clock.Millis
-	// Rank is the route's priority rank; it is sent only to engines.
+	// Customer is whose request it is, empty if it is of no customer.
+	Customer units.CustomerName
+	// Rank is the priority rank of the customer or the route; it is sent only to engines.
 	Rank int
 	// Engine is true if the request names an adapter, so that Server is an engine.
 	Engine bool
@@ -254,7 +256,10 @@
 type Headers interface {
 	// ReadRequest reads a caller's headers. The text of its error is sent to the caller.
 	ReadRequest(h http.Header) (RequestHead, error)
-	// WriteAttempt adds the values of a to h, a copy of the caller's headers.
+	// ReadKey reads the key of a caller, empty if there is none or more than one.
+	ReadKey(h http.Header) string
+	// WriteAttempt adds the values of a to h, a copy of the caller's headers. It removes the key,
+	// and whatever the caller claims about the customer.
 	WriteAttempt(h http.Header, a AttemptHead)
 	ReadAnswer(status int, h http.Header) AnswerHead
 }
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -12,6 +12,13 @@
 	}
 }
 
+// UnknownKey counts a request that was refused since its key is unknown or missing.
+func (m *Meter) UnknownKey() {
+	if m != nil {
+		m.scope.Counter("unknown_keys_total").Inc(1)
+	}
+}
+
 // GivenUp counts a request that ended without an answer from a backend server, by
 // reason.
 func (m *Meter) GivenUp(reason string) {
