Learn how long loads of adapters take

A load that took longer than the set time counted as a congestion of the weight store, which lowered the limit of loads in flight, and each finished one undid what the late one had taught. Late loads now raise the expected time by little and finished ones lower it by less, and the limit shrinks only while loads take longer than usual. Orders whose answer is awaited no longer count as loads.

--- a/internal/core/homes/load_limit.go
+++ b/internal/core/homes/load_limit.go
@@ -38,9 +38,12 @@
 // bound records that the limit kept a load back.
 func (l *loadLimit) bound(now clock.Millis) { l.boundAt = max(1, now) }
 
+// binds reports whether the limit has lately kept a load back.
+func (l *loadLimit) binds(now clock.Millis) bool { return l.boundAt > 0 && now < l.boundAt+limitBinds }
+
 // finished records that a load has ended in its expected time.
 func (l *loadLimit) finished(now clock.Millis) {
-	if l.boundAt > 0 && now < l.boundAt+limitBinds && l.loads > 0 {
+	if l.binds(now) && l.loads > 0 {
 		l.loads += 1 / l.loads
 	}
 }
--- /dev/null
+++ b/internal/core/homes/load_pace.go
@@ -0,0 +1,60 @@
+package homes
+
+import "mangostile/internal/base/clock"
+
+// loadPace learns how long loads take from requests that find a load not over. A report of a
+// backend server shows the end of a load only seconds later, so the expected time shrinks by a
+// little with each load that nobody found late, and grows with each that somebody did. Both steps
+// together keep the share of late loads at a few in 100, whatever the true time is.
+type loadPace struct {
+	// slowness is the factor by which loads take longer than Policy.AdapterLoad, at least 1.
+	slowness float64
+	// usual is the slowness while the weight store has capacity to spare, 0 before the first load.
+	usual float64
+}
+
+const (
+	// slowdownFactor, recoveryFactor and maxSlowness adapt slowness: a late load multiplies it by
+	// the first, a finished one by the second, up to the third. Their ratio leaves 1 of 20 loads
+	// late.
+	slowdownFactor = 1.04
+	recoveryFactor = 0.998
+	maxSlowness    = 4
+	// congestedFactor is how far slowness exceeds the usual one once the weight store carries more
+	// loads than at full speed. Below it slowness is that of the backend servers and of the way to
+	// them. congestedRecovery replaces recoveryFactor above it: a congestion ends at once.
+	congestedFactor   = 1.25
+	congestedRecovery = 0.97
+	// usualDrift is by how much of the difference usual follows a higher slowness with each load.
+	usualDrift = 0.02
+)
+
+// late records that a request found a load not over, and reports whether loads take longer because
+// the weight store is congested.
+func (l *loadPace) late() bool {
+	l.slowness = min(maxSlowness, l.slowness*slowdownFactor)
+	return l.congested()
+}
+
+// finished records that a load ended in its expected time. bound says that more loads were asked for
+// than are in flight, which may congest the weight store: usual does not follow them.
+func (l *loadPace) finished(bound bool) {
+	recovery := recoveryFactor
+	if l.congested() {
+		recovery = congestedRecovery
+	}
+	l.slowness = max(1, l.slowness*recovery)
+	switch {
+	case l.usual == 0 || l.slowness < l.usual:
+		l.usual = l.slowness
+	case !bound:
+		l.usual += (l.slowness - l.usual) * usualDrift
+	}
+}
+
+func (l *loadPace) congested() bool { return l.slowness > congestedFactor*max(1, l.usual) }
+
+// expected returns the time of a load from the weight store whose usual time is given.
+func (l *loadPace) expected(load clock.Millis) clock.Millis {
+	return clock.Millis(float64(load) * l.slowness)
+}
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -143,7 +143,7 @@
 
 // loadTime returns the expected time in ms to load an adapter on a backend server.
 func (p *Placer) loadTime(s *server, adapter units.AdapterName) clock.Millis {
-	expected := clock.Millis(float64(p.policy.AdapterLoad) * p.slowness)
+	expected := p.loadTimeNow()
 	if _, ok := s.cached[adapter]; ok {
 		return expected / cachedSpeedup
 	}
--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	p.step.addServed(best, adapter)
-	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.policy.AdapterLoad, usedAt: p.now}
+	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.loadTimeNow(), usedAt: p.now}
 	p.send(plan, best, Order{Kind: OrderLoad, Model: model, Adapter: adapter, Revision: p.newestRevision(adapter), Reason: reason})
 	return true
 }
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -85,13 +85,7 @@
 	// milliseconds before the backend server registers its end.
 	loadMargin = 8 * clock.Millis(1)
 	// lateLoadDelay is how long a copy is not used after a request found it not ready.
-	lateLoadDelay = 120 * clock.Millis(1)
-	// slowdownFactor, recoveryFactor and maxSlowness adapt the expected time of loads:
-	// each late load multiplies slowness by the first, each finished one by the second,
-	// up to the third.
-	slowdownFactor = 1.12
-	recoveryFactor = 0.97
-	maxSlowness    = 4
+	lateLoadDelay = 40 * clock.Millis(1)
 	// versionGrace is how long after the announcement of a new version a copy of an old
 	// one stays for the executions that use it.
 	versionGrace = 1500 * clock.Millis(1)
@@ -246,9 +240,7 @@
 	models modelBudget
 	// lastCopyAt is when addCopies last added an order.
 	lastCopyAt clock.Millis
-	// slowness is the factor by which loads take longer than Policy.AdapterLoad, at least
-	// 1.
-	slowness  float64
+	loadPace
 	loadLimit loadLimit
 	step      stepIndex
 }
@@ -292,7 +284,7 @@
 // New returns a placer without backend servers.
 func New(policy Policy) *Placer {
 	return &Placer{
-		policy: policy.withDefaults(), slowness: 1, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
+		policy: policy.withDefaults(), loadPace: loadPace{slowness: 1}, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
 		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]announced{},
 	}
 }
@@ -430,8 +422,9 @@
 	switch {
 	case c == nil || c.state == copyLoading && p.now < c.readyAt || c.state != copyReady && c.state != copyLoading:
 	case p.now <= c.readyAt+lateMissWindow && p.now <= c.dueAt+lateLoadWindow:
-		p.slowness = min(maxSlowness, p.slowness*slowdownFactor)
-		p.loadLimit.late(p.now)
+		if p.late() {
+			p.loadLimit.late(p.now)
+		}
 		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
 	default:
 		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -48,7 +48,7 @@
 		for _, c := range s.copies {
 			if c.state == copyLoading && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
-				p.slowness = max(1, p.slowness*recoveryFactor)
+				p.finished(p.loadLimit.binds(p.now))
 				p.loadLimit.finished(p.now)
 			}
 		}
@@ -73,19 +73,19 @@
 	}
 }
 
-// loadsInFlight returns the number of copies that are loading plus that of orders whose
-// answer is awaited. A load of an adapter counts in both until its order is answered.
+// loadsInFlight returns the number of copies that are loading, including those whose order is not
+// answered yet. One that has no answer counts for the time of a load.
 func (p *Placer) loadsInFlight() int {
 	n := 0
 	for _, s := range p.servers {
 		n += s.loading(p.now)
-		if s.orderPending {
-			n++
-		}
 	}
 	return n
 }
 
+// loadTimeNow returns the time that a load of an adapter from the weight store now takes.
+func (p *Placer) loadTimeNow() clock.Millis { return p.expected(p.policy.AdapterLoad) }
+
 func (p *Placer) maxLoadsInFlight() float64 {
 	return p.loadLimit.current(max(minLoadsInFlight, p.policy.LoadsPerServer*float64(len(p.servers))))
 }
@@ -155,7 +155,7 @@
 const minDemandToLoad = 3
 
 // inTime reports whether a load that starts now ends before w's load deadline.
-func (p *Placer) inTime(w *loadRequest) bool { return p.now+p.policy.AdapterLoad <= w.loadDeadline }
+func (p *Placer) inTime(w *loadRequest) bool { return p.now+p.loadTimeNow() <= w.loadDeadline }
 
 // hasUsableCopy reports whether there is a copy for key that can be used now or once loaded.
 func (p *Placer) hasUsableCopy(key loadKey) bool { return p.index().served[key] }
--- a/internal/core/homes/state.go
+++ b/internal/core/homes/state.go
@@ -9,7 +9,7 @@
 	// LoadRequests counts adapters whose load is requested, Waiting the requests that wait
 	// for them. An adapter that another region serves may have none that wait.
 	LoadRequests, Waiting int
-	// InFlight counts copies that are loading and orders whose answer is awaited.
+	// InFlight counts copies that are loading.
 	InFlight int
 	// LoadLimit is the limit of InFlight for loads that requests wait for.
 	LoadLimit float64
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -146,5 +146,5 @@
 			queued++
 		}
 	}
-	return clock.Millis(float64(queued) / p.maxLoadsInFlight() * float64(p.policy.AdapterLoad))
+	return clock.Millis(float64(queued) / p.maxLoadsInFlight() * float64(p.loadTimeNow()))
 }
