Copy crowded adapters as often as their waiting prompts ask for

Copies of hot adapters came one at a time, only while no load that requests waited for was held back, and their idle copies were kept in place of rarer adapters. Now an adapter gets as many copies as its waiting prompts need, with up to half of the loads in flight, the demand counts for each copy when one gives way, and a request waits at the entry VM for a copy that is loading if the queues of the loaded ones last longer. Loads go by waiting requests, rank and age.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -138,9 +138,11 @@
 // last two, even if another region holds the model.
 func (c *Core) chooseEngine(r *Request) Choice {
 	var soonest clock.Millis
+	var next *view
 	shard := c.targetShard(r)
 	// usable reports whether v isn't down and holds the model or a loaded copy. It also sets
-	// soonest to the earliest time at which a copy loading in the target shard is expected.
+	// soonest and next to the earliest time at which a copy loading in the target shard is expected,
+	// and to its backend server.
 	usable := func(v *view) bool {
 		readyAt, ok := c.holds(v, r.Adapter)
 		if !ok || c.now < v.health.downUntil {
@@ -148,7 +150,7 @@
 		}
 		if readyAt > c.now {
 			if string(v.Region) == shard && !v.isLeaving() && !r.startedElsewhere(v) && (soonest == 0 || readyAt < soonest) {
-				soonest = readyAt
+				soonest, next = readyAt, v
 			}
 			return false
 		}
@@ -156,6 +158,9 @@
 	}
 	best, candidates := c.cheapest(r, c.byService[r.Service], usable)
 	if best != nil && (best.Region == c.cfg.Region || !c.ownRegionServes(r)) {
+		if next != nil && c.isWorthWaiting(r, best, next, soonest) {
+			return Wait{Until: soonest, Reason: crowdedReason}
+		}
 		return c.send(r, best, candidates)
 	}
 	if soonest > 0 {
--- a/internal/core/choose/room.go
+++ b/internal/core/choose/room.go
@@ -5,3 +5,20 @@
 // awaitRoom decides whether r, for which v is the best backend server, gives way to more urgent
 // requests: it then waits or is refused. It returns nil if r is to be sent now.
 func (c *Core) awaitRoom(*Request, *view, clock.Millis) Choice { return nil }
+
+// crowdedReason is the reason of waiting for a copy that is loading although there is a loaded one.
+const crowdedReason = "loaded copies are crowded"
+
+// crowdedTime is the time to the first event from which on a request rather waits for a copy that is
+// loading. It bounds what a wrong estimate costs: below it, hardly any caller would see the gain.
+const crowdedTime = 400 * clock.Millis(1)
+
+// isWorthWaiting reports whether r is answered sooner if it waits for a copy that is ready at an instant
+// at the backend server next than in the queue of best, in which nothing can be moved to the new copy.
+func (c *Core) isWorthWaiting(r *Request, best, next *view, readyAt clock.Millis) bool {
+	if readyAt > r.waitsUntil() || !c.admits(r, next) || r.tried(next.ID) {
+		return false
+	}
+	now := c.expected(r, best)
+	return now >= float64(crowdedTime) && float64(readyAt-c.now)+c.expected(r, next)+float64(crowdedTime)/2 < now
+}
--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -1,91 +1,154 @@
 package homes
 
 import (
-	"sort"
+	"cmp"
+	"math"
+	"slices"
 
-	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
 
-// addCopies loads another copy of an adapter whose copies are all on overloaded backend
-// servers, if some backend server has spare capacity. It adds at most one order: the load
-// or, if there is no free capacity for it, the unload of a retired copy.
-func (p *Placer) addCopies(plan *Plan) {
-	if float64(p.loadsInFlight()) >= p.maxLoadsInFlight() || p.now < p.lastCopyAt+p.copyPeriod() || !p.hasIdle() {
-		return
-	}
-	for _, s := range p.overloaded() {
-		if name := p.busiestAdapter(s); name != "" && p.place(plan, loadKey{adapter: name}, s, "copy of one that crowds its server") {
-			p.lastCopyAt = p.now
-			return
-		}
-	}
+// crowd is an adapter whose copies can't read the prompts of its requests fast enough.
+type crowd struct {
+	adapter units.AdapterName
+	// waiting is the number of prompt tokens that wait at its copies for its requests, requests the
+	// number of these.
+	waiting  units.Tokens
+	requests int32
+	// copies counts those that are ready or loading, overloaded those of them at overloaded servers.
+	copies, overloaded int
 }
 
-// overloaded returns the overloaded backend servers in descending order of waiting prompt
-// tokens.
-func (p *Placer) overloaded() []*server {
-	var list []*server
-	for _, id := range p.order {
-		if s := p.servers[id]; s.synced && !s.down && s.prefill >= overloadedPrefill {
-			list = append(list, s)
-		}
-	}
-	sort.SliceStable(list, func(i, j int) bool { return list[i].prefill > list[j].prefill })
-	return list
-}
+// perCopy returns the prompt tokens that wait for each copy.
+func (w *crowd) perCopy() units.Tokens { return w.waiting / units.Tokens(max(1, w.copies)) }
+
+// wanted returns how many copies the waiting requests could use: each copy is to read its part within
+// a part of the time in which callers expect the first event. Copies that load already count, since
+// the prompts that wait now stay where they are and say nothing of those.
+func (w *crowd) wanted() int { return int(math.Ceil(float64(w.waiting) / promptsPerCopy)) }
 
 // Limits of additional copies.
 const (
-	// overloadedPrefill is the least number of waiting prompt tokens of an overloaded
-	// backend server, idlePrefill the largest of one with spare capacity.
-	overloadedPrefill = 24000
+	// overloadedPrefill is the least number of waiting prompt tokens of an overloaded backend server,
+	// idlePrefill the largest of one with spare capacity. An engine reads the first in about half of
+	// the time in which callers expect the first event.
+	overloadedPrefill = 16000
 	idlePrefill       = 5000
-	// minRequestsToCopy is the least number of requests at one copy for another to be
-	// loaded.
+	// promptsPerCopy is the number of prompt tokens that may wait for each copy of an adapter in a
+	// crowd: a third of a second of an engine's reading.
+	promptsPerCopy = 10000
+	// minRequestsToCopy is the least number of requests of an adapter for another copy to be loaded.
 	minRequestsToCopy = 4
-	// copyPeriod is the least time between two orders of addCopies in a shard with a
-	// single backend server. It is divided by the number of backend servers, since a
-	// larger shard has proportionally more hot adapters to spread.
-	copyPeriod = 2400 * clock.Millis(1)
+	// copyShare is the share of the loads in flight that copies may take while requests wait for
+	// adapters that no backend server has.
+	copyShare = 0.5
 )
 
-func (p *Placer) copyPeriod() clock.Millis { return copyPeriod / clock.Millis(max(1, len(p.servers))) }
+// addCopies loads further copies of the adapters in crowds, the largest crowd first, as long as some
+// backend server has spare capacity.
+func (p *Placer) addCopies(plan *Plan) {
+	crowds := p.crowds()
+	if len(crowds) == 0 || !p.hasIdle() {
+		return
+	}
+	limit := p.maxLoadsInFlight()
+	if len(p.loadRequests) > 0 {
+		limit *= copyShare
+	}
+	for i := range crowds {
+		w := &crowds[i]
+		for w.copies < w.wanted() {
+			if float64(p.copiesInFlight()) >= limit || float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
+				return
+			}
+			if !p.place(plan, loadKey{adapter: w.adapter}, nil, "copy of one that crowds its server") {
+				break
+			}
+			w.copies++
+		}
+	}
+}
 
-// hasIdle reports whether some backend server has spare capacity.
-func (p *Placer) hasIdle() bool {
+// crowds returns the adapters in crowds in descending order of the prompt tokens for each copy.
+func (p *Placer) crowds() []crowd {
+	found := map[units.AdapterName]*crowd{}
+	for _, id := range p.order {
+		s := p.servers[id]
+		if s.down || s.prefill < overloadedPrefill || !s.synced {
+			continue
+		}
+		for adapter, c := range s.copies {
+			if c.state == copyReady && c.active > 0 && !p.isOld(adapter, c) {
+				found[adapter] = &crowd{adapter: adapter}
+			}
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
 	for _, s := range p.servers {
-		if s.usable(p.now) && s.prefill <= idlePrefill {
-			return true
+		if !s.down {
+			p.addToCrowds(found, s)
 		}
 	}
-	return false
+	list := make([]crowd, 0, len(found))
+	for _, w := range found {
+		if w.requests >= minRequestsToCopy && w.overloaded == w.copies && w.copies < w.wanted() {
+			list = append(list, *w)
+		}
+	}
+	slices.SortFunc(list, func(a, b crowd) int {
+		return cmp.Or(cmp.Compare(b.perCopy(), a.perCopy()), cmp.Compare(a.adapter, b.adapter))
+	})
+	return list
 }
 
-// busiestAdapter returns the adapter with the most requests at s, at least
-// minRequestsToCopy, for which hasCopyWithCapacity is false; empty if there is none.
-func (p *Placer) busiestAdapter(s *server) units.AdapterName {
-	var most units.AdapterName
-	for _, name := range sortedCopies(s) {
-		c := s.copies[name]
-		if c.state != copyReady || c.active < minRequestsToCopy || p.isOld(name, c) || most != "" && c.active <= s.copies[most].active {
+// addToCrowds adds the copies at s. The prompts that wait at s count for its adapters in proportion to
+// their requests.
+func (p *Placer) addToCrowds(found map[units.AdapterName]*crowd, s *server) {
+	for adapter, c := range s.copies {
+		w := found[adapter]
+		if w == nil || c.state != copyReady && c.state != copyLoading || p.isOld(adapter, c) {
 			continue
 		}
-		if !p.hasCopyWithCapacity(name) {
-			most = name
+		w.copies++
+		if c.state == copyLoading || s.prefill >= overloadedPrefill/2 {
+			w.overloaded++
+		}
+		w.requests += c.active
+		if s.active > 0 {
+			w.waiting += units.Tokens(float64(s.prefill) * float64(c.active) / float64(s.active))
+		}
+	}
+}
+
+// copiesInFlight returns the number of loads in flight of adapters that have a ready copy.
+func (p *Placer) copiesInFlight() int {
+	n := 0
+	for _, s := range p.servers {
+		for adapter, c := range s.copies {
+			if c.state == copyLoading && p.now < c.readyAt && p.readyCopies(adapter) > 0 {
+				n++
+			}
 		}
 	}
-	return most
+	return n
 }
 
-// hasCopyWithCapacity reports whether an adapter is loading on any backend server or has a
-// copy on one with fewer waiting prompt tokens than half of overloadedPrefill.
-func (p *Placer) hasCopyWithCapacity(name units.AdapterName) bool {
+// hasIdle reports whether some backend server has spare capacity.
+func (p *Placer) hasIdle() bool {
 	for _, s := range p.servers {
-		c := s.copies[name]
-		if c != nil && !s.down && (c.state == copyLoading || c.state == copyReady && s.prefill < overloadedPrefill/2) {
+		if s.usable(p.now) && s.prefill <= idlePrefill {
 			return true
 		}
 	}
 	return false
 }
+
+// demandPerCopy returns the decayed number of requests for an adapter for each of its copies.
+func (p *Placer) demandPerCopy(adapter units.AdapterName) float64 {
+	return p.demand.get(p.now, adapter) / float64(max(1, p.readyCopies(adapter)))
+}
+
+func (p *Placer) readyCopies(adapter units.AdapterName) int { return p.index().ready[adapter] }
+
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -238,8 +238,6 @@
 	lastLoadRequestAt clock.Millis
 	// models limits the rate of model loads.
 	models modelBudget
-	// lastCopyAt is when addCopies last added an order.
-	lastCopyAt clock.Millis
 	loadPace
 	loadLimit loadLimit
 	step      stepIndex
@@ -400,7 +398,10 @@
 	w.receivedAt = p.now
 	w.loadDeadline = max(w.loadDeadline, p.now+r.LoadDeadline)
 	w.countByVM[from] = r.Count
-	w.Adapter, w.Software, w.Rank = r.Adapter, r.Software, r.Rank
+	w.Adapter, w.Software = r.Adapter, r.Software
+	if len(w.countByVM) == 1 || r.Rank < w.Rank {
+		w.Rank = r.Rank
+	}
 	p.demand.add(p.now, r.Adapter, float64(r.Arrived))
 	p.lastLoadRequestAt = p.now
 }
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -1,6 +1,7 @@
 package homes
 
 import (
+	"math"
 	"sort"
 
 	"mangostile/internal/base/clock"
@@ -32,8 +33,8 @@
 	if mayOrder {
 		p.loadModels(&plan)
 		p.replaceOld(&plan)
-		p.serveLoadRequests(&plan)
 		p.addCopies(&plan)
+		p.serveLoadRequests(&plan)
 		p.freeSlots()
 	}
 	return plan
@@ -121,7 +122,7 @@
 }
 
 // sortedLoadRequests sums up the counts of the load requests and sorts them: those whose
-// load deadline can still be met first, then by more requests, longer wait and name.
+// load deadline can still be met first, then by urgency, longer wait and name.
 func (p *Placer) sortedLoadRequests() []*loadRequest {
 	list := make([]*loadRequest, 0, len(p.loadRequests))
 	for _, w := range p.loadRequests {
@@ -136,8 +137,8 @@
 		if aInTime, bInTime := p.inTime(a), p.inTime(b); aInTime != bInTime {
 			return aInTime
 		}
-		if a.Count != b.Count {
-			return a.Count > b.Count
+		if aNeed, bNeed := p.urgency(a), p.urgency(b); aNeed != bNeed {
+			return aNeed > bNeed
 		}
 		if a.since != b.since {
 			return a.since < b.since
@@ -150,6 +151,22 @@
 	return list
 }
 
+// urgency returns how urgent a load is: the number of requests that wait for it, halved with each step
+// of rank and doubled, tripled and so on with the time for which the oldest has waited. So many callers
+// of little rank go before a single urgent one, and neither a low rank nor a rare adapter starves.
+func (p *Placer) urgency(w *loadRequest) float64 {
+	rank := max(0, min(int(w.Rank), maxUrgencyRank))
+	return math.Ldexp(float64(w.Count), -rank) * (1 + float64(max(0, p.now-w.since))/float64(agingTime))
+}
+
+const (
+	// agingTime is the wait that makes a load as urgent as twice the number of requests: about the time
+	// of a load, so that an adapter that was passed over for two loads goes before new ones.
+	agingTime = 300 * clock.Millis(1)
+	// maxUrgencyRank bounds the rank in urgency.
+	maxUrgencyRank = 9
+)
+
 // minDemandToLoad is the demand from which an adapter that another region serves is
 // also loaded in the own one.
 const minDemandToLoad = 3
--- a/internal/core/homes/retire.go
+++ b/internal/core/homes/retire.go
@@ -47,7 +47,7 @@
 		if c.state != copyReady || c.active > 0 || p.now < c.usedAt+idleBeforeRetire {
 			continue
 		}
-		demand := p.demand.get(p.now, name)
+		demand := p.demandPerCopy(name)
 		if p.now < c.usedAt+p.policy.EvictionGrace {
 			demand += recentUseBonus
 		}
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -14,7 +14,9 @@
 	served map[loadKey]bool
 	// retired holds the first backend server with a retired copy that can be made ready again.
 	retired map[loadKey]*server
-	slots   []slot
+	// ready counts the copies of each adapter that can be used now.
+	ready map[units.AdapterName]int
+	slots []slot
 }
 
 // slot is a backend server to which a load or an unload can be ordered.
@@ -32,10 +34,17 @@
 	if p.step.built {
 		return &p.step
 	}
-	p.step = stepIndex{built: true, served: map[loadKey]bool{}, retired: map[loadKey]*server{}, slots: p.step.slots[:0]}
+	p.step = stepIndex{built: true, served: map[loadKey]bool{}, retired: map[loadKey]*server{}, ready: map[units.AdapterName]int{}, slots: p.step.slots[:0]}
 	for key := range p.loadRequests {
 		p.step.versioned = p.step.versioned || key.software != ""
 	}
+	for _, s := range p.servers {
+		for adapter, c := range s.copies {
+			if c.state == copyReady && !s.down {
+				p.step.ready[adapter]++
+			}
+		}
+	}
 	for _, id := range p.order {
 		s := p.servers[id]
 		if s.down || p.now < s.backoffUntil {
@@ -94,7 +103,7 @@
 		if !p.isVictim(c) {
 			continue
 		}
-		if m := p.demand.get(p.now, name); victim == "" || m < demand || m == demand && name < victim {
+		if m := p.demandPerCopy(name); victim == "" || m < demand || m == demand && name < victim {
 			victim, demand = name, m
 		}
 	}
