Offer copies only once the order to load them is answered

Such a copy is now loaded elsewhere after a few round trips, and servers that leave orders unanswered get the next ones last.

--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -83,11 +83,15 @@
 	s.orderPending, s.orderedAt = false, p.now
 	switch result {
 	case Taken, Done:
+		s.lostOrders = 0
 		s.orders = o.Expected + 1
 		p.apply(s, o, result)
 	case Conflicts, Refused, Lost:
 		// A report will show the state, once reports no longer predate the order.
 		p.cancelLoad(s, o)
+		if result == Lost {
+			s.lostOrders++
+		}
 		s.synced = false
 		s.nextReportAt = p.now + reportDelay
 	case NotSent:
@@ -132,6 +136,7 @@
 		c = &heldCopy{}
 		s.copies[o.Adapter] = c
 	}
+	c.unconfirmed = false
 	c.state, c.revision, c.usedAt = copyLoading, o.Revision, p.now
 	c.readyAt = p.now
 	if result == Taken {
@@ -207,7 +212,7 @@
 		if c.state == copyLoading {
 			c.state, c.readyAt = copyReady, min(c.readyAt, p.now)
 		}
-		c.revision = held.Revision
+		c.revision, c.unconfirmed = held.Revision, false
 		copies[held.Adapter] = c
 	}
 	for _, loading := range r.Loading {
--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -23,7 +23,7 @@
 		if !ok {
 			continue
 		}
-		score := p.fullness(s) + victimDemand
+		score := p.fullness(s) + victimDemand + lostOrderWeight*float64(min(s.lostOrders, maxLostOrders))
 		if _, held := s.cached[adapter]; held {
 			score -= cachedBonus
 		}
@@ -39,7 +39,7 @@
 		return true
 	}
 	p.step.addServed(best, adapter)
-	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.loadTimeNow(), usedAt: p.now}
+	best.copies[adapter] = &heldCopy{state: copyLoading, revision: p.newestRevision(adapter), readyAt: p.now + p.loadTimeNow(), usedAt: p.now, unconfirmed: true}
 	p.send(plan, best, Order{Kind: OrderLoad, Model: model, Adapter: adapter, Revision: p.newestRevision(adapter), Reason: reason})
 	return true
 }
@@ -54,6 +54,14 @@
 	return float64(s.active) + loadWeight*float64(s.loading(p.now)) + float64(s.prefill)/prefillPerRequest
 }
 
+const (
+	// lostOrderWeight is the number of requests by which a backend server that left an order without
+	// an answer counts as fuller: requests that wait for a load there lose the time of an order and
+	// that until the next report. maxLostOrders bounds it, so that the server is tried again.
+	lostOrderWeight = 10
+	maxLostOrders   = 4
+)
+
 // Weights of fullness: a load counts as loadWeight requests, and prefillPerRequest waiting
 // prompt tokens count as one request.
 const (
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -56,6 +56,9 @@
 	// unloadDelay is the least time between the retirement of a copy and its unloading.
 	// In between, entry VMs must not use it. The delay exceeds the usage report period.
 	unloadDelay = 150 * clock.Millis(1)
+	// orderPatience is how long the answer to an order is awaited before its adapter is loaded on
+	// another backend server too: a few round trips between regions.
+	orderPatience = 150 * clock.Millis(1)
 	// idleBeforeRetire is how long a copy must be unused before it may be retired.
 	idleBeforeRetire = 300 * clock.Millis(1)
 	// reportDelay is how long after an order a report may still show the state before it;
@@ -110,6 +113,9 @@
 	state    copyState
 	revision topo.AdapterRevision
 	readyAt  clock.Millis
+	// unconfirmed reports that the order of its load has no answer yet. Entry VMs don't hear of such
+	// a copy: they would send requests to it when the load should have ended.
+	unconfirmed bool
 	// dueAt is the end of the load as first expected.
 	dueAt clock.Millis
 	// usedAt is when the copy was loaded, revived or last shown in use by a usage report.
@@ -146,6 +152,8 @@
 	// order was sent or answered.
 	orderPending bool
 	orderedAt    clock.Millis
+	// lostOrders counts the orders without an answer since the last one with an answer.
+	lostOrders int
 	// nextReportAt is the earliest time of the next report request; reportPending reports
 	// that the answer to one is awaited.
 	nextReportAt  clock.Millis
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -47,7 +47,7 @@
 	for _, s := range p.servers {
 		p.showModels(s)
 		for _, c := range s.copies {
-			if c.state == copyLoading && p.now >= c.readyAt {
+			if c.state == copyLoading && !c.unconfirmed && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
 				p.finished(p.loadLimit.binds(p.now))
 				p.loadLimit.finished(p.now)
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -66,6 +66,7 @@
 
 func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
 	switch {
+	case c.unconfirmed && p.now >= s.orderedAt+orderPatience:
 	case s.orderPending && c.state == copyLoading:
 		p.step.addServed(s, adapter)
 	case p.isOld(adapter, c) || s.Draining || s.Remaining != 0:
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -117,7 +117,7 @@
 		sort.Slice(h.Models, func(i, j int) bool { return h.Models[i] < h.Models[j] })
 	}
 	for adapter, c := range s.copies {
-		if c.state != copyLoading && c.state != copyReady {
+		if c.state != copyLoading && c.state != copyReady || c.unconfirmed {
 			continue
 		}
 		h.Copies = append(h.Copies, peer.PlacedCopy{Adapter: adapter, Revision: int64(c.revision), Ready: max(0, c.readyAt-p.now)})
