Count only waiting loads in the wait that entry VMs hear of

Load requests count for 600 ms after they were last repeated, also those whose adapter was loading by then, so that entry VMs refused requests that a load would have reached in time. In a shard with a queue of loads, a request waits for a copy that another region is loading instead of asking for a second one.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -139,6 +139,8 @@
 func (c *Core) chooseEngine(r *Request) Choice {
 	var soonest clock.Millis
 	var next *view
+	// elsewhere is the earliest time at which a copy loading in another shard is expected.
+	var elsewhere clock.Millis
 	shard := c.targetShard(r)
 	// usable reports whether v isn't down and holds the model or a loaded copy. It also sets
 	// soonest and next to the earliest time at which a copy loading in the target shard is expected,
@@ -149,6 +151,9 @@
 			return false
 		}
 		if readyAt > c.now {
+			if string(v.Region) != shard && !v.isLeaving() && !r.startedElsewhere(v) && (elsewhere == 0 || readyAt < elsewhere) {
+				elsewhere = readyAt
+			}
 			if string(v.Region) == shard && !v.isLeaving() && !r.startedElsewhere(v) && (soonest == 0 || readyAt < soonest) {
 				soonest, next = readyAt, v
 			}
@@ -181,6 +186,10 @@
 		c.otherRegion[r.Adapter]++
 		return c.send(r, best, candidates)
 	}
+	if c.loadsSooner(r, elsewhere, shard) {
+		c.withdrawLoad(r)
+		return Wait{Until: elsewhere, Reason: "adapter is loading in another region"}
+	}
 	return c.wait(r, shard)
 }
 
--- a/internal/core/choose/room.go
+++ b/internal/core/choose/room.go
@@ -22,3 +22,10 @@
 	now := c.expected(r, best)
 	return now >= float64(crowdedTime) && float64(readyAt-c.now)+c.expected(r, next)+float64(crowdedTime)/2 < now
 }
+
+// loadsSooner reports whether a copy that is ready at an instant in another region is better for r than
+// a load of its own, which would not even have begun by then in a shard with a queue of loads.
+func (c *Core) loadsSooner(r *Request, elsewhere clock.Millis, shard string) bool {
+	p := c.placer(shard)
+	return elsewhere > 0 && elsewhere <= r.waitsUntil() && p != nil && c.now+p.loadWait > elsewhere
+}
--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -151,4 +151,3 @@
 }
 
 func (p *Placer) readyCopies(adapter units.AdapterName) int { return p.index().ready[adapter] }
-
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -244,6 +244,8 @@
 	includeLoads      [scopes]bool
 	cursor            [scopes]int
 	lastLoadRequestAt clock.Millis
+	// queued is the number of load requests that the last step left waiting.
+	queued int
 	// models limits the rate of model loads.
 	models modelBudget
 	loadPace
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -103,6 +103,8 @@
 // are requested than can be loaded.
 func (p *Placer) serveLoadRequests(plan *Plan) {
 	inFlight := p.loadsInFlight()
+	p.queued = 0
+	full := false
 	for _, w := range p.sortedLoadRequests() {
 		if w.Count == 0 && p.demand.get(p.now, w.Adapter) < minDemandToLoad {
 			continue
@@ -111,12 +113,15 @@
 		if p.hasUsableCopy(key) || p.revive(key) {
 			continue
 		}
-		if float64(inFlight) >= p.maxLoadsInFlight() {
+		if full = full || float64(inFlight) >= p.maxLoadsInFlight(); full {
 			p.loadLimit.bound(p.now)
-			return
+			p.queued++
+			continue
 		}
 		if p.place(plan, key, nil, "wanted") {
 			inFlight = p.loadsInFlight()
+		} else {
+			p.queued++
 		}
 	}
 }
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -140,11 +140,5 @@
 
 // loadWait estimates the queueing time in ms of a load that is requested now.
 func (p *Placer) loadWait() clock.Millis {
-	queued := 0
-	for _, w := range p.loadRequests {
-		if p.now < w.receivedAt+loadRequestTTL {
-			queued++
-		}
-	}
-	return clock.Millis(float64(queued) / p.maxLoadsInFlight() * float64(p.loadTimeNow()))
+	return clock.Millis(float64(p.queued) / p.maxLoadsInFlight() * float64(p.loadTimeNow()))
 }
