Order on after a lost order, and bring retired copies back for crowds

The number of orders that each order expects makes it safe to go on: a lost order is either void or makes the next one conflict. A backend server that left an order unanswered got none for a second, so that a disturbance of a third of them halved the loads. Copies of crowded adapters that were about to give way come back before new ones are loaded.

--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -58,6 +58,10 @@
 	for i := range crowds {
 		w := &crowds[i]
 		for w.copies < w.wanted() {
+			if p.reviveCopy(w.adapter) {
+				w.copies++
+				continue
+			}
 			if float64(p.copiesInFlight()) >= limit || float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
 				return
 			}
@@ -122,6 +126,20 @@
 	}
 }
 
+// reviveCopy makes a retired copy of an adapter ready again and reports whether there was one.
+func (p *Placer) reviveCopy(adapter units.AdapterName) bool {
+	for _, id := range p.order {
+		s := p.servers[id]
+		if c := s.copies[adapter]; c != nil && c.state == copyRetired && s.usable(p.now) && !p.isOld(adapter, c) && p.now >= s.backoffUntil {
+			c.state, c.usedAt = copyReady, p.now
+			p.index().addServed(s, adapter)
+			s.markChanged()
+			return true
+		}
+	}
+	return false
+}
+
 // copiesInFlight returns the number of loads in flight of adapters that have a ready copy.
 func (p *Placer) copiesInFlight() int {
 	n := 0
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -72,8 +72,10 @@
 	}
 }
 
-// HandleOrderResult applies the result of an order. After Conflicts, Refused or Lost the
-// backend server gets no orders until it has sent a report at least reportDelay later.
+// HandleOrderResult applies the result of an order. After Conflicts, Refused or the loss of an order
+// about a model the backend server gets no orders until it has sent a report at least reportDelay later.
+// After the loss of one about an adapter it gets more: if the lost one was executed, or is before the
+// next, the numbers of orders differ and the next conflicts; otherwise the next one voids it.
 func (p *Placer) HandleOrderResult(now clock.Millis, o Order, result Result) {
 	p.now = max(p.now, now)
 	s := p.servers[o.Server]
@@ -92,7 +94,7 @@
 		if result == Lost {
 			s.lostOrders++
 		}
-		s.synced = false
+		s.synced = s.synced && result == Lost && o.Adapter != ""
 		s.nextReportAt = p.now + reportDelay
 	case NotSent:
 		p.cancelLoad(s, o)
