Learn once from loads that began together, and free more places while loads wait

A first crowd's loads were all found late at once, which looked like a congestion and cut the limit in its first second; the limit also began at that for the few servers known at the start.

--- a/internal/core/homes/load_limit.go
+++ b/internal/core/homes/load_limit.go
@@ -28,7 +28,8 @@
 
 // current returns the limit. start is where it begins; it does not fall below half of that.
 func (l *loadLimit) current(start float64) float64 {
-	if l.loads == 0 {
+	if l.boundAt == 0 && l.reducedAt == 0 {
+		// Nothing is learned yet, and start grows with the list of backend servers.
 		l.loads = start
 	}
 	l.loads = max(start/2, min(l.loads, start*maxLimitGrowth))
--- a/internal/core/homes/load_pace.go
+++ b/internal/core/homes/load_pace.go
@@ -29,9 +29,13 @@
 	usualDrift = 0.02
 )
 
-// late records that a request found a load not over, and reports whether loads take longer because
-// the weight store is congested.
-func (l *loadPace) late() bool {
+// late records that a request found a load not over some time after its order was answered, and
+// reports whether loads take longer because the weight store is congested. usual is the set time of a
+// load. A load that began before others showed that loads take longer tells nothing new.
+func (l *loadPace) late(after, usual clock.Millis) bool {
+	if after < l.expected(usual) {
+		return false
+	}
 	l.slowness = min(maxSlowness, l.slowness*slowdownFactor)
 	return l.congested()
 }
--- a/internal/core/homes/load_pace_test.go
+++ b/internal/core/homes/load_pace_test.go
@@ -23,7 +23,7 @@
 				congested := false
 				if took > expected+loadMargin {
 					late++
-					congested = pace.late()
+					congested = pace.late(took, defaultAdapterLoad)
 				} else if expected > took*11/10 && expected > defaultAdapterLoad {
 					early++
 				}
@@ -36,6 +36,16 @@
 	}
 }
 
+// TestLoadsOfOneBurstTeachOnce plays a first crowd: 20 loads that begin together and are all found late
+// together. They say the same thing, and must not look like a congestion.
+func TestLoadsOfOneBurstTeachOnce(t *testing.T) {
+	pace := loadPace{slowness: 1}
+	for range 20 {
+		must.False(t, pace.late(290, defaultAdapterLoad))
+	}
+	must.Less(t, 305, pace.expected(defaultAdapterLoad))
+}
+
 // TestLoadPaceSeesCongestion plays loads that take twice as long while more of them are in flight than
 // the weight store carries: that must be seen as a congestion within a few loads, and be over soon after.
 func TestLoadPaceSeesCongestion(t *testing.T) {
@@ -43,7 +53,7 @@
 	play := func(took clock.Millis, loads int) (congestions int) {
 		for range loads {
 			for took > pace.expected(defaultAdapterLoad)+loadMargin {
-				if pace.late() {
+				if pace.late(took, defaultAdapterLoad) {
 					congestions++
 				}
 			}
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -144,7 +144,8 @@
 	if result == Taken {
 		c.readyAt += p.loadTime(s, o.Adapter) + loadMargin
 	}
-	c.dueAt = c.readyAt
+	c.dueAt, c.startedAt = c.readyAt, p.now
+	_, c.wasCached = s.cached[o.Adapter]
 	delete(s.cached, o.Adapter)
 }
 
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -116,6 +116,10 @@
 	// unconfirmed reports that the order of its load has no answer yet. Entry VMs don't hear of such
 	// a copy: they would send requests to it when the load should have ended.
 	unconfirmed bool
+	// startedAt is when the order of its load was answered, wasCached reports that the backend server
+	// had its weights.
+	startedAt clock.Millis
+	wasCached bool
 	// dueAt is the end of the load as first expected.
 	dueAt clock.Millis
 	// usedAt is when the copy was loaded, revived or last shown in use by a usage report.
@@ -433,7 +437,7 @@
 	switch {
 	case c == nil || c.state == copyLoading && p.now < c.readyAt || c.state != copyReady && c.state != copyLoading:
 	case p.now <= c.readyAt+lateMissWindow && p.now <= c.dueAt+lateLoadWindow:
-		if p.late() {
+		if !c.wasCached && p.late(p.now-c.startedAt, p.policy.AdapterLoad) {
 			p.loadLimit.late(p.now)
 		}
 		c.state, c.readyAt = copyLoading, p.now+lateLoadDelay
--- a/internal/core/homes/retire.go
+++ b/internal/core/homes/retire.go
@@ -14,18 +14,29 @@
 	}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if !s.synced || len(s.copies)+reservedSlots <= s.engine.AdapterSlots {
+		if !s.synced || len(s.copies)+p.reserved() <= s.engine.AdapterSlots {
 			continue
 		}
-		if countRetired(s) < reservedSlots {
+		if countRetired(s) < p.reserved() {
 			p.retireLeastUsed(s)
 		}
 	}
 }
 
 // reservedSlots is the number of adapter slots on a backend server that are kept free or
-// retired.
-const reservedSlots = 1
+// retired, queuedSlots that while loads are queued. A copy can't be unloaded until unloadDelay after
+// its retirement, and servers with idle copies are few when most have none.
+const (
+	reservedSlots = 1
+	queuedSlots   = 2
+)
+
+func (p *Placer) reserved() int {
+	if p.queued > 0 {
+		return queuedSlots
+	}
+	return reservedSlots
+}
 
 // countRetired returns the number of retired and unloading copies on s.
 func countRetired(s *server) int {
