--- a/internal/core/homes/load_pace.go
+++ b/internal/core/homes/load_pace.go
@@ -20,10 +20,13 @@
 	slowdownFactor = 1.04
 	recoveryFactor = 0.998
 	maxSlowness    = 4
+	// initialSlowness is the slowness before anything is learned. A load that is expected too early
+	// costs all that wait for it a send for nothing, one expected too late some milliseconds.
+	initialSlowness = 1.2
 	// congestedFactor is how far slowness exceeds the usual one once the weight store carries more
 	// loads than at full speed. Below it slowness is that of the backend servers and of the way to
 	// them. congestedRecovery replaces recoveryFactor above it: a congestion ends at once.
-	congestedFactor   = 1.25
+	congestedFactor   = 1.15
 	congestedRecovery = 0.97
 	// usualDrift is by how much of the difference usual follows a higher slowness with each load.
 	usualDrift = 0.02
@@ -56,7 +59,7 @@
 	}
 }
 
-func (l *loadPace) congested() bool { return l.slowness > congestedFactor*max(1, l.usual) }
+func (l *loadPace) congested() bool { return l.slowness > congestedFactor*max(initialSlowness, l.usual) }
 
 // expected returns the time of a load from the weight store whose usual time is given.
 func (l *loadPace) expected(load clock.Millis) clock.Millis {
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -296,7 +296,7 @@
 // New returns a placer without backend servers.
 func New(policy Policy) *Placer {
 	return &Placer{
-		policy: policy.withDefaults(), loadPace: loadPace{slowness: 1}, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
+		policy: policy.withDefaults(), loadPace: loadPace{slowness: initialSlowness}, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
 		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]announced{},
 	}
 }
