Check a configuration of the users' platform before it is sent

Cause: operators learned of a faulty configuration only by what callers saw: entry VMs skip what they can't use. Change: `mangostile platform check` names faults with line and path, entries that can never match, limits that contradict each other, and what differs from a file or the version in force.

--- a/internal/base/quota/pool.go
+++ b/internal/base/quota/pool.go
@@ -24,6 +24,10 @@
 	return units.Bytes(heldShare * float64(memoryMB) * (1 << 20))
 }
 
+// LargestHold returns the most memory that one holder can have in a process with a limit of memoryMB, 0
+// for none: it may not have more than is then left for its owner, nor the owner more than for all others.
+func LargestHold(memoryMB int) units.Bytes { return LimitOf(memoryMB) / 3 }
+
 // Owner is on whose account memory is held, such as the address of a backend server.
 type Owner string
 
--- a/internal/core/homes/load_pace.go
+++ b/internal/core/homes/load_pace.go
@@ -59,7 +59,9 @@
 	}
 }
 
-func (l *loadPace) congested() bool { return l.slowness > congestedFactor*max(initialSlowness, l.usual) }
+func (l *loadPace) congested() bool {
+	return l.slowness > congestedFactor*max(initialSlowness, l.usual)
+}
 
 // expected returns the time of a load from the weight store whose usual time is given.
 func (l *loadPace) expected(load clock.Millis) clock.Millis {
--- a/internal/core/topo/customers.go
+++ b/internal/core/topo/customers.go
@@ -53,17 +53,21 @@
 type Customers struct {
 	list  []*Customer
 	byKey map[KeyHash]*Customer
+	// keys holds the keys that each customer was given.
+	keys map[*Customer][]KeyHash
 }
 
 // Add adds a customer and its keys. An empty key is ignored: a request without a key has none.
 func (c *Customers) Add(customer *Customer, keys []string) {
 	if c.byKey == nil {
-		c.byKey = map[KeyHash]*Customer{}
+		c.byKey, c.keys = map[KeyHash]*Customer{}, map[*Customer][]KeyHash{}
 	}
 	c.list = append(c.list, customer)
 	for _, key := range keys {
 		if key != "" {
-			c.byKey[HashKey(key)] = customer
+			hash := HashKey(key)
+			c.byKey[hash] = customer
+			c.keys[customer] = append(c.keys[customer], hash)
 		}
 	}
 }
@@ -71,6 +75,10 @@
 // ByKey returns the customer that holds a key, or nil.
 func (c *Customers) ByKey(key KeyHash) *Customer { return c.byKey[key] }
 
+// KeysOf returns the keys that a customer was given. One that was given to a later customer too is that
+// one's.
+func (c *Customers) KeysOf(customer *Customer) []KeyHash { return c.keys[customer] }
+
 // All returns the customers; nil if c is nil. Callers must not change the list.
 func (c *Customers) All() []*Customer {
 	if c == nil {
--- a/internal/oper/cmds/platformcmd.go
+++ b/internal/oper/cmds/platformcmd.go
@@ -27,7 +27,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` that the platform writes", Value: platform.SettingsPath()},
 		},
-		Commands: []*cli.Command{newPlatformQuarantineCmd(), newPlatformServersCmd()},
+		Commands: []*cli.Command{newPlatformCheckCmd(), newPlatformQuarantineCmd(), newPlatformServersCmd()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
 				return rejectUnknownCommand(ctx, cmd)
