--- a/internal/oper/cmds/platformcheckcmd.go
+++ b/internal/oper/cmds/platformcheckcmd.go
@@ -26,7 +26,7 @@
 		Name:      "check",
 		Usage:     "name the faults of a configuration before it is sent, and what it changes",
 		ArgsUsage: "FILE, or - for standard input",
-		UsageText: examples("mangostile platform check next.json", "mangostile platform check --against sent.json next.json", "mangostile platform check --live --settings node.conf next.json"),
+		UsageText: examples("mangostile platform check next.json", "mangostile platform check --against sent.json next.json", "mangostile platform --settings node.conf check --live next.json"),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "against", Usage: "show what differs from the configuration in `FILE`"},
 			&cli.BoolFlag{Name: "live", Usage: "show what differs from the configuration in force, which is read from the store of the settings"},
