Count what the clients of a listener hold, and let the slowest give way

Without an account of connections, heads and unread answers, clients that stop half-way hold them for good.

--- a/internal/base/quota/pool.go
+++ b/internal/base/quota/pool.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"mangostile/internal/base/units"
 )
@@ -38,6 +39,9 @@
 type Pool struct {
 	// Limit is the size of the pool; 0 means no bound. It must not change while memory is held.
 	Limit units.Bytes
+	// GiveWay, if not nil, is called if an owner would hold too much. It makes one that can give way
+	// release its memory soon, and reports whether there was one.
+	GiveWay func(Owner) bool
 
 	mu sync.Mutex
 	// used is the sum of byOwner, which lists the owners that hold memory.
@@ -115,13 +119,25 @@
 	if h == nil || size == h.size {
 		return nil
 	}
-	if err := h.pool.resize(h.owner, h.size, size); err != nil {
+	err := h.pool.resize(h.owner, h.size, size)
+	for try := 0; err != nil && try < maxGiveWay && h.pool.GiveWay != nil && h.pool.GiveWay(h.owner); try++ {
+		time.Sleep(releasePause)
+		err = h.pool.resize(h.owner, h.size, size)
+	}
+	if err != nil {
 		return err
 	}
 	h.size = size
 	return nil
 }
 
+// maxGiveWay bounds how many others give way to one holder at once, and releasePause is the time in which
+// they release their memory.
+const (
+	maxGiveWay   = 16
+	releasePause = 2 * time.Millisecond
+)
+
 // Fits reports whether the holder may hold an amount of memory now. A refusal counts.
 func (h *Hold) Fits(size units.Bytes) bool {
 	if h == nil {
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -19,6 +19,14 @@
 	}
 }
 
+// ClientGaveWay counts a connection of a listener that was closed or turned away for want of room, by
+// reason.
+func (m *Meter) ClientGaveWay(listener, reason string) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("clients_gave_way_total").Inc(1)
+	}
+}
+
 // GivenUp counts a request that ended without an answer from a backend server, by
 // reason.
 func (m *Meter) GivenUp(reason string) {
