--- a/internal/node/conns/conns.go
+++ b/internal/node/conns/conns.go
@@ -87,6 +87,9 @@
 		_ = c.Close()
 	}
 	conn, err := call.DialContext(ctx, address, DialTimeout)
+	if errors.Is(err, unix.EMFILE) && p.dropIdle() > 0 {
+		conn, err = call.DialContext(ctx, address, DialTimeout)
+	}
 	if err != nil {
 		return nil, &NotSentError{Refused: errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET), Err: err}
 	}
@@ -139,6 +142,20 @@
 	p.put(c)
 }
 
+// dropIdle closes all idle connections, whose descriptors are needed, and returns their number.
+func (p *Pool) dropIdle() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+		n += len(list)
+	}
+	clear(p.idle)
+	return n
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep() {
 	now := p.Clock.Now()
