--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -262,6 +263,9 @@
 	held := l.options.Memory.Hold(quota.Owner("peer " + conn.RemoteAddr().String()))
 	defer held.Release()
 	var remote hello
+	if isLong(conn, r) {
+		return
+	}
 	tag, payload, err := l.read(conn, r, held)
 	if err != nil || tag != tagHello || frame.Decode(payload, &remote) != nil || remote.To != l.options.Self {
 		return
@@ -280,6 +284,16 @@
 	}
 }
 
+// maxHelloBytes bounds the first frame of a connection, before which nothing is known of the peer.
+const maxHelloBytes = 1 << 10
+
+// isLong reports whether the first frame is longer than a hello, or its length did not arrive.
+func isLong(conn net.Conn, r *bufio.Reader) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+	length, err := r.Peek(4)
+	return err != nil || binary.BigEndian.Uint32(length) > maxHelloBytes
+}
+
 // read reads one message into memory that held holds.
 func (l *Links) read(conn net.Conn, r *bufio.Reader, held *quota.Hold) (byte, []byte, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
