Bound what clients hold on the users' platform

All four listeners get a door, with parts of the descriptors (limits.maxFds, which was not read), and the ones for the balancer and metrics short time-outs and heads of 4 KiB (1 MiB before). The body of a request has to arrive in the time of the request, else it is refused as not run; the rest of a body that nobody wants is read for 0.5 s at most.

--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/node/door"
 	"mangostile/internal/plat/call"
 
 	"github.com/pkg/errors"
@@ -26,8 +27,10 @@
 // received before is cut off.
 type callerConn struct {
 	net.Conn
-	raw        syscall.RawConn
-	callers    *callers
+	raw     syscall.RawConn
+	callers *callers
+	// door counts what the caller holds; nil if nothing does.
+	door       *door.Conn
 	acceptedAt clock.Millis
 	closed     atomic.Bool
 
@@ -92,6 +95,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the answers, while what the caller still sends is read.
+func (c *callerConn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Errorf("callers' connections: %T can't be closed half", c.Conn)
+	}
+	return tcp.CloseWrite()
+}
+
 // resetOnClose makes Close reset the connection.
 func (c *callerConn) resetOnClose() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -146,13 +158,24 @@
 
 // endAnswer records that the request that was read last has its whole answer.
 func (c *callerConn) endAnswer() {
+	if c.door != nil {
+		c.door.Answered()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered, c.complete, c.ahead, c.answered = c.ahead, false, false, true
 }
 
+// serving records that the caller is not waited for. c may be nil.
+func (c *callerConn) serving() {
+	if c != nil && c.door != nil {
+		c.door.Serving()
+	}
+}
+
 // endRequest records that the request was read in full.
 func (c *callerConn) endRequest() {
+	c.serving()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.complete = true
@@ -294,12 +317,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, c)
+			caller := callerOf(c)
+			if d, ok := c.(*door.Conn); ok && caller != nil {
+				caller.door = d
+			}
+			return context.WithValue(ctx, callerConnKey{}, caller)
 		},
 		ConnState: func(conn net.Conn, state http.ConnState) {
-			c, ok := conn.(*callerConn)
+			c := callerOf(conn)
 			switch {
-			case !ok:
+			case c == nil:
 			case state == http.StateActive:
 				// A pipelined request is read from the server's buffer, not by Read.
 				c.beginRequest()
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -88,6 +90,8 @@
 	body     []byte
 	// held is the memory of body.
 	held *quota.Hold
+	// bodyRead is true once the body was read whole.
+	bodyRead bool
 	// started is true once a part of the answer was written to the caller; lastEvent
 	// is the id of the last event written.
 	started   bool
@@ -150,6 +154,7 @@
 		c.refuse(noMemoryReason, noMemoryRetryAfter)
 		return false
 	}
+	endLimit := c.limitBody()
 	body, err := c.held.ReadAll(c.r.Body, units.Bytes(c.r.ContentLength), units.Bytes(limit))
 	switch {
 	case isFull(err):
@@ -158,11 +163,16 @@
 	case errors.Is(err, quota.ErrTooLong):
 		c.fail(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		c.refuse("the body did not arrive in the time of the request", 0)
+		return false
 	case err != nil:
 		c.log("request_unread", "error", err)
 		panic(http.ErrAbortHandler)
 	}
-	c.body = body
+	endLimit()
+	c.body, c.bodyRead = body, true
 	return true
 }
 
@@ -175,17 +185,10 @@
 // fillRequest fills in the request that the choice of a backend server is based on. It
 // always reports true.
 func (c *exchange) fillRequest(cfg *topo.Config) bool {
-	timeout := c.head.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	if c.route.Timeout > 0 {
-		timeout = min(timeout, c.route.Timeout)
-	}
 	c.req = choose.Request{
 		ID: c.head.ID, Route: c.route, Service: c.route.Service(hashID(c.head.ID)), Rank: c.route.Rank, Adapter: c.head.Adapter,
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
-		Arrived: c.arrived, Deadline: c.arrived + timeout,
+		Arrived: c.arrived, Deadline: c.arrived + c.timeLimit(),
 	}
 	if c.customer != nil {
 		c.req.Customer = c.customer.Name
@@ -197,6 +200,15 @@
 	return true
 }
 
+// timeLimit returns the time for the answer, from the arrival of the request.
+func (c *exchange) timeLimit() clock.Millis {
+	timeout := cmp.Or(c.head.Timeout, defaultTimeout)
+	if c.route.Timeout > 0 {
+		timeout = min(timeout, c.route.Timeout)
+	}
+	return timeout
+}
+
 // hashID hashes an id, to distribute requests over the services of a split route.
 func hashID(id units.RequestID) uint64 { return xxhash.Sum64String(string(id)) }
 
@@ -223,6 +235,7 @@
 
 func (c *exchange) answer(status int, text string) {
 	c.started = true
+	c.leaveBody()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -19,6 +19,7 @@
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 	"mangostile/internal/node/conns"
+	"mangostile/internal/node/door"
 	"mangostile/internal/node/links"
 	"mangostile/internal/node/meter"
 
@@ -81,6 +82,7 @@
 	quarantine quarantine
 	origins    origins
 
+	doors    doors
 	callers  callers
 	inFlight atomic.Int64
 	delay    processDelay
@@ -107,6 +109,7 @@
 		configFeed: feed{name: FeedConfig}, serversFeed: feed{name: FeedServers}, pool: conns.Pool{Clock: o.Clock}, placers: map[string]*placerWorker{}, reportNow: make(chan struct{}, 1),
 	}
 	n.memory.Limit = quota.LimitOf(o.Settings.MemoryMB)
+	n.openDoors()
 	n.pool.Memory = &n.memory
 	n.quarantine.stored = newQuarantineStore(n, n)
 	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
@@ -178,12 +181,12 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	front := &callerListener{Listener: opened.Front, callers: &n.callers, clock: n.clock}
-	n.serve(ctx, group, front, n.frontServer())
-	n.serve(ctx, group, opened.Ready, &http.Server{Handler: http.HandlerFunc(n.answerReady), ReadHeaderTimeout: headerTimeout})
+	n.serve(ctx, group, &door.Listener{Listener: front, Door: &n.doors.front}, n.frontServer())
+	n.serve(ctx, group, &door.Listener{Listener: opened.Ready, Door: &n.doors.ready}, innerServer(n.answerReady))
 	if opened.Metrics != nil {
-		n.serve(ctx, group, opened.Metrics, &http.Server{Handler: http.HandlerFunc(n.answerMetrics), ReadHeaderTimeout: headerTimeout})
+		n.serve(ctx, group, &door.Listener{Listener: opened.Metrics, Door: &n.doors.metrics}, innerServer(n.answerMetrics))
 	}
-	group.Go(func() error { return n.links.Run(ctx, opened.Peers) })
+	group.Go(func() error { return n.links.Run(ctx, &door.Listener{Listener: opened.Peers, Door: &n.doors.peers}) })
 	group.Go(func() error { return n.follow(ctx, &n.configFeed, configPollTimeout, 0, n.applyConfig) })
 	group.Go(func() error { return n.follow(ctx, &n.serversFeed, 0, serversReadPeriod, n.applyServers) })
 	group.Go(func() error { return n.reportUsage(ctx) })
@@ -216,7 +219,12 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		return errors.Wrap(server.Close(), "close server")
+		err := server.Close()
+		if errors.Is(err, net.ErrClosed) {
+			// A stop closes the listener of callers first.
+			return nil
+		}
+		return errors.Wrap(err, "close server")
 	})
 }
 
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -12,6 +12,7 @@
 	"mangostile/internal/core/homes"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
+	"mangostile/internal/node/door"
 )
 
 // Settings configure an entry VM at its start.
@@ -31,6 +32,11 @@
 	MetricsAddress string
 	// MemoryMB bounds the memory of the process; 0 means no limit.
 	MemoryMB int
+	// Descriptors bounds those of the process; 0 means that only the kernel's limit does.
+	Descriptors int
+	// Callers bounds what callers hold. Its zero values select what Descriptors and MemoryMB allow, and
+	// the defaults of package door.
+	Callers door.Limits
 	// Rejoins is true unless the whole system starts for the first time.
 	Rejoins bool
 	// Capacity is what the entry VM can carry as a placer.
