Bound what clients hold on serve

The HTTP server read each body whole before any account, and running out of descriptors ended the process. Bodies are now read by a handler into memory of the pool, on the callers' account, the listeners have doors, and multipart bodies are no longer parsed, which wrote files. The edge needs no copy of a body any more. New settings max_connections and patience_ms.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -286,7 +286,7 @@
 	if len(prompt) == 0 {
 		prompt = body.Messages
 	}
-	x.body = append([]byte(nil), ctx.PostBody()...)
+	x.body = ctx.PostBody()
 	x.request.Adapter = units.ParseAdapterVersion(body.Model)
 	x.request.Idempotent = true
 	x.request.Streamed = body.Stream
@@ -301,7 +301,7 @@
 	x.request.Service = units.ServiceName(name)
 	x.path = "/" + rest
 	x.contentType = string(ctx.Request.Header.ContentType())
-	x.body = append([]byte(nil), ctx.PostBody()...)
+	x.body = ctx.PostBody()
 	x.request.Key = string(ctx.Request.Header.Peek(HeaderKey))
 	x.request.Idempotent = true
 	for _, call := range e.options.NotRepeatable[x.request.Service] {
@@ -349,6 +349,11 @@
 	}
 }
 
+// Refuse answers a request whose body was not read whole.
+func (e *Edge) Refuse(ctx *fasthttp.RequestCtx, refusal *errs.Refusal) {
+	e.writeRefusal(ctx, "", refusal)
+}
+
 // HandleError answers a request that could not be read.
 func (e *Edge) HandleError(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
--- a/internal/node/server/http.go
+++ b/internal/node/server/http.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangostile/internal/base/units"
+	"mangostile/internal/node/door"
 	"mangostile/internal/node/edge"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,6 +26,9 @@
 	// time in which the caller reads a whole answer or one part of a stream.
 	ReadTimeout  time.Duration
 	WriteTimeout time.Duration
+	// Callers bounds the connections of callers. Its zero values select what descriptors and memory allow,
+	// and the defaults of package door.
+	Callers door.Limits
 }
 
 const idleTimeout = 60 * time.Second
@@ -41,13 +45,13 @@
 func (s *Server) serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler fasthttp.RequestHandler) {
 	limits := s.options.HTTP
 	server := &fasthttp.Server{
-		Handler: s.guardHandler(handler), ErrorHandler: s.edge.HandleError, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
-		MaxRequestBodySize: int(cmp.Or(limits.MaxBody, edge.DefaultMaxBodyBytes)),
-		ReadBufferSize:     int(cmp.Or(limits.MaxHeader, edge.DefaultMaxHeaderBytes)),
-		ReadTimeout:        cmp.Or(limits.ReadTimeout, edge.DefaultReadTimeout),
-		WriteTimeout:       cmp.Or(limits.WriteTimeout, edge.DefaultWriteTimeout),
-		IdleTimeout:        idleTimeout,
-		Logger:             hclogPrinter{s.options.Logger},
+		Handler: s.guardHandler(s.withBody(handler)), ErrorHandler: s.edge.HandleError, Name: "mangostile", NoDefaultDate: true, CloseOnShutdown: true,
+		StreamRequestBody: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: bodyPrefetch,
+		ReadBufferSize: int(cmp.Or(limits.MaxHeader, edge.DefaultMaxHeaderBytes)),
+		ReadTimeout:    cmp.Or(limits.ReadTimeout, edge.DefaultReadTimeout),
+		WriteTimeout:   cmp.Or(limits.WriteTimeout, edge.DefaultWriteTimeout),
+		IdleTimeout:    idleTimeout,
+		Logger:         hclogPrinter{s.options.Logger},
 	}
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve HTTP") })
 	group.Go(func() error {
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -16,6 +16,7 @@
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/table"
 	"mangostile/internal/node/certs"
+	"mangostile/internal/node/door"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/links"
 	"mangostile/internal/node/meter"
@@ -62,6 +63,7 @@
 	links   *links.Links
 	// memory is that of answers, events and messages of other entry VMs.
 	memory  quota.Pool
+	doors   doors
 	inputs  *ring.Ring[input]
 	appends *ring.Ring[event.AppendRecord]
 	orders  *ring.Ring[event.OrderServer]
@@ -118,6 +120,7 @@
 	edgeOptions.EntryVM = units.EntryVMID(options.Core.Self.ID)
 	s.memory.Limit = quota.LimitOf(options.MemoryMB)
 	edgeOptions.Memory = &s.memory
+	s.openDoors()
 	s.edge = edge.New(edgeOptions)
 	s.links = links.New(links.Options{
 		Self: edgeOptions.EntryVM, Deliver: func(ev event.PeerReceived) bool { return s.Submit(ev) }, TLS: options.PeerTLS, Logger: options.Logger,
@@ -185,7 +188,9 @@
 	group.Go(func() error { return s.runAppends(ctx) })
 	group.Go(func() error { return s.runVMList(ctx) })
 	group.Go(func() error { return s.runGauges(ctx) })
-	group.Go(func() error { return s.links.Run(ctx, s.options.PeerListener) })
+	group.Go(func() error {
+		return s.links.Run(ctx, &door.Listener{Listener: s.options.PeerListener, Door: &s.doors.peers})
+	})
 	for range orderWorkers {
 		group.Go(func() error { return s.runOrders(ctx) })
 	}
@@ -197,9 +202,9 @@
 		s.edge.Close()
 		return nil
 	})
-	s.serveHTTP(ctx, group, withTLS(s.options.ServeListener, s.options.ServeTLS), s.edge.Handle)
+	s.serveHTTP(ctx, group, &door.Listener{Listener: withTLS(s.options.ServeListener, s.options.ServeTLS), Door: &s.doors.serve}, s.edge.Handle)
 	if s.options.AdminListener != nil {
-		s.serveHTTP(ctx, group, withTLS(s.options.AdminListener, s.options.AdminTLS), s.adminHandler())
+		s.serveHTTP(ctx, group, &door.Listener{Listener: withTLS(s.options.AdminListener, s.options.AdminTLS), Door: &s.doors.admin}, s.adminHandler())
 	}
 	group.Go(func() error {
 		select {
--- a/internal/oper/cmds/servecmd.go
+++ b/internal/oper/cmds/servecmd.go
@@ -17,6 +17,7 @@
 	"mangostile/internal/core/place"
 	"mangostile/internal/node/admin"
 	"mangostile/internal/node/certs"
+	"mangostile/internal/node/door"
 	"mangostile/internal/node/edge"
 	"mangostile/internal/node/meter"
 	"mangostile/internal/node/server"
@@ -118,6 +119,7 @@
 		HTTP: server.HTTPLimits{
 			MaxBody: settings.Limits.MaxBodyBytes, MaxHeader: settings.Limits.MaxHeaderBytes,
 			ReadTimeout: settings.Limits.ReadTimeoutMS.Duration(), WriteTimeout: settings.Limits.WriteTimeoutMS.Duration(),
+			Callers: door.Limits{Conns: settings.Limits.MaxConnections, Patience: settings.Limits.PatienceMS},
 		},
 		MemoryMB: settings.Limits.MemoryMB,
 		Admin:    admin.New(admin.Options{Operators: operatorTokens(settings)}),
--- a/internal/oper/config/check_settings.go
+++ b/internal/oper/config/check_settings.go
@@ -19,6 +19,7 @@
 	minHeaderBytes      = 1 << 10
 	maxHeaderBytes      = 1 << 20
 	maxBackendSlots     = 1 << 16
+	maxConnections      = 1 << 20
 	outOfRangeFormat    = "%v is out of range: give %d to %d, or 0 for the default"
 	notRepeatableFormat = "%q is not a call: write a method and the beginning of a path, as \"POST /release\""
 )
@@ -61,6 +62,10 @@
 	if l.MemoryMB != 0 && (l.MemoryMB < minMemoryMB || l.MemoryMB > maxMemoryMB) {
 		c.fault("limits.memory_mb", outOfRangeFormat, l.MemoryMB, minMemoryMB, maxMemoryMB)
 	}
+	if l.MaxConnections < 0 || l.MaxConnections > maxConnections {
+		c.fault("limits.max_connections", outOfRangeFormat, l.MaxConnections, 1, maxConnections)
+	}
+	c.duration("limits.patience_ms", l.PatienceMS, maxTimeout)
 	c.duration("limits.read_timeout_ms", l.ReadTimeoutMS, maxTimeout)
 	c.duration("limits.write_timeout_ms", l.WriteTimeoutMS, maxTimeout)
 }
--- a/internal/oper/config/settings.go
+++ b/internal/oper/config/settings.go
@@ -69,6 +69,12 @@
 	ReadTimeoutMS clock.Millis `toml:"read_timeout_ms"`
 	// WriteTimeoutMS bounds the time until a caller accepts a part of its answer.
 	WriteTimeoutMS clock.Millis `toml:"write_timeout_ms"`
+	// MaxConnections limits the open connections of callers; 0 is half of the process's descriptors that
+	// are not kept for files, and what a fifth of its memory allows.
+	MaxConnections int `toml:"max_connections"`
+	// PatienceMS is how long a caller that sends or reads too slowly keeps others waiting before its
+	// connection is closed for them.
+	PatienceMS clock.Millis `toml:"patience_ms"`
 	// MemoryMB is the memory of the process in MiB; 0 means no limit.
 	MemoryMB int `toml:"memory_mb"`
 }
