Take no part of an answer for all of it, and no status that no answer has

Seen in tests on both programs before: a backend server that answers a long upload at once, without a length, and resets the connection while the upload is being written gave the caller its part as a whole answer, since the write found the reset and the read then an end (plain answers, also with a retry left; streams on the users' platform; on serve a stream needs its end mark, and held). Statuses 000, 099 and 600 reached callers: 600 on both programs, 000 and 099 as a cut connection on the users' platform, and as 200 and an invalid head on serve. 1xx without end and status lines without a number held before.

A body that only the end of the connection ends is now complete only if the whole request was written and the kernel shows no reset; a status below 100 or above 599 is no answer.

--- a/internal/node/conns/exchange.go
+++ b/internal/node/conns/exchange.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
+
+	"mangostile/internal/plat/call"
 
 	"github.com/pkg/errors"
 )
@@ -85,8 +88,10 @@
 	*http.Response
 	conn *Conn
 	pool *Pool
-	// written receives the result of writing the request, once.
+	// written receives the result of writing the request, once. sent is true if it was read and is no
+	// error.
 	written chan error
+	sent    bool
 	// stop removes the function that closes conn when the request's context ends. It
 	// reports false if that function has been started or removed before.
 	stop func() bool
@@ -160,7 +165,10 @@
 			}
 			return nil, &InvalidAnswerError{Reason: err.Error()}
 		}
-		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			return nil, &InvalidAnswerError{Reason: "no answer has the status " + resp.Status}
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp) {
@@ -175,12 +183,17 @@
 	return nil, &InvalidAnswerError{Reason: "only answers to other requests came"}
 }
 
+// maxStatus is the greatest status of an answer, RFC 9110.
+const maxStatus = 599
+
 // maxSkippedBytes bounds the body of a skipped answer.
 const maxSkippedBytes = 1 << 20
 
 // Read reads the body of the answer. It returns io.EOF at the end of the body; any other
-// error means that the answer is incomplete. The empty body of a success that only the end of the
-// connection ends counts as incomplete: the backend server may have ended behind the head.
+// error means that the answer is incomplete. A body that only the end of the connection ends is complete
+// only if the backend server has ended it without a reset and the whole request was sent: a reset that
+// the write of the request has found is an end for reads. Nor is the empty body of a success: the backend
+// server may have ended behind the head.
 func (e *Exchange) Read(buf []byte) (int, error) {
 	n, err := e.Body.Read(buf)
 	e.hasBody = e.hasBody || n > 0
@@ -188,11 +201,34 @@
 		if !e.hasBody && !e.framed() && e.StatusCode < http.StatusMultipleChoices {
 			return n, io.ErrUnexpectedEOF
 		}
+		if !e.framed() && (!e.isSent() || call.WasReset(e.conn.Conn)) {
+			return n, io.ErrUnexpectedEOF
+		}
 		e.complete = true
 	}
 	return n, err
 }
 
+// sentWait is the time for a write that has just returned to be noticed.
+const sentWait = 20 * time.Millisecond
+
+// isSent reports whether the whole request was written.
+func (e *Exchange) isSent() bool {
+	if e.sent {
+		return true
+	}
+	timer := time.NewTimer(sentWait)
+	defer timer.Stop()
+	select {
+	case err := <-e.written:
+		e.sent = err == nil
+		// Done asks, too.
+		e.written <- err
+	case <-timer.C:
+	}
+	return e.sent
+}
+
 // framed reports whether the answer itself says where its body ends.
 func (e *Exchange) framed() bool { return e.ContentLength >= 0 || len(e.TransferEncoding) > 0 }
 
--- a/internal/node/edge/harness_test.go
+++ b/internal/node/edge/harness_test.go
@@ -58,6 +58,12 @@
 
 // newHarnessWithReadTimeout is newHarness with a read timeout for whole requests.
 func newHarnessWithReadTimeout(t *testing.T, backend string, options Options, readTimeout time.Duration) *harness {
+	t.Helper()
+	return newHarnessWithLimits(t, backend, options, readTimeout, 4096)
+}
+
+// newHarnessWithLimits is newHarness with a read timeout and a limit of bodies, in bytes.
+func newHarnessWithLimits(t *testing.T, backend string, options Options, readTimeout time.Duration, maxBody int) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, backend: backend, timeLimit: 5 * clock.Second, maxAttempts: 1,
@@ -72,7 +78,7 @@
 	must.NoError(t, err)
 	h.address = listener.Addr().String()
 	server := &fasthttp.Server{
-		Handler: h.edge.Handle, ErrorHandler: h.edge.HandleError, MaxRequestBodySize: 4096, ReadBufferSize: 4096, CloseOnShutdown: true,
+		Handler: h.edge.Handle, ErrorHandler: h.edge.HandleError, MaxRequestBodySize: maxBody, ReadBufferSize: 4096, CloseOnShutdown: true,
 		ReadTimeout: readTimeout, Logger: noLog{},
 	}
 	ended := make(chan struct{})
@@ -206,6 +212,8 @@
 	resume string
 	// second is written in place of answer from the second request of a connection on, if set.
 	second string
+	// early is true if it answers before it reads a body, and resets the connection then.
+	early bool
 }
 
 // startRaw starts a rawBackend that is closed at the end of the test.
@@ -267,6 +275,10 @@
 		return
 	}
 	r := bufio.NewReader(conn)
+	if b.early {
+		b.answerEarly(conn, r)
+		return
+	}
 	for i := 0; ; i++ {
 		var req fasthttp.Request
 		if req.Read(r) != nil {
@@ -295,3 +307,20 @@
 		}
 	}
 }
+
+// resetDelay is the time from an early answer to the reset.
+const resetDelay = 20 * time.Millisecond
+
+// answerEarly answers a request whose body it does not read, and resets the connection.
+func (b *rawBackend) answerEarly(conn net.Conn, r *bufio.Reader) {
+	var head fasthttp.RequestHeader
+	if head.Read(r) != nil {
+		_ = conn.Close()
+		return
+	}
+	b.count(string(head.RequestURI()))
+	_, _ = io.WriteString(conn, strings.ReplaceAll(b.answer, "<id>", string(head.Peek(HeaderRequestID))))
+	time.Sleep(resetDelay)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
--- a/internal/plat/call/tcpinfo.go
+++ b/internal/plat/call/tcpinfo.go
@@ -20,6 +20,13 @@
 	return clock.Millis(tcpInfo(conn).Last_data_recv)
 }
 
+// WasReset reports whether a TCP connection that was not closed here was reset by its peer, also if another
+// call has returned that error already and reads find a usual end. It is false if the kernel doesn't tell.
+func WasReset(conn net.Conn) bool { return tcpInfo(conn).State == tcpClosed }
+
+// tcpClosed is the kernel's state of a socket without a connection, TCP_CLOSE.
+const tcpClosed = 7
+
 // Unsent returns the number of bytes written to a TCP connection that were not sent yet, because
 // the link or the peer is slow. It is 0 if the kernel doesn't tell.
 func Unsent(conn *net.TCPConn) int {
