--- a/internal/base/units/units.go
+++ b/internal/base/units/units.go
@@ -59,6 +59,8 @@
 	Tokens int32
 	// Bytes is a number of bytes.
 	Bytes int64
+	// Amount is a number of units of a quota: requests or tokens.
+	Amount int64
 	// Rate is a number of requests per second.
 	Rate float64
 	// Fingerprint identifies the content of a request.
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -31,6 +31,8 @@
 	tagStreamStart
 	tagOriginRequest
 	tagOriginReply
+	tagCreditRequest
+	tagCreditReply
 )
 
 // hello is the first frame of a connection and identifies both ends.
@@ -84,6 +86,10 @@
 		return tagOriginRequest
 	case *peer.OriginReply:
 		return tagOriginReply
+	case *peer.CreditRequest:
+		return tagCreditRequest
+	case *peer.CreditReply:
+		return tagCreditReply
 	default:
 		return 0
 	}
@@ -95,6 +101,7 @@
 	tagConfigRecords: "config_records", tagConfigRequest: "config_request", tagConfigSnapshot: "config_snapshot", tagPoisonMark: "poison_mark",
 	tagDomainSummary: "domain_summary", tagHandover: "handover", tagUsageReport: "usage_report", tagPlacementUpdate: "placement_update",
 	tagFeedUpdate: "feed_update", tagCrashNews: "crash_news", tagStreamStart: "stream_start", tagOriginRequest: "origin_request", tagOriginReply: "origin_reply",
+	tagCreditRequest: "credit_request", tagCreditReply: "credit_reply",
 }
 
 // kindOf returns the name of the type of m.
@@ -136,6 +143,10 @@
 		return &peer.OriginRequest{}
 	case tagOriginReply:
 		return &peer.OriginReply{}
+	case tagCreditRequest:
+		return &peer.CreditRequest{}
+	case tagCreditReply:
+		return &peer.CreditReply{}
 	default:
 		return nil
 	}
