Refuse requests beyond a customer's quota on the users' platform

Requests are charged when they arrive, and returned if no backend server has run them. Beyond the quota they get 429 at once, with the time until there is credit; if the keeper of the quota is not reached, entry VMs spend their share of the former use and refuse the rest with 503.

--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
+	"mangostile/internal/core/credit"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 
@@ -384,6 +385,7 @@
 		}
 	})
 	if changed {
+		n.withCredits(func(core *credit.Core) { core.SetCustomers(n.clock.BootNow(), update.Config.Customers.All()) })
 		n.config.Store(update.Config)
 		n.meter.SetConfigVersion(update.Config.Version)
 		n.log.Info("config_in_force", "version", update.Config.Version, "routes", len(update.Config.Routes), "services", len(update.Config.Services))
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -244,6 +244,7 @@
 func (a *attempt) runCounted() (end choose.End, over bool) {
 	end = choose.EndCanceled
 	defer func() {
+		a.exchange.ran = a.exchange.ran || a.mayHaveRun
 		a.node.withCore(func(core *choose.Core) { core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end) })
 	}()
 	defer a.node.quarantine.watch(a)()
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -14,6 +14,7 @@
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/blame"
 	"mangostile/internal/core/choose"
+	"mangostile/internal/core/credit"
 	"mangostile/internal/core/topo"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,6 +53,7 @@
 	}
 	c.held = n.memory.Hold(callersAccount)
 	defer c.release()
+	defer c.returnCredit()
 	if c.admit() {
 		if c.conn != nil {
 			c.conn.endRequest()
@@ -87,7 +89,11 @@
 	configVersion int64
 	// customer is whose request it is; nil if the configuration has no customers or the route is open.
 	customer *topo.Customer
-	body     []byte
+	// claim is the claim on the customer's quota. ran is true once a backend server may have executed
+	// the request.
+	claim credit.Claim
+	ran   bool
+	body  []byte
 	// held is the memory of body.
 	held *quota.Hold
 	// bodyRead is true once the body was read whole.
@@ -135,7 +141,7 @@
 		return false
 	}
 	c.head = head
-	return !c.endIfDelayed() && c.readBody(cfg.Limits) && c.fillRequest(cfg)
+	return !c.endIfDelayed() && c.readBody(cfg.Limits) && c.fillRequest(cfg) && c.claimCredit()
 }
 
 func (c *exchange) readBody(limits topo.Limits) bool {
@@ -216,6 +222,11 @@
 // retryAfter, but at most a third of the remaining time if the deadline is known; it is
 // omitted if it is 0.
 func (c *exchange) refuse(reason string, retryAfter clock.Millis) {
+	c.refuseAs(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+// refuseAs is refuse with a status, which must be one that promises that the request did not run.
+func (c *exchange) refuseAs(status int, reason string, retryAfter clock.Millis) {
 	remaining := c.req.Deadline - c.node.clock.Now()
 	if c.req.Deadline > 0 {
 		retryAfter = min(retryAfter, max(0, remaining/3))
@@ -224,7 +235,7 @@
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(float64(retryAfter)/float64(clock.Second), 'f', 3, 64))
 	}
 	c.log("request_refused", "reason", reason, "return_ms", int64(retryAfter))
-	c.answer(http.StatusServiceUnavailable, reason)
+	c.answer(status, reason)
 }
 
 // fail answers that the request can't be served. It may have been executed.
--- a/internal/node/fleet/limits.go
+++ b/internal/node/fleet/limits.go
@@ -3,6 +3,7 @@
 import (
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
+	"mangostile/internal/core/credit"
 	"mangostile/internal/core/peer"
 )
 
@@ -49,11 +50,12 @@
 	n.links.Broadcast(n.peers.some(n.clock.Now(), gossipFanout), &peer.CrashNews{Limits: news, Address: n.settings.PeerAddress})
 }
 
-// updateMembers tells the core which other entry VMs are known to run.
+// updateMembers tells the cores which other entry VMs are known to run.
 func (n *Node) updateMembers() {
 	var members []peer.Member
 	for _, m := range n.peers.keepers(n.clock.Now()) {
 		members = append(members, peer.Member{ID: m.ID, Address: m.Address, Region: m.Region, Domain: m.Domain})
 	}
 	n.withCore(func(core *choose.Core) { core.SetMembers(members) })
+	n.withCredits(func(core *credit.Core) { core.SetMembers(members, int(n.members.Load())) })
 }
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -15,6 +15,7 @@
 	"mangostile/internal/base/quota"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
+	"mangostile/internal/core/credit"
 	"mangostile/internal/core/event"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
@@ -81,6 +82,7 @@
 	traffic    traffic
 	quarantine quarantine
 	origins    origins
+	credits    credits
 
 	doors    doors
 	callers  callers
@@ -111,6 +113,7 @@
 	n.memory.Limit = quota.LimitOf(o.Settings.MemoryMB)
 	n.openDoors()
 	n.pool.Memory = &n.memory
+	n.credits.core = newCredits(&o)
 	n.quarantine.stored = newQuarantineStore(n, n)
 	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
 	n.graceOver, n.endGrace = context.WithCancel(context.Background())
@@ -156,6 +159,11 @@
 		n.answerOrigin(ev.From, m)
 	case *peer.OriginReply:
 		n.origins.answered(m)
+	case *peer.CreditRequest:
+		n.heardOf(peer.Member{ID: ev.From, Address: m.Address, Region: n.settings.Regions[m.Domain], Domain: m.Domain})
+		n.withCredits(func(core *credit.Core) { core.ReceiveRequest(n.clock.BootNow(), ev.From, m) })
+	case *peer.CreditReply:
+		n.withCredits(func(core *credit.Core) { core.ReceiveReply(n.clock.BootNow(), ev.From, m) })
 	}
 	return true
 }
@@ -194,6 +202,7 @@
 	group.Go(func() error { return n.watchCallers(ctx) })
 	group.Go(func() error { return n.reportTraffic(ctx) })
 	group.Go(func() error { return n.syncCrashState(ctx) })
+	group.Go(func() error { return n.keepCredits(ctx) })
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	for _, p := range n.placers {
 		group.Go(func() error { return p.run(ctx) })
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -9,6 +9,7 @@
 	"mangostile/internal/core/blame"
 	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
+	"mangostile/internal/core/credit"
 	"mangostile/internal/core/homes"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
@@ -49,6 +50,8 @@
 	// HandoverInterval is the minimum time between orders of two leaseholders to one
 	// backend server.
 	HandoverInterval clock.Millis
+	// Quotas are the terms of customers' quotas.
+	Quotas credit.Terms
 	// Choose is the policy for choosing backend servers, Homes that for placing
 	// adapters.
 	Choose choose.Policy
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -27,6 +27,19 @@
 	}
 }
 
+// QuotaRefused counts a request that was refused for its customer's quota. unknown is true if it was
+// not known whether the quota is used up.
+func (m *Meter) QuotaRefused(customer string, unknown bool) {
+	if m == nil {
+		return
+	}
+	reason := "used_up"
+	if unknown {
+		reason = "unknown"
+	}
+	m.scope.Tagged(map[string]string{"customer": customer, "reason": reason}).Counter("quota_refused_total").Inc(1)
+}
+
 // GivenUp counts a request that ended without an answer from a backend server, by
 // reason.
 func (m *Meter) GivenUp(reason string) {
