--- a/internal/core/credit/credit_test.go
+++ b/internal/core/credit/credit_test.go
@@ -183,3 +183,19 @@
 		must.LessEq(t, budget, w.sent/8/len(w.vms))
 	}
 }
+
+// TestThawedEntryVMAsksAgain freezes an entry VM with credit for longer than that is valid.
+func TestThawedEntryVMAsksAgain(t *testing.T) {
+	w := newWorld(t, 12, large)
+	w.run(12*clock.Second, 0.9)
+	var frozen *testVM
+	for _, v := range w.vms {
+		if v != w.keeper() && v.core.accounts[customer].left(w.now) > 0 {
+			frozen = v
+		}
+	}
+	must.NotNil(t, frozen)
+	claim := Claim{Customer: customer, Cost: 1, Deadline: w.now + clock.Minute}
+	_, waits := frozen.core.Admit(w.now+relaxedTTL+1, &claim).(Wait)
+	must.True(t, waits)
+}
