--- a/internal/node/conns/fuzz_test.go
+++ b/internal/node/conns/fuzz_test.go
@@ -22,6 +22,12 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nConnection: close\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nno length"))
+	f.Add([]byte("HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\npart"))
+	f.Add([]byte("HTTP/1.1 099 None\r\n\r\npart"))
+	f.Add([]byte("HTTP/1.1 600 None\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 A\r\n\r\nHTTP/1.1 103 B\r\n\r\nHTTP/1.1 199 C\r\n\r\nHTTP/1.1 100 D\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;e=xxxxxxxx\r\nok\r\n0\r\nt: 1\r\n\r\n"))
 	f.Add([]byte("\x16\x03\x01"))
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(f, err)
@@ -49,6 +55,7 @@
 			must.True(t, errors.As(err, &broken) || errors.As(err, &invalid) || errors.As(err, &unsent))
 			return
 		}
+		must.Between(t, http.StatusOK, e.StatusCode, maxStatus)
 		body, err := io.ReadAll(e)
 		must.NoError(t, ctx.Err())
 		if err == nil && e.ContentLength >= 0 {
--- a/internal/node/door/door.go
+++ b/internal/node/door/door.go
@@ -22,6 +22,9 @@
 const (
 	// DefaultPatience exceeds the time that a client which sends without pauses needs for a request.
 	DefaultPatience = clock.Second
+	// PeersPatience is the least patience with other entry VMs, several periods of their reports, of which
+	// some come once a second.
+	PeersPatience = 5 * clock.Second
 	// DefaultWriteTimeout is the time for a client to read writePart bytes. Backend servers cut answers
 	// off that stay unread for some seconds.
 	DefaultWriteTimeout = 10 * clock.Second
--- a/internal/node/fleet/doors.go
+++ b/internal/node/fleet/doors.go
@@ -22,7 +22,7 @@
 	inner := limits
 	inner.Conns = share.Inner
 	peers := limits
-	peers.Conns = share.Peers
+	peers.Conns, peers.Patience = share.Peers, max(limits.Patience, door.PeersPatience)
 	for name, d := range map[string]struct {
 		door   *door.Door
 		limits door.Limits
--- a/internal/node/server/bodies.go
+++ b/internal/node/server/bodies.go
@@ -32,7 +32,7 @@
 	inner := limits
 	inner.Conns = share.Inner
 	peers := limits
-	peers.Conns = share.Peers
+	peers.Conns, peers.Patience = share.Peers, max(limits.Patience, door.PeersPatience)
 	for name, d := range map[string]struct {
 		door   *door.Door
 		limits door.Limits
@@ -46,8 +46,9 @@
 	s.memory.GiveWay = s.doors.serve.GiveWay
 }
 
-// bodyPrefetch is the part of a body, in bytes, that the HTTP server reads before it calls the handler.
-const bodyPrefetch = 8 << 10
+// bodyPrefetch is the part of a body, in bytes, that the HTTP server reads before it calls the handler; it
+// can't be 0. A body that is stated as too long is refused then.
+const bodyPrefetch = 1
 
 // noMemoryRetryAfter is the retry delay given to callers whose requests' bodies can't be held. Bodies are
 // given back as requests end.
