--- a/internal/core/homes/state.go
+++ b/internal/core/homes/state.go
@@ -11,6 +11,8 @@
 	LoadRequests, Waiting int
 	// InFlight counts copies that are loading.
 	InFlight int
+	// Queued counts the adapters whose load waits for a place, or for the limit.
+	Queued int
 	// LoadLimit is the limit of InFlight for loads that requests wait for.
 	LoadLimit float64
 	// Slowness is the factor by which loads are expected to take longer than
@@ -20,7 +22,7 @@
 
 // State returns the current state.
 func (p *Placer) State() State {
-	st := State{Servers: len(p.servers), LoadRequests: len(p.loadRequests), InFlight: p.loadsInFlight(), LoadLimit: p.maxLoadsInFlight(), Slowness: p.slowness}
+	st := State{Servers: len(p.servers), LoadRequests: len(p.loadRequests), InFlight: p.loadsInFlight(), Queued: p.queued, LoadLimit: p.maxLoadsInFlight(), Slowness: p.slowness}
 	for _, s := range p.servers {
 		if s.synced {
 			st.Synced++
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -146,7 +146,8 @@
 	}
 	p.loggedAt = now
 	st := p.placer.State()
+	p.node.meter.SetLoads(p.shard, st.InFlight, st.Queued, st.LoadLimit)
 	p.node.log.Info("placer_state", "shard", p.shard, "fence", uint64(p.lease.Fence()), "servers", st.Servers, "synced", st.Synced,
 		"ready", st.Ready, "idle", st.Idle, "loading", st.Loading, "retired", st.Retired, "unloading", st.Unloading,
-		"wants", st.LoadRequests, "waiting", st.Waiting, "loads_in_flight", st.InFlight, "load_limit", math.Round(st.LoadLimit), "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers))
+		"wants", st.LoadRequests, "waiting", st.Waiting, "queued", st.Queued, "loads_in_flight", st.InFlight, "load_limit", math.Round(st.LoadLimit), "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers))
 }
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// SetLoads sets the gauges of a shard's loads: those in flight, those that wait, and the limit of the
+// first.
+func (m *Meter) SetLoads(shard string, inFlight, queued int, limit float64) {
+	if m != nil {
+		scope := m.scope.Tagged(map[string]string{"shard": shard})
+		scope.Gauge("loads_in_flight").Update(float64(inFlight))
+		scope.Gauge("loads_queued").Update(float64(queued))
+		scope.Gauge("load_limit").Update(limit)
+	}
+}
+
 // SetConfigVersion sets the gauge of the active configuration version.
 func (m *Meter) SetConfigVersion(version int64) {
 	if m != nil {
