Use backend servers as soon as a report shows the end of a model's load

After a crash engines load their model from their own disk, in a part of the time that the configuration states for the weight store, and stood idle for the rest. A refused load of a model, as at the address of a process that is gone, no longer takes the turn of another server.

--- a/internal/core/homes/models.go
+++ b/internal/core/homes/models.go
@@ -23,6 +23,9 @@
 	return true
 }
 
+// giveBack returns a load that was not begun.
+func (b *modelBudget) giveBack(now clock.Millis) { b.nextAt = now }
+
 // modelLoadSpacing multiplies the time between two model loads, since the placers of
 // other shards load from the same weight store.
 const modelLoadSpacing = 2
@@ -31,7 +34,7 @@
 func (p *Placer) loadModels(plan *Plan) {
 	for _, id := range p.order {
 		s := p.servers[id]
-		if !s.usable(p.now) || len(s.models) > 0 || len(s.engine.Models) == 0 || !p.models.take(p.now, s.engine.LoadsPerSecond) {
+		if !s.usable(p.now) || len(s.models) > 0 || p.now < s.refusedUntil || len(s.engine.Models) == 0 || !p.models.take(p.now, s.engine.LoadsPerSecond) {
 			continue
 		}
 		model := p.scarcestModel(s.engine)
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -94,6 +94,11 @@
 		if result == Lost {
 			s.lostOrders++
 		}
+		if result == Refused && o.Adapter == "" {
+			// Another process has its address, and the list follows some time later.
+			s.refusedUntil = p.now + refusedModelDelay
+			p.models.giveBack(p.now)
+		}
 		s.synced = s.synced && result == Lost && o.Adapter != ""
 		s.nextReportAt = p.now + reportDelay
 	case NotSent:
@@ -118,7 +123,8 @@
 		if model != nil && result == Taken {
 			s.modelReadyAt = p.now + model.Load
 		}
-		s.nextReportAt = s.modelReadyAt + reportDelay
+		// The weights may be on the backend server's own disk, which shortens the load.
+		s.nextReportAt = p.now + reportDelay
 	case o.Kind == OrderLoad:
 		p.applyLoad(s, o, result)
 	case result == Done:
@@ -188,6 +194,10 @@
 		s.nextReportAt = s.orderedAt + reportDelay
 		return
 	}
+	if r.Busy && p.now < s.modelReadyAt {
+		s.nextReportAt = p.now + modelReportPeriod
+		return
+	}
 	p.sync(s, r)
 }
 
@@ -226,6 +236,8 @@
 	s.copies = copies
 	if r.Busy {
 		s.modelReadyAt = max(s.modelReadyAt, p.now+reportDelay)
+	} else {
+		s.modelReadyAt = min(s.modelReadyAt, p.now)
 	}
 }
 
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -66,6 +66,11 @@
 	reportDelay = 450 * clock.Millis(1)
 	// reportPeriod is the time between two reports of one backend server.
 	reportPeriod = 2 * clock.Second
+	// modelReportPeriod is the time between two reports of one that loads a model.
+	modelReportPeriod = 250 * clock.Millis(1)
+	// refusedModelDelay is the time after which a refused load of a model is tried again: about
+	// that in which the list follows the restart of a process.
+	refusedModelDelay = 2 * clock.Second
 	// usageTTL is how long a usage report counts.
 	usageTTL = 2 * clock.Second
 	// loadRequestTTL is how long a load request counts unless it is repeated.
@@ -150,8 +155,10 @@
 	orders int64
 	copies map[units.AdapterName]*heldCopy
 	models map[units.ModelName]bool
-	// modelReadyAt is when the load of a model ends.
+	// modelReadyAt is when the load of a model ends at the latest; a report may show its end before.
 	modelReadyAt clock.Millis
+	// refusedUntil is until when no model is loaded, after the last order to do so was refused.
+	refusedUntil clock.Millis
 	// orderPending reports that the answer to an order is awaited; orderedAt is when the last
 	// order was sent or answered.
 	orderPending bool
