Load by rank, time left and age, and tell waits by rank

Loads for requests that can't be in time any more went behind all others, so that a route with a short objective lost to one with a long one and a lower rank. Entry VMs now hear how long a load waits for a request of each rank, at the rate at which loads really begin, refuse the others at once, and spread the returns of their callers.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -266,10 +266,10 @@
 	}
 	loadWait := clock.Millis(0)
 	if placer := c.placer(shard); placer != nil {
-		loadWait = placer.loadWait
+		loadWait = placer.waitOf(r.Rank)
 	}
 	if c.now >= until || c.now+loadWait > until {
-		return c.refuse(r, "adapter can't be loaded in time", max(fullRetryDelay, loadWait))
+		return c.refuse(r, "adapter can't be loaded in time", r.returnsAfter(max(fullRetryDelay, loadWait)))
 	}
 	w := c.requestLoad(r, shard)
 	return Wait{Changed: w.changed, Until: until, Reason: "adapter is not loaded"}
@@ -392,7 +392,7 @@
 func (c *Core) send(r *Request, v *view, candidates int) Choice {
 	expected := clock.Millis(c.expected(r, v))
 	if c.now+expected >= r.Deadline {
-		return c.refuse(r, "backend servers are too busy", fullRetryDelay)
+		return c.refuse(r, "backend servers are too busy", r.returnsAfter(fullRetryDelay))
 	}
 	if r.Sends > 0 && !c.takeRetry(r) {
 		return c.refuse(r, "no retry is left in the budget", retryDelay)
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -222,8 +222,18 @@
 	sequence     uint64
 	needsFull    bool
 	lastUpdateAt clock.Millis
-	// loadWait is the time in ms that a load requested now waits before it starts.
-	loadWait clock.Millis
+	// loadWait is the time in ms that a load requested now waits before it starts, loadWaits that by
+	// priority rank.
+	loadWait  clock.Millis
+	loadWaits []clock.Millis
+}
+
+// waitOf returns the time in ms that a load requested now for a request of a rank waits.
+func (s *shard) waitOf(rank int) clock.Millis {
+	if len(s.loadWaits) == 0 {
+		return s.loadWait
+	}
+	return s.loadWaits[max(0, min(rank, len(s.loadWaits)-1))]
 }
 
 // loadKey identifies a loadRequest: by an adapter and, for streams that have begun, the version
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -345,7 +345,7 @@
 	if !m.Full && (m.Fence > s.fence || m.Sequence != s.sequence+1) {
 		s.needsFull = true
 	}
-	s.fence, s.sequence, s.lastUpdateAt, s.loadWait = m.Fence, m.Sequence, c.now, m.LoadWait
+	s.fence, s.sequence, s.lastUpdateAt, s.loadWait, s.loadWaits = m.Fence, m.Sequence, c.now, m.LoadWait, m.LoadWaits
 	if m.EntryVMs > 0 {
 		c.members = m.EntryVMs
 	}
--- a/internal/core/choose/room.go
+++ b/internal/core/choose/room.go
@@ -27,5 +27,15 @@
 // a load of its own, which would not even have begun by then in a shard with a queue of loads.
 func (c *Core) loadsSooner(r *Request, elsewhere clock.Millis, shard string) bool {
 	p := c.placer(shard)
-	return elsewhere > 0 && elsewhere <= r.waitsUntil() && p != nil && c.now+p.loadWait > elsewhere
+	return elsewhere > 0 && elsewhere <= r.waitsUntil() && p != nil && c.now+p.waitOf(r.Rank) > elsewhere
 }
+
+// returnsAfter returns the time after which the caller of r should come back when there may be room after
+// a delay. Callers that were refused together come back spread over as much time again, so that they
+// find the room that becomes free meanwhile and not each other.
+func (r *Request) returnsAfter(delay clock.Millis) clock.Millis {
+	return delay + clock.Millis(returnSpread*float64(delay)*spread(r.ID, ""))
+}
+
+// returnSpread is the share of a delay over which returning callers are spread.
+const returnSpread = 1.0
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -59,8 +59,10 @@
 	// orderPatience is how long the answer to an order is awaited before its adapter is loaded on
 	// another backend server too: a few round trips between regions.
 	orderPatience = 150 * clock.Millis(1)
-	// idleBeforeRetire is how long a copy must be unused before it may be retired.
-	idleBeforeRetire = 300 * clock.Millis(1)
+	// usualIdle is how long a copy must be unused before it may be retired, queuedIdle that while
+	// loads wait: the period of usage reports. A retired copy comes back at its next request.
+	usualIdle  = 300 * clock.Millis(1)
+	queuedIdle = 100 * clock.Millis(1)
 	// reportDelay is how long after an order a report may still show the state before it;
 	// reports lag.
 	reportDelay = 450 * clock.Millis(1)
@@ -255,8 +257,7 @@
 	includeLoads      [scopes]bool
 	cursor            [scopes]int
 	lastLoadRequestAt clock.Millis
-	// queued is the number of load requests that the last step left waiting.
-	queued int
+	queue             loadQueue
 	// models limits the rate of model loads.
 	models modelBudget
 	loadPace
@@ -298,6 +299,8 @@
 	// still meets its target.
 	loadDeadline clock.Millis
 	countByVM    map[units.EntryVMID]int32
+	// urgency is the place in the order of loads, as of the last step.
+	urgency float64
 }
 
 // New returns a placer without backend servers.
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -1,8 +1,8 @@
 package homes
 
 import (
-	"math"
-	"sort"
+	"cmp"
+	"slices"
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
@@ -98,15 +98,13 @@
 	plan.Orders = append(plan.Orders, o)
 }
 
-// serveLoadRequests loads the adapters for which requests wait, those first whose load
-// deadline can still be met. With the oldest first, all would be late once more adapters
-// are requested than can be loaded.
+// serveLoadRequests loads the adapters for which requests wait, the most urgent first.
 func (p *Placer) serveLoadRequests(plan *Plan) {
 	inFlight := p.loadsInFlight()
-	p.queued = 0
+	p.queue.begin(p.now)
 	full := false
 	for _, w := range p.sortedLoadRequests() {
-		if w.Count == 0 && p.demand.get(p.now, w.Adapter) < minDemandToLoad {
+		if w.Count == 0 && (p.queue.len() > 0 || p.demand.get(p.now, w.Adapter) < minDemandToLoad) {
 			continue
 		}
 		key := loadKey{w.Adapter, w.Software}
@@ -115,19 +113,25 @@
 		}
 		if full = full || float64(inFlight) >= p.maxLoadsInFlight(); full {
 			p.loadLimit.bound(p.now)
-			p.queued++
+			p.queue.add(w)
 			continue
 		}
-		if p.place(plan, key, nil, "wanted") {
-			inFlight = p.loadsInFlight()
+		orders := len(plan.Orders)
+		if !p.place(plan, key, nil, "wanted") {
+			p.queue.add(w)
+			continue
+		}
+		inFlight = p.loadsInFlight()
+		if plan.Orders[orders].Kind == OrderLoad {
+			p.queue.served(p.now)
 		} else {
-			p.queued++
+			p.queue.add(w)
 		}
 	}
 }
 
-// sortedLoadRequests sums up the counts of the load requests and sorts them: those whose
-// load deadline can still be met first, then by urgency, longer wait and name.
+// sortedLoadRequests sums up the counts of the load requests and sorts them by urgency, then by
+// longer wait and name.
 func (p *Placer) sortedLoadRequests() []*loadRequest {
 	list := make([]*loadRequest, 0, len(p.loadRequests))
 	for _, w := range p.loadRequests {
@@ -135,45 +139,17 @@
 		for _, n := range w.countByVM {
 			w.Count += n
 		}
+		w.urgency = p.urgency(w)
 		list = append(list, w)
 	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if aInTime, bInTime := p.inTime(a), p.inTime(b); aInTime != bInTime {
-			return aInTime
-		}
-		if aNeed, bNeed := p.urgency(a), p.urgency(b); aNeed != bNeed {
-			return aNeed > bNeed
-		}
-		if a.since != b.since {
-			return a.since < b.since
-		}
-		if a.Adapter != b.Adapter {
-			return a.Adapter < b.Adapter
-		}
-		return a.Software < b.Software
+	slices.SortFunc(list, func(a, b *loadRequest) int {
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.since, b.since), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software))
 	})
 	return list
 }
 
-// urgency returns how urgent a load is: the number of requests that wait for it, halved with each step
-// of rank and doubled, tripled and so on with the time for which the oldest has waited. So many callers
-// of little rank go before a single urgent one, and neither a low rank nor a rare adapter starves.
-func (p *Placer) urgency(w *loadRequest) float64 {
-	rank := max(0, min(int(w.Rank), maxUrgencyRank))
-	return math.Ldexp(float64(w.Count), -rank) * (1 + float64(max(0, p.now-w.since))/float64(agingTime))
-}
-
-const (
-	// agingTime is the wait that makes a load as urgent as twice the number of requests: about the time
-	// of a load, so that an adapter that was passed over for two loads goes before new ones.
-	agingTime = 300 * clock.Millis(1)
-	// maxUrgencyRank bounds the rank in urgency.
-	maxUrgencyRank = 9
-)
-
 // minDemandToLoad is the demand from which an adapter that another region serves is
-// also loaded in the own one.
+// also loaded in the own one, unless requests wait for loads.
 const minDemandToLoad = 3
 
 // inTime reports whether a load that starts now ends before w's load deadline.
--- /dev/null
+++ b/internal/core/homes/queue.go
@@ -0,0 +1,106 @@
+package homes
+
+import (
+	"math"
+
+	"mangostile/internal/base/clock"
+)
+
+// loadQueue holds the load requests that the last step left waiting, and how many loads begin for such
+// requests in a second. The zero value is empty.
+type loadQueue struct {
+	// waiting holds the urgencies in descending order.
+	waiting []float64
+	// begun counts the loads begun, decaying with rateTime, as of countedAt.
+	begun     float64
+	countedAt clock.Millis
+}
+
+const (
+	// rateTime is the time over which the rate of loads is averaged: several times that of a load.
+	rateTime = clock.Second
+	// rankWeight is by how much each step of rank lowers the urgency of a load.
+	rankWeight = 4
+	// agingTime is the wait that doubles the urgency of a load. Twice that makes up for one step of
+	// rank and some more requests, four times that for two steps.
+	agingTime = clock.Second
+	// lateWeight lowers the urgency of a load for requests that will be late in any case: they lose
+	// less by a further wait than those that can still be in time.
+	lateWeight = 0.3
+	// maxUrgencyRank bounds the rank in urgency; waits are published for the ranks up to it.
+	maxUrgencyRank = 3
+)
+
+// urgency returns how urgent a load is: by the number of requests that wait for it, their most urgent
+// rank, whether they can still be in time, and, so that neither a low rank nor a rare adapter starves,
+// the square of the time for which the oldest has waited.
+func (p *Placer) urgency(w *loadRequest) float64 {
+	waited := float64(max(0, p.now-w.since)) / float64(agingTime)
+	timely := 1.0
+	if !p.inTime(w) {
+		timely = lateWeight
+	}
+	return float64(w.Count) * weightOf(int(w.Rank)) * (timely + waited*waited)
+}
+
+func weightOf(rank int) float64 {
+	return math.Pow(rankWeight, -float64(max(0, min(rank, maxUrgencyRank))))
+}
+
+// begin begins a step.
+func (q *loadQueue) begin(now clock.Millis) {
+	q.waiting = q.waiting[:0]
+	q.decay(now)
+}
+
+func (q *loadQueue) decay(now clock.Millis) {
+	q.begun *= math.Exp(-float64(now-q.countedAt) / float64(rateTime))
+	q.countedAt = now
+}
+
+// add records that w waits on. Load requests are added in descending order of urgency.
+func (q *loadQueue) add(w *loadRequest) {
+	if w.Count > 0 {
+		q.waiting = append(q.waiting, w.urgency)
+	}
+}
+
+// served records that a load began.
+func (q *loadQueue) served(now clock.Millis) {
+	q.decay(now)
+	q.begun++
+}
+
+func (q *loadQueue) len() int { return len(q.waiting) }
+
+// loadWait estimates how long a load that is requested now for one request of a rank waits before it
+// begins: behind those of the queue that are at least as urgent, at the rate at which loads begin.
+func (p *Placer) loadWait(rank int) clock.Millis {
+	ahead := 0
+	for ahead < len(p.queue.waiting) && p.queue.waiting[ahead] >= weightOf(rank) {
+		ahead++
+	}
+	if ahead == 0 {
+		return 0
+	}
+	// Loads that have just begun to queue don't show their rate yet.
+	slowest := p.maxLoadsInFlight() / slowestRate / float64(p.loadTimeNow())
+	rate := max(p.queue.begun/float64(rateTime), slowest)
+	return clock.Millis(float64(ahead) / rate)
+}
+
+// slowestRate is by how much the rate of loads may be below that of the limit of loads in flight, such
+// as when no places are free.
+const slowestRate = 8
+
+// loadWaits returns the waits by rank, nil if they are all 0.
+func (p *Placer) loadWaits() []clock.Millis {
+	if p.queue.len() == 0 {
+		return nil
+	}
+	waits := make([]clock.Millis, maxUrgencyRank+1)
+	for rank := range waits {
+		waits[rank] = p.loadWait(rank)
+	}
+	return waits
+}
--- a/internal/core/homes/retire.go
+++ b/internal/core/homes/retire.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
 
@@ -31,8 +32,16 @@
 	queuedSlots   = 2
 )
 
+// idleBeforeRetire returns how long a copy must be unused before it may be retired.
+func (p *Placer) idleBeforeRetire() clock.Millis {
+	if p.queue.len() > 0 {
+		return queuedIdle
+	}
+	return usualIdle
+}
+
 func (p *Placer) reserved() int {
-	if p.queued > 0 {
+	if p.queue.len() > 0 {
 		return queuedSlots
 	}
 	return reservedSlots
@@ -55,7 +64,7 @@
 	leastDemand := 0.0
 	for _, name := range sortedCopies(s) {
 		c := s.copies[name]
-		if c.state != copyReady || c.active > 0 || p.now < c.usedAt+idleBeforeRetire {
+		if c.state != copyReady || c.active > 0 || p.now < c.usedAt+p.idleBeforeRetire() {
 			continue
 		}
 		demand := p.demandPerCopy(name)
--- a/internal/core/homes/state.go
+++ b/internal/core/homes/state.go
@@ -22,7 +22,7 @@
 
 // State returns the current state.
 func (p *Placer) State() State {
-	st := State{Servers: len(p.servers), LoadRequests: len(p.loadRequests), InFlight: p.loadsInFlight(), Queued: p.queued, LoadLimit: p.maxLoadsInFlight(), Slowness: p.slowness}
+	st := State{Servers: len(p.servers), LoadRequests: len(p.loadRequests), InFlight: p.loadsInFlight(), Queued: p.queue.len(), LoadLimit: p.maxLoadsInFlight(), Slowness: p.slowness}
 	for _, s := range p.servers {
 		if s.synced {
 			st.Synced++
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -73,7 +73,7 @@
 func (p *Placer) newUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
 	p.now = max(p.now, now)
 	p.aggregateUsage()
-	return &peer.PlacementUpdate{Shard: shard, Fence: fence, Sequence: p.sequence[scope], LoadWait: p.loadWait(), EntryVMs: int32(len(p.usage))}
+	return &peer.PlacementUpdate{Shard: shard, Fence: fence, Sequence: p.sequence[scope], LoadWait: p.loadWait(0), LoadWaits: p.loadWaits(), EntryVMs: int32(len(p.usage))}
 }
 
 // Republish makes the next updates for a scope list all backend servers.
@@ -137,8 +137,3 @@
 		s.hidden[scope] = false
 	}
 }
-
-// loadWait estimates the queueing time in ms of a load that is requested now.
-func (p *Placer) loadWait() clock.Millis {
-	return clock.Millis(float64(p.queued) / p.maxLoadsInFlight() * float64(p.loadTimeNow()))
-}
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -112,8 +112,10 @@
 	Sequence uint64            `msgpack:"n"`
 	Full     bool              `msgpack:"a,omitempty"`
 	Servers  []ServerPlacement `msgpack:"v,omitempty"`
-	// LoadWait is the time in ms that a load requested now waits before it starts.
-	LoadWait clock.Millis `msgpack:"w,omitempty"`
+	// LoadWait is the time in ms that a load requested now waits before it starts. LoadWaits holds it
+	// by priority rank, where the last one is also that of higher ranks; it is empty if none waits.
+	LoadWait  clock.Millis   `msgpack:"w,omitempty"`
+	LoadWaits []clock.Millis `msgpack:"q,omitempty"`
 	// EntryVMs is the number of entry VMs that report to the placer.
 	EntryVMs int32 `msgpack:"e,omitempty"`
 	// LeaseNext is the offset up to which the placer has read the shard's lease stream;
