--- a/internal/core/homes/load_pace.go
+++ b/internal/core/homes/load_pace.go
@@ -9,8 +9,6 @@
 type loadPace struct {
 	// slowness is the factor by which loads take longer than Policy.AdapterLoad, at least 1.
 	slowness float64
-	// usual is the slowness while the weight store has capacity to spare, 0 before the first load.
-	usual float64
 }
 
 const (
@@ -23,13 +21,11 @@
 	// initialSlowness is the slowness before anything is learned. A load that is expected too early
 	// costs all that wait for it a send for nothing, one expected too late some milliseconds.
 	initialSlowness = 1.2
-	// congestedFactor is how far slowness exceeds the usual one once the weight store carries more
-	// loads than at full speed. Below it slowness is that of the backend servers and of the way to
-	// them. congestedRecovery replaces recoveryFactor above it: a congestion ends at once.
-	congestedFactor   = 1.15
+	// congestedSlowness is the slowness from which on the weight store carries more loads than at full
+	// speed. Below it slowness is that of the backend servers and of the way to them.
+	congestedSlowness = 1.15 * initialSlowness
+	// congestedRecovery replaces recoveryFactor above it: a congestion ends at once.
 	congestedRecovery = 0.97
-	// usualDrift is by how much of the difference usual follows a higher slowness with each load.
-	usualDrift = 0.02
 )
 
 // late records that a request found a load not over some time after its order was answered, and
@@ -40,30 +36,19 @@
 		return false
 	}
 	l.slowness = min(maxSlowness, l.slowness*slowdownFactor)
-	return l.congested()
+	return l.slowness > congestedSlowness
 }
 
-// finished records that a load ended in its expected time. bound says that more loads were asked for
-// than are in flight, which may congest the weight store: usual does not follow them.
-func (l *loadPace) finished(bound bool) {
+// finished records that a load ended in its expected time.
+func (l *loadPace) finished() {
 	recovery := recoveryFactor
-	if l.congested() {
+	if l.slowness > congestedSlowness {
 		recovery = congestedRecovery
 	}
 	l.slowness = max(1, l.slowness*recovery)
-	switch {
-	case l.usual == 0 || l.slowness < l.usual:
-		l.usual = l.slowness
-	case !bound:
-		l.usual += (l.slowness - l.usual) * usualDrift
-	}
-}
-
-func (l *loadPace) congested() bool {
-	return l.slowness > congestedFactor*max(initialSlowness, l.usual)
 }
 
-// expected returns the time of a load from the weight store whose usual time is given.
+// expected returns the time of a load from the weight store whose set time is given.
 func (l *loadPace) expected(load clock.Millis) clock.Millis {
 	return clock.Millis(float64(load) * l.slowness)
 }
--- a/internal/core/homes/load_pace_test.go
+++ b/internal/core/homes/load_pace_test.go
@@ -27,7 +27,7 @@
 				} else if load >= 200 && expected > took*11/10 && expected > defaultAdapterLoad {
 					early++
 				}
-				pace.finished(true)
+				pace.finished()
 				must.False(t, congested, must.Sprint("load", load))
 			}
 			must.LessEq(t, 2000/10, late)
@@ -57,7 +57,7 @@
 					congestions++
 				}
 			}
-			pace.finished(true)
+			pace.finished()
 		}
 		return congestions
 	}
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -49,7 +49,7 @@
 		for _, c := range s.copies {
 			if c.state == copyLoading && !c.unconfirmed && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
-				p.finished(p.loadLimit.binds(p.now))
+				p.finished()
 				p.loadLimit.finished(p.now)
 			}
 		}
@@ -118,6 +118,7 @@
 		}
 		orders := len(plan.Orders)
 		if !p.place(plan, key, nil, "wanted") {
+			p.queue.noPlace = true
 			p.queue.add(w)
 			continue
 		}
--- a/internal/core/homes/queue.go
+++ b/internal/core/homes/queue.go
@@ -11,6 +11,8 @@
 type loadQueue struct {
 	// waiting holds the urgencies in descending order.
 	waiting []float64
+	// noPlace reports that one of them waits since no backend server has a place for its adapter.
+	noPlace bool
 	// begun counts the loads begun, decaying with rateTime, as of countedAt.
 	begun     float64
 	countedAt clock.Millis
@@ -49,7 +51,7 @@
 
 // begin begins a step.
 func (q *loadQueue) begin(now clock.Millis) {
-	q.waiting = q.waiting[:0]
+	q.waiting, q.noPlace = q.waiting[:0], false
 	q.decay(now)
 }
 
--- a/internal/core/homes/retire.go
+++ b/internal/core/homes/retire.go
@@ -25,7 +25,7 @@
 }
 
 // reservedSlots is the number of adapter slots on a backend server that are kept free or
-// retired, queuedSlots that while loads are queued. A copy can't be unloaded until unloadDelay after
+// retired, queuedSlots that while loads wait for places. A copy can't be unloaded until unloadDelay after
 // its retirement, and servers with idle copies are few when most have none.
 const (
 	reservedSlots = 1
@@ -34,14 +34,14 @@
 
 // idleBeforeRetire returns how long a copy must be unused before it may be retired.
 func (p *Placer) idleBeforeRetire() clock.Millis {
-	if p.queue.len() > 0 {
+	if p.queue.noPlace {
 		return queuedIdle
 	}
 	return usualIdle
 }
 
 func (p *Placer) reserved() int {
-	if p.queue.len() > 0 {
+	if p.queue.noPlace {
 		return queuedSlots
 	}
 	return reservedSlots
