--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -30,13 +30,14 @@
 // Limits of additional copies.
 const (
 	// overloadedPrefill is the least number of waiting prompt tokens of an overloaded backend server,
-	// idlePrefill the largest of one with spare capacity. An engine reads the first in about half of
-	// the time in which callers expect the first event.
-	overloadedPrefill = 16000
+	// idlePrefill the largest of one with spare capacity. An engine reads the first in about two
+	// thirds of the time in which callers expect the first event.
+	overloadedPrefill = 24000
 	idlePrefill       = 5000
 	// promptsPerCopy is the number of prompt tokens that may wait for each copy of an adapter in a
-	// crowd: a third of a second of an engine's reading.
-	promptsPerCopy = 10000
+	// crowd: beyond it each copy would be overloaded. A copy takes a place and a load from an adapter
+	// that has none.
+	promptsPerCopy = overloadedPrefill
 	// minRequestsToCopy is the least number of requests of an adapter for another copy to be loaded.
 	minRequestsToCopy = 4
 	// copyShare is the share of the loads in flight that copies may take while requests wait for
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -59,10 +59,8 @@
 	// orderPatience is how long the answer to an order is awaited before its adapter is loaded on
 	// another backend server too: a few round trips between regions.
 	orderPatience = 150 * clock.Millis(1)
-	// usualIdle is how long a copy must be unused before it may be retired, queuedIdle that while
-	// loads wait for places: the period of usage reports. A retired copy comes back at its next request.
-	usualIdle  = 300 * clock.Millis(1)
-	queuedIdle = 100 * clock.Millis(1)
+	// idleBeforeRetire is how long a copy must be unused before it may be retired.
+	idleBeforeRetire = 300 * clock.Millis(1)
 	// reportDelay is how long after an order a report may still show the state before it;
 	// reports lag.
 	reportDelay = 450 * clock.Millis(1)
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -118,7 +118,6 @@
 		}
 		orders := len(plan.Orders)
 		if !p.place(plan, key, nil, "wanted") {
-			p.queue.noPlace = true
 			p.queue.add(w)
 			continue
 		}
--- a/internal/core/homes/queue.go
+++ b/internal/core/homes/queue.go
@@ -11,8 +11,6 @@
 type loadQueue struct {
 	// waiting holds the urgencies in descending order.
 	waiting []float64
-	// noPlace reports that one of them waits since no backend server has a place for its adapter.
-	noPlace bool
 	// begun counts the loads begun, decaying with rateTime, as of countedAt.
 	begun     float64
 	countedAt clock.Millis
@@ -51,7 +49,7 @@
 
 // begin begins a step.
 func (q *loadQueue) begin(now clock.Millis) {
-	q.waiting, q.noPlace = q.waiting[:0], false
+	q.waiting = q.waiting[:0]
 	q.decay(now)
 }
 
--- a/internal/core/homes/retire.go
+++ b/internal/core/homes/retire.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 
-	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 )
 
@@ -15,37 +14,18 @@
 	}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if !s.synced || len(s.copies)+p.reserved() <= s.engine.AdapterSlots {
+		if !s.synced || len(s.copies)+reservedSlots <= s.engine.AdapterSlots {
 			continue
 		}
-		if countRetired(s) < p.reserved() {
+		if countRetired(s) < reservedSlots {
 			p.retireLeastUsed(s)
 		}
 	}
 }
 
 // reservedSlots is the number of adapter slots on a backend server that are kept free or
-// retired, queuedSlots that while loads wait for places. A copy can't be unloaded until unloadDelay after
-// its retirement, and servers with idle copies are few when most have none.
-const (
-	reservedSlots = 1
-	queuedSlots   = 2
-)
-
-// idleBeforeRetire returns how long a copy must be unused before it may be retired.
-func (p *Placer) idleBeforeRetire() clock.Millis {
-	if p.queue.noPlace {
-		return queuedIdle
-	}
-	return usualIdle
-}
-
-func (p *Placer) reserved() int {
-	if p.queue.noPlace {
-		return queuedSlots
-	}
-	return reservedSlots
-}
+// retired.
+const reservedSlots = 1
 
 // countRetired returns the number of retired and unloading copies on s.
 func countRetired(s *server) int {
@@ -64,7 +44,7 @@
 	leastDemand := 0.0
 	for _, name := range sortedCopies(s) {
 		c := s.copies[name]
-		if c.state != copyReady || c.active > 0 || p.now < c.usedAt+p.idleBeforeRetire() {
+		if c.state != copyReady || c.active > 0 || p.now < c.usedAt+idleBeforeRetire {
 			continue
 		}
 		demand := p.demandPerCopy(name)
