--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -22,22 +22,23 @@
 // perCopy returns the prompt tokens that wait for each copy.
 func (w *crowd) perCopy() units.Tokens { return w.waiting / units.Tokens(max(1, w.copies)) }
 
-// wanted returns how many copies the waiting requests could use: each copy is to read its part within
-// a part of the time in which callers expect the first event. Copies that load already count, since
-// the prompts that wait now stay where they are and say nothing of those.
-func (w *crowd) wanted() int { return int(math.Ceil(float64(w.waiting) / promptsPerCopy)) }
+// wanted returns how many copies the waiting requests could use if each has a number of waiting prompt
+// tokens. Copies that load already count, since the prompts that wait now stay where they are and say
+// nothing of those.
+func (w *crowd) wanted(perCopy units.Tokens) int {
+	return int(math.Ceil(float64(w.waiting) / float64(perCopy)))
+}
 
 // Limits of additional copies.
 const (
 	// overloadedPrefill is the least number of waiting prompt tokens of an overloaded backend server,
-	// idlePrefill the largest of one with spare capacity. An engine reads the first in about two
-	// thirds of the time in which callers expect the first event.
-	overloadedPrefill = 24000
+	// idlePrefill the largest of one with spare capacity. An engine reads the first in about a third of
+	// the time in which callers expect the first event.
+	overloadedPrefill = 12000
 	idlePrefill       = 5000
-	// promptsPerCopy is the number of prompt tokens that may wait for each copy of an adapter in a
-	// crowd: beyond it each copy would be overloaded. A copy takes a place and a load from an adapter
-	// that has none.
-	promptsPerCopy = overloadedPrefill
+	// queuedOverload is how much more tokens wait at an overloaded backend server while requests wait
+	// for loads: a copy then takes a load, and often a place, from an adapter that has none.
+	queuedOverload = 2
 	// minRequestsToCopy is the least number of requests of an adapter for another copy to be loaded.
 	minRequestsToCopy = 4
 	// copyShare is the share of the loads in flight that copies may take while requests wait for
@@ -45,6 +46,14 @@
 	copyShare = 0.5
 )
 
+// overload returns the number of waiting prompt tokens from which on a backend server is overloaded.
+func (p *Placer) overload() units.Tokens {
+	if p.queue.len() > 0 {
+		return queuedOverload * overloadedPrefill
+	}
+	return overloadedPrefill
+}
+
 // addCopies loads further copies of the adapters in crowds, the largest crowd first, as long as some
 // backend server has spare capacity.
 func (p *Placer) addCopies(plan *Plan) {
@@ -58,7 +67,7 @@
 	}
 	for i := range crowds {
 		w := &crowds[i]
-		for w.copies < w.wanted() {
+		for w.copies < w.wanted(p.overload()) {
 			if p.reviveCopy(w.adapter) {
 				w.copies++
 				continue
@@ -79,7 +88,7 @@
 	found := map[units.AdapterName]*crowd{}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if s.down || s.prefill < overloadedPrefill || !s.synced {
+		if s.down || s.prefill < p.overload() || !s.synced {
 			continue
 		}
 		for adapter, c := range s.copies {
@@ -98,7 +107,7 @@
 	}
 	list := make([]crowd, 0, len(found))
 	for _, w := range found {
-		if w.requests >= minRequestsToCopy && w.overloaded == w.copies && w.copies < w.wanted() {
+		if w.requests >= minRequestsToCopy && w.overloaded == w.copies && w.copies < w.wanted(p.overload()) {
 			list = append(list, *w)
 		}
 	}
@@ -117,7 +126,7 @@
 			continue
 		}
 		w.copies++
-		if c.state == copyLoading || s.prefill >= overloadedPrefill/2 {
+		if c.state == copyLoading || s.prefill >= p.overload()/2 {
 			w.overloaded++
 		}
 		w.requests += c.active
--- a/internal/core/homes/copies_test.go
+++ b/internal/core/homes/copies_test.go
@@ -52,7 +52,7 @@
 			wanted = append(wanted, fmt.Sprint("rare", rare))
 			rare++
 		}
-		f.crowdAt(now, holder, "hot", 12, 6*promptsPerCopy, wanted...)
+		f.crowdAt(now, holder, "hot", 12, 6*queuedOverload*overloadedPrefill, wanted...)
 		f.run(now, now+40)
 	}
 	must.Eq(t, 6, f.copiesOf("hot"))
