--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -36,8 +36,8 @@
 	// the time in which callers expect the first event.
 	overloadedPrefill = 12000
 	idlePrefill       = 5000
-	// queuedOverload is how much more tokens wait at an overloaded backend server while requests wait
-	// for loads: a copy then takes a load, and often a place, from an adapter that has none.
+	// queuedOverload is how many times as many tokens wait at an overloaded backend server while the
+	// weight store carries no more loads: a copy then delays those of adapters that have none.
 	queuedOverload = 2
 	// minRequestsToCopy is the least number of requests of an adapter for another copy to be loaded.
 	minRequestsToCopy = 4
@@ -48,7 +48,7 @@
 
 // overload returns the number of waiting prompt tokens from which on a backend server is overloaded.
 func (p *Placer) overload() units.Tokens {
-	if p.queue.len() > 0 {
+	if p.loadLimit.binds(p.now) {
 		return queuedOverload * overloadedPrefill
 	}
 	return overloadedPrefill
