Rank loads by customer, then route, and by the time left

Customers whose rank goes before that of the route had all their requests in one rank, so that those with a short objective and deadline lost to the others.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -266,7 +266,7 @@
 	}
 	loadWait := clock.Millis(0)
 	if placer := c.placer(shard); placer != nil {
-		loadWait = placer.waitOf(r.Rank)
+		loadWait = placer.waitOf(r)
 	}
 	if c.now >= until || c.now+loadWait > until {
 		return c.refuse(r, "adapter can't be loaded in time", r.returnsAfter(max(fullRetryDelay, loadWait)))
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -223,19 +223,22 @@
 	needsFull    bool
 	lastUpdateAt clock.Millis
 	// loadWait is the time in ms that a load requested now waits before it starts, loadWaits that by
-	// priority rank.
+	// peer.LoadRank.
 	loadWait  clock.Millis
 	loadWaits []clock.Millis
 }
 
-// waitOf returns the time in ms that a load requested now for a request of a rank waits.
-func (s *shard) waitOf(rank int) clock.Millis {
+// waitOf returns the time in ms that a load requested now for r waits.
+func (s *shard) waitOf(r *Request) clock.Millis {
 	if len(s.loadWaits) == 0 {
 		return s.loadWait
 	}
-	return s.loadWaits[max(0, min(rank, len(s.loadWaits)-1))]
+	return s.loadWaits[min(int(r.loadRank()), len(s.loadWaits)-1)]
 }
 
+// loadRank returns the rank of a load for r.
+func (r *Request) loadRank() int8 { return peer.LoadRank(r.Rank, r.Route.Rank) }
+
 // loadKey identifies a loadRequest: by an adapter and, for streams that have begun, the version
 // at which they can go on.
 type loadKey struct {
@@ -257,7 +260,7 @@
 	// count is the number of requests that wait now, arrived that of requests not yet in a
 	// usage report.
 	count, arrived int32
-	// rank is the lowest priority rank, so the most urgent one, of the requests so far.
+	// rank is the lowest rank, so the most urgent one, of a load for the requests so far.
 	rank int8
 	// since is when the first request began to wait.
 	since clock.Millis
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -190,7 +190,7 @@
 func (c *Core) requestLoad(r *Request, shard string) *loadRequest {
 	w := c.loadRequests[r.loadKey()]
 	if w == nil {
-		w = &loadRequest{shard: shard, since: c.now, changed: make(chan struct{}), rank: int8(r.Rank)}
+		w = &loadRequest{shard: shard, since: c.now, changed: make(chan struct{}), rank: r.loadRank()}
 		c.loadRequests[r.loadKey()] = w
 	}
 	if w.shard != shard {
@@ -201,7 +201,7 @@
 		r.waiting = true
 		w.count++
 		w.arrived++
-		w.rank = min(w.rank, int8(r.Rank))
+		w.rank = min(w.rank, r.loadRank())
 		prefill := clock.Millis(float64(r.PromptTokens) / c.cfg.Policy.PrefillPerMS)
 		w.loadDeadline = max(w.loadDeadline, max(r.Arrived, r.BrokeAt)+r.Route.Target-prefill)
 	}
--- a/internal/core/choose/room.go
+++ b/internal/core/choose/room.go
@@ -27,7 +27,7 @@
 // a load of its own, which would not even have begun by then in a shard with a queue of loads.
 func (c *Core) loadsSooner(r *Request, elsewhere clock.Millis, shard string) bool {
 	p := c.placer(shard)
-	return elsewhere > 0 && elsewhere <= r.waitsUntil() && p != nil && c.now+p.waitOf(r.Rank) > elsewhere
+	return elsewhere > 0 && elsewhere <= r.waitsUntil() && p != nil && c.now+p.waitOf(r) > elsewhere
 }
 
 // returnsAfter returns the time after which the caller of r should come back when there may be room after
--- a/internal/core/choose/room_test.go
+++ b/internal/core/choose/room_test.go
@@ -54,7 +54,7 @@
 func TestQueueOfLoadsRefusesByRank(t *testing.T) {
 	for rank, waits := range []bool{true, false, false, false} {
 		c := newTestCore()
-		c.ApplyUpdate(1000, &peer.PlacementUpdate{Shard: "near", Fence: 1, Sequence: 1, LoadWait: 100, LoadWaits: []clock.Millis{100, 5000}})
+		c.ApplyUpdate(1000, &peer.PlacementUpdate{Shard: "near", Fence: 1, Sequence: 1, LoadWait: 100, LoadWaits: []clock.Millis{100, 100, 100, 5000}})
 		r := testRequest("r", "m/rare", 1000)
 		r.Rank = rank
 		_, ok := c.Choose(1000, r).(Wait)
--- a/internal/core/homes/queue.go
+++ b/internal/core/homes/queue.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/core/peer"
 )
 
 // loadQueue holds the load requests that the last step left waiting, and how many loads begin for such
@@ -19,32 +20,33 @@
 const (
 	// rateTime is the time over which the rate of loads is averaged: several times that of a load.
 	rateTime = clock.Second
-	// rankWeight is by how much each step of rank lowers the urgency of a load.
-	rankWeight = 4
-	// agingTime is the wait that doubles the urgency of a load. Twice that makes up for one step of
-	// rank and some more requests, four times that for two steps.
+	// rankWeight is by how much each priority rank lowers the urgency of a load.
+	rankWeight = 3
+	// agingTime is the wait that doubles the urgency of a load. One and a half times that makes up
+	// for one rank, three times that for two.
 	agingTime = clock.Second
 	// lateWeight lowers the urgency of a load for requests that will be late in any case: they lose
 	// less by a further wait than those that can still be in time.
 	lateWeight = 0.3
-	// maxUrgencyRank bounds the rank in urgency; waits are published for the ranks up to it.
-	maxUrgencyRank = 3
+	// minTimeLeft bounds the urgency of loads that are late soon.
+	minTimeLeft = 500 * clock.Millis(1)
 )
 
 // urgency returns how urgent a load is: by the number of requests that wait for it, their most urgent
-// rank, whether they can still be in time, and, so that neither a low rank nor a rare adapter starves,
-// the square of the time for which the oldest has waited.
+// rank, the time left until it is late for them and, so that neither a low rank nor a rare adapter
+// starves, the square of the time for which the oldest has waited.
 func (p *Placer) urgency(w *loadRequest) float64 {
 	waited := float64(max(0, p.now-w.since)) / float64(agingTime)
-	timely := 1.0
-	if !p.inTime(w) {
-		timely = lateWeight
+	timely := lateWeight
+	if p.inTime(w) {
+		left := max(minTimeLeft, w.loadDeadline-p.now-p.loadTimeNow())
+		timely = max(lateWeight, float64(agingTime)/float64(left))
 	}
 	return float64(w.Count) * weightOf(int(w.Rank)) * (timely + waited*waited)
 }
 
 func weightOf(rank int) float64 {
-	return math.Pow(rankWeight, -float64(max(0, min(rank, maxUrgencyRank))))
+	return math.Pow(rankWeight, -float64(max(0, min(rank, peer.MaxLoadRank)))/peer.RankSteps)
 }
 
 // begin begins a step.
@@ -98,7 +100,7 @@
 	if p.queue.len() == 0 {
 		return nil
 	}
-	waits := make([]clock.Millis, maxUrgencyRank+1)
+	waits := make([]clock.Millis, peer.MaxLoadRank+1)
 	for rank := range waits {
 		waits[rank] = p.loadWait(rank)
 	}
--- a/internal/core/homes/queue_test.go
+++ b/internal/core/homes/queue_test.go
@@ -16,7 +16,7 @@
 	u := &peer.UsageReport{Shard: "r", Address: "a"}
 	for i := range count {
 		u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{
-			Adapter: adapterName(fmt.Sprintf("rank%d-%d", rank, i)), Count: 1, Arrived: 1, Rank: rank, Waited: waited, LoadDeadline: 900 - waited,
+			Adapter: adapterName(fmt.Sprintf("rank%d-%d", rank, i)), Count: 1, Arrived: 1, Rank: peer.LoadRank(int(rank), 0), Waited: waited, LoadDeadline: 900 - waited,
 		})
 	}
 	f.HandleUsage(now, units.EntryVMID(fmt.Sprint("vm-", rank)), u)
@@ -32,6 +32,15 @@
 	must.SliceContainsAll(t, f.loaded()[:3], []string{"rank0-0", "rank0-1", "rank0-2"})
 }
 
+// TestShortObjectivesGoFirst plays a crowd of one rank of which some must be answered sooner.
+func TestShortObjectivesGoFirst(t *testing.T) {
+	f := newTestPlacer(8, "s1", "s2", "s3", "s4")
+	f.requestLoads(1200, 1900, "a1", "a2", "a3", "a4", "a5", "a6")
+	f.requestLoads(1200, 700, "soon1", "soon2")
+	f.run(1200, 1210)
+	must.SliceContainsAll(t, f.loaded()[:2], []string{"soon1", "soon2"})
+}
+
 // TestLowRankDoesNotStarve plays urgent requests for ever new adapters that take all loads: one of
 // little rank is loaded after a wait of a few seconds nonetheless.
 func TestLowRankDoesNotStarve(t *testing.T) {
@@ -65,8 +74,8 @@
 	f.Step(1210, true)
 	m := f.Update(1210, SameRegion, "r", 1, 10)
 	must.Positive(t, m.LoadWaits[0])
-	must.Eq(t, m.LoadWaits[0], m.LoadWaits[1])
-	must.GreaterEq(t, 5*m.LoadWaits[1], m.LoadWaits[2])
+	must.Eq(t, m.LoadWaits[0], m.LoadWaits[1*peer.RankSteps])
+	must.GreaterEq(t, 5*m.LoadWaits[0], m.LoadWaits[2*peer.RankSteps])
 	must.Eq(t, m.LoadWaits[0], m.LoadWait)
 	f.loadRequests = map[loadKey]*loadRequest{}
 	f.Step(1220, true)
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -86,7 +86,7 @@
 	Count int32 `msgpack:"c"`
 	// Arrived counts requests for it since the last report.
 	Arrived int32 `msgpack:"r,omitempty"`
-	// Rank is the priority rank of the most urgent of them; 0 is the most urgent rank.
+	// Rank is that of the most urgent of them, as LoadRank returns it.
 	Rank int8 `msgpack:"k,omitempty"`
 	// Waited is the time in ms for which the oldest request has waited.
 	Waited clock.Millis `msgpack:"t,omitempty"`
@@ -96,6 +96,20 @@
 	LoadDeadline clock.Millis `msgpack:"i,omitempty"`
 }
 
+// Ranks of loads.
+const (
+	// RankSteps is the number of ranks of loads for each priority rank of requests.
+	RankSteps = 3
+	// MaxLoadRank is the least urgent rank of a load.
+	MaxLoadRank = 4*RankSteps - 1
+)
+
+// LoadRank returns the rank of a load for a request whose customer and route have priority ranks, 0 for
+// the most urgent: that of the customer goes before that of the route.
+func LoadRank(rank, routeRank int) int8 {
+	return int8(min(MaxLoadRank, RankSteps*max(0, min(rank, MaxLoadRank))+max(0, min(routeRank, RankSteps-1))))
+}
+
 // Missing is a copy that a backend server does not hold although the placer
 // published it.
 type Missing struct {
@@ -113,7 +127,7 @@
 	Full     bool              `msgpack:"a,omitempty"`
 	Servers  []ServerPlacement `msgpack:"v,omitempty"`
 	// LoadWait is the time in ms that a load requested now waits before it starts. LoadWaits holds it
-	// by priority rank, where the last one is also that of higher ranks; it is empty if none waits.
+	// by LoadRank, where the last one is also that of higher ranks; it is empty if none waits.
 	LoadWait  clock.Millis   `msgpack:"w,omitempty"`
 	LoadWaits []clock.Millis `msgpack:"q,omitempty"`
 	// EntryVMs is the number of entry VMs that report to the placer.
