--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -397,9 +397,6 @@
 	if r.Sends > 0 && !c.takeRetry(r) {
 		return c.refuse(r, "no retry is left in the budget", retryDelay)
 	}
-	if choice := c.awaitRoom(r, v, expected); choice != nil {
-		return choice
-	}
 	c.withdrawLoad(r)
 	choice := Send{
 		Server: v.ID, Address: v.Address, StartedAt: v.StartedAt, Software: v.software(), Region: v.Region, Cost: expected, Candidates: candidates,
