--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -61,9 +61,10 @@
 	if len(crowds) == 0 || !p.hasIdle() {
 		return
 	}
-	limit := p.maxLoadsInFlight()
+	// Copies take what is free in both limits.
+	left := p.maxLoadsInFlight() - float64(p.loadsInFlight())
 	if len(p.loadRequests) > 0 {
-		limit *= copyShare
+		left = min(left, copyShare*p.maxLoadsInFlight()-float64(p.copiesInFlight()))
 	}
 	for i := range crowds {
 		w := &crowds[i]
@@ -72,13 +73,14 @@
 				w.copies++
 				continue
 			}
-			if float64(p.copiesInFlight()) >= limit || float64(p.loadsInFlight()) >= p.maxLoadsInFlight() {
+			if left <= 0 {
 				return
 			}
 			if !p.place(plan, loadKey{adapter: w.adapter}, nil, "copy of one that crowds its server") {
 				break
 			}
 			w.copies++
+			left--
 		}
 	}
 }
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -34,7 +34,7 @@
 	if p.step.built {
 		return &p.step
 	}
-	p.step = stepIndex{built: true, served: map[loadKey]bool{}, retired: map[loadKey]*server{}, ready: map[units.AdapterName]int{}, slots: p.step.slots[:0]}
+	p.step.reset()
 	for key := range p.loadRequests {
 		p.step.versioned = p.step.versioned || key.software != ""
 	}
@@ -64,6 +64,17 @@
 	return &p.step
 }
 
+// reset empties the index. It keeps the memory, which each step needs again.
+func (x *stepIndex) reset() {
+	if x.served == nil {
+		x.served, x.retired, x.ready = map[loadKey]bool{}, map[loadKey]*server{}, map[units.AdapterName]int{}
+	}
+	clear(x.served)
+	clear(x.retired)
+	clear(x.ready)
+	x.built, x.versioned, x.slots = true, false, x.slots[:0]
+}
+
 func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
 	switch {
 	case c.unconfirmed && p.now >= s.orderedAt+orderPatience:
