Weigh the pauses of streams in the choice of an engine

The longest gap of each attempt is now measured without a lock. A prompt is charged for the streams at the engine, and a stream for the prompts that it has to expect there, by the engine's pace and by how long streams of the service were seen to stall. Nothing changes where routes name no objective for pauses.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -34,6 +34,10 @@
 	Active  int32
 	Prefill units.Tokens
 	Tokens  units.Tokens
+	// Rate is the number of prompt tokens that the backend server is believed to read per ms, 0 for a
+	// plain service. PauseRisk is the probability with which the stream is expected to have a pause
+	// beyond the objective, 0 if the route names none.
+	Rate, PauseRisk float64
 	// Cached is the estimated number of prompt tokens in the backend server's cache.
 	Cached units.Tokens
 }
@@ -403,6 +407,12 @@
 		Active: v.own.active + v.others.active, Prefill: v.own.prefill + v.others.prefill, Tokens: v.own.tokens + v.others.tokens,
 		Cached: v.prefixes.cached(r),
 	}
+	if v.engine != nil {
+		choice.Rate = c.prefillRate(v)
+	}
+	if gap := r.Route.GapTarget; gap > 0 && choice.Rate > 0 {
+		choice.PauseRisk = c.pauseRisk(r, v, gap)
+	}
 	if announced := c.versions[r.Adapter]; c.cfg.Policy.VersionLimit > 0 && v.copies[r.Adapter].revision < announced.revision {
 		choice.BeginBy = announced.announcedAt + c.cfg.Policy.VersionLimit - cancelTime
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -142,6 +142,7 @@
 	leaving bool
 	backoff backoff
 	limit   rateLimit
+	pauses  pauses
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
@@ -178,6 +179,10 @@
 	software     softwareHistory
 	versions     map[units.AdapterName]version
 	budgets      map[units.ServiceName]*budget
+	// gapTargets holds the shortest objective for pauses of each service whose routes name one, means
+	// what the requests of each service have shown.
+	gapTargets map[units.ServiceName]clock.Millis
+	means      map[units.ServiceName]*streamMeans
 	// missing lists the copies that backend servers reported not to hold, until this is
 	// reported to the placer.
 	missing []peer.Missing
@@ -277,6 +282,7 @@
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
 		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
+		means:   map[units.ServiceName]*streamMeans{},
 		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{}, backoffNews: map[units.BackendServerID]bool{},
 	}
 }
@@ -298,6 +304,7 @@
 	}
 	c.config = cfg
 	c.index()
+	c.gapTargets = gapTargets(cfg)
 	return true
 }
 
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -109,6 +109,7 @@
 	r.charged = r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r))
 	v.own.active++
 	v.own.prefill += r.charged
+	c.notePrompt(v, r.charged)
 	v.own.tokens += r.PromptTokens + r.MaxTokens
 	if r.Adapter != "" {
 		a := v.adapters[r.Adapter]
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -161,7 +162,10 @@
 		n.meter.FirstEvent((a.firstAt - c.arrived).Duration())
 	}
 	c.log("attempt_ended", "adapter", c.req.Adapter, "server", to.Server, "ways", to.Candidates, "active", to.Active, "prefill", to.Prefill, "tokens", to.Tokens, "cached", to.Cached, "expected_ms", int64(to.Cost), "waited_ms", int64(sentAt-c.arrived),
-		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events, "outlived_ms", int64(a.outlived()), "content", c.content)
+		"took_ms", int64(n.clock.Now()-sentAt), "first_ms", a.firstMS(sentAt), "end", end, "status", a.status, "why", a.reason, "sends", c.req.Sends, "events", a.events, "rate", round(to.Rate), "gap_risk", round(to.PauseRisk), "gap_ms", int64(a.gaps.longest), "gap_event", a.gaps.longestEvent, "events_ms", int64(a.gaps.took()), "outlived_ms", int64(a.outlived()), "content", c.content)
+	if gap := c.route.GapTarget; gap > 0 && a.events > 1 {
+		n.meter.StreamEnded(c.route.Name, to.PauseRisk > 0.5, a.gaps.longest > gap)
+	}
 	if over {
 		return true
 	}
@@ -185,6 +189,9 @@
 	return false
 }
 
+// round returns x with two decimals.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // outlived returns how long a request that was sent went on after its caller had left or its
 // deadline had passed.
 func (a *attempt) outlived() clock.Millis {
@@ -234,6 +241,7 @@
 	firstAt clock.Millis
 	status  int
 	events  int
+	gaps    eventGaps
 	reason  string
 	// mayHaveRun is false only if the backend server surely did not execute the
 	// request.
@@ -245,7 +253,10 @@
 	end = choose.EndCanceled
 	defer func() {
 		a.exchange.ran = a.exchange.ran || a.mayHaveRun
-		a.node.withCore(func(core *choose.Core) { core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end) })
+		a.node.withCore(func(core *choose.Core) {
+			core.NoteGaps(a.node.clock.Now(), a.to.Server, a.gaps.seen())
+			core.Ended(a.node.clock.Now(), &a.req, a.to.Server, a.hasAnswer, end)
+		})
 	}()
 	defer a.node.quarantine.watch(a)()
 	defer a.limitBegin()()
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -138,7 +138,11 @@
 			a.events, a.reason = events.count, full.Error()
 			return choose.EndFailed, false
 		}
+		before := events.count
 		out, foreign := events.take(a.exchange)
+		if events.count > before {
+			a.gaps.received(a.node.clock.Now(), events.count-before)
+		}
 		if len(out) > 0 && !a.writeEvents(control, answer, out) {
 			a.reason = "the caller does not read"
 			return choose.EndCanceled, a.abandon()
--- a/internal/node/meter/fleet.go
+++ b/internal/node/meter/fleet.go
@@ -1,6 +1,9 @@
 package meter
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Only package fleet calls the methods in this file. AttemptEnded, FirstEvent and LoadWait
 // feed the same metrics as Attempted, FirstToken and LoadStalled do for package edge.
@@ -62,6 +65,14 @@
 	}
 }
 
+// StreamEnded counts a stream of a route with an objective for pauses: whether one beyond it was expected
+// to be more likely than not when a backend server was chosen, and whether there was one.
+func (m *Meter) StreamEnded(route string, expected, late bool) {
+	if m != nil {
+		m.scope.Tagged(map[string]string{"route": route, "expected": strconv.FormatBool(expected), "late": strconv.FormatBool(late)}).Counter("stream_pauses_total").Inc(1)
+	}
+}
+
 // RunOutlived records how long an attempt at a backend server went on after its caller had left
 // or after its deadline, by kind of request and reason.
 func (m *Meter) RunOutlived(kind, reason string, late time.Duration) {
