--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -138,11 +138,11 @@
 	adapters map[units.AdapterName]*adapterLoad
 	health   health
 	prefixes prefixes
+	pauses   pauses
 	// leaving reports that this process said in an answer that it leaves.
 	leaving bool
 	backoff backoff
 	limit   rateLimit
-	pauses  pauses
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
