--- a/internal/core/choose/pause_test.go
+++ b/internal/core/choose/pause_test.go
@@ -109,9 +109,7 @@
 // Streams crowd an engine, while the other one fails all requests.
 func TestPausesDoNotOutweighFailures(t *testing.T) {
 	c := newPauseCore(300, peer.ServerPlacement{Active: 60}, peer.ServerPlacement{})
-	for range 30 {
-		c.servers["n2"].health.failed()
-	}
+	c.servers["n2"].health.failures = 1
 	c.servers["n2"].health.avoidUntil = 2000
 	must.Eq(t, "n1", sendTo(t, c.Choose(1000, pauseRequest("r", 300, 9000, 60))))
 }
