Join pauses with quotas, and list the new field of the placer's state

Cause: two parts each had a function named round; placer_state has the field queued, which the golden lines lacked. Change: one round; the golden lines name the field.

--- a/internal/node/fleet/credits.go
+++ b/internal/node/fleet/credits.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// round rounds a part of a whole for a log line.
-func round(part float64) float64 { return math.Round(part*1000) / 1000 }
+// round rounds a share or a rate to three decimals, for a log line.
+func round(x float64) float64 { return math.Round(1000*x) / 1000 }
 
 // claimCredit charges the request to its customer's quota, if there is one. If the quota is used up, it
 // has answered the caller and reports false.
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -189,9 +188,6 @@
 	return false
 }
 
-// round returns x with two decimals.
-func round(x float64) float64 { return math.Round(100*x) / 100 }
-
 // outlived returns how long a request that was sent went on after its caller had left or its
 // deadline had passed.
 func (a *attempt) outlived() clock.Millis {
