--- a/internal/core/credit/account.go
+++ b/internal/core/credit/account.go
@@ -316,8 +316,16 @@
 	if c.now < a.usedAt+max(a.ttl, strictTTL) {
 		ask.Want = max(a.need, c.want(a))
 	}
+	// Credit that isn't spent soon is missing elsewhere. Near the limit all of it is given up, and the
+	// keeper grants it anew where it is of use.
+	kept := a.left(c.now)
+	if a.ttl < relaxedTTL {
+		kept = min(kept, a.need)
+	}
+	ask.Left = min(kept, ask.Want)
+	a.limit = a.spent + ask.Left
 	if a.keeper != to.ID {
-		ask.Former, ask.Left, ask.Recent = true, a.left(c.now), units.Amount(a.own.sum(c.now))
+		ask.Former, ask.Recent = true, units.Amount(a.own.sum(c.now))
 		ask.LeftTTL = max(0, a.expires-c.now)
 		if a.history != nil {
 			ask.History, ask.HistoryAge = a.history, c.now-a.historyAt
--- a/internal/core/credit/book.go
+++ b/internal/core/credit/book.go
@@ -101,7 +101,9 @@
 	// then, in assumed.
 	limit   units.Amount
 	expires clock.Millis
-	assumed units.Amount
+	// sequence is that of the last request, which tells what is left of the grant.
+	sequence uint32
+	assumed  units.Amount
 	// share is that of a CreditAsk.
 	share     int
 	historyAt clock.Millis
@@ -166,6 +168,13 @@
 	if now >= e.expires {
 		e.limit = e.spent
 	}
+	if r.request.Sequence > e.sequence {
+		e.sequence = r.request.Sequence
+		if given := e.limit - ask.Spent - ask.Left; given > 0 {
+			e.limit -= given
+			b.pace += float64(given)
+		}
+	}
 	if ask.Former && ask.Left > 0 {
 		e.limit = max(e.limit, ask.Spent+ask.Left)
 		e.expires = max(e.expires, now+min(ask.LeftTTL, relaxedTTL)+expiryMargin)
--- a/internal/core/peer/credit.go
+++ b/internal/core/peer/credit.go
@@ -32,11 +32,11 @@
 	Biggest units.Amount `msgpack:"l,omitempty"`
 	// Share is the part of the sender in the customer's use when the fleet was last whole, in 1/65535.
 	Share uint16 `msgpack:"p,omitempty"`
-	// Former is set if another keeper than the receiver replied last. Left is what is left of its
-	// grant, valid for LeftTTL; Recent is what was spent in the quota's window; History is that of
-	// its reply, HistoryAge ago.
+	// Left is what is left of the last grant and still wanted: the rest is given up.
+	Left units.Amount `msgpack:"e,omitempty"`
+	// Former is set if another keeper than the receiver replied last. Left is then valid for LeftTTL;
+	// Recent is what was spent in the quota's window; History is that of its reply, HistoryAge ago.
 	Former     bool         `msgpack:"f,omitempty"`
-	Left       units.Amount `msgpack:"e,omitempty"`
 	LeftTTL    clock.Millis `msgpack:"t,omitempty"`
 	Recent     units.Amount `msgpack:"o,omitempty"`
 	History    []byte       `msgpack:"h,omitempty"`
