--- a/internal/core/credit/book.go
+++ b/internal/core/credit/book.go
@@ -267,8 +267,8 @@
 	ask := r.ask
 	limit := b.terms.dealt(b.quota)
 	if silent.any {
-		// The room above the limit is for what both sides grant before they know.
-		limit = b.terms.limit(b.quota) * b.present(now, silent)
+		// Half of the room that is dealt out is for what both sides grant before they know.
+		limit = (b.terms.limit(b.quota) + limit) / 2 * b.present(now, silent)
 	}
 	allUsed, allOpen := b.totals(now, silent)
 	free := limit - allUsed - allOpen
--- a/internal/core/credit/terms.go
+++ b/internal/core/credit/terms.go
@@ -27,7 +27,7 @@
 const (
 	// coordinatedPart is the part of the room above the limit that the keeper deals out, so that
 	// credit in the hands of others and the width of a slot refuse nothing below the limit.
-	coordinatedPart = 0.4
+	coordinatedPart = 0.35
 	// smallPart is the part of that room that the keeper deals out to small requests only.
 	smallPart = 0.25
 	// smallFactor is how often a small request fits into the biggest one.
