--- a/internal/node/server/bodies_test.go
+++ b/internal/node/server/bodies_test.go
@@ -29,7 +29,7 @@
 	s.memory.Limit = 64 << 10
 	server := &fasthttp.Server{
 		Handler:      s.withBody(func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.PostBody()) }),
-		ErrorHandler: s.edge.HandleError, StreamRequestBody: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: bodyPrefetch, ReadTimeout: 200 * time.Millisecond,
+		ErrorHandler: s.edge.HandleError, NoDefaultDate: true, StreamRequestBody: true, DisablePreParseMultipartForm: true, MaxRequestBodySize: bodyPrefetch, ReadTimeout: 200 * time.Millisecond,
 	}
 	server.Logger = nopPrinter{}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
