Turn a crowd that waits to be accepted away at once, and count silence as late

TestElsewhere/platform needed 21 s in one run beside load, near its patience: each of the crowd's connections that waited to be accepted was waited for by itself, 250 ms each, and the balancer's question behind them all. After one such wait the next are turned away until patience is over. Whoever had sent half a long body fast and stopped was not late for 32 s.

--- a/internal/node/door/door.go
+++ b/internal/node/door/door.go
@@ -74,6 +74,9 @@
 	// Name is that of the listener in log lines.
 	Name string
 
+	// crowdedUntil is the time until which new connections don't wait for room. Only Accept uses it.
+	crowdedUntil clock.Millis
+
 	mu        sync.Mutex
 	open      map[*Conn]bool
 	byAddress map[netip.Addr]int
@@ -176,15 +179,23 @@
 )
 
 // addOrWait counts a connection once there is room. It reports false if there is none after
-// waitForRoom.
+// waitForRoom. The next connections are then not waited for: a crowd that waits to be accepted would keep
+// others from it.
 func (d *Door) addOrWait(c *Conn) bool {
-	for end := time.Now().Add(waitForRoom); !d.add(c); {
-		if !d.MakeRoom(ReasonConns) {
-			if time.Now().After(end) {
-				return false
-			}
-			time.Sleep(roomPoll)
+	end := time.Now().Add(waitForRoom)
+	for !d.add(c) {
+		if d.MakeRoom(ReasonConns) {
+			continue
+		}
+		now := d.Clock.Now()
+		if now < d.crowdedUntil {
+			return false
+		}
+		if time.Now().After(end) {
+			d.crowdedUntil = now + d.Patience
+			return false
 		}
+		time.Sleep(roomPoll)
 	}
 	return true
 }
--- a/internal/node/door/door_test.go
+++ b/internal/node/door/door_test.go
@@ -28,6 +28,7 @@
 		{"a stalled client before one that is served", stalled, state{phase: phaseServed, lasted: 99 * s, held: 9000}, 1, 1, ReasonMemory},
 		{"a byte at a time before a long body at a fair pace", state{phase: phaseSends, lasted: 9 * s, silent: 10, moved: 90, held: 90}, state{phase: phaseSends, lasted: 20 * s, silent: 10, moved: 8 << 20, held: 8 << 20}, 1, 1, ReasonMemory},
 		{"who does not read before who waits between requests", state{phase: phaseReads, lasted: 2 * s, held: 1}, state{phase: phaseIdle, lasted: 12 * s}, 1, 1, ReasonConns},
+		{"who stopped in a long body before who goes on", state{phase: phaseSends, lasted: 5 * s, silent: 4 * s, moved: 1 << 20}, state{phase: phaseSends, lasted: 5 * s, silent: 10, moved: 1 << 20}, 1, 1, ReasonConns},
 		{"the largest", state{phase: phaseSends, lasted: 5 * s, held: 1 << 20}, stalled, 1, 1, ReasonMemory},
 		{"of an address with many", stalled, stalled, 30, 1, ReasonConns},
 		{"who does not read, for an answer", state{phase: phaseReads, lasted: 2 * s, held: 1}, stalled, 1, 1, ReasonUnread},
--- a/internal/node/door/rank.go
+++ b/internal/node/door/rank.go
@@ -33,7 +33,8 @@
 	idleWeight = 0.1
 )
 
-// late returns for how long a client has kept others waiting, beyond what its bytes need.
+// late returns for how long a client has sent or read nothing, or has taken longer than its bytes need if
+// that is more.
 func (s state) late(talks bool) clock.Millis {
 	switch {
 	case s.phase == phaseServed:
@@ -41,7 +42,7 @@
 	case talks:
 		return s.silent
 	default:
-		return s.lasted - clock.Millis(s.moved/leastPerMS)
+		return max(s.silent, s.lasted-clock.Millis(s.moved/leastPerMS))
 	}
 }
 
