Load a model at once where its weights have been kept

A restarted engine keeps the weights that it had on its disk, and a load from there reads nothing from the weight store.

Decode what a report says is at hand and the times of these loads, leave them out of the budget of the store, and show the model when it is expected to be there.

--- a/internal/core/homes/models.go
+++ b/internal/core/homes/models.go
@@ -1,6 +1,8 @@
 package homes
 
 import (
+	"slices"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/topo"
@@ -12,9 +14,12 @@
 	nextAt clock.Millis
 }
 
+// ready reports whether a load may start.
+func (b *modelBudget) ready(now clock.Millis) bool { return now >= b.nextAt }
+
 // take reports whether a load may start and, if so, consumes it.
 func (b *modelBudget) take(now clock.Millis, perSecond float64) bool {
-	if now < b.nextAt {
+	if !b.ready(now) {
 		return false
 	}
 	if perSecond > 0 {
@@ -30,21 +35,42 @@
 // other shards load from the same weight store.
 const modelLoadSpacing = 2
 
-// loadModels orders a model load on backend servers that hold none.
+// loadModels orders a model load on backend servers that hold none. One whose weights a server has kept
+// reads nothing from the weight store, so that a restarted server gets it at once.
 func (p *Placer) loadModels(plan *Plan) {
 	for _, id := range p.order {
 		s := p.servers[id]
-		if !s.usable(p.now) || len(s.models) > 0 || p.now < s.refusedUntil || len(s.engine.Models) == 0 || !p.models.take(p.now, s.engine.LoadsPerSecond) {
+		if !s.usable(p.now) || len(s.models) > 0 || p.now < s.refusedUntil || len(s.engine.Models) == 0 {
+			continue
+		}
+		if len(s.onDisk)+len(s.inMemory) == 0 && !p.models.ready(p.now) {
 			continue
 		}
 		model := p.scarcestModel(s.engine)
-		if model.WeightMB > s.engine.WeightMB {
+		if model.WeightMB > s.engine.WeightMB || !s.keeps(model.Name) && !p.models.take(p.now, s.engine.LoadsPerSecond) {
 			continue
 		}
 		p.send(plan, s, Order{Kind: OrderLoad, Model: model.Name, Reason: "holds no model"})
 	}
 }
 
+// keeps reports whether s has kept the weights of a model.
+func (s *server) keeps(model units.ModelName) bool {
+	return slices.Contains(s.onDisk, model) || slices.Contains(s.inMemory, model)
+}
+
+// modelLoad returns the time in ms of a load of a model at s.
+func (s *server) modelLoad(m *topo.Model) clock.Millis {
+	switch {
+	case m.MemoryLoad > 0 && slices.Contains(s.inMemory, m.Name):
+		return m.MemoryLoad
+	case m.DiskLoad > 0 && slices.Contains(s.onDisk, m.Name):
+		return m.DiskLoad
+	default:
+		return m.Load
+	}
+}
+
 // scarcestModel returns the model with the highest demand per backend server that holds
 // it.
 func (p *Placer) scarcestModel(engine *topo.Engine) *topo.Model {
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -121,7 +121,7 @@
 		model := s.engine.Model(o.Model)
 		s.models[o.Model] = true
 		if model != nil && result == Taken {
-			s.modelReadyAt = p.now + model.Load
+			s.modelReadyAt = p.now + s.modelLoad(model)
 		}
 		// The weights may be on the backend server's own disk, which shortens the load.
 		s.nextReportAt = p.now + reportDelay
@@ -212,6 +212,7 @@
 		}
 	}()
 	s.synced, s.orders = true, r.Orders
+	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	s.models = map[units.ModelName]bool{}
 	for _, m := range r.Models {
 		s.models[m] = true
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -161,6 +161,8 @@
 	refusedUntil clock.Millis
 	// orderPending reports that the answer to an order is awaited; orderedAt is when the last
 	// order was sent or answered.
+	// onDisk and inMemory list the models whose weights it has kept.
+	onDisk, inMemory []units.ModelName
 	orderPending bool
 	orderedAt    clock.Millis
 	// lostOrders counts the orders without an answer since the last one with an answer.
--- a/internal/core/topo/config.go
+++ b/internal/core/topo/config.go
@@ -102,6 +102,9 @@
 	AdapterMB float64
 	// Load is the time of a load from the weight store in ms.
 	Load clock.Millis
+	// DiskLoad and MemoryLoad are those of a load from the disk or the memory of the backend server
+	// itself in ms, 0 if they are unknown.
+	DiskLoad, MemoryLoad clock.Millis
 	// Adapters is the number of existing adapters.
 	Adapters int
 }
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -102,6 +102,9 @@
 	// Loading lists the adapters that the backend server is loading.
 	Loading []Copy
 	// Running and Waiting count the requests.
+	// OnDisk and InMemory list the models whose weights the backend server has kept, also over a
+	// restart.
+	OnDisk, InMemory []units.ModelName
 	Running int32
 	Waiting int32
 	// KVUsed is the KV memory used by requests in flight, in tokens.
