Forget failures of a backend server with time

An entry VM remembered the share of failed requests until a request succeeded, so that a server which it avoided got none any more, and stayed idle after it had recovered. Let the share fall to a third in 10 s.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -348,7 +348,8 @@
 	} else if v.Domain != c.cfg.Domain {
 		cost += otherDomainCost
 	}
-	cost += failureCost * v.health.failures * v.health.failures
+	failed := v.health.share(c.now)
+	cost += failureCost * failed * failed
 	if c.now < v.health.avoidUntil {
 		cost += avoidedCost
 	}
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -160,7 +160,7 @@
 	case EndServed:
 		v.health.succeeded()
 	case EndFailed:
-		v.health.failed()
+		v.health.failed(c.now)
 	case EndFull:
 		v.health.avoidUntil = max(v.health.avoidUntil, c.now+fullBackoff)
 	case EndMissing:
--- a/internal/core/choose/health.go
+++ b/internal/core/choose/health.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"math"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 
@@ -11,6 +13,8 @@
 type health struct {
 	// failures is a moving average of the share of failed requests, 0 to 1.
 	failures float64
+	// failedAt is when the last failure was counted.
+	failedAt clock.Millis
 	// broken counts broken connections since the last success.
 	broken int
 	// avoidUntil is the time until which avoidedCost is added.
@@ -23,6 +27,9 @@
 const (
 	// failureWeight is the weight of the newest outcome in the average of failures.
 	failureWeight = 0.15
+	// failureTime is the time after a failure in which the average falls to 1/e, about a third: a
+	// server that gets no requests could else never show that it has recovered.
+	failureTime = 10 * clock.Second
 	// brokenBackoff is how long a server is avoided after a connection to it broke or
 	// could not be opened; it doubles with each consecutive one.
 	brokenBackoff    = 400 * clock.Millis(1)
@@ -37,10 +44,22 @@
 	h.avoidUntil, h.downUntil = 0, 0
 }
 
-func (h *health) failed() { h.failures += (1 - h.failures) * failureWeight }
+func (h *health) failed(now clock.Millis) {
+	h.failures = h.share(now)
+	h.failures += (1 - h.failures) * failureWeight
+	h.failedAt = now
+}
+
+// share returns the share of failed requests that is believed now, 0 to 1.
+func (h *health) share(now clock.Millis) float64 {
+	if h.failures == 0 {
+		return 0
+	}
+	return h.failures * math.Exp(-float64(max(0, now-h.failedAt))/float64(failureTime))
+}
 
 func (h *health) broke(now clock.Millis) {
-	h.failed()
+	h.failed(now)
 	h.avoidUntil = now + min(brokenBackoff<<min(h.broken, 6), maxBrokenBackoff)
 	h.broken++
 }
