Learn the pace of backend servers from their answers

All servers of a service counted as equally fast, and one that had just started as empty and at full speed. Time each answer against what the known load explains; let the placer compare the engines from the answers of all entry VMs and publish a step where one takes twice as long as the median or more; let entry VMs compare plain servers by their own answers. Servers that have just started or recovered begin with a window on the requests of all entry VMs, which is a cost and never refuses.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -342,7 +342,7 @@
 
 // cost returns the expected time to the first event at v, plus penalties, in ms.
 func (c *Core) cost(r *Request, v *view) float64 {
-	cost := c.expected(r, v) + c.pauseCost(r, v)
+	cost := c.expected(r, v) + c.pauseCost(r, v) + c.paceCost(r, v)
 	if v.Region != c.cfg.Region {
 		cost += otherRegionCost
 	} else if v.Domain != c.cfg.Domain {
@@ -395,7 +395,7 @@
 const cancelTime = 300 * clock.Millis(1)
 
 func (c *Core) send(r *Request, v *view, candidates int) Choice {
-	expected := clock.Millis(c.expected(r, v))
+	expected := clock.Millis(min(c.expected(r, v), c.expectedAtCommonPace(r, v)))
 	if c.now+expected >= r.Deadline {
 		return c.refuse(r, "backend servers are too busy", r.returnsAfter(fullRetryDelay))
 	}
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -30,6 +30,9 @@
 	// announced, VersionLimit the time after which no request may begin at one; 0 means no limit.
 	VersionGrace clock.Millis
 	VersionLimit clock.Millis
+	// FixedPace makes all backend servers of a service count as equally fast, also those that have
+	// just started.
+	FixedPace bool
 }
 
 // Defaults of Policy.
@@ -103,6 +106,8 @@
 	// trial reports that the last send was one to a backend server that returns from a back-off,
 	// and has no answer yet.
 	trial bool
+	// time is that of the last send, for the pace of the backend server.
+	time attemptTime
 	// turn is its place in the queue for a backend server with a limit.
 	turn turn
 	// waiting reports that the request counts in the load request for its adapter.
@@ -143,6 +148,7 @@
 	leaving bool
 	backoff backoff
 	limit   rateLimit
+	pace    serverPace
 }
 
 // copyView is a loaded or loading copy of an adapter at a backend server.
@@ -192,6 +198,10 @@
 	// otherRegion counts, by adapter, the requests sent to a copy in another region since
 	// the last usage report.
 	otherRegion map[units.AdapterName]int32
+	// comparedAt is when the paces of backend servers were last compared.
+	comparedAt clock.Millis
+	// paceNews holds the changes of paces not yet logged.
+	paceNews []PaceNews
 	// members is the number of entry VMs in the last placement update, 0 before.
 	members int32
 	// others are the other entry VMs that are known to run, sorted by id. othersVersion counts the
@@ -321,6 +331,7 @@
 		case v == nil:
 			v = newView(s)
 			c.servers[s.ID] = v
+			c.noteStart(v, true)
 			if placed, ok := c.placements[s.ID]; ok {
 				c.setPlacement(v, placed)
 			}
@@ -328,6 +339,7 @@
 			c.software.listed(v, s)
 			v = newView(s)
 			c.servers[s.ID] = v
+			c.noteStart(v, false)
 			if placed, ok := c.placements[s.ID]; ok && placed.StartedAt == s.StartedAt {
 				c.setPlacement(v, placed)
 			} else {
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -67,6 +67,7 @@
 func (c *Core) Arrived(now clock.Millis, service units.ServiceName) {
 	c.now = max(c.now, now)
 	c.budget(service).request(c.now)
+	c.comparePaces()
 }
 
 func (c *Core) budget(service units.ServiceName) *budget {
@@ -105,6 +106,7 @@
 func (c *Core) recordSend(r *Request, v *view) {
 	r.Tried = append(r.Tried, v.ID)
 	r.Sends++
+	c.timeSend(r, v)
 	v.takeToken()
 	r.charged = r.PromptTokens - min(r.PromptTokens, v.prefixes.cached(r))
 	v.own.active++
@@ -148,6 +150,7 @@
 	if end == EndUnsent || end == EndWithdrawn {
 		v.returnToken()
 	}
+	c.learnEnd(r, v, end)
 	v.own.active = max(0, v.own.active-1)
 	v.own.tokens = max(0, v.own.tokens-r.PromptTokens-r.MaxTokens)
 	if !started {
@@ -316,7 +319,8 @@
 	}
 	sort.Slice(u.Adapters, func(i, j int) bool { return u.Adapters[i].Adapter < u.Adapters[j].Adapter })
 	v.reported = v.own
-	return u, v.own.active > 0 || len(u.Adapters) > 0
+	v.takePace(&u)
+	return u, v.own.active > 0 || len(u.Adapters) > 0 || u.Answers > 0
 }
 
 // HasNewLoadRequests reports whether requests have begun to wait for adapters since the
@@ -377,7 +381,7 @@
 			c.setPlacement(v, placed)
 		}
 	case v != nil:
-		v.setOthers(h)
+		c.setOthers(v, h)
 	}
 }
 
@@ -396,12 +400,13 @@
 		}
 		v.copies[held.Adapter] = copyView{revision: topo.AdapterRevision(held.Revision), readyAt: readyAt}
 	}
-	v.setOthers(placed.ServerPlacement)
+	c.setOthers(v, placed.ServerPlacement)
 }
 
-// setOthers sets the load by other entry VMs: the total load in h less the own load that
-// was last reported.
-func (v *view) setOthers(h *peer.ServerPlacement) {
+// setOthers sets the load by other entry VMs, the total load in h less the own load that was
+// last reported, and the pace.
+func (c *Core) setOthers(v *view, h *peer.ServerPlacement) {
+	c.setPace(v, h)
 	v.others = load{
 		active:  max(0, h.Active-v.reported.active),
 		prefill: max(0, h.Prefill-v.reported.prefill),
--- a/internal/core/choose/limit.go
+++ b/internal/core/choose/limit.go
@@ -139,7 +139,7 @@
 
 // admits reports whether r may be sent to v now, apart from its health.
 func (c *Core) admits(r *Request, v *view) bool {
-	return v.backoff.admits(c.now) && c.paceAdmits(r, v) && c.limitAdmits(r, v)
+	return v.backoff.admits(c.now) && c.limitAdmits(r, v)
 }
 
 func (c *Core) limitAdmits(r *Request, v *view) bool {
--- a/internal/core/choose/status.go
+++ b/internal/core/choose/status.go
@@ -23,6 +23,11 @@
 	Backoff clock.Millis `json:"backoff_ms,omitempty"`
 	// Limit is the rate of requests per second that it named for all entry VMs together.
 	Limit units.Rate `json:"limit_per_s,omitempty"`
+	// Pace is its speed as a multiple of that of the other servers of its service, 0 if it is the same.
+	// Window is the number of requests of all entry VMs that it is to get at most since it has just
+	// started or recovered, 0 for any.
+	Pace   float64 `json:"pace,omitempty"`
+	Window int32   `json:"window,omitempty"`
 	// Active is the number of requests of this entry VM in flight there.
 	Active int32 `json:"active"`
 }
@@ -32,9 +37,13 @@
 	c.now = max(c.now, now)
 	list := make([]ServerStatus, 0, len(c.servers))
 	for id, v := range c.servers {
+		speed := 0.0
+		if v.pace.Step != 0 {
+			speed = v.pace.Step.Speed()
+		}
 		list = append(list, ServerStatus{
 			Server: id, Service: v.Service, Region: v.Region, Software: v.Software, Draining: v.Draining, Leaving: v.leaving,
-			Backoff: max(0, v.backoff.until-c.now), Limit: v.limit.named, Active: v.own.active,
+			Backoff: max(0, v.backoff.until-c.now), Limit: v.limit.named, Pace: speed, Window: v.pace.Window.Limit(), Active: v.own.active,
 		})
 	}
 	slices.SortFunc(list, func(a, b ServerStatus) int {
--- a/internal/core/homes/copies.go
+++ b/internal/core/homes/copies.go
@@ -90,7 +90,7 @@
 	found := map[units.AdapterName]*crowd{}
 	for _, id := range p.order {
 		s := p.servers[id]
-		if s.down || s.prefill < p.overload() || !s.synced {
+		if s.down || s.waiting() < p.overload() || !s.synced {
 			continue
 		}
 		for adapter, c := range s.copies {
@@ -128,12 +128,12 @@
 			continue
 		}
 		w.copies++
-		if c.state == copyLoading || s.prefill >= p.overload()/2 {
+		if c.state == copyLoading || s.waiting() >= p.overload()/2 {
 			w.overloaded++
 		}
 		w.requests += c.active
 		if s.active > 0 {
-			w.waiting += units.Tokens(float64(s.prefill) * float64(c.active) / float64(s.active))
+			w.waiting += units.Tokens(float64(s.waiting()) * float64(c.active) / float64(s.active))
 		}
 	}
 }
@@ -168,7 +168,7 @@
 // hasIdle reports whether some backend server has spare capacity.
 func (p *Placer) hasIdle() bool {
 	for _, s := range p.servers {
-		if s.usable(p.now) && s.prefill <= idlePrefill {
+		if s.usable(p.now) && s.waiting() <= idlePrefill {
 			return true
 		}
 	}
--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -23,7 +23,7 @@
 		if !ok {
 			continue
 		}
-		score := p.fullness(s) + victimDemand + lostOrderWeight*float64(min(s.lostOrders, maxLostOrders))
+		score := (1+p.fullness(s))*s.pace.Step.Factor() + victimDemand + lostOrderWeight*float64(min(s.lostOrders, maxLostOrders))
 		if _, held := s.cached[adapter]; held {
 			score -= cachedBonus
 		}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -7,6 +7,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/pace"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 )
@@ -25,6 +26,9 @@
 	// CopyThreshold has no effect; minRequestsToCopy is the number of requests at one copy
 	// from which another copy is loaded.
 	CopyThreshold float64
+	// FixedPace makes all backend servers of a service count as equally fast, also those that have
+	// just started.
+	FixedPace bool
 }
 
 // Defaults of Policy.
@@ -155,14 +159,14 @@
 	orders int64
 	copies map[units.AdapterName]*heldCopy
 	models map[units.ModelName]bool
+	// onDisk and inMemory list the models whose weights it has kept.
+	onDisk, inMemory []units.ModelName
 	// modelReadyAt is when the load of a model ends at the latest; a report may show its end before.
 	modelReadyAt clock.Millis
 	// refusedUntil is until when no model is loaded, after the last order to do so was refused.
 	refusedUntil clock.Millis
 	// orderPending reports that the answer to an order is awaited; orderedAt is when the last
 	// order was sent or answered.
-	// onDisk and inMemory list the models whose weights it has kept.
-	onDisk, inMemory []units.ModelName
 	orderPending bool
 	orderedAt    clock.Millis
 	// lostOrders counts the orders without an answer since the last one with an answer.
@@ -182,23 +186,29 @@
 	// is the load that was last sent.
 	changed  [scopes]bool
 	lastSent [scopes]load
+	pace     pace.Server
 	// hidden reports, by scope, whether the placement that was last sent left out models since their
 	// load was not over.
 	hidden [scopes]bool
 }
 
 // load is the load of a backend server: its requests, their prompt tokens not yet read,
-// and all their tokens.
+// and all their tokens; and what is published of its pace.
 type load struct {
 	active  int32
 	prefill units.Tokens
 	tokens  units.Tokens
+	// pace and window are those of its pace.
+	pace   pace.Step
+	window int32
 }
 
 // software returns the version that the process of s runs.
 func (s *server) software() topo.Software { return s.SoftwareOf(s.reportedStart) }
 
-func (s *server) load() load { return load{s.active, s.prefill, s.tokens} }
+func (s *server) load() load {
+	return load{s.active, s.prefill, s.tokens, s.pace.Step, s.pace.Window.Limit()}
+}
 
 func (s *server) markChanged() { s.changed = [scopes]bool{true, true} }
 
@@ -263,6 +273,10 @@
 	loadPace
 	loadLimit loadLimit
 	step      stepIndex
+	// comparedAt is when the paces of backend servers were last compared.
+	comparedAt clock.Millis
+	// paceNews holds the changes of paces not yet logged.
+	paceNews []PaceNews
 }
 
 // announced is the newest announced version of an adapter and the time of its announcement.
@@ -351,6 +365,7 @@
 			cached: map[units.AdapterName]clock.Millis{}, nextReportAt: p.now,
 		}
 		s.markChanged()
+		p.noteStart(s, p.servers[entry.ID] == nil, entry)
 		p.servers[entry.ID] = s
 	}
 	draining := entry.Draining || s.saidLeaving
@@ -374,6 +389,7 @@
 	p.now = max(p.now, now)
 	p.usage[from] = &usageReport{receivedAt: p.now, servers: u.Servers}
 	for i := range u.Servers {
+		p.learnPace(&u.Servers[i])
 		for _, a := range u.Servers[i].Adapters {
 			p.demand.add(p.now, a.Adapter, float64(a.Arrived))
 		}
--- a/internal/core/homes/state.go
+++ b/internal/core/homes/state.go
@@ -18,6 +18,9 @@
 	// Slowness is the factor by which loads are expected to take longer than
 	// Policy.AdapterLoad.
 	Slowness float64
+	// SlowServers counts backend servers that are slower than the others of their service, and Starting
+	// those with a window since they have just started or recovered.
+	SlowServers, Starting int
 }
 
 // State returns the current state.
@@ -27,6 +30,12 @@
 		if s.synced {
 			st.Synced++
 		}
+		if s.pace.Step > 0 {
+			st.SlowServers++
+		}
+		if s.pace.Window.Limit() > 0 {
+			st.Starting++
+		}
 		for _, c := range s.copies {
 			switch c.state {
 			case copyLoading:
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -37,7 +37,7 @@
 		case s.changed[scope]:
 			m.Servers = append(m.Servers, p.placementOf(s))
 		case p.includeLoads[scope] && s.lastSent[scope] != s.load():
-			m.Servers = append(m.Servers, peer.ServerPlacement{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens})
+			m.Servers = append(m.Servers, peer.ServerPlacement{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens, Pace: s.pace.Step, Window: s.pace.Window.Limit()})
 		default:
 			continue
 		}
@@ -73,6 +73,7 @@
 func (p *Placer) newUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
 	p.now = max(p.now, now)
 	p.aggregateUsage()
+	p.comparePaces()
 	return &peer.PlacementUpdate{Shard: shard, Fence: fence, Sequence: p.sequence[scope], LoadWait: p.loadWait(0), LoadWaits: p.loadWaits(), EntryVMs: int32(len(p.usage))}
 }
 
@@ -103,7 +104,7 @@
 // placementOf returns the placement of s to publish; while s is down it has no models and
 // copies.
 func (p *Placer) placementOf(s *server) peer.ServerPlacement {
-	h := peer.ServerPlacement{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens}
+	h := peer.ServerPlacement{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens, Pace: s.pace.Step, Window: s.pace.Window.Limit()}
 	if s.down {
 		return h
 	}
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -7,6 +7,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/origin"
+	"mangostile/internal/core/pace"
 	"mangostile/internal/core/topo"
 )
 
@@ -64,6 +65,15 @@
 	// Tokens counts the prompt and output tokens of all requests.
 	Tokens   units.Tokens   `msgpack:"k,omitempty"`
 	Adapters []AdapterUsage `msgpack:"d,omitempty"`
+	// Answers, Refused, Timed, Took and Expected are the answers since the last report as in
+	// pace.Sample, times in ms.
+	Answers int32 `msgpack:"n,omitempty"`
+	Refused int32 `msgpack:"f,omitempty"`
+	Timed   int32 `msgpack:"m,omitempty"`
+	// Loaded reports that the requests found the backend server under load.
+	Loaded   bool         `msgpack:"l,omitempty"`
+	Took     clock.Millis `msgpack:"t,omitempty"`
+	Expected clock.Millis `msgpack:"e,omitempty"`
 }
 
 // AdapterUsage is the load of one entry VM on one adapter on one backend server.
@@ -184,6 +194,11 @@
 	Active  int32        `msgpack:"a,omitempty"`
 	Prefill units.Tokens `msgpack:"p,omitempty"`
 	Tokens  units.Tokens `msgpack:"k,omitempty"`
+	// Pace is the backend server's pace relative to the others of its service.
+	Pace pace.Step `msgpack:"v,omitempty"`
+	// Window bounds its requests, of all entry VMs together, since it has just started or recovered;
+	// 0 for none.
+	Window int32 `msgpack:"w,omitempty"`
 }
 
 // PlacedCopy is an adapter on a backend server that is or soon will be usable.
@@ -217,7 +232,8 @@
 		return invalid("usage", "capacity is no positive number")
 	}
 	for i := range m.Servers {
-		if m.Servers[i].Active < 0 || m.Servers[i].Prefill < 0 {
+		s := &m.Servers[i]
+		if s.Active < 0 || s.Prefill < 0 || s.Answers < 0 || s.Refused < 0 || s.Timed < 0 || s.Took < 0 || s.Expected < 0 {
 			return invalid("usage", "negative count")
 		}
 	}
--- a/internal/core/topo/server.go
+++ b/internal/core/topo/server.go
@@ -46,6 +46,9 @@
 	// Remaining is the remaining time in ms when the entry was written, for a backend
 	// server that is removed at short notice. 0 means unknown.
 	Remaining clock.Millis
+	// ColdRemaining is the remaining time in ms, when the entry was written, for which the backend
+	// server remains slow after its start.
+	ColdRemaining clock.Millis
 	// Orders counts the orders that the backend server has accepted.
 	Orders int64
 	// Models and Copies are the loaded models and adapters.
@@ -99,12 +102,12 @@
 	Busy      bool
 	Models    []units.ModelName
 	Copies    []Copy
-	// Loading lists the adapters that the backend server is loading.
-	Loading []Copy
-	// Running and Waiting count the requests.
 	// OnDisk and InMemory list the models whose weights the backend server has kept, also over a
 	// restart.
 	OnDisk, InMemory []units.ModelName
+	// Loading lists the adapters that the backend server is loading.
+	Loading []Copy
+	// Running and Waiting count the requests.
 	Running int32
 	Waiting int32
 	// KVUsed is the KV memory used by requests in flight, in tokens.
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -17,6 +17,9 @@
 // this entry VM's region.
 func (p *placerWorker) publish(now clock.Millis) {
 	p.logState(now)
+	for _, news := range p.placer.TakePaceNews() {
+		p.node.log.Info("server_pace", "shard", p.shard, "server", news.Server, "pace", math.Round(news.Step.Speed()*100)/100, "window", news.Window)
+	}
 	spacing := clock.FromDuration(time.Duration(len(p.subscribers)) * changeIntervalPerSubscriber)
 	p.publishTo(now, homes.SameRegion, max(minChangeInterval, spacing), loadUpdatePeriod)
 	p.publishTo(now, homes.OtherRegions, max(remoteMinChangeInterval, spacing), remoteLoadUpdatePeriod)
@@ -149,5 +152,7 @@
 	p.node.meter.SetLoads(p.shard, st.InFlight, st.Queued, st.LoadLimit)
 	p.node.log.Info("placer_state", "shard", p.shard, "fence", uint64(p.lease.Fence()), "servers", st.Servers, "synced", st.Synced,
 		"ready", st.Ready, "idle", st.Idle, "loading", st.Loading, "retired", st.Retired, "unloading", st.Unloading,
-		"wants", st.LoadRequests, "waiting", st.Waiting, "queued", st.Queued, "loads_in_flight", st.InFlight, "load_limit", math.Round(st.LoadLimit), "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers))
+		"wants", st.LoadRequests, "waiting", st.Waiting, "queued", st.Queued, "loads_in_flight", st.InFlight, "load_limit", math.Round(st.LoadLimit), "slowness", math.Round(st.Slowness*100)/100, "entry_vms", len(p.subscribers), "slow_servers", st.SlowServers, "starting_servers", st.Starting)
+	p.node.meter.Set("slow_servers", float64(st.SlowServers), "shard", p.shard)
+	p.node.meter.Set("starting_servers", float64(st.Starting), "shard", p.shard)
 }
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -123,7 +123,10 @@
 	if a.beginTimer != nil {
 		a.beginTimer.Stop()
 	}
-	a.node.withCore(func(core *choose.Core) { core.Started(&a.req, a.to.Server) })
+	a.node.withCore(func(core *choose.Core) {
+		core.Answered(a.firstAt, &a.req, a.to.Server, a.status < http.StatusInternalServerError)
+		core.Started(&a.req, a.to.Server)
+	})
 }
 
 // forwardStream forwards the events of a stream as they arrive.
--- a/internal/node/fleet/usage.go
+++ b/internal/node/fleet/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -37,6 +38,7 @@
 		case <-n.reportNow:
 			sleep(ctx, requestedReportDelay)
 		}
+		n.logPaces()
 		remote := time.Since(remoteAt) >= remoteUsagePeriod
 		if remote {
 			remoteAt = time.Now()
@@ -51,6 +53,15 @@
 	}
 }
 
+// logPaces logs the changes of paces that this entry VM found itself.
+func (n *Node) logPaces() {
+	var news []choose.PaceNews
+	n.withCore(func(core *choose.Core) { news = core.TakePaceNews() })
+	for _, v := range news {
+		n.log.Info("server_pace", "server", v.Server, "pace", math.Round(v.Step.Speed()*100)/100, "window", v.Window)
+	}
+}
+
 // reportTo sends a usage report to the leaseholder of p's shard. A report without content
 // is sent only after one with content, to a new leaseholder, or after idleUsagePeriod.
 func (n *Node) reportTo(p *placerWorker) {
--- a/internal/oper/chaos/call.go
+++ b/internal/oper/chaos/call.go
@@ -174,12 +174,16 @@
 	if s.limit > 0 {
 		speed *= limitedShare
 	}
+	if w.now < s.slowUntil {
+		speed *= slowShare
+	}
 	s.prefillFreeAt = max(s.prefillFreeAt, w.now) + clock.Millis(float64(c.PromptTokens)/speed)
 	c.generatesFrom = s.prefillFreeAt
 	w.after(s.prefillFreeAt-w.now, func() {
 		if !s.running[c] {
 			return
 		}
+		w.cores[c.vm].Answered(w.now, &c.Request, s.ID, true)
 		w.cores[c.vm].Started(&c.Request, s.ID)
 		if c.firstAt == 0 {
 			c.firstAt = w.now
--- a/internal/oper/chaos/scenario.go
+++ b/internal/oper/chaos/scenario.go
@@ -20,10 +20,20 @@
 	// Limit slows backend servers down to a tenth and lets them name a tenth of their requests as
 	// their limit.
 	Limit Disturbance = "limit"
+	// Slow lets backend servers work at a third of their pace.
+	Slow Disturbance = "slow"
+	// Restart lets backend servers crash and come back empty, at a third of their pace at first, while
+	// demand is at its peak.
+	Restart Disturbance = "restart"
 )
 
 // Disturbances lists all of them.
-func Disturbances() []Disturbance { return []Disturbance{Backoff, Leaving, Release, Limit} }
+func Disturbances() []Disturbance {
+	return []Disturbance{Backoff, Leaving, Release, Limit, Slow, Restart}
+}
+
+// ofPace reports whether backend servers say nothing of d: only the pace of their answers shows it.
+func (d Disturbance) ofPace() bool { return d == Slow || d == Restart }
 
 // Scenario describes a run. The zero values of fields other than Disturbance take the defaults.
 type Scenario struct {
@@ -50,6 +60,8 @@
 	defaultEngines  = 18
 	defaultShare    = 1.0 / 3
 	defaultRate     = 60
+	// peakRate is that of disturbances of the pace: about two thirds of what the engines read.
+	peakRate        = 110
 	defaultAdapters = 120
 	defaultFrom     = 20 * clock.Second
 	defaultTo       = 30 * clock.Second
@@ -60,6 +72,9 @@
 	setDefault(&s.EntryVMs, defaultEntryVMs)
 	setDefault(&s.Engines, defaultEngines)
 	setDefault(&s.Share, defaultShare)
+	if s.Disturbance.ofPace() {
+		setDefault(&s.Rate, peakRate)
+	}
 	setDefault(&s.Rate, defaultRate)
 	setDefault(&s.Adapters, defaultAdapters)
 	setDefault(&s.From, defaultFrom)
--- a/internal/oper/chaos/world.go
+++ b/internal/oper/chaos/world.go
@@ -29,12 +29,19 @@
 	eventPeriod   clock.Millis = 60
 	// leaveTime is the time from when a backend server says that it leaves until it ends.
 	leaveTime clock.Millis = 4000
+	// downTime is the time from when a backend server crashes until it is back, coldTime that for which
+	// it is slow then.
+	downTime clock.Millis = 2000
+	coldTime clock.Millis = 4000
 )
 
 // limitedShare is the share of its requests, and of its speed, that a backend server with a limit has
 // left.
 const limitedShare = 0.1
 
+// slowShare is the share of its pace that a slow backend server has.
+const slowShare = 1.0 / 3
+
 // Sizes of requests and engines.
 const (
 	events        = 20
@@ -68,7 +75,9 @@
 	limitedAt     clock.Millis
 	arrivals      []clock.Millis
 	prefillFreeAt clock.Millis
-	running       map[*call]bool
+	// slowUntil is until when it works at slowShare of its pace.
+	slowUntil clock.Millis
+	running   map[*call]bool
 }
 
 // world is the state of one run.
@@ -95,10 +104,10 @@
 
 func newWorld(s Scenario, heeds bool) *world {
 	w := &world{scenario: s, heeds: heeds, arrivals: rand.New(rand.NewPCG(s.Seed, 1)), returns: rand.New(rand.NewPCG(s.Seed, 2)), now: clock.Second}
-	w.placer = homes.New(homes.Policy{AdapterLoad: adapterLoad})
+	w.placer = homes.New(homes.Policy{AdapterLoad: adapterLoad, FixedPace: !heeds && s.Disturbance.ofPace()})
 	w.pending.Start(w.now)
 	for i := range s.EntryVMs {
-		c := choose.New(choose.Config{Self: vmID(i), Domain: "d", Region: shard, Policy: choose.Policy{PrefillPerMS: prefillPerMS, RetryRatio: 0.2, RetryReserve: 54}})
+		c := choose.New(choose.Config{Self: vmID(i), Domain: "d", Region: shard, Policy: choose.Policy{PrefillPerMS: prefillPerMS, RetryRatio: 0.2, RetryReserve: 54, FixedPace: !heeds && s.Disturbance.ofPace()}})
 		c.SetConfig(w.config())
 		w.cores = append(w.cores, c)
 	}
@@ -301,6 +310,14 @@
 				e.limit, e.limitedAt = units.Rate(limitedShare*s.Rate/float64(s.Engines)), w.now
 				w.after(s.To-s.From, func() { e.limit = 0 })
 			}
+		case Slow:
+			for _, e := range list {
+				e.slowUntil = w.now + s.To - s.From
+			}
+		case Restart:
+			for _, e := range list {
+				w.crash(e)
+			}
 		case Release:
 			for i, e := range list {
 				w.after(clock.Millis(i)*(s.To-s.From)/clock.Millis(len(list)), func() { w.leave(e, "v2") })
@@ -309,6 +326,16 @@
 	})
 }
 
+// crash ends a server and starts another process in its place, which is slow at first.
+func (w *world) crash(s *server) {
+	w.end(s)
+	w.publishList()
+	w.after(downTime, func() {
+		w.start(s.Software).slowUntil = w.now + coldTime
+		w.publishList()
+	})
+}
+
 // leave lets a server say that it leaves and starts one in its place.
 func (w *world) leave(s *server, version topo.Software) {
 	s.leaving = true
--- a/internal/oper/cmds/platformserverscmd.go
+++ b/internal/oper/cmds/platformserverscmd.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -78,14 +79,17 @@
 
 func writeServers(cmd *cli.Command, list []choose.ServerStatus) error {
 	table := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVER\tSERVICE\tREGION\tSOFTWARE\tREQUESTS\tSTATE")
+	fmt.Fprintln(table, "SERVER\tSERVICE\tREGION\tSOFTWARE\tREQUESTS\tPACE\tSTATE")
 	for i := range list {
 		s := &list[i]
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\n", s.Server, s.Service, s.Region, s.Software, s.Active, platformServerState(s))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", s.Server, s.Service, s.Region, s.Software, s.Active, platformServerPace(s), platformServerState(s))
 	}
 	return errors.Wrap(table.Flush(), "write the table")
 }
 
+// platformServerPace returns the pace of a backend server as a multiple of that of others.
+func platformServerPace(s *choose.ServerStatus) string { return fmt.Sprintf("%.2f", cmp.Or(s.Pace, 1)) }
+
 // platformServerState says why a backend server gets no requests, or that it does.
 func platformServerState(s *choose.ServerStatus) string {
 	var state []string
@@ -98,6 +102,9 @@
 	if s.Backoff > 0 {
 		state = append(state, fmt.Sprintf("back-off for %.1f s", float64(s.Backoff)/float64(clock.Second)))
 	}
+	if s.Window > 0 {
+		state = append(state, fmt.Sprintf("has started, window of %d", s.Window))
+	}
 	if len(state) == 0 {
 		return "ready"
 	}
