--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -192,24 +192,9 @@
 	hidden [scopes]bool
 }
 
-// load is the load of a backend server: its requests, their prompt tokens not yet read,
-// and all their tokens; and what is published of its pace.
-type load struct {
-	active  int32
-	prefill units.Tokens
-	tokens  units.Tokens
-	// pace and window are those of its pace.
-	pace   pace.Step
-	window int32
-}
-
 // software returns the version that the process of s runs.
 func (s *server) software() topo.Software { return s.SoftwareOf(s.reportedStart) }
 
-func (s *server) load() load {
-	return load{s.active, s.prefill, s.tokens, s.pace.Step, s.pace.Window.Limit()}
-}
-
 func (s *server) markChanged() { s.changed = [scopes]bool{true, true} }
 
 // addCached records that an adapter was unloaded and its weights are cached by s.
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -5,6 +5,7 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
+	"mangostile/internal/core/pace"
 	"mangostile/internal/core/peer"
 )
 
@@ -19,6 +20,21 @@
 	scopes
 )
 
+// load is the load of a backend server: its requests, their prompt tokens not yet read,
+// and all their tokens; and what is published of its pace.
+type load struct {
+	active  int32
+	prefill units.Tokens
+	tokens  units.Tokens
+	// pace and window are those of its pace.
+	pace   pace.Step
+	window int32
+}
+
+func (s *server) load() load {
+	return load{s.active, s.prefill, s.tokens, s.pace.Step, s.pace.Window.Limit()}
+}
+
 // Update returns a placement update with up to limit backend servers whose copies changed since
 // the last update for the scope; the others follow in the next ones. After IncludeLoads it also
 // includes the loads that changed.
