--- a/internal/core/pace/server.go
+++ b/internal/core/pace/server.go
@@ -85,7 +85,9 @@
 		if r := s.loaded.Slowness(now, loaded) / loaded; r >= loadedRatio {
 			relative = max(relative, r)
 		}
-		s.Step = s.Step.Next(relative)
+		// Servers that seem fast are those that happen to have the prompts in their caches. They get
+		// more requests by their lower load.
+		s.Step = max(0, s.Step.Next(relative))
 	}
 }
 
--- a/internal/core/pace/work.go
+++ b/internal/core/pace/work.go
@@ -12,9 +12,10 @@
 const (
 	// forgetTime is the time after which an answer counts 1/e, about a third. A server that is slow
 	// after its start recovers within seconds, and gets few answers to show it.
-	forgetTime = clock.Second
-	// priorAnswers is the number of answers that the prior counts as: two answers count as much.
-	priorAnswers = 2
+	forgetTime = 2 * clock.Second
+	// priorAnswers is the number of answers that the prior counts as: what is in an engine's cache changes
+	// the time of one by more than the paces of most servers differ.
+	priorAnswers = 4
 	// maxRatio bounds how far one report of answers may lie from the belief, so that an outlier counts
 	// little but a lasting change still moves it.
 	maxRatio = 3
