--- a/internal/core/choose/pace.go
+++ b/internal/core/choose/pace.go
@@ -230,7 +230,7 @@
 	}
 	// Other entry VMs see the same room, and what they send counts here only after loadAge. If they are
 	// likely to fill it, only some requests take it for empty.
-	expected := float64(c.memberCount()) * float64(max(v.pace.asked, v.pace.lastAsked)) * loadAge / float64(clock.Second)
+	expected := float64(c.memberCount()) * v.pace.askedRate(c.now) * loadAge
 	if limit-total >= expected || spread(r.ID, v.ID)*expected < limit-total {
 		return 0
 	}
@@ -241,6 +241,12 @@
 	return (limit - total) * perRequest
 }
 
+// askedRate returns the number of requests per ms of this entry VM that could run at the server, apart from
+// the one at hand: one entry VM of many has none in most seconds.
+func (p *serverPace) askedRate(now clock.Millis) float64 {
+	return float64(p.asked-1+p.lastAsked) / float64(now-p.askedAt+clock.Second)
+}
+
 // ask counts a request that could run at the server.
 func (p *serverPace) ask(now clock.Millis, r *Request) {
 	if r.ID == p.lastRequest && now < p.askedAt+clock.Second {
