--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -258,10 +258,9 @@
 	loadPace
 	loadLimit loadLimit
 	step      stepIndex
-	// comparedAt is when the paces of backend servers were last compared.
+	// comparedAt is when paces were last compared, paceNews holds their changes not yet logged.
 	comparedAt clock.Millis
-	// paceNews holds the changes of paces not yet logged.
-	paceNews []PaceNews
+	paceNews   []PaceNews
 }
 
 // announced is the newest announced version of an adapter and the time of its announcement.
