--- a/internal/core/choose/gaps.go
+++ b/internal/core/choose/gaps.go
@@ -14,10 +14,6 @@
 	defaultPrompt = 2000
 	// gapShare is the share of the objective that an event is expected to take before any were seen.
 	gapShare = 0.2
-	// minStreams is the number of streams of a service from which on their mean is a measure for others.
-	minStreams = 8
-	// maxPaceEvents bounds the events of one stream that count for the pace of its engine.
-	maxPaceEvents = 20
 )
 
 // streamMeans holds decayed means over the requests of one service.
@@ -27,9 +23,6 @@
 	// event is the time of an event in ms, stall the longest time between two events of a stream, as it
 	// would have been at the common pace. 0 means that none were seen.
 	event, stall float64
-	// fastest is the time in ms of an event without a pause, and count the number of streams that
-	// showed it.
-	fastest, count float64
 }
 
 // streams returns the means of a service.
@@ -49,8 +42,6 @@
 	// Events is the number of events after the first one, Took the time from the first to the last.
 	Events int
 	Took   clock.Millis
-	// Fastest is the time in ms of an event where a few came without a pause, 0 if there were too few.
-	Fastest float64
 }
 
 // NoteGaps records what an attempt has shown of the times between its events.
@@ -66,15 +57,6 @@
 		// A shorter stream has seldom met a prompt.
 		mean(&m.stall, float64(seen.Longest)/c.slowness(v))
 	}
-	if seen.Fastest <= 0 {
-		return
-	}
-	m.count++
-	mean(&m.fastest, seen.Fastest)
-	if m.count >= minStreams {
-		events := float64(min(seen.Events, maxPaceEvents))
-		c.notePace(v, events*seen.Fastest, events*m.fastest)
-	}
 }
 
 // notePrompt records the prompt tokens that v has to read for a request.
@@ -92,6 +74,3 @@
 	}
 	*m += newestWeight * (value - *m)
 }
-
-// notePace records that v took a time for work that takes expected at the common pace, both in ms.
-func (c *Core) notePace(*view, float64, float64) {}
--- a/internal/node/fleet/gaps_test.go
+++ b/internal/node/fleet/gaps_test.go
@@ -24,12 +24,12 @@
 		{
 			name:   "a pause among even events",
 			events: []received{{1000, 1}, {1040, 1}, {1440, 1}, {1480, 1}, {1520, 1}, {1560, 1}, {1600, 1}},
-			want:   choose.SeenGaps{Longest: 400, Events: 6, Took: 600, Fastest: 40},
+			want:   choose.SeenGaps{Longest: 400, Events: 6, Took: 600},
 		},
 		{
 			name:   "events that arrive together",
 			events: []received{{1000, 2}, {1100, 3}, {1200, 8}},
-			want:   choose.SeenGaps{Longest: 100, Events: 12, Took: 200, Fastest: 25},
+			want:   choose.SeenGaps{Longest: 100, Events: 12, Took: 200},
 		},
 	}
 	for _, tt := range tests {
