--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -32,10 +32,6 @@
 	maxPlacerRetryDelay = 500 * time.Millisecond
 	// fullReadPeriod is the time between two reads of all entries.
 	fullReadPeriod = 15 * clock.Second
-	// restoredReadDelay is the time from the first full read of a restored store to the next one. By
-	// then backend servers that run have written their entries again, which the platform promises
-	// within two seconds.
-	restoredReadDelay = 2500 * clock.Millis(1)
 	// relayTTL is how long a feed counts as up to date after an update relayed by
 	// the placer. It leaves time to read the store within the bound on the age of
 	// configurations.
@@ -286,24 +282,6 @@
 	return r, errors.WithStack(err)
 }
 
-// readAll reads a feed in full.
-func (n *Node) readAll(ctx context.Context, f *feed, synced bool, r *storeRead) error {
-	var err error
-	if r.update, err = n.system.ReadFull(ctx, f.name); err != nil {
-		return errors.WithStack(err)
-	}
-	if r.update.Era > r.fromEra && r.from > 0 {
-		n.logRestored(f, r.update.Era)
-		r.update.Restored = true
-	}
-	return n.readSkipped(ctx, f, synced, r)
-}
-
-// logRestored logs that the store has lost its last records.
-func (n *Node) logRestored(f *feed, era units.Era) {
-	n.log.Warn("store_restored", "feed", f.name, "era", int64(era), "read_to", f.next, "remedy", "none: what was lost is written again")
-}
-
 // readSkipped adds to a full read of the backend servers the versions that only records before it
 // name: those of servers that were listed and removed since the last update.
 func (n *Node) readSkipped(ctx context.Context, f *feed, synced bool, r *storeRead) error {
@@ -498,14 +476,6 @@
 	return changed
 }
 
-// confirms reports whether an entry of a restored store may replace what is known: it is neither that of
-// a backend server that was removed since, nor one from before its process began to leave or another one
-// started. Later entries of those that run follow. n.mu must be held.
-func (n *Node) confirms(s *topo.Server) bool {
-	known := n.servers.Get(s.ID)
-	return known != nil && s.StartedAt >= known.StartedAt && (s.StartedAt > known.StartedAt || s.Draining || !known.Draining)
-}
-
 // propagateUpdate hands a new configuration or server list to the placer workers and
 // marks the entry VM as ready once it has a configuration, a backend server and the verdicts in
 // the store.
