Refuse no request for a short queue of loads that has just begun

Cause: until loads had begun for a second, the placer took their rate for an eighth of what the limit of loads in flight allows. At two engines a queue of two loads counted as 1.5 s. Change: until loads show their rate, it is that of the limit, fading within a second.

--- a/internal/core/homes/queue.go
+++ b/internal/core/homes/queue.go
@@ -15,6 +15,8 @@
 	// begun counts the loads begun, decaying with rateTime, as of countedAt.
 	begun     float64
 	countedAt clock.Millis
+	// since is when loads began to wait, unless none do.
+	since clock.Millis
 }
 
 const (
@@ -51,6 +53,9 @@
 
 // begin begins a step.
 func (q *loadQueue) begin(now clock.Millis) {
+	if q.len() == 0 {
+		q.since = now
+	}
 	q.waiting = q.waiting[:0]
 	q.decay(now)
 }
@@ -85,9 +90,10 @@
 	if ahead == 0 {
 		return 0
 	}
-	// Loads that have just begun to queue don't show their rate yet.
-	slowest := p.maxLoadsInFlight() / slowestRate / float64(p.loadTimeNow())
-	rate := max(p.queue.begun/float64(rateTime), slowest)
+	// Loads that have just begun to queue don't show their rate yet: until then it is that of the limit.
+	most := p.maxLoadsInFlight() / float64(p.loadTimeNow())
+	unseen := math.Exp(-float64(p.now-p.queue.since) / float64(rateTime))
+	rate := max(p.queue.begun/float64(rateTime), unseen*most, most/slowestRate)
 	return clock.Millis(float64(ahead) / rate)
 }
 
--- a/internal/core/homes/queue_test.go
+++ b/internal/core/homes/queue_test.go
@@ -81,3 +81,13 @@
 	f.Step(1220, true)
 	must.SliceEmpty(t, f.Update(1220, SameRegion, "r", 1, 10).LoadWaits)
 }
+
+// TestShortQueueIsNoReasonToRefuse guards against requests that were refused for a queue of a few loads
+// which had just begun. The load is five adapters asked for at once at two engines with six places.
+func TestShortQueueIsNoReasonToRefuse(t *testing.T) {
+	f := newTestPlacer(3, "s1", "s2")
+	f.requestLoads(1200, 500, "a1", "a2", "a3", "a4", "a5")
+	f.Step(1200, true)
+	must.Positive(t, f.queue.len())
+	must.LessEq(t, 2*f.loadTimeNow(), f.Update(1200, SameRegion, "r", 1, 10).LoadWait)
+}
