--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -14,7 +14,7 @@
 )
 
 func main() {
-	cases := map[string]func(r *recorder, trouble bool) (int, error){"crowd": crowd, "takeup": takeUp}
+	cases := map[string]func(r *recorder, trouble bool) (int, error){"crowd": crowd, "takeup": takeUp, "options": optionsAnswers}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases2 CASE RECORD")
 		os.Exit(unable)
