End the processes of a case that is stopped by a signal

Cause: the processes of a script went on if the script itself was ended.

Change: the stand-ins of the scripts kill what they started at SIGINT and SIGTERM.

--- a/review/cases2/deploy.go
+++ b/review/cases2/deploy.go
@@ -186,6 +186,38 @@
 	return vm, nil
 }
 
+// processes are those that were started and have not ended.
+type processes struct {
+	mu   sync.Mutex
+	open map[*os.Process]bool
+}
+
+// started are the processes of the entry VMs.
+var started processes
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		p.open = map[*os.Process]bool{}
+	}
+	p.open[process] = true
+}
+
+func (p *processes) remove(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, process)
+}
+
+// killAll kills the processes, also those that are stopped. None can be added afterwards.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	for process := range p.open {
+		_ = process.Kill()
+	}
+}
+
 // program is the one that the build line of the deploy file builds.
 const program = "target/mangostile"
 
@@ -202,10 +234,12 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started.add(cmd.Process)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = cmd.Wait()
+		started.remove(cmd.Process)
 	}()
 	vm.cmd, vm.done = cmd, done
 	return nil
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Results of a case, as exit status.
@@ -19,6 +21,13 @@
 		fmt.Fprintln(os.Stderr, "usage: cases2 CASE RECORD")
 		os.Exit(unable)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		started.killAll()
+		os.Exit(unable)
+	}()
 	r, err := newRecorder(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/cases2/takeup.go
+++ b/review/cases2/takeup.go
@@ -39,11 +39,11 @@
 }
 
 // read sends a request for a stream and reads the answer until it ends or stop is closed.
-func read(front, id, resumes string, lastEvent int, started *sync.WaitGroup, stop <-chan struct{}) (s stream) {
+func read(front, id, resumes string, lastEvent int, begins *sync.WaitGroup, stop <-chan struct{}) (s stream) {
 	var once sync.Once
 	begun := func() {
-		if started != nil {
-			once.Do(started.Done)
+		if begins != nil {
+			once.Do(begins.Done)
 		}
 	}
 	defer begun()
@@ -160,17 +160,17 @@
 	survivor, others := d.vms[0], d.vms[1:]
 
 	// Each client reads a stream through one of the entry VMs that are killed.
-	var reading, started sync.WaitGroup
+	var reading, begins sync.WaitGroup
 	stop := make(chan struct{})
 	var taken []stream
 	wentOn, mixed := 0, 0
 	for i := range streamsPerVM * len(others) {
 		vm := others[i%len(others)]
-		started.Add(1)
+		begins.Add(1)
 		reading.Go(func() {
 			id := fmt.Sprintf("first-%d", i)
 			r.note("client sends %s to %s", id, vm.name)
-			first := read(vm.front, id, "", 0, &started, stop)
+			first := read(vm.front, id, "", 0, &begins, stop)
 			r.note("client has of %s: status %d of %s, events %d to %d, complete %v %s", id, first.status, first.stamp, first.first, first.last, first.complete, first.reason)
 			if first.complete || first.last == 0 {
 				return
@@ -197,7 +197,7 @@
 			}
 		})
 	}
-	started.Wait()
+	begins.Wait()
 	if trouble {
 		for _, vm := range others {
 			r.note("%s is killed", vm.name)
