Count the answer to an order for that order alone

Cause: HandleOrderResult applied an answer to whatever order was under way at the backend server. Resync, a restart that the list shows and an entry that comes back all forgot that an order was under way; the next one was sent, and the late answer to the first canceled the load of the second. One slot too many counted as free.

Change: orders are numbered, and an answer counts only for the awaited one; Resync goes on waiting for it, at most orderAnswerTimeout, so that a dropped answer doesn't block a server either; a restart that a report shows ends the wait; a report of the previous process is ignored. The log line order_answered says whether the answer was awaited.

--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -15,8 +15,13 @@
 	OrderUnload OrderKind = "unload"
 )
 
+// OrderID numbers the orders of a Placer, from 1 on.
+type OrderID uint64
+
 // Order is an order to a backend server.
 type Order struct {
+	// ID is unique among the orders of the Placer; an answer counts only for the order with its ID.
+	ID      OrderID
 	Kind    OrderKind
 	Server  units.BackendServerID
 	Address string
@@ -72,17 +77,19 @@
 	}
 }
 
-// HandleOrderResult applies the result of an order. After Conflicts, Refused or the loss of an order
+// HandleOrderResult applies the result of an order and reports whether it was still awaited. The result
+// of any other order changes nothing: it is about a process that has ended, or about an order that has
+// been taken for lost, and the next order conflicts if that one was executed. After Conflicts, Refused or the loss of an order
 // about a model the backend server gets no orders until it has sent a report at least reportDelay later.
 // After the loss of one about an adapter it gets more: if the lost one was executed, or is before the
 // next, the numbers of orders differ and the next conflicts; otherwise the next one voids it.
-func (p *Placer) HandleOrderResult(now clock.Millis, o Order, result Result) {
+func (p *Placer) HandleOrderResult(now clock.Millis, o Order, result Result) bool {
 	p.now = max(p.now, now)
 	s := p.servers[o.Server]
-	if s == nil {
-		return
+	if s == nil || s.pending == nil || s.pending.ID != o.ID {
+		return false
 	}
-	s.orderPending, s.orderedAt = false, p.now
+	s.pending, s.orderedAt = nil, p.now
 	switch result {
 	case Taken, Done:
 		s.lostOrders = 0
@@ -105,6 +112,7 @@
 		p.cancelLoad(s, o)
 	}
 	s.markChanged()
+	return true
 }
 
 // cancelLoad removes the copy of a load that was not accepted or whose answer was lost.
@@ -168,26 +176,29 @@
 }
 
 // HandleReport applies a backend server's report of its state. Of a report that may predate
-// the last order only the start of the process is used. Any report ends the down state.
+// the last order only the start of the process is used, and nothing of one by a previous process.
+// Any other report ends the down state.
 func (p *Placer) HandleReport(now clock.Millis, id units.BackendServerID, r *topo.Report) {
 	p.now = max(p.now, now)
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
-	s.reportPending, s.reportedAt = false, p.now
+	s.reportPending = false
+	if r.StartedAt > 0 && r.StartedAt < max(s.StartedAt, s.reportedStart) {
+		s.nextReportAt = p.now + reportDelay
+		return
+	}
+	s.reportedAt = p.now
 	if s.down {
 		s.markChanged()
 	}
 	s.down = false
 	s.nextReportAt = p.now + reportPeriod
 	if r.StartedAt > max(s.StartedAt, s.reportedStart) {
-		s.reportedStart = r.StartedAt
-		s.markChanged()
-		s.orders = 0
-		s.copies, s.models = map[units.AdapterName]*heldCopy{}, map[units.ModelName]bool{}
+		s.noteRestart(r.StartedAt)
 	}
-	if s.orderPending || s.synced && (p.now < s.orderedAt+reportDelay || r.Orders < s.orders) {
+	if s.pending != nil || s.synced && (p.now < s.orderedAt+reportDelay || r.Orders < s.orders) {
 		return
 	}
 	if !s.synced && s.orderedAt > 0 && p.now < s.orderedAt+reportDelay {
@@ -201,6 +212,15 @@
 	p.sync(s, r)
 }
 
+// noteRestart forgets the state of the process before the one that started at some time, and the order
+// whose answer was awaited from it.
+func (s *server) noteRestart(startedAt int64) {
+	s.reportedStart = startedAt
+	s.markChanged()
+	s.synced, s.orders, s.pending, s.orderedAt = false, 0, nil, 0
+	s.copies, s.models = map[units.AdapterName]*heldCopy{}, map[units.ModelName]bool{}
+}
+
 // sync replaces the copies, models and number of orders of s by those of a report. Copies
 // that s already has keep their state, except that a loaded one is no longer loading. Only
 // what changes the placement is published: most reports confirm it.
@@ -255,12 +275,12 @@
 }
 
 // Resync requests new reports of all backend servers before any order, for an entry VM
-// that becomes the placer.
+// that becomes the placer. One that was the placer before may still have orders under way; the next
+// order to the same backend server waits for the answer.
 func (p *Placer) Resync(now clock.Millis) {
 	p.now = max(p.now, now)
 	for _, s := range p.servers {
-		s.synced, s.orderPending, s.reportPending, s.nextReportAt = false, false, false, p.now
+		s.synced, s.reportPending, s.nextReportAt = false, false, p.now
 		s.markChanged()
-		s.orderedAt = 0
 	}
 }
--- a/internal/core/homes/place.go
+++ b/internal/core/homes/place.go
@@ -16,7 +16,7 @@
 	slots := p.index().slots
 	for i := range slots {
 		s := slots[i].server
-		if s == exclude || !key.allows(s) || s.orderPending || !s.models[model] || s.copies[adapter] != nil {
+		if s == exclude || !key.allows(s) || s.pending != nil || !s.models[model] || s.copies[adapter] != nil {
 			continue
 		}
 		victim, victimDemand, ok := p.findSlot(&slots[i], adapter)
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -63,6 +63,9 @@
 	// orderPatience is how long the answer to an order is awaited before its adapter is loaded on
 	// another backend server too: a few round trips between regions.
 	orderPatience = 150 * clock.Millis(1)
+	// orderAnswerTimeout is the time after which an order without an answer is taken for lost. It
+	// exceeds that of the call, whose result is always passed on unless it is dropped.
+	orderAnswerTimeout = clock.Second
 	// idleBeforeRetire is how long a copy must be unused before it may be retired.
 	idleBeforeRetire = 300 * clock.Millis(1)
 	// reportDelay is how long after an order a report may still show the state before it;
@@ -165,10 +168,10 @@
 	modelReadyAt clock.Millis
 	// refusedUntil is until when no model is loaded, after the last order to do so was refused.
 	refusedUntil clock.Millis
-	// orderPending reports that the answer to an order is awaited; orderedAt is when the last
-	// order was sent or answered.
-	orderPending bool
-	orderedAt    clock.Millis
+	// pending is the order whose answer is awaited, nil if there is none: no second order is sent to
+	// a process before. orderedAt is when the last order was sent or answered.
+	pending   *Order
+	orderedAt clock.Millis
 	// lostOrders counts the orders without an answer since the last one with an answer.
 	lostOrders int
 	// nextReportAt is the earliest time of the next report request; reportPending reports
@@ -224,7 +227,7 @@
 
 // usable reports whether orders may be sent to s now.
 func (s *server) usable(now clock.Millis) bool {
-	return s.synced && !s.down && !s.orderPending && !s.Draining && s.Remaining == 0 && now >= s.modelReadyAt
+	return s.synced && !s.down && s.pending == nil && !s.Draining && s.Remaining == 0 && now >= s.modelReadyAt
 }
 
 // Placer decides about the copies of one shard. Create it with New; all methods must be
@@ -252,7 +255,9 @@
 	includeLoads      [scopes]bool
 	cursor            [scopes]int
 	lastLoadRequestAt clock.Millis
-	queue             loadQueue
+	// lastOrder is the ID of the last order.
+	lastOrder OrderID
+	queue     loadQueue
 	// models limits the rate of model loads.
 	models modelBudget
 	loadPace
--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -36,6 +36,8 @@
 
 type fakeEngine struct {
 	orders int64
+	// start is when its process started.
+	start  int64
 	copies map[units.AdapterName]topo.AdapterRevision
 }
 
@@ -69,7 +71,7 @@
 
 func (b *fakeBackends) report(id units.BackendServerID) *topo.Report {
 	e := b.engines[id]
-	r := &topo.Report{Orders: e.orders, Models: []units.ModelName{testModel}}
+	r := &topo.Report{StartedAt: e.start, Orders: e.orders, Models: []units.ModelName{testModel}}
 	for name, revision := range e.copies {
 		r.Copies = append(r.Copies, topo.Copy{Adapter: name, Revision: revision})
 	}
@@ -121,7 +123,7 @@
 func (f *testPlacer) loaded() []string {
 	var names []string
 	for _, o := range f.orders {
-		if o.Kind == OrderLoad {
+		if o.Kind == OrderLoad && o.Adapter != "" {
 			names = append(names, string(o.Adapter[2:]))
 		}
 	}
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -40,12 +40,15 @@
 	return plan
 }
 
-// advance applies the passing of time. It counts a load as complete at its expected end,
+// advance applies the passing of time. It takes orders for lost after orderAnswerTimeout. It counts a load as complete at its expected end,
 // without waiting for a report, and lowers the slowness for it. It drops load requests that
 // were not repeated within loadRequestTTL and prunes the demand.
 func (p *Placer) advance() {
 	for _, s := range p.servers {
 		p.showModels(s)
+		if s.pending != nil && p.now >= s.orderedAt+orderAnswerTimeout {
+			p.HandleOrderResult(p.now, *s.pending, Lost)
+		}
 		for _, c := range s.copies {
 			if c.state == copyLoading && !c.unconfirmed && p.now >= c.readyAt {
 				c.state, c.usedAt = copyReady, p.now
@@ -65,7 +68,7 @@
 func (p *Placer) requestReports(plan *Plan) {
 	for _, id := range p.order {
 		s := p.servers[id]
-		if s.reportPending || s.orderPending || p.now < s.nextReportAt {
+		if s.reportPending || s.pending != nil || p.now < s.nextReportAt {
 			continue
 		}
 		s.reportPending = true
@@ -93,8 +96,9 @@
 
 // send adds an order to s to the plan.
 func (p *Placer) send(plan *Plan, s *server, o Order) {
-	o.Server, o.Address, o.Expected = s.ID, s.Address, s.orders
-	s.orderPending, s.orderedAt = true, p.now
+	p.lastOrder++
+	o.ID, o.Server, o.Address, o.Expected = p.lastOrder, s.ID, s.Address, s.orders
+	s.pending, s.orderedAt = &o, p.now
 	plan.Orders = append(plan.Orders, o)
 }
 
@@ -161,7 +165,7 @@
 // revive makes a retired copy for key ready again and reports whether there was one.
 func (p *Placer) revive(key loadKey) bool {
 	s := p.index().retired[key]
-	if s == nil || s.orderPending {
+	if s == nil || s.pending != nil {
 		return false
 	}
 	c := s.copies[key.adapter]
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -78,7 +78,7 @@
 func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
 	switch {
 	case c.unconfirmed && p.now >= s.orderedAt+orderPatience:
-	case s.orderPending && c.state == copyLoading:
+	case s.pending != nil && c.state == copyLoading:
 		p.step.addServed(s, adapter)
 	case p.isOld(adapter, c) || s.Draining || s.Remaining != 0:
 	case c.state == copyReady || c.state == copyLoading:
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -286,9 +286,9 @@
 		p.placer.Announce(now, in.Adapter, in.Revision)
 	case orderInput:
 		p.node.meter.OrderAnswered(string(in.order.Kind), in.result.String())
+		awaited := p.placer.HandleOrderResult(now, in.order, in.result)
 		p.node.log.Info("order_answered", "shard", p.shard, "server", in.order.Server, "order", in.order.Kind, "adapter", in.order.Adapter,
-			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "reason", in.order.Reason, "error", in.err)
-		p.placer.HandleOrderResult(now, in.order, in.result)
+			"revision", int64(in.order.Revision), "expected", in.order.Expected, "fence", uint64(p.lease.Fence()), "result", in.result, "awaited", awaited, "reason", in.order.Reason, "error", in.err)
 	case reportInput:
 		if in.report == nil {
 			p.placer.ReportFailed(now, in.server)
