Ignore results of orders sent before a server was taken up again

On serve, an owner that gave up a model engine and took it up again while a load was under way took its late result for that of the load after it: the copy was forgotten, and its slot counted as free until a report. Such an engine refuses the load beyond its slots, so that requests waited longer; nothing else was lost.

Cause: the same as of the late answers to a placer's orders: OrderDone looked for a load under way by adapter alone.

Change: an owner's orders are numbered, and each server has the number of the first order since it was taken up.

TestResultsFromBeforeTakeUpAreIgnored fails without the comparison.

--- a/internal/core/event/server.go
+++ b/internal/core/event/server.go
@@ -58,6 +58,8 @@
 
 // Order is an order to a model engine.
 type Order struct {
+	// Number is that of the order among its owner's, from 0 on.
+	Number  OrderNumber          `json:"-"`
 	Kind    OrderKind            `json:"kind"`
 	Adapter units.AdapterVersion `json:"adapter"`
 	Fence   units.Fence          `json:"fence"`
@@ -68,6 +70,9 @@
 	NotAfter clock.Millis `json:"-"`
 }
 
+// OrderNumber numbers the orders of an owner.
+type OrderNumber uint64
+
 // OrderResult is the result of an order.
 type OrderResult struct {
 	Kind OrderResultKind
--- a/internal/core/owner/claim.go
+++ b/internal/core/owner/claim.go
@@ -53,6 +53,8 @@
 // sendOrder sends an order to s with our fencing number. The order is not sent once the
 // ownership has ended; a claim, which precedes it, is sent at most OwnerTerm from now.
 func (o *Owner) sendOrder(now clock.Millis, s *server, order event.Order, out *event.Effects) {
+	order.Number = o.nextOrder
+	o.nextOrder++
 	order.Fence = s.fence
 	order.Holder = o.Self
 	order.NotAfter = now + OwnerTerm
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -50,7 +50,9 @@
 	needs    map[loadCandidate]float64
 	prunedAt clock.Millis
 	leases   leaseManager
-	crashes  []Crash
+	// nextOrder is the number of the next order.
+	nextOrder event.OrderNumber
+	crashes   []Crash
 }
 
 // SetServers assigns the servers in specs to the owner and removes all others. Requests
@@ -69,7 +71,7 @@
 		}
 		o.servers[id] = &server{
 			spec: spec, copies: map[units.AdapterVersion]*copyState{}, grants: map[units.GrantNumber]*grant{},
-			assignedAfter: o.leases.sequence,
+			assignedAfter: o.leases.sequence, firstOrder: o.nextOrder,
 		}
 		out.Add(event.Decision{Area: "owner", Choice: spec.ID, Reason: "takes_up"})
 	}
@@ -132,7 +134,8 @@
 	o.refuseQueued(s, out)
 }
 
-// OrderDone applies the result of an order.
+// OrderDone applies the result of an order. Of one sent to the server before it was given up and taken
+// up again, only the budget learns.
 func (o *Owner) OrderDone(now clock.Millis, ev event.OrderDone, out *event.Effects) {
 	switch ev.Order.Kind {
 	case event.OrderLoad:
@@ -142,7 +145,7 @@
 	case event.OrderClaim, event.OrderRole:
 	}
 	s := o.servers[ev.Server]
-	if s == nil {
+	if s == nil || ev.Order.Number < s.firstOrder {
 		return
 	}
 	if ev.Result.Kind == event.OrderFenced {
--- a/internal/core/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -336,3 +336,29 @@
 	h.deliverOrder(0, event.OrderAccepted)
 	must.SliceLen(t, 1, h.replies)
 }
+
+// TestResultsFromBeforeTakeUpAreIgnored guards against a slot that counts as free while it is taken: a
+// server was given up and taken up again, and the late result of an order from before was taken for that
+// of the order after it.
+func TestResultsFromBeforeTakeUpAreIgnored(t *testing.T) {
+	for _, late := range []event.OrderResultKind{event.OrderLost, event.OrderNotSent, event.OrderAccepted} {
+		h := newHarness(t)
+		h.requestGrant(1)
+		must.SliceLen(t, 1, h.orders)
+		must.Eq(t, event.OrderLoad, h.orders[0].Order.Kind)
+		spec := h.owner.servers["engine-1"].spec
+		h.do(func(out *event.Effects) {
+			h.owner.SetServers(nil, out)
+			h.owner.SetServers([]event.VM{spec}, out)
+		})
+		h.report()
+		h.deliverOrder(1, event.OrderAccepted)
+		h.requestGrant(1)
+		must.SliceLen(t, 2, h.orders)
+		must.Eq(t, event.OrderLoad, h.orders[1].Order.Kind)
+		h.deliverOrder(0, late)
+		c := h.owner.servers["engine-1"].copies[version(1)]
+		must.NotNil(t, c, must.Sprint(late))
+		must.True(t, c.loading, must.Sprint(late))
+	}
+}
--- a/internal/core/owner/server.go
+++ b/internal/core/owner/server.go
@@ -110,6 +110,9 @@
 	// assignedAfter is the sequence number of the last lease record sent before the
 	// server was assigned to this owner.
 	assignedAfter uint64
+	// firstOrder is the number of the first order that may have been sent since the server was assigned
+	// to this owner: results of orders before say nothing of the copies and orders known since.
+	firstOrder event.OrderNumber
 	// claimConflicts counts how often another owner claimed the server, up to
 	// maxClaimConflicts, since the last conflictResetPeriod of undisturbed ownership.
 	claimConflicts int
