Count an old version of an adapter from the first one after it

Cause: choose.Core kept one version of an adapter, the newest, with the time of its announcement. The grace period of all older copies, and the bound until which a request must begin there, moved on with each version. The placer gave a copy in use more time in the same way. A request sent before the announcement had no bound while it waited.

Change: topo.Announcements tells when a version was first replaced, in whatever order versions become known; entry VM and placer use it. An attempt that has not begun looks up its bound again when that may pass.

Without the later look, TestVersionNamedAfterTheSendEndsTheWait waits on until it is ended.

--- a/internal/core/choose/choice.go
+++ b/internal/core/choose/choice.go
@@ -24,8 +24,10 @@
 	Region units.Region
 	// Cost is the expected time to the first event in ms.
 	Cost clock.Millis
+	// Revision is that of the copy, 0 if it is unknown or the request names no adapter.
+	Revision topo.AdapterRevision
 	// BeginBy is when the request must have begun, since a newer version of its adapter was
-	// announced; 0 if none was.
+	// announced; 0 if none was before the send.
 	BeginBy clock.Millis
 	// Candidates is the number of backend servers that were compared.
 	Candidates int
@@ -319,8 +321,8 @@
 
 // isCurrent reports whether a copy's version may still be used.
 func (c *Core) isCurrent(adapter units.AdapterName, held copyView) bool {
-	announced, ok := c.versions[adapter]
-	return !ok || held.revision >= announced.revision || c.now < announced.announcedAt+c.cfg.Policy.VersionGrace
+	at, replaced := c.versions[adapter].ReplacedAt(held.revision)
+	return !replaced || c.now < at+c.cfg.Policy.VersionGrace
 }
 
 // cheapest returns the backend server with the lowest cost among those that don't leave, admit r and
@@ -414,8 +416,9 @@
 	if gap := r.Route.GapTarget; gap > 0 && choice.Rate > 0 {
 		choice.PauseRisk = c.pauseRisk(r, v, gap)
 	}
-	if announced := c.versions[r.Adapter]; c.cfg.Policy.VersionLimit > 0 && v.copies[r.Adapter].revision < announced.revision {
-		choice.BeginBy = announced.announcedAt + c.cfg.Policy.VersionLimit - cancelTime
+	if topo.IsAdapter(r.Adapter) {
+		choice.Revision = v.copies[r.Adapter].revision
+		choice.BeginBy = c.BeginBy(r.Adapter, choice.Revision)
 	}
 	c.recordSend(r, v)
 	v.backoff.began(r)
--- a/internal/core/choose/choose_test.go
+++ b/internal/core/choose/choose_test.go
@@ -135,6 +135,34 @@
 			},
 			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, 700+5000-cancelTime, choice.(Send).BeginBy) },
 		},
+		{
+			name: "a further version does not bring an old one back into use",
+			setup: func(c *Core) {
+				c.Announce(1000-defaultVersionGrace, "m/a", 2)
+				c.Announce(1000, "m/a", 3)
+				applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { _, waits := choice.(Wait); must.True(t, waits) },
+		},
+		{
+			name: "an earlier version that becomes known late counts from its own announcement",
+			setup: func(c *Core) {
+				c.Announce(1000, "m/a", 3)
+				c.Announce(1000-defaultVersionGrace, "m/a", 2)
+				applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { _, waits := choice.(Wait); must.True(t, waits) },
+		},
+		{
+			name: "a request on an old version must begin before the bound of the first version after it",
+			setup: func(c *Core) {
+				c.SetPolicy(Policy{VersionLimit: 5000})
+				c.Announce(700, "m/a", 2)
+				c.Announce(900, "m/a", 3)
+				applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+			},
+			check: func(t *testing.T, _ *Core, choice Choice) { must.Eq(t, 700+5000-cancelTime, choice.(Send).BeginBy) },
+		},
 		{
 			name: "a draining server receives no requests",
 			setup: func(c *Core) {
--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -183,7 +183,7 @@
 	shards       map[string]*shard
 	loadRequests map[loadKey]*loadRequest
 	software     softwareHistory
-	versions     map[units.AdapterName]version
+	versions     map[units.AdapterName]*topo.Announcements
 	budgets      map[units.ServiceName]*budget
 	// gapTargets holds the shortest objective for pauses of each service whose routes name one, means
 	// what the requests of each service have shown.
@@ -225,12 +225,6 @@
 	receivedAt clock.Millis
 }
 
-// version is the newest announced version of an adapter and the time of its announcement.
-type version struct {
-	revision    topo.AdapterRevision
-	announcedAt clock.Millis
-}
-
 // shard is the state of a shard's placer according to its placement updates.
 type shard struct {
 	fence        units.Fence
@@ -291,7 +285,7 @@
 	cfg.Policy = cfg.Policy.withDefaults()
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
-		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]version{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
+		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]*topo.Announcements{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
 		means:   map[units.ServiceName]*streamMeans{},
 		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{}, backoffNews: map[units.BackendServerID]bool{},
 	}
@@ -398,14 +392,32 @@
 	}
 }
 
-// Announce records that a version of an adapter was announced at some time, or later. Versions that are
-// not newer than the last one are ignored. Older copies remain usable for Policy.VersionGrace.
+// Announce records that a version of an adapter was announced at some time, or later. Older copies remain
+// usable for Policy.VersionGrace, whatever versions follow.
 func (c *Core) Announce(at clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
-	if c.versions[adapter].revision < revision {
-		c.versions[adapter] = version{revision: revision, announcedAt: at}
+	announced := c.versions[adapter]
+	if announced == nil {
+		announced = &topo.Announcements{}
+		c.versions[adapter] = announced
+	}
+	announced.Add(revision, at)
+	announced.Forget(c.now - max(c.cfg.Policy.VersionGrace, c.cfg.Policy.VersionLimit))
+}
+
+// BeginBy returns when a request that was sent to a copy of an adapter must have begun there, 0 if no
+// newer version was announced or there is no limit.
+func (c *Core) BeginBy(adapter units.AdapterName, revision topo.AdapterRevision) clock.Millis {
+	at, replaced := c.versions[adapter].ReplacedAt(revision)
+	if limit := c.BeginLimit(); replaced && limit > 0 {
+		return at + limit
 	}
+	return 0
 }
 
+// BeginLimit returns the time after the announcement of a version in which requests at older copies must
+// have begun, less that in which they are canceled; 0 means no limit.
+func (c *Core) BeginLimit() clock.Millis { return max(0, c.cfg.Policy.VersionLimit-cancelTime) }
+
 // Ready reports whether requests can be accepted, which requires a configuration and
 // a backend server.
 func (c *Core) Ready(now clock.Millis) bool {
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -246,7 +246,7 @@
 	aggregatedAt clock.Millis
 	loadRequests map[loadKey]*loadRequest
 	demand       demand
-	announced    map[units.AdapterName]announced
+	announced    map[units.AdapterName]*topo.Announcements
 	// sequence is the number of the last update by scope, removed lists the backend servers
 	// removed since, includeLoads reports whether the next one includes loads, and cursor is
 	// the index in order at which it begins.
@@ -268,12 +268,6 @@
 	paceNews   []PaceNews
 }
 
-// announced is the newest announced version of an adapter and the time of its announcement.
-type announced struct {
-	revision    topo.AdapterRevision
-	announcedAt clock.Millis
-}
-
 // usageReport is the last usage report of one entry VM.
 type usageReport struct {
 	receivedAt clock.Millis
@@ -310,7 +304,7 @@
 func New(policy Policy) *Placer {
 	return &Placer{
 		policy: policy.withDefaults(), loadPace: loadPace{slowness: initialSlowness}, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
-		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]announced{},
+		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]*topo.Announcements{},
 	}
 }
 
@@ -365,12 +359,15 @@
 	s.Draining = draining
 }
 
-// Announce records that a version of an adapter was announced. Versions that are not newer
-// than the last one are ignored.
+// Announce records that a version of an adapter was announced.
 func (p *Placer) Announce(now clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
-	if p.announced[adapter].revision < revision {
-		p.announced[adapter] = announced{revision: revision, announcedAt: now}
+	announced := p.announced[adapter]
+	if announced == nil {
+		announced = &topo.Announcements{}
+		p.announced[adapter] = announced
 	}
+	announced.Add(revision, now)
+	announced.Forget(now - versionGrace)
 }
 
 // HandleUsage handles a usage report of an entry VM.
--- a/internal/core/homes/placer_test.go
+++ b/internal/core/homes/placer_test.go
@@ -289,6 +289,22 @@
 	must.Eq(t, 2, last.Revision)
 }
 
+// TestFurtherVersionDoesNotSpareOldCopies guards against an old copy in use that is never replaced, since
+// versions follow each other faster than the time that it is given.
+func TestFurtherVersionDoesNotSpareOldCopies(t *testing.T) {
+	f := newTestPlacer(8, "s1")
+	f.requestLoads(1200, 500, "a1")
+	f.run(1200, 1600)
+	f.demand.add(1600, "m/a1", 5)
+	for i, at := range []clock.Millis{1600, 1600 + versionGrace - 100} {
+		f.HandleUsage(at, "vm", &peer.UsageReport{Shard: "r", Address: "a", Servers: []peer.ServerUsage{{Server: "s1", Active: 1, Adapters: []peer.AdapterUsage{{Adapter: "m/a1", Active: 1}}}}})
+		f.Announce(at, "m/a1", topo.AdapterRevision(2+i))
+		f.run(at, at+90)
+	}
+	f.run(1600+versionGrace, 1600+versionGrace+unloadDelay+50)
+	must.Eq(t, 3, f.backends.engines["s1"].copies["m/a1"])
+}
+
 func TestRestartClearsServerState(t *testing.T) {
 	f := newTestPlacer(8, "s1")
 	f.requestLoads(1200, 500, "a1")
@@ -361,7 +377,7 @@
 			}
 			if rapid.IntRange(0, 9).Draw(t, "new version") == 0 {
 				adapter := adapterName(fmt.Sprint("a", rapid.IntRange(0, 12).Draw(t, "of adapter")))
-				f.Announce(now, adapter, f.announced[adapter].revision+1)
+				f.Announce(now, adapter, f.newestRevision(adapter)+1)
 			}
 			reports := map[units.BackendServerID]*topo.Report{"s1": f.backends.report("s1"), "s2": f.backends.report("s2")}
 			lagging = append(lagging, reports)
--- a/internal/core/homes/versions.go
+++ b/internal/core/homes/versions.go
@@ -8,12 +8,12 @@
 // newestRevision returns the announced revision of an adapter, or 0, which loads the
 // newest one in the weight store.
 func (p *Placer) newestRevision(adapter units.AdapterName) topo.AdapterRevision {
-	return p.announced[adapter].revision
+	return p.announced[adapter].Newest()
 }
 
 // isOld reports whether c is older than the announced version.
 func (p *Placer) isOld(adapter units.AdapterName, c *heldCopy) bool {
-	return c.revision < p.announced[adapter].revision
+	return c.revision < p.newestRevision(adapter)
 }
 
 // replaceOld replaces copies of old versions.
@@ -37,7 +37,8 @@
 // idle copy with too little demand is retired and, unloadDelay later, unloaded instead.
 func (p *Placer) replace(plan *Plan, s *server, adapter units.AdapterName, c *heldCopy) {
 	popular := p.demand.get(p.now, adapter) >= minDemandToReplace
-	late := p.now >= p.announced[adapter].announcedAt+versionGrace
+	replacedAt, _ := p.announced[adapter].ReplacedAt(c.revision)
+	late := p.now >= replacedAt+versionGrace
 	if c.active > 0 && !late {
 		if popular && !p.hasNewer(adapter) {
 			p.place(plan, loadKey{adapter: adapter}, s, "new version beside the old one")
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mangostile/internal/base/clock"
@@ -228,8 +229,10 @@
 	sentAt clock.Millis
 	// hasAnswer is true once the answer or its first event was received, at firstAt.
 	hasAnswer bool
-	// beginTimer cancels the attempt if it has not begun by to.BeginBy; nil if there is no such time.
+	// beginTimer calls checkBegin; nil if the attempt may begin at any time. answered is true once it needs
+	// no further check.
 	beginTimer *time.Timer
+	answered   atomic.Bool
 	// again is true if a crash was known to count against the request when it was sent.
 	again bool
 	// begun is true once a part of the answer itself was received, not only comments.
@@ -263,13 +266,51 @@
 // version of its adapter.
 var errOldVersion = errors.New("the request did not begin before the old version of its adapter had to be left")
 
-// limitBegin cancels the attempt at to.BeginBy unless it has begun. The function that it returns ends that.
+// limitBegin cancels the attempt if it has not begun by the time until which requests may begin at the
+// version of its copy. The function that it returns ends that.
 func (a *attempt) limitBegin() (end func()) {
-	if a.to.BeginBy == 0 {
+	var limit clock.Millis
+	a.node.withCore(func(core *choose.Core) { limit = core.BeginLimit() })
+	wait := limit
+	switch {
+	case a.to.BeginBy != 0:
+		wait = a.to.BeginBy - a.node.clock.Now()
+	case limit == 0 || !topo.IsAdapter(a.req.Adapter):
 		return func() {}
 	}
-	a.beginTimer = time.AfterFunc((a.to.BeginBy - a.node.clock.Now()).Duration(), func() { a.cancel(errOldVersion) })
-	return func() { a.beginTimer.Stop() }
+	// The check uses the timer, which it must not find unset.
+	a.beginTimer = time.AfterFunc(time.Hour, func() { a.checkBegin(limit) })
+	a.beginTimer.Reset(wait.Duration())
+	return a.endBeginLimit
+}
+
+// checkBegin cancels the attempt if the time by which it must have begun has passed. That time is looked up
+// anew, since the version may have been replaced after the send; limit is the least time until it can pass
+// for a version that is replaced from now on.
+func (a *attempt) checkBegin(limit clock.Millis) {
+	if a.answered.Load() {
+		return
+	}
+	beginBy := a.to.BeginBy
+	if beginBy == 0 {
+		a.node.withCore(func(core *choose.Core) { beginBy = core.BeginBy(a.req.Adapter, a.to.Revision) })
+	}
+	now := a.node.clock.Now()
+	switch {
+	case beginBy == 0:
+		a.beginTimer.Reset(limit.Duration())
+	case now < beginBy:
+		a.beginTimer.Reset((beginBy - now).Duration())
+	default:
+		a.cancel(errOldVersion)
+	}
+}
+
+func (a *attempt) endBeginLimit() {
+	a.answered.Store(true)
+	if a.beginTimer != nil {
+		a.beginTimer.Stop()
+	}
 }
 
 // useless returns why the request should not be sent any more, or an empty string. Opening
--- a/internal/node/fleet/oldversion_test.go
+++ b/internal/node/fleet/oldversion_test.go
@@ -50,3 +50,26 @@
 	time.Advance(clock.Hour)
 	must.Eq(t, time.Now()-maxUnread, n.unreadSince(f))
 }
+
+// TestVersionNamedAfterTheSendEndsTheWait guards against a request that begins on an old version of its
+// adapter after the bound, since it was sent before the newer ones were named and waited at a busy backend
+// server.
+func TestVersionNamedAfterTheSendEndsTheWait(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	const limit = 500 * clock.Millis(1)
+	n := New(Options{Settings: Settings{ID: "vm0", Region: "r", Regions: map[units.FailureDomain]units.Region{"z": "r"}, Choose: choose.Policy{VersionLimit: limit}}, System: answeringSystem{}})
+	a := newAttempt(t, n, &topo.Route{Kind: topo.KindStream, Resumable: true, MaxAttempts: 2}, listener.Addr().String())
+	a.req.Adapter, a.to.Revision = "m/a", 1
+	began := n.clock.Now()
+	for i, wait := range []clock.Millis{limit / 2, limit} {
+		time.AfterFunc(wait.Duration(), func() {
+			n.withCore(func(core *choose.Core) { core.Announce(began+wait, "m/a", topo.AdapterRevision(2+i)) })
+		})
+	}
+	end, _ := a.runCounted()
+	must.Eq(t, choose.EndCanceled, end)
+	must.Eq(t, errOldVersion.Error(), a.reason)
+	must.Less(t, limit/2+limit, n.clock.Now()-began)
+}
--- a/internal/node/fleet/relay.go
+++ b/internal/node/fleet/relay.go
@@ -120,9 +120,7 @@
 		return
 	}
 	a.hasAnswer, a.firstAt = true, a.node.clock.Now()
-	if a.beginTimer != nil {
-		a.beginTimer.Stop()
-	}
+	a.endBeginLimit()
 	a.node.withCore(func(core *choose.Core) {
 		core.Answered(a.firstAt, &a.req, a.to.Server, a.status < http.StatusInternalServerError)
 		core.Started(&a.req, a.to.Server)
