Keep the starts of streams in the store while several versions serve

Cause: the version that began a stream was known to the entry VM that passed on its first event and to three others. When all were lost, nothing knew it, and a list with two versions allows no conclusion.

Change: while a service has several versions, the starts of its streams also go into the store. An entry VM that finds no other answer reads the store. Why this works: a machine is in touch only while the store serves it, so that one that must go on with streams can find what any other has begun.

--- a/internal/core/origin/starts.go
+++ b/internal/core/origin/starts.go
@@ -4,6 +4,8 @@
 package origin
 
 import (
+	"cmp"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/topo"
@@ -20,7 +22,7 @@
 
 // Limits of starts.
 const (
-	// MaxStarts is the number of starts that Starts holds.
+	// MaxStarts is the number of starts that Starts holds by default.
 	MaxStarts = 16384
 	// MaxLifetime is the longest time for which a start is kept.
 	MaxLifetime = 10 * clock.Minute
@@ -55,6 +57,8 @@
 
 // Starts holds the latest starts. The zero value is empty.
 type Starts struct {
+	// Limit is the number of starts held; 0 means MaxStarts.
+	Limit int
 	byKey map[Key]record
 	// order lists the keys by their first Add. It has each key of byKey once.
 	order []Key
@@ -88,7 +92,7 @@
 // forget drops the oldest starts while they have expired or leave no place for another one.
 func (s *Starts) forget(now clock.Millis) {
 	n := 0
-	for n < len(s.order) && (now >= s.byKey[s.order[n]].until || len(s.byKey) >= MaxStarts) {
+	for n < len(s.order) && (now >= s.byKey[s.order[n]].until || len(s.byKey) >= cmp.Or(s.Limit, MaxStarts)) {
 		s.overflowedUntil = max(s.overflowedUntil, s.byKey[s.order[n]].until)
 		delete(s.byKey, s.order[n])
 		n++
--- a/internal/core/peer/origin.go
+++ b/internal/core/peer/origin.go
@@ -11,6 +11,20 @@
 	origin.Start `msgpack:"s"`
 }
 
+// StreamStarts hands starts of streams over to an entry VM that appends them to the store.
+type StreamStarts struct {
+	// Number identifies the message among those of the sender.
+	Number uint64 `msgpack:"n"`
+	// Address is the peer address of the sender, to which the confirmation goes.
+	Address string         `msgpack:"a"`
+	Batches []origin.Batch `msgpack:"b"`
+}
+
+// StreamStartsKept confirms that the starts of a StreamStarts message are in the store.
+type StreamStartsKept struct {
+	Number uint64 `msgpack:"n"`
+}
+
 // OriginRequest asks which version began a stream.
 type OriginRequest struct {
 	// Question identifies the request among those of the sender.
@@ -34,9 +48,11 @@
 	Software topo.Software `msgpack:"v,omitempty"`
 }
 
-func (*StreamStart) peerMessage()   {}
-func (*OriginRequest) peerMessage() {}
-func (*OriginReply) peerMessage()   {}
+func (*StreamStart) peerMessage()      {}
+func (*StreamStarts) peerMessage()     {}
+func (*StreamStartsKept) peerMessage() {}
+func (*OriginRequest) peerMessage()    {}
+func (*OriginReply) peerMessage()      {}
 
 // Check implements Message.
 func (m *StreamStart) Check() error {
@@ -46,6 +62,22 @@
 	return nil
 }
 
+// Check implements Message.
+func (m *StreamStarts) Check() error {
+	if m.Address == "" {
+		return invalid("stream_starts", "no address")
+	}
+	for i := range m.Batches {
+		if err := m.Batches[i].Check(); err != nil {
+			return invalid("stream_starts", err.Error())
+		}
+	}
+	return nil
+}
+
+// Check implements Message.
+func (*StreamStartsKept) Check() error { return nil }
+
 // Check implements Message.
 func (m *OriginRequest) Check() error {
 	if m.Address == "" || m.Window < 0 {
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -149,6 +149,8 @@
 	Remaining clock.Millis `msgpack:"l,omitempty"`
 	// Address is the placer's peer address.
 	Address string `msgpack:"h,omitempty"`
+	// KeepsStarts reports that the placer takes StreamStarts messages; those of earlier releases don't.
+	KeepsStarts bool `msgpack:"t,omitempty"`
 	// Members lists the entry VMs that report to the placer. It is empty in most updates.
 	// The next placer sends its updates to them at once, so that also those that can't read
 	// the store learn of it.
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -82,6 +82,7 @@
 	traffic    traffic
 	quarantine quarantine
 	origins    origins
+	starts     startKeeper
 	credits    credits
 
 	doors    doors
@@ -115,6 +116,7 @@
 	n.pool.Memory = &n.memory
 	n.credits.core = newCredits(&o)
 	n.quarantine.stored = newQuarantineStore(n, n)
+	n.starts.kept.Limit = maxKeptStarts
 	n.sendWindowOver, n.endSendWindow = context.WithCancel(context.Background())
 	n.graceOver, n.endGrace = context.WithCancel(context.Background())
 	n.links = links.New(links.Options{Self: o.Settings.ID, Deliver: n.received, OnSent: n.traffic.add, Logger: o.Logger, Memory: &n.memory})
@@ -155,6 +157,10 @@
 		n.handleCrashNews(ev.From, m)
 	case *peer.StreamStart:
 		n.origins.add(n.clock.BootNow(), m.Start)
+	case *peer.StreamStarts:
+		n.starts.receive(ev.From, m)
+	case *peer.StreamStartsKept:
+		n.starts.confirm(m.Number)
 	case *peer.OriginRequest:
 		n.answerOrigin(ev.From, m)
 	case *peer.OriginReply:
@@ -204,6 +210,7 @@
 	group.Go(func() error { return n.syncCrashState(ctx) })
 	group.Go(func() error { return n.keepCredits(ctx) })
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
+	group.Go(func() error { return n.keepStarts(ctx) })
 	for _, p := range n.placers {
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -139,6 +139,7 @@
 	n := a.node
 	start := origin.Start{Key: a.streamKey(), Software: a.to.Software, Remaining: a.resumeWindow()}
 	n.origins.add(n.clock.BootNow(), start)
+	n.starts.add(n.clock.BootNow(), a.req.Service, start)
 	self := origin.Member{ID: n.settings.ID, Domain: n.settings.Domain, Region: n.settings.Region}
 	for _, keeper := range origin.Keepers(self, n.peers.keepers(n.clock.Now()), start.Key) {
 		n.links.Send(keeper.ID, keeper.Address, &peer.StreamStart{Start: start})
@@ -168,12 +169,23 @@
 const maxListAge = 1500 * clock.Millis(1)
 
 // findOrigin returns the version that began the stream which the request goes on with, and how it
-// is known; source is empty if it is not.
+// is known; source is empty if it is not. The store is asked last, since a read of it costs more.
+func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
+	software, source = c.findRunningOrigin(ctx)
+	if source == "" && c.head.Resumes != "" && ctx.Err() == nil {
+		if began, known := c.node.findKeptStart(ctx, c.streamKey()); known {
+			return began, "store"
+		}
+	}
+	return software, source
+}
+
+// findRunningOrigin is findOrigin by what this entry VM and others that run know.
 //
 // Records of the stream come first: a list shows a new version only some time after other entry VMs
 // may use it. With none, all versions that were listed since the stream may have begun must be the
 // same, and the list current, or the other entry VMs must rule out that they began the stream.
-func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
+func (c *exchange) findRunningOrigin(ctx context.Context) (software topo.Software, source string) {
 	n := c.node
 	window := c.resumeWindow()
 	inStep := !n.peers.knewAny()
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -57,8 +57,9 @@
 	reportedTo      units.EntryVMID
 	reportedAt      clock.Millis
 	reportedContent bool
-	// lastHolder is the last known leaseholder, for other goroutines.
-	lastHolder atomic.Pointer[holderInfo]
+	// lastHolder is the last known leaseholder, for other goroutines; recorder is the last one that
+	// said that it puts starts of streams into the store.
+	lastHolder, recorder atomic.Pointer[holderInfo]
 }
 
 type holderInfo struct {
@@ -74,6 +75,17 @@
 	return "", ""
 }
 
+// startRecorder returns the leaseholder and its peer address if it puts starts of streams into the store for
+// others.
+func (p *placerWorker) startRecorder() (id units.EntryVMID, address string, ok bool) {
+	last, _ := p.holder()
+	r := p.recorder.Load()
+	if r == nil || r.id != last {
+		return last, "", false
+	}
+	return r.id, r.address, true
+}
+
 func (p *placerWorker) storeHolder() {
 	id, address := p.lease.Holder()
 	if last := p.lastHolder.Load(); last == nil || last.id != id || last.address != address {
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -11,6 +11,7 @@
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/credit"
 	"mangostile/internal/core/homes"
+	"mangostile/internal/core/origin"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
 	"mangostile/internal/node/door"
@@ -117,6 +118,18 @@
 	Oldest units.Offset
 }
 
+// StartRecords is what was read of the starts of streams in the store.
+type StartRecords struct {
+	Batches []origin.Batch
+	// Next is the offset of the next read, which is to follow at once if More is true. Era is that of
+	// Next.
+	Next units.Offset
+	Era  units.Era
+	More bool
+	// Skipped counts the records that could not be read.
+	Skipped int
+}
+
 // QuarantineRecord is a verdict in the store.
 type QuarantineRecord struct {
 	blame.Verdict
@@ -177,6 +190,11 @@
 	// ReadKeptSoftware returns the versions of the backend servers in the records of FeedServers that
 	// the store still has, those of removed backend servers included.
 	ReadKeptSoftware(ctx context.Context) ([]topo.ServiceSoftware, error)
+	// ReadStarts returns the starts of streams in the store from an offset on. The error is an
+	// ExpiredError if some of them have expired.
+	ReadStarts(ctx context.Context, from units.Offset) (*StartRecords, error)
+	// AppendStarts adds starts of streams. After an error they may have been added.
+	AppendStarts(ctx context.Context, batches []origin.Batch) error
 	// ReadLease returns the records of a shard's lease from an offset on. The error is
 	// an ExpiredError if some of them have expired.
 	ReadLease(ctx context.Context, shard string, from units.Offset) (*LeaseRecords, error)
--- a/internal/node/links/codec.go
+++ b/internal/node/links/codec.go
@@ -33,6 +33,8 @@
 	tagOriginReply
 	tagCreditRequest
 	tagCreditReply
+	tagStreamStarts
+	tagStreamStartsKept
 )
 
 // hello is the first frame of a connection and identifies both ends.
@@ -90,6 +92,10 @@
 		return tagCreditRequest
 	case *peer.CreditReply:
 		return tagCreditReply
+	case *peer.StreamStarts:
+		return tagStreamStarts
+	case *peer.StreamStartsKept:
+		return tagStreamStartsKept
 	default:
 		return 0
 	}
@@ -102,6 +108,7 @@
 	tagDomainSummary: "domain_summary", tagHandover: "handover", tagUsageReport: "usage_report", tagPlacementUpdate: "placement_update",
 	tagFeedUpdate: "feed_update", tagCrashNews: "crash_news", tagStreamStart: "stream_start", tagOriginRequest: "origin_request", tagOriginReply: "origin_reply",
 	tagCreditRequest: "credit_request", tagCreditReply: "credit_reply",
+	tagStreamStarts: "stream_starts", tagStreamStartsKept: "stream_starts_kept",
 }
 
 // kindOf returns the name of the type of m.
@@ -147,6 +154,10 @@
 		return &peer.CreditRequest{}
 	case tagCreditReply:
 		return &peer.CreditReply{}
+	case tagStreamStarts:
+		return &peer.StreamStarts{}
+	case tagStreamStartsKept:
+		return &peer.StreamStartsKept{}
 	default:
 		return nil
 	}
