Count the elements of lists in the heads of requests

Cause: each element of a list becomes 16 bytes kept as long as the request; the account of the connections counted bytes and lines alone, and nothing for a head below 16 KB. 7,000 commas counted nothing.

Heads of 14 KB took 245 KB and counted 29 KB.

--- a/internal/node/door/conn.go
+++ b/internal/node/door/conn.go
@@ -35,11 +35,11 @@
 	moved          int64
 	// received is the bytes of the request that was not answered, unread those of the answer.
 	received, unread int64
-	// headOver is true behind the empty line that ends a head; lines counts those of the head, and tail
-	// has its last bytes.
-	headOver bool
-	lines    int
-	tail     byte
+	// headOver is true behind the empty line that ends a head; lines counts those of the head, elements
+	// the commas in it, and tail has its last bytes.
+	headOver        bool
+	lines, elements int
+	tail            byte
 	// served is true while the process works on a request that was read whole.
 	served bool
 	head   headHold
@@ -103,7 +103,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served = false
-	c.received, c.unread, c.lines, c.headOver = 0, 0, 0, false
+	c.received, c.unread = 0, 0
+	c.resetHead()
 	c.head.release()
 	c.enter(phaseIdle)
 }
@@ -147,7 +148,7 @@
 		return nil
 	}
 	c.scanHead(part)
-	if need := headMemory(int(c.received), c.lines); need > freeHead {
+	if need := HeadMemory(int(c.received), c.lines, c.elements); need > freeHead {
 		// Others may be asked to give way meanwhile, which looks at all connections.
 		c.mu.Unlock()
 		defer c.mu.Lock()
@@ -156,15 +157,20 @@
 	return nil
 }
 
-// scanHead counts the lines of a head and looks for its end. c.mu must be held.
+// resetHead makes the next bytes begin a head. c.mu must be held.
+func (c *Conn) resetHead() { c.lines, c.elements, c.headOver = 0, 0, false }
+
+// scanHead counts the lines and elements of a head and looks for its end. c.mu must be held.
 func (c *Conn) scanHead(part []byte) {
 	for len(part) > 0 {
 		at := bytes.IndexByte(part, '\n')
 		if at < 0 {
+			c.elements += bytes.Count(part, comma)
 			c.tail = lastBut(c.tail, part, '\r')
 			return
 		}
 		c.lines++
+		c.elements += bytes.Count(part[:at], comma)
 		if last := lastBut(c.tail, part[:at], '\r'); last == '\n' {
 			c.headOver = true
 			return
@@ -173,6 +179,9 @@
 	}
 }
 
+// comma separates the elements of a list in a field.
+var comma = []byte{','}
+
 // lastBut returns the last byte of part that is not skip, or before if there is none.
 func lastBut(before byte, part []byte, skip byte) byte {
 	for i := len(part) - 1; i >= 0; i-- {
@@ -217,7 +226,8 @@
 	c.enter(phaseServed)
 	if !c.served {
 		// Without Answered, what is read from now on belongs to the next request.
-		c.received, c.lines, c.headOver, c.phase = 0, 0, false, phaseIdle
+		c.received, c.phase = 0, phaseIdle
+		c.resetHead()
 		c.since = c.door.Clock.Now()
 		c.head.release()
 	}
--- a/internal/node/door/door_test.go
+++ b/internal/node/door/door_test.go
@@ -101,30 +101,35 @@
 	must.ErrorIs(t, err, io.EOF)
 }
 
-// TestLongHeadsAreHeld checks that the many fields of a head count, that a client is told at once that
+// TestLongHeadsAreHeld checks that the many fields and elements of a head count, that a client is told at once that
 // nothing has run if there is no room for them, and that the end of the answer gives all back.
 func TestLongHeadsAreHeld(t *testing.T) {
 	pool := &quota.Pool{Limit: 4 << 20}
 	d := &Door{Limits: Limits{Patience: clock.Second}, Memory: pool, Owner: "callers"}
 	l, connect := listen(t, d)
-	read := func(fields int) (client net.Conn, c *Conn, err error) {
+	read := func(fields string) (client net.Conn, c *Conn, err error) {
 		client = connect()
 		conn, err := l.Accept()
 		must.NoError(t, err)
-		go func() { _, _ = io.WriteString(client, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", fields)+"\r\n") }()
+		go func() { _, _ = io.WriteString(client, "GET / HTTP/1.1\r\n"+fields+"\r\n") }()
 		c = conn.(*Conn)
 		for buf := make([]byte, 4096); err == nil && !c.headOver; {
 			_, err = c.Read(buf)
 		}
 		return client, c, err
 	}
-	_, _, err := read(10)
+	_, _, err := read(strings.Repeat("a:\r\n", 10))
 	must.NoError(t, err)
 	must.Zero(t, pool.Used(), must.Sprint("an ordinary head"))
-	_, c, err := read(2000)
+	_, list, err := read(strings.Repeat(",", 3000) + "\r\n")
 	must.NoError(t, err)
-	must.Eq(t, headMemory(16+8000+2, 2002), pool.Used())
-	client, _, err := read(12000)
+	must.Eq(t, HeadMemory(16+3000+4, 3, 3000), pool.Used())
+	list.Answered()
+	must.Zero(t, pool.Used())
+	_, c, err := read(strings.Repeat("a:\r\n", 2000))
+	must.NoError(t, err)
+	must.Eq(t, HeadMemory(16+8000+2, 2002, 0), pool.Used())
+	client, _, err := read(strings.Repeat("a:\r\n", 12000))
 	must.Error(t, err)
 	answer := make([]byte, 12)
 	_, err = io.ReadFull(client, answer)
--- a/internal/node/door/head.go
+++ b/internal/node/door/head.go
@@ -43,6 +43,9 @@
 // freeHead is the memory of a head that is not counted: the head of an ordinary request fits.
 const freeHead = 16 << 10
 
-// headMemory is the memory that a head of n bytes takes in lines lines: each field has its place in a
-// map besides its text, and is copied for the backend server.
-func headMemory(n, lines int) units.Bytes { return units.Bytes(2*n + 200*lines) }
+// HeadMemory is the memory that a head of n bytes takes: each line has its place in a map besides its text,
+// and is copied for the backend server; each element of a list, elements of them behind commas, is parsed
+// into 16 bytes.
+func HeadMemory(n, lines, elements int) units.Bytes {
+	return units.Bytes(2*n + 200*lines + 16*elements)
+}
--- a/internal/oper/crowd/crowd_test.go
+++ b/internal/oper/crowd/crowd_test.go
@@ -77,6 +77,18 @@
 	return crowd
 }
 
+// manyElements are clients with a list of very many empty elements in the head, which stop before the end
+// of the body.
+func (p *target) manyElements(n, headBytes int, address, path string) (crowd []client) {
+	list := "Prompt-Prefix: " + strings.Repeat(",", headBytes) + "\r\nContent-Length: 10\r\n"
+	for range n {
+		crowd = append(crowd, client{address, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, p.head("POST", path, list)+"123456789")
+		}})
+	}
+	return crowd
+}
+
 // pipelined are clients that send many requests ahead and never read.
 func (p *target) pipelined(n, each int, address, path string) (crowd []client) {
 	for range n {
@@ -157,6 +169,12 @@
 	eachProgram(t, func(t *testing.T, p *target) { p.run(t, p.manyFields(280, 60<<10, p.front, p.path)) })
 }
 
+// TestManyElements guards against heads of legal size that hold far more memory once they are parsed: lists of
+// thousands of empty elements.
+func TestManyElements(t *testing.T) {
+	eachProgram(t, func(t *testing.T, p *target) { p.run(t, p.manyElements(280, 60<<10, p.front, p.path)) })
+}
+
 // TestUnreadAnswers answers (d): requests sent ahead whose answers are never read, on more connections
 // than the process has descriptors.
 func TestUnreadAnswers(t *testing.T) {
