Leave OPTIONS * to the handler of callers' requests

Cause: net/http answers it itself unless DisableGeneralOptionsHandler is set.

Change: it is set on the server for callers. The one for the balancer's readiness checks answers at any path, and stays as it is.

Evidence: TestOptionsOfEverythingIsNoSuccess failed before with 200 on the platform's program; serve passed.

--- a/internal/node/fleet/callers.go
+++ b/internal/node/fleet/callers.go
@@ -316,6 +316,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// Otherwise the server answers OPTIONS * with a success that no backend server gave.
+		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			caller := callerOf(c)
 			if d, ok := c.(*door.Conn); ok && caller != nil {
--- a/internal/oper/crowd/crowd_test.go
+++ b/internal/oper/crowd/crowd_test.go
@@ -1,12 +1,17 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 const chunked = "Transfer-Encoding: chunked\r\n"
@@ -175,6 +180,23 @@
 	eachProgram(t, func(t *testing.T, p *target) { p.run(t, p.manyElements(280, 60<<10, p.front, p.path)) })
 }
 
+// TestOptionsOfEverythingIsNoSuccess guards against successes that no backend server gave: the HTTP server
+// itself answered a caller's request for the options of the whole server.
+func TestOptionsOfEverythingIsNoSuccess(t *testing.T) {
+	eachProgram(t, func(t *testing.T, p *target) {
+		conn, err := net.DialTimeout("tcp4", p.front, time.Second)
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.WriteString(conn, p.head("OPTIONS", "*", "Content-Length: 0\r\n"))
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		must.GreaterEq(t, 400, resp.StatusCode)
+		must.NoError(t, resp.Body.Close())
+	})
+}
+
 // TestUnreadAnswers answers (d): requests sent ahead whose answers are never read, on more connections
 // than the process has descriptors.
 func TestUnreadAnswers(t *testing.T) {
