Give answers their time after a late end of the grace period

At the end of the grace period, calls got a closed connection instead of 502 (TestCallsAtTheEndOfTheGraceAreAnswered, once, beside load).

Cause: the time in which ended requests are answered counted from when the grace period should have ended. A process that is short of processor time just then sees both ends in one poll: it ends the requests and closes their connections in the same step.

Evidence: by reading, and TestAnswersHaveTimeAfterALateEnd: with polls at 300 ms, or 300 and 450 ms, after the end, the comparison before was true at the first. That the failure of the other test had this cause is likely and was not shown; it has not been seen again.

Change: the time counts from the poll that ended the requests, and at least six further polls besides.

--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -28,7 +28,9 @@
 	stopReserve = 450 * clock.Millis(1)
 	// stopAnswerTime is the time for the answers to requests that the end of the grace
 	// period has ended.
-	stopAnswerTime  = 100 * clock.Millis(1)
+	stopAnswerTime = 100 * clock.Millis(1)
+	// stopAnswerPolls is the least number of polls in that time.
+	stopAnswerPolls = 6
 	stopPollPeriod  = 50 * time.Millisecond
 	drainPollPeriod = 5 * time.Millisecond
 	// stopIdlePolls is the number of consecutive polls without a request after which
@@ -54,6 +56,24 @@
 	return *q >= stopIdlePolls
 }
 
+// answerPeriod is the time in which the requests that the end of the grace period has ended are answered.
+// It counts from the poll that ended them, which may be late, and it counts polls besides: a process short
+// of processor time may let time pass without writing answers. The zero value has not begun.
+type answerPeriod struct {
+	begun bool
+	until clock.Millis
+	polls int
+}
+
+// poll counts a poll after the end of the grace period and reports whether the period is over.
+func (a *answerPeriod) poll(now clock.Millis) bool {
+	if !a.begun {
+		a.begun, a.until = true, now+stopAnswerTime
+	}
+	a.polls++
+	return now >= a.until && a.polls > stopAnswerPolls
+}
+
 // Stop makes the entry VM finish its open requests and exit. It does not wait.
 func (n *Node) Stop() {
 	if n.stoppedAt.CompareAndSwap(0, int64(n.clock.Now())) {
@@ -136,6 +156,7 @@
 	ticker := time.NewTicker(drainPollPeriod)
 	defer ticker.Stop()
 	accepting := true
+	var answers answerPeriod
 	for {
 		since := n.sinceStop()
 		n.endSendWindowIfDue(since)
@@ -153,7 +174,7 @@
 			now += firstRequestTimeout
 		}
 		n.callers.closeIdle(now)
-		if remaining <= -stopAnswerTime || front.ended.Load() && n.callers.count() == 0 {
+		if remaining <= 0 && answers.poll(n.clock.Now()) || front.ended.Load() && n.callers.count() == 0 {
 			return
 		}
 		select {
--- a/internal/node/fleet/stop_test.go
+++ b/internal/node/fleet/stop_test.go
@@ -39,6 +39,33 @@
 	}
 }
 
+// TestAnswersHaveTimeAfterALateEnd guards against calls that are cut off instead of answered at the end of
+// the grace period, since the process was short of processor time just then: it saw the end when the time
+// for the answers was over, too, and ended.
+func TestAnswersHaveTimeAfterALateEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// polls are the times of the polls after the end of the grace period.
+		polls []clock.Millis
+		want  bool
+	}{
+		{"the end is seen late", []clock.Millis{300}, false},
+		{"the next poll is late, too", []clock.Millis{300, 450}, false},
+		{"time is left", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 95}, false},
+		{"the time is over", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 100}, true},
+		{"the time is over after a late end", []clock.Millis{300, 305, 310, 315, 320, 325, 330, 400}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var a answerPeriod
+			got := false
+			for _, at := range tc.polls {
+				got = a.poll(at)
+			}
+			must.Eq(t, tc.want, got)
+		})
+	}
+}
+
 // TestLateRequestsOfAStopAreRefused guards against requests that a stopping entry VM accepts and
 // then cuts off at the end of its grace period: a stream of 50 tokens, accepted 3.4 s after the
 // stop with 4.2 s left, waited 1.7 s at its backend server and got 2.5 s of tokens.
