Number handoffs of starts by time, and announce versions in one place

A confirmation that a recorder sent to a process could count for a handoff of the next process of the same entry VM, whose starts then never reached the store. Numbers follow the time now, so that those of a previous process are not used again. Found by reading; TestConfirmationToAPreviousProcessIsIgnored fails with numbers from 1 on.

Placer and entry VM add announced versions by topo.AnnouncedVersions, and two comments are broken into lines.

--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -183,7 +183,7 @@
 	shards       map[string]*shard
 	loadRequests map[loadKey]*loadRequest
 	software     softwareHistory
-	versions     map[units.AdapterName]*topo.Announcements
+	versions     topo.AnnouncedVersions
 	budgets      map[units.ServiceName]*budget
 	// gapTargets holds the shortest objective for pauses of each service whose routes name one, means
 	// what the requests of each service have shown.
@@ -285,7 +285,7 @@
 	cfg.Policy = cfg.Policy.withDefaults()
 	return &Core{
 		cfg: cfg, servers: map[units.BackendServerID]*view{}, byService: map[units.ServiceName][]*view{}, shards: map[string]*shard{},
-		loadRequests: map[loadKey]*loadRequest{}, versions: map[units.AdapterName]*topo.Announcements{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
+		loadRequests: map[loadKey]*loadRequest{}, versions: topo.AnnouncedVersions{}, otherRegion: map[units.AdapterName]int32{}, unreached: map[units.BackendServerID]bool{}, budgets: map[units.ServiceName]*budget{}, placements: map[units.BackendServerID]placement{},
 		means:   map[units.ServiceName]*streamMeans{},
 		leaving: map[units.BackendServerID]int64{}, leavingNews: map[units.BackendServerID]int64{}, backoffNews: map[units.BackendServerID]bool{},
 	}
@@ -395,13 +395,8 @@
 // Announce records that a version of an adapter was announced at some time, or later. Older copies remain
 // usable for Policy.VersionGrace, whatever versions follow.
 func (c *Core) Announce(at clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
-	announced := c.versions[adapter]
-	if announced == nil {
-		announced = &topo.Announcements{}
-		c.versions[adapter] = announced
-	}
-	announced.Add(revision, at)
-	announced.Forget(c.now - max(c.cfg.Policy.VersionGrace, c.cfg.Policy.VersionLimit))
+	c.versions.Add(adapter, revision, at)
+	c.versions[adapter].Forget(c.now - max(c.cfg.Policy.VersionGrace, c.cfg.Policy.VersionLimit))
 }
 
 // BeginBy returns when a request that was sent to a copy of an adapter must have begun there, 0 if no
--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -79,10 +79,12 @@
 
 // HandleOrderResult applies the result of an order and reports whether it was still awaited. The result
 // of any other order changes nothing: it is about a process that has ended, or about an order that has
-// been taken for lost, and the next order conflicts if that one was executed. After Conflicts, Refused or the loss of an order
-// about a model the backend server gets no orders until it has sent a report at least reportDelay later.
-// After the loss of one about an adapter it gets more: if the lost one was executed, or is before the
-// next, the numbers of orders differ and the next conflicts; otherwise the next one voids it.
+// been taken for lost, and the next order conflicts if that one was executed.
+//
+// After Conflicts, Refused or the loss of an order about a model the backend server gets no orders until
+// it has sent a report at least reportDelay later. After the loss of one about an adapter it gets more:
+// if the lost one was executed, or is before the next, the numbers of orders differ and the next
+// conflicts; otherwise the next one voids it.
 func (p *Placer) HandleOrderResult(now clock.Millis, o Order, result Result) bool {
 	p.now = max(p.now, now)
 	s := p.servers[o.Server]
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -246,7 +246,7 @@
 	aggregatedAt clock.Millis
 	loadRequests map[loadKey]*loadRequest
 	demand       demand
-	announced    map[units.AdapterName]*topo.Announcements
+	announced    topo.AnnouncedVersions
 	// sequence is the number of the last update by scope, removed lists the backend servers
 	// removed since, includeLoads reports whether the next one includes loads, and cursor is
 	// the index in order at which it begins.
@@ -304,7 +304,7 @@
 func New(policy Policy) *Placer {
 	return &Placer{
 		policy: policy.withDefaults(), loadPace: loadPace{slowness: initialSlowness}, servers: map[units.BackendServerID]*server{}, usage: map[units.EntryVMID]*usageReport{},
-		loadRequests: map[loadKey]*loadRequest{}, announced: map[units.AdapterName]*topo.Announcements{},
+		loadRequests: map[loadKey]*loadRequest{}, announced: topo.AnnouncedVersions{},
 	}
 }
 
@@ -361,13 +361,8 @@
 
 // Announce records that a version of an adapter was announced.
 func (p *Placer) Announce(now clock.Millis, adapter units.AdapterName, revision topo.AdapterRevision) {
-	announced := p.announced[adapter]
-	if announced == nil {
-		announced = &topo.Announcements{}
-		p.announced[adapter] = announced
-	}
-	announced.Add(revision, now)
-	announced.Forget(now - versionGrace)
+	p.announced.Add(adapter, revision, now)
+	p.announced[adapter].Forget(now - versionGrace)
 }
 
 // HandleUsage handles a usage report of an entry VM.
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -40,9 +40,10 @@
 	return plan
 }
 
-// advance applies the passing of time. It takes orders for lost after orderAnswerTimeout. It counts a load as complete at its expected end,
-// without waiting for a report, and lowers the slowness for it. It drops load requests that
-// were not repeated within loadRequestTTL and prunes the demand.
+// advance applies the passing of time. It counts a load as complete at its expected end,
+// without waiting for a report, and lowers the slowness for it. It takes orders for lost after
+// orderAnswerTimeout, drops load requests that were not repeated within loadRequestTTL and prunes
+// the demand.
 func (p *Placer) advance() {
 	for _, s := range p.servers {
 		p.showModels(s)
--- a/internal/core/origin/backlog.go
+++ b/internal/core/origin/backlog.go
@@ -39,10 +39,12 @@
 	return CheckSoftware(b.Software)
 }
 
-// Handoff is a number of batches that a recorder is to append.
+// HandoffNumber identifies a handoff among those of its sender, those of its previous processes included.
+type HandoffNumber uint64
+
+// Handoff is some batches that a recorder is to append.
 type Handoff struct {
-	// Number identifies the handoff among those of its sender.
-	Number uint64
+	Number HandoffNumber
 	// From and Address are those of the sender, empty in a handoff to send.
 	From    units.EntryVMID
 	Address string
@@ -78,8 +80,8 @@
 	// waiting holds the own starts that are not on their way to the store, by service, oldest first.
 	waiting map[units.ServiceName][]waitingStart
 	// handed holds the own starts whose confirmation is awaited, by the number of the handoff.
-	handed     map[uint64]handedStarts
-	lastNumber uint64
+	handed     map[HandoffNumber]handedStarts
+	lastNumber HandoffNumber
 	// own holds the own starts to append, received the handoffs of others.
 	own      []waitingStart
 	received []Handoff
@@ -122,7 +124,7 @@
 const maxReceived = 1024
 
 // Confirm handles that the recorder has appended a handoff.
-func (b *Backlog) Confirm(number uint64) { delete(b.handed, number) }
+func (b *Backlog) Confirm(number HandoffNumber) { delete(b.handed, number) }
 
 // Next returns what to do now: the handoff to send to the recorder, nil if there is none, and the batches to
 // append, whose result the caller passes to Appended before the next call.
@@ -167,9 +169,10 @@
 		return nil
 	}
 	if b.handed == nil {
-		b.handed = map[uint64]handedStarts{}
+		b.handed = map[HandoffNumber]handedStarts{}
 	}
-	b.lastNumber++
+	// Numbers follow the time, so that a late confirmation to a previous process matches none.
+	b.lastNumber = max(b.lastNumber+1, HandoffNumber(now))
 	b.handed[b.lastNumber] = handedStarts{ready, now + ConfirmTimeout}
 	b.handoffAt = now + r.HandoffInterval
 	return &Handoff{Number: b.lastNumber, Batches: batches(now, ready)}
--- a/internal/core/origin/backlog_test.go
+++ b/internal/core/origin/backlog_test.go
@@ -172,3 +172,22 @@
 		})
 	}
 }
+
+// TestConfirmationToAPreviousProcessIsIgnored guards against starts that nobody appends, since the late
+// confirmation of a handoff by the process before was taken for that of the first one of this process.
+func TestConfirmationToAPreviousProcessIsIgnored(t *testing.T) {
+	now := clock.Hour
+	var numbers []HandoffNumber
+	var b *Backlog
+	for range 2 {
+		b = &Backlog{}
+		b.Add(now, "llm", Start{Key: 1, Software: "1", Remaining: clock.Minute})
+		handoff, _ := b.Next(now, Recording{Several: always, HasRecorder: true})
+		must.NotNil(t, handoff)
+		numbers = append(numbers, handoff.Number)
+		now += 100
+	}
+	b.Confirm(numbers[0])
+	_, appends := b.Next(now+ConfirmTimeout, Recording{Several: always, HasRecorder: true})
+	must.SliceLen(t, 1, appends)
+}
--- a/internal/core/peer/origin.go
+++ b/internal/core/peer/origin.go
@@ -13,8 +13,7 @@
 
 // StreamStarts hands starts of streams over to an entry VM that appends them to the store.
 type StreamStarts struct {
-	// Number identifies the message among those of the sender.
-	Number uint64 `msgpack:"n"`
+	Number origin.HandoffNumber `msgpack:"n"`
 	// Address is the peer address of the sender, to which the confirmation goes.
 	Address string         `msgpack:"a"`
 	Batches []origin.Batch `msgpack:"b"`
@@ -22,7 +21,7 @@
 
 // StreamStartsKept confirms that the starts of a StreamStarts message are in the store.
 type StreamStartsKept struct {
-	Number uint64 `msgpack:"n"`
+	Number origin.HandoffNumber `msgpack:"n"`
 }
 
 // OriginRequest asks which version began a stream.
--- a/internal/core/topo/announced.go
+++ b/internal/core/topo/announced.go
@@ -4,8 +4,20 @@
 	"slices"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
 )
 
+// AnnouncedVersions holds the announced versions of adapters.
+type AnnouncedVersions map[units.AdapterName]*Announcements
+
+// Add records that a version of an adapter was announced at some time.
+func (v AnnouncedVersions) Add(adapter units.AdapterName, revision AdapterRevision, at clock.Millis) {
+	if v[adapter] == nil {
+		v[adapter] = &Announcements{}
+	}
+	v[adapter].Add(revision, at)
+}
+
 // Announcements holds the announced versions of one adapter. The zero value has none.
 type Announcements struct {
 	// list is in ascending order of both revision and time: a version that was announced no earlier than
@@ -34,7 +46,7 @@
 	a.list = slices.Insert(a.list, i, announcement{revision, at})
 }
 
-// Newest returns the newest announced version, 0 if there is none.
+// Newest returns the newest announced version, 0 if there is none. a may be nil.
 func (a *Announcements) Newest() AdapterRevision {
 	if a == nil || len(a.list) == 0 {
 		return 0
@@ -43,6 +55,7 @@
 }
 
 // ReplacedAt returns when the first version after revision was announced. replaced is false if none was.
+// a may be nil.
 func (a *Announcements) ReplacedAt(revision AdapterRevision) (at clock.Millis, replaced bool) {
 	if a == nil {
 		return 0, false
--- a/internal/node/fleet/starts.go
+++ b/internal/node/fleet/starts.go
@@ -64,7 +64,7 @@
 	k.backlog.Receive(origin.Handoff{Number: m.Number, From: from, Address: m.Address, Batches: m.Batches})
 }
 
-func (k *startKeeper) confirm(number uint64) {
+func (k *startKeeper) confirm(number origin.HandoffNumber) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.backlog.Confirm(number)
