--- a/internal/fake/grid/caller.go
+++ b/internal/fake/grid/caller.go
@@ -30,7 +30,7 @@
 		fmt.Fprintf(&b, "Model: %s\r\nToken-Counts: 100,40\r\n", r.Model)
 	}
 	if len(r.Parts) > 0 {
-		fmt.Fprintf(&b, "%s: %s\r\n", promptHeader, Prompt(r.Parts...))
+		fmt.Fprintf(&b, "%s: %s\r\n", PromptHeader, Prompt(r.Parts...))
 	}
 	if r.LastEvent > 0 {
 		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", r.LastEvent, r.Resumes)
--- a/internal/fake/grid/deadly.go
+++ b/internal/fake/grid/deadly.go
@@ -12,8 +12,8 @@
 // partTokens is the length of each part of a prompt in tokens.
 const partTokens = 100
 
-// promptHeader is the header with the parts of a prompt, in order, as ID:TOKENS pairs.
-const promptHeader = "Prompt-Prefix"
+// PromptHeader is the header with the parts of a prompt, in order, as ID:TOKENS pairs.
+const PromptHeader = "Prompt-Prefix"
 
 // Prompt returns the value of the header with a prompt's parts. The ids are hexadecimal.
 func Prompt(parts ...string) string {
@@ -61,7 +61,7 @@
 // deadlyOf returns what of a request crashes replicas and counts its arrival. It returns nil if
 // nothing does.
 func (g *Grid) deadlyOf(req *http.Request) *Deadly {
-	pairs := strings.Split(req.Header.Get(promptHeader), ",")
+	pairs := strings.Split(req.Header.Get(PromptHeader), ",")
 	var ids []string
 	for _, pair := range pairs[:len(pairs)-1] {
 		id, _, _ := strings.Cut(pair, ":")
--- a/internal/oper/crowd/crowd_test.go
+++ b/internal/oper/crowd/crowd_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"mangostile/internal/fake/grid"
+
 	"github.com/shoenig/test/must"
 )
 
@@ -85,7 +87,7 @@
 // manyElements are clients with a list of very many empty elements in the head, which stop before the end
 // of the body.
 func (p *target) manyElements(n, headBytes int, address, path string) (crowd []client) {
-	list := "Prompt-Prefix: " + strings.Repeat(",", headBytes) + "\r\nContent-Length: 10\r\n"
+	list := grid.PromptHeader + ": " + strings.Repeat(",", headBytes) + "\r\nContent-Length: 10\r\n"
 	for range n {
 		crowd = append(crowd, client{address, func(conn net.Conn) {
 			_, _ = io.WriteString(conn, p.head("POST", path, list)+"123456789")
