Show that streams go on at another software version after a restart

Cause: an entry VM that has just started takes the kept records of the list of replicas for complete, and asks for the recorded start of a stream only after that. If the store has deleted the records of the old version, streams of that version are bound to the new one.

--- /dev/null
+++ b/review/cases3/versions.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// The case: a release replaces the replicas of a service by ones of another software version. All entry
+// VMs are killed while streams of the old version go on, and the store deletes old records of the list.
+const (
+	versionStreams  = 12
+	versionEvents   = 60
+	versionPace     = 200 * time.Millisecond
+	versionDeadline = 15 * time.Second
+	drainTime       = 3 * time.Second
+	lingerTime      = 700 * time.Millisecond
+	restartDelay    = time.Second
+	retryPause      = 1500 * time.Millisecond
+)
+
+// serveStore serves the store, and returns the function that ends it.
+func (w *world) serveStore() (end func(), err error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: w.store, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	w.address = listener.Addr().String()
+	return func() { _ = server.Close() }, nil
+}
+
+// engine returns a replica of a model service that is not started.
+func engine(id, zone, version string, pace time.Duration, events int) *replica {
+	return &replica{id: id, service: "wheel-llm", zone: zone, version: version, model: "m0", adapterSlots: 8, loadTime: 250 * time.Millisecond, pace: pace, events: events}
+}
+
+// streamed is a stream as its client got it.
+type streamed struct {
+	id string
+	// pause is the time between two tries.
+	pause    time.Duration
+	last     int
+	versions []string
+	tries    []string
+	// touchAt is when the entry VMs are in touch, in Unix ns; nil for never. takenUp is true once the
+	// stream was taken up at one in touch, goneOn once it went on there.
+	touchAt         *atomic.Int64
+	takenUp, goneOn bool
+}
+
+func playVersions(w *world) (broken int, err error) {
+	end, err := w.serveStore()
+	if err != nil {
+		return 0, err
+	}
+	defer end()
+	w.zones = map[string]string{"kano-a": "ng-north", "kaduna-b": "ng-north"}
+	var old, next []*replica
+	for i := range 4 {
+		version := []string{"v1", "v2"}[i/2]
+		r := engine(fmt.Sprintf("i-%s-%d", version, i%2), []string{"kano-a", "kaduna-b"}[i%2], version, versionPace, versionEvents)
+		r.onRun = func(r *replica, req *http.Request) {
+			w.note("%s (%s) runs %s, Last-Event-Id %q, Resumes %q", r.id, r.version, req.Header.Get("Request-Id"), req.Header.Get("Last-Event-Id"), req.Header.Get("Resumes"))
+		}
+		if err := r.start(w.store); err != nil {
+			return 0, err
+		}
+		if i < 2 {
+			old = append(old, r)
+			go r.beat()
+		} else {
+			next = append(next, r)
+		}
+	}
+	if err := configure(w); err != nil {
+		return 0, err
+	}
+	prefix, err := freeNet()
+	if err != nil {
+		return 0, err
+	}
+	for i := range 4 {
+		if _, err := w.addVM(prefix, []string{"kano-a", "kaduna-b"}[i%2]); err != nil {
+			return 0, err
+		}
+	}
+	if err := w.awaitReady(); err != nil {
+		return 0, err
+	}
+	time.Sleep(2 * time.Second)
+	w.note("all entry VMs are ready; %d streams begin", versionStreams)
+	var clients sync.WaitGroup
+	streams := make([]*streamed, versionStreams)
+	for i := range streams {
+		streams[i] = &streamed{id: fmt.Sprintf("s%02d", i), pause: retryPause}
+		clients.Go(func() { streams[i].follow(w, i) })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	w.note("release: replicas of v2 start")
+	for _, r := range next {
+		go r.beat()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	w.note("release: replicas of v1 report draining")
+	for _, r := range old {
+		r.drain()
+	}
+	time.Sleep(drainTime)
+	if w.trouble {
+		w.note("all entry VMs are killed")
+		for _, v := range w.vms {
+			v.signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(lingerTime)
+	w.note("release: replicas of v1 exit, their entries are removed")
+	for _, r := range old {
+		r.leave()
+	}
+	if w.trouble {
+		w.note("the store deletes the old records of the operator and the replicas")
+		w.store.Forget("keyed.op")
+		w.store.Forget("keyed.servers")
+		time.Sleep(restartDelay - lingerTime)
+		for _, v := range w.vms {
+			<-v.done
+			if err := v.start(w.command); err != nil {
+				return 0, err
+			}
+		}
+		w.note("the processes are started again")
+	}
+	clients.Wait()
+	for _, s := range streams {
+		w.note("stream %s: %d events, of %s; %s", s.id, s.last, strings.Join(s.versions, " then "), strings.Join(s.tries, "; "))
+		if len(s.versions) > 1 {
+			broken++
+		}
+	}
+	w.note("%d streams hold events of two versions; more than 2 break the rule", broken)
+	if broken <= 2 {
+		broken = 0
+	}
+	return broken, nil
+}
+
+// follow begins the stream, and takes it up where it broke until its deadline.
+func (s *streamed) follow(w *world, n int) {
+	deadline := time.Now().Add(versionDeadline)
+	for try := 0; time.Now().Before(deadline) && s.last < versionEvents; try++ {
+		if try > 0 {
+			time.Sleep(s.pause)
+		}
+		v := w.vms[(n+try)%len(w.vms)]
+		if try > 0 && !v.ready() {
+			continue
+		}
+		before, inTouch := s.last, s.touchAt != nil && time.Now().UnixNano() > s.touchAt.Load()
+		s.tries = append(s.tries, v.name+" "+s.attempt(v, fmt.Sprintf("%s-%d", s.id, try), time.Until(deadline)))
+		if inTouch && before > 0 {
+			s.takenUp, s.goneOn = true, s.goneOn || s.last > before
+		}
+	}
+}
+
+// attempt makes one attempt and returns how it ended.
+func (s *streamed) attempt(v *vm, id string, left time.Duration) string {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.ip+":8149/chat/x", strings.NewReader("hello"))
+	if err != nil {
+		return err.Error()
+	}
+	req.Host, req.Close = "kanoride.example", true
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Model", "m0")
+	req.Header.Set("Token-Counts", "200,300")
+	req.Header.Set("Deadline-Ms", fmt.Sprint(left.Milliseconds()))
+	if s.last > 0 {
+		req.Header.Set("Last-Event-Id", fmt.Sprint(s.last))
+		req.Header.Set("Resumes", s.id+"-0")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "no answer"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Sprint(resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		id, ok := strings.CutPrefix(lines.Text(), "id: ")
+		if !ok || !lines.Scan() {
+			continue
+		}
+		var number int
+		if _, err := fmt.Sscan(id, &number); err != nil {
+			continue
+		}
+		// Only a whole event counts.
+		data, blank := lines.Text(), lines.Scan() && lines.Text() == ""
+		if !blank {
+			break
+		}
+		s.last = number
+		version := strings.Fields(strings.TrimPrefix(data, "data: "))[0]
+		if len(s.versions) == 0 || s.versions[len(s.versions)-1] != version {
+			s.versions = append(s.versions, version)
+		}
+	}
+	if lines.Err() != nil {
+		return fmt.Sprintf("broken off after event %d", s.last)
+	}
+	return fmt.Sprintf("ended after event %d", s.last)
+}
+
+// drain reports that the replica is draining.
+func (r *replica) drain() {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.announce()
+}
+
+// leave ends the replica and removes its entry.
+func (r *replica) leave() {
+	close(r.stop)
+	r.mu.Lock()
+	r.silent = true
+	r.mu.Unlock()
+	_ = r.server.Close()
+	r.store.Put("keyed.servers", r.id, nil)
+}
