Show that taken-up streams are bound to another service of a split route

Cause: the service of a split route follows from the id of the client attempt, which a take-up does not share with the attempt that began the stream; the kept start names no service.

The clients of the scripts take streams up a stated number of times at most.

--- a/review/cases3/lease.go
+++ b/review/cases3/lease.go
@@ -34,6 +34,9 @@
 	lossyAfter = 2500 * time.Millisecond
 	lossyTime  = 5 * time.Second
 	lossShare  = 0.3
+	// lostFrom is when the losses hit orders: the lease ends 4 to 5 s after the store has turned its
+	// holder away.
+	lostFrom = 4 * time.Second
 )
 
 // span is a time after which late orders are excused for thawSlack.
@@ -121,7 +124,7 @@
 		if err := r.start(w.store); err != nil {
 			return 0, err
 		}
-		l, err := newLink(r.listener.Addr().String(), seed+int64(i))
+		l, err := newLink(r.listener.Addr().String())
 		if err != nil {
 			return 0, err
 		}
@@ -190,9 +193,9 @@
 	holder.store.Reset()
 	time.Sleep(lossyAfter)
 	w.note("the links between %s and %s lose packets", holder.name, last.replica)
-	l.lose(holder.name, lossShare)
+	l.lose(holder.name, lossShare, time.Now().Add(lostFrom-lossyAfter))
 	time.Sleep(lossyTime)
-	l.lose("", 0)
+	l.heal()
 	w.note("they lose none any more")
 	got.healed()
 	time.Sleep(awayTime - lossyAfter - lossyTime)
--- a/review/cases3/link.go
+++ b/review/cases3/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math/rand"
 	"net"
 	"sync"
 	"time"
@@ -15,38 +14,44 @@
 	userTimeout         = 2 * time.Second
 )
 
-// link is a proxy in front of a replica. While it is lossy for a holder, it loses a share of the segments
-// on connections on which that holder sends orders.
+// link is a proxy in front of a replica. While it is lossy for a holder, it loses segments on connections
+// on which that holder sends orders: from an instant on those with an order, each lossesInTurn times, as
+// long as no more than a share of all segments is lost.
 type link struct {
 	listener net.Listener
 	target   string
 	onLoss   func(delay time.Duration)
 
-	mu     sync.Mutex
-	rand   *rand.Rand
-	holder string
-	share  float64
-	sent   int
-	lost   int
+	mu         sync.Mutex
+	holder     string
+	share      float64
+	from       time.Time
+	sent, lost int
 }
 
-func newLink(target string, seed int64) (*link, error) {
+// lossesInTurn is how often a segment is lost before it arrives.
+const lossesInTurn = 2
+
+func newLink(target string) (*link, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, rand: rand.New(rand.NewSource(seed))}
+	l := &link{listener: listener, target: target}
 	go l.accept()
 	return l, nil
 }
 
-// lose makes the link lossy for a holder; a share of 0 ends that.
-func (l *link) lose(holder string, share float64) {
+// lose makes the link lossy for a holder.
+func (l *link) lose(holder string, share float64, from time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holder, l.share = holder, share
+	l.holder, l.share, l.from = holder, share, from
 }
 
+// heal ends that.
+func (l *link) heal() { l.lose("", 0, time.Time{}) }
+
 func (l *link) accept() {
 	for {
 		conn, err := l.listener.Accept()
@@ -100,7 +105,8 @@
 // carry waits as long as the losses of a segment take. It reports false if the connection ends of them.
 func (c *carried) carry(segment []byte) bool {
 	c.mu.Lock()
-	if _, after, ok := bytes.Cut(segment, []byte(`"holder":"`)); ok {
+	_, after, isOrder := bytes.Cut(segment, []byte(`"holder":"`))
+	if isOrder {
 		name, _, _ := bytes.Cut(after, []byte(`"`))
 		c.holder = string(name)
 	}
@@ -108,26 +114,24 @@
 	c.mu.Unlock()
 	l := c.link
 	l.mu.Lock()
-	if l.share == 0 || holder == "" || holder != l.holder {
+	if holder == "" || holder != l.holder {
 		l.mu.Unlock()
 		return true
 	}
-	delay := time.Duration(0)
 	l.sent++
-	for next := firstRetransmission; l.rand.Float64() < l.share; next *= 2 {
-		delay += next
-		l.sent++
-		l.lost++
+	delay := time.Duration(0)
+	if isOrder && time.Now().After(l.from) && float64(l.lost+lossesInTurn) <= l.share*float64(l.sent+lossesInTurn) {
+		for i := range lossesInTurn {
+			delay += firstRetransmission << i
+		}
+		l.sent += lossesInTurn
+		l.lost += lossesInTurn
 	}
-	onLoss := l.onLoss
 	l.mu.Unlock()
-	if delay == 0 {
-		return true
-	}
-	if onLoss != nil {
-		onLoss(delay)
+	if delay > 0 {
+		l.onLoss(delay)
+		time.Sleep(delay)
 	}
-	time.Sleep(min(delay, userTimeout))
 	return delay < userTimeout
 }
 
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -101,7 +101,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE FOLDER")
 		return exitNotRun
 	}
-	play := map[string]func(*world) (broken int, err error){"lease": playLease, "versions": playVersions, "takeup": playTakeup}[os.Args[1]]
+	play := map[string]func(*world) (broken int, err error){"lease": playLease, "versions": playVersions, "takeup": playTakeup, "split": playSplit}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
 		return exitNotRun
--- a/review/cases3/takeup.go
+++ b/review/cases3/takeup.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +14,7 @@
 // of another software version start beside the others, which all go on serving.
 const (
 	takeupStreams = 16
+	takeupRetries = 4
 	// takeupPause is the time between two tries of a client.
 	takeupPause = 2800 * time.Millisecond
 	// releaseDelay is the time from the start of the processes to that of the release.
@@ -28,13 +28,13 @@
 )
 
 // probe sends new streams and returns how many of them begin.
-func (w *world) probe() (begun int) {
+func (w *world) probe(vms []*vm) (begun int) {
 	var clients sync.WaitGroup
 	news := make([]*streamed, probes)
 	for i := range news {
 		s := &streamed{id: fmt.Sprintf("n%02d", i)}
 		news[i] = s
-		clients.Go(func() { s.attempt(w.vms[i%len(w.vms)], s.id+"-0", 3*time.Second) })
+		clients.Go(func() { s.attempt(vms[i%len(vms)], s.id+"-0", 3*time.Second) })
 	}
 	clients.Wait()
 	for _, s := range news {
@@ -94,7 +94,7 @@
 	touchAt.Store(math.MaxInt64)
 	streams := make([]*streamed, takeupStreams)
 	for i := range streams {
-		streams[i] = &streamed{id: fmt.Sprintf("s%02d", i), pause: takeupPause, touchAt: &touchAt}
+		streams[i] = &streamed{id: fmt.Sprintf("s%02d", i), pause: takeupPause, retries: takeupRetries, touchAt: &touchAt}
 		clients.Go(func() { streams[i].follow(w, i) })
 	}
 	time.Sleep(2 * time.Second)
@@ -119,18 +119,9 @@
 		go r.beat()
 	}
 	time.Sleep(time.Until(time.Unix(0, touchAt.Load()).Add(200 * time.Millisecond)))
-	begun := w.probe()
+	begun := w.probe(w.vms)
 	clients.Wait()
-	taken, goneOn := 0, 0
-	for _, s := range streams {
-		w.note("stream %s: %d events, of %s; %s", s.id, s.last, strings.Join(s.versions, " then "), strings.Join(s.tries, "; "))
-		if s.takenUp {
-			taken++
-		}
-		if s.goneOn {
-			goneOn++
-		}
-	}
+	taken, goneOn := countTakenUp(w, streams)
 	w.note("%d streams were taken up at machines in touch, %d went on there; %d new ones began of %d", taken, goneOn, begun, probes)
 	if taken >= leastTakenUp && 2*goneOn*probes < taken*begun {
 		return 1, nil
--- a/review/cases3/versions.go
+++ b/review/cases3/versions.go
@@ -23,6 +23,7 @@
 	drainTime       = 3 * time.Second
 	lingerTime      = 700 * time.Millisecond
 	restartDelay    = time.Second
+	versionRetries  = 3
 	retryPause      = 1500 * time.Millisecond
 )
 
@@ -46,8 +47,11 @@
 // streamed is a stream as its client got it.
 type streamed struct {
 	id string
-	// pause is the time between two tries.
+	// first is where it begins; nil for any.
+	first *vm
+	// pause is the time between two tries, retries how often it is taken up at most.
 	pause    time.Duration
+	retries  int
 	last     int
 	versions []string
 	tries    []string
@@ -101,7 +105,7 @@
 	var clients sync.WaitGroup
 	streams := make([]*streamed, versionStreams)
 	for i := range streams {
-		streams[i] = &streamed{id: fmt.Sprintf("s%02d", i), pause: retryPause}
+		streams[i] = &streamed{id: fmt.Sprintf("s%02d", i), pause: retryPause, retries: versionRetries}
 		clients.Go(func() { streams[i].follow(w, i) })
 	}
 	time.Sleep(1500 * time.Millisecond)
@@ -156,11 +160,14 @@
 // follow begins the stream, and takes it up where it broke until its deadline.
 func (s *streamed) follow(w *world, n int) {
 	deadline := time.Now().Add(versionDeadline)
-	for try := 0; time.Now().Before(deadline) && s.last < versionEvents; try++ {
+	for try := 0; len(s.tries) <= s.retries && time.Now().Before(deadline) && s.last < versionEvents; try++ {
 		if try > 0 {
 			time.Sleep(s.pause)
 		}
 		v := w.vms[(n+try)%len(w.vms)]
+		if try == 0 && s.first != nil {
+			v = s.first
+		}
 		if try > 0 && !v.ready() {
 			continue
 		}
