Show the joined streams with a rolling restart in place of a kill

Cause: as before; planned work is enough to make an entry VM forget what began a stream.

It keeps the deletion of old records with TROUBLE=0.

--- a/review/cases3/takeup.go
+++ b/review/cases3/takeup.go
@@ -14,6 +14,8 @@
 // of another software version start beside the others, which all go on serving.
 const (
 	takeupStreams = 16
+	// killedTime is the time from the kill to the start of the next processes.
+	killedTime    = time.Second
 	takeupRetries = 4
 	// takeupPause is the time between two tries of a client.
 	takeupPause = 2800 * time.Millisecond
@@ -103,7 +105,7 @@
 		for _, v := range w.vms {
 			v.signal(syscall.SIGKILL)
 		}
-		time.Sleep(restartDelay)
+		time.Sleep(killedTime)
 		for _, v := range w.vms {
 			<-v.done
 			if err := v.start(w.command); err != nil {
--- a/review/cases3/versions.go
+++ b/review/cases3/versions.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,8 +14,8 @@
 	"time"
 )
 
-// The case: a release replaces the replicas of a service by ones of another software version. All entry
-// VMs are killed while streams of the old version go on, and the store deletes old records of the list.
+// The case: a release replaces the replicas of a service by ones of another software version, and the store
+// deletes old records of their list. Meanwhile the entry VMs are stopped and started in turn.
 const (
 	versionStreams  = 12
 	versionEvents   = 60
@@ -22,9 +23,12 @@
 	versionDeadline = 15 * time.Second
 	drainTime       = 3 * time.Second
 	lingerTime      = 700 * time.Millisecond
-	restartDelay    = time.Second
-	versionRetries  = 3
-	retryPause      = 1500 * time.Millisecond
+	// restartDelay is the time from the end of a process to the start of the next one.
+	restartDelay = 500 * time.Millisecond
+	// deletionDelay is the time from the end of the old replicas to the deletion.
+	deletionDelay  = 300 * time.Millisecond
+	versionRetries = 3
+	retryPause     = 1500 * time.Millisecond
 )
 
 // serveStore serves the store, and returns the function that ends it.
@@ -44,6 +48,27 @@
 	return &replica{id: id, service: "wheel-llm", zone: zone, version: version, model: "m0", adapterSlots: 8, loadTime: 250 * time.Millisecond, pace: pace, events: events}
 }
 
+// roll stops and starts the entry VMs in turn, some at a time and with a gap between these.
+func (w *world) roll(atOnce int, gap time.Duration) {
+	var all sync.WaitGroup
+	for batch := range slices.Chunk(w.vms, atOnce) {
+		for _, v := range batch {
+			w.note("%s gets SIGTERM", v.name)
+			v.signal(syscall.SIGTERM)
+			all.Go(func() {
+				<-v.done
+				w.note("%s has ended", v.name)
+				time.Sleep(restartDelay)
+				if err := v.start(w.command); err != nil {
+					w.note("%s does not start: %v", v.name, err)
+				}
+			})
+		}
+		time.Sleep(gap)
+	}
+	all.Wait()
+}
+
 // streamed is a stream as its client got it.
 type streamed struct {
 	id string
@@ -118,31 +143,20 @@
 	for _, r := range old {
 		r.drain()
 	}
-	time.Sleep(drainTime)
+	var restarts sync.WaitGroup
 	if w.trouble {
-		w.note("all entry VMs are killed")
-		for _, v := range w.vms {
-			v.signal(syscall.SIGKILL)
-		}
+		restarts.Go(func() { w.roll(2, time.Second) })
 	}
-	time.Sleep(lingerTime)
+	time.Sleep(drainTime + lingerTime)
 	w.note("release: replicas of v1 exit, their entries are removed")
 	for _, r := range old {
 		r.leave()
 	}
-	if w.trouble {
-		w.note("the store deletes the old records of the operator and the replicas")
-		w.store.Forget("keyed.op")
-		w.store.Forget("keyed.servers")
-		time.Sleep(restartDelay - lingerTime)
-		for _, v := range w.vms {
-			<-v.done
-			if err := v.start(w.command); err != nil {
-				return 0, err
-			}
-		}
-		w.note("the processes are started again")
-	}
+	time.Sleep(deletionDelay)
+	w.note("the store deletes the old records of the operator and the replicas")
+	w.store.Forget("keyed.op")
+	w.store.Forget("keyed.servers")
+	restarts.Wait()
 	clients.Wait()
 	for _, s := range streams {
 		w.note("stream %s: %d events, of %s; %s", s.id, s.last, strings.Join(s.versions, " then "), strings.Join(s.tries, "; "))
