--- a/review/cases3/lease.go
+++ b/review/cases3/lease.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -39,10 +38,11 @@
 	lostFrom = 4 * time.Second
 )
 
-// span is a time after which late orders are excused for thawSlack.
+// orders are those that the replicas got.
 type orders struct {
-	mu    sync.Mutex
-	list  []arrival
+	mu   sync.Mutex
+	list []arrival
+	// heals are the times after which late orders are excused for thawSlack.
 	heals []time.Time
 }
 
@@ -100,14 +100,11 @@
 }
 
 func playLease(w *world) (broken int, err error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	end, err := w.serveStore()
 	if err != nil {
 		return 0, err
 	}
-	server := &http.Server{Handler: w.store, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
-	w.address = listener.Addr().String()
+	defer end()
 	w.zones = map[string]string{"kano-a": "ng-north", "kaduna-b": "ng-north"}
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	if seed == 0 {
