End the processes of a case also if its output is closed

Cause: a driver whose output was closed died of SIGPIPE and left its entry VMs running.

Result: with its output closed after one line no process is left.

--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -124,6 +124,8 @@
 	defer func() { _ = record.Close() }()
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), dir: dir, record: record, store: &keylog.Store{}, zones: map[string]string{}}
 	defer w.close()
+	// A reader that closes the output must not leave the processes behind.
+	signal.Ignore(syscall.SIGPIPE)
 	go w.closeAtSignal()
 	if w.command, err = deployedCommand("deploy/system.toml"); err == nil {
 		var broken int
