Keep the cases of the review inside the doses of their sites

Cause: case 11 stopped two entry VMs at a time where its site has one, case 13 left a killed process down for longer than its site does, and case 15 had a spell longer than that of its dose.

--- a/review/cases3/split.go
+++ b/review/cases3/split.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -100,7 +99,12 @@
 	time.Sleep(4 * time.Second)
 	if w.trouble {
 		w.note("%s is killed", w.vms[0].name)
-		w.vms[0].signal(syscall.SIGKILL)
+		w.vms[0].kill()
+		time.Sleep(killedTime)
+		if err := w.vms[0].start(w.command); err != nil {
+			return 0, err
+		}
+		w.note("its process is started again")
 	}
 	time.Sleep(1500 * time.Millisecond)
 	begun := w.probe(w.vms[1:])
--- a/review/cases3/versions.go
+++ b/review/cases3/versions.go
@@ -145,7 +145,7 @@
 	}
 	var restarts sync.WaitGroup
 	if w.trouble {
-		restarts.Go(func() { w.roll(2, time.Second) })
+		restarts.Go(func() { w.roll(1, time.Second) })
 	}
 	time.Sleep(drainTime + lingerTime)
 	w.note("release: replicas of v1 exit, their entries are removed")
@@ -179,8 +179,13 @@
 			time.Sleep(s.pause)
 		}
 		v := w.vms[(n+try)%len(w.vms)]
-		if try == 0 && s.first != nil {
+		switch {
+		case s.first == nil:
+		case try == 0:
 			v = s.first
+		case v == s.first:
+			// Retries reach other entry VMs.
+			continue
 		}
 		if try > 0 && !v.ready() {
 			continue
