Take up streams by what rules other versions out

Cause: an entry VM that had just started took the records of the list that were left for all of them, and asked the store for the start of the stream only if these decided nothing. Evidence: all joined take-ups in the logs have source=only_version_in_store. A trial that exchanges the two reads keeps the rule of the case, but still joins streams once the store has deleted their starts, too.

Change: what is known of the stream itself comes first. A list counts only if it rules out other versions: by a history without holes, or by a ledger of versions that the placers keep in the store (topic keyed.origins), which is never deleted. Without either the take-up is refused. The ledger keeps streams of a service with one version from being refused after all entry VMs were killed. Entry VMs of the release before ignore the topic and the new field of placement updates; next to a placer of that release the other entry VMs keep the ledger.

--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -100,17 +100,29 @@
 // first list.
 func (c *Core) SoftwareSince() clock.Millis { return c.software.since }
 
+// SoftwareListed returns the versions that were listed since a time, and reports whether none was listed
+// unseen in all that time.
+func (c *Core) SoftwareListed(now, since clock.Millis) (list []topo.ServiceSoftware, observed bool) {
+	c.now = max(c.now, now)
+	c.software.observe(c.now, c.servers)
+	for key, at := range c.software.seenAt {
+		if at >= since {
+			list = append(list, key)
+		}
+	}
+	return list, c.software.since > 0 && c.software.since <= since
+}
+
 // OnlySoftware returns a version of a service's backend servers, and reports whether no other one
 // was seen since a time, and whether none was listed unseen in all that time.
 func (c *Core) OnlySoftware(now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
-	c.now = max(c.now, now)
+	list, observed := c.SoftwareListed(now, since)
 	count := 0
-	c.software.observe(c.now, c.servers)
-	for key, at := range c.software.seenAt {
-		if key.Service == service && at >= since {
+	for _, key := range list {
+		if key.Service == service {
 			software = key.Software
 			count++
 		}
 	}
-	return software, count == 1, c.software.since > 0 && c.software.since <= since
+	return software, count == 1, observed
 }
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -151,6 +151,8 @@
 	Address string `msgpack:"h,omitempty"`
 	// KeepsStarts reports that the placer takes StreamStarts messages; those of earlier releases don't.
 	KeepsStarts bool `msgpack:"t,omitempty"`
+	// KeepsLedger reports that the placer keeps the ledger of versions; those of earlier releases don't.
+	KeepsLedger bool `msgpack:"kl,omitempty"`
 	// Members lists the entry VMs that report to the placer. It is empty in most updates.
 	// The next placer sends its updates to them at once, so that also those that can't read
 	// the store learn of it.
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -76,6 +76,13 @@
 	return f.next
 }
 
+// newestEra returns the era of the next read.
+func (f *feed) newestEra() units.Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // relayed reports whether f has missed no update, the placer relayed one within ttl, and f was read
 // from the store since resumedAt.
 func (f *feed) relayed(now, ttl, resumedAt clock.Millis) bool {
--- a/internal/node/fleet/leasing.go
+++ b/internal/node/fleet/leasing.go
@@ -38,8 +38,9 @@
 	if holder.Address != "" && in.update.Remaining > 0 {
 		p.lease.ObserveHolder(p.node.clock.BootNow(), holder, in.update.Fence, in.update.LeaseNext, in.update.Remaining)
 	}
-	if r := p.recorder.Load(); in.update.KeepsStarts && (r == nil || r.id != in.from || r.address != in.update.Address) {
-		p.recorder.Store(&holderInfo{id: in.from, address: in.update.Address})
+	recorder := holderInfo{id: in.from, address: in.update.Address, keepsLedger: in.update.KeepsLedger}
+	if r := p.recorder.Load(); in.update.KeepsStarts && (r == nil || *r != recorder) {
+		p.recorder.Store(&recorder)
 	}
 	if len(in.update.Members) > 0 && in.update.Fence >= p.lease.Fence() {
 		p.members = in.update.Members
--- /dev/null
+++ b/internal/node/fleet/ledger.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
+	"mangostile/internal/core/choose"
+	"mangostile/internal/core/claim"
+	"mangostile/internal/core/origin"
+	"mangostile/internal/core/topo"
+
+	"github.com/pkg/errors"
+)
+
+// Timing of the ledger.
+const (
+	// ledgerPeriod is the time between two looks at what has to change in the ledger.
+	ledgerPeriod = 200 * time.Millisecond
+	// ledgerReadPeriod is the time between two reads by the entry VM that keeps the ledger.
+	ledgerReadPeriod = 15 * clock.Second
+	// ledgerDelay is how long the ledger has to be without a keeper until an entry VM changes it that
+	// is not the placer; ledgerSpacing is added for each other entry VM, times a share that depends on
+	// the id: all together make at most 100 calls a second.
+	ledgerDelay   = 5 * clock.Second
+	ledgerSpacing = 10 * clock.Millis(1)
+	// ledgerRetry is the time to the next try after one that failed.
+	ledgerRetry = clock.Second
+	// ledgerTimeout bounds the calls to the store for one try.
+	ledgerTimeout = 2 * time.Second
+	// ledgerMargin is added to the longest time in which a stream can be taken up: entry VMs know up
+	// to that much later that a version is not listed any more.
+	ledgerMargin = 5 * clock.Second
+)
+
+// ledgerKeeper keeps the ledger in the store current. Only the goroutine of keepLedger uses it. The zero
+// value is ready to use.
+type ledgerKeeper struct {
+	ledger origin.Ledger
+	// next is the offset of the next append, era that of next.
+	next units.Offset
+	era  units.Era
+	// readAt is the time of the last read, 0 if the next step reads first; nextAt is the earliest time
+	// of that step.
+	readAt, nextAt clock.Millis
+	// unkeptSince is since when no placer is known that keeps the ledger, 0 if one is.
+	unkeptSince clock.Millis
+}
+
+// keepLedger keeps the ledger current until ctx is done. The error is always nil.
+func (n *Node) keepLedger(ctx context.Context) error {
+	ticker := time.NewTicker(ledgerPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.guard("ledger", func() { n.stepLedger(ctx) })
+		}
+	}
+}
+
+// stepLedger writes what is missing in the ledger, if this entry VM is the placer of its region or there is no
+// other one that does.
+func (n *Node) stepLedger(ctx context.Context) {
+	k := &n.ledger
+	now := n.clock.Now()
+	if !n.keepsLedger(now) || now < k.nextAt {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	o, known := n.observed(ctx)
+	if !known {
+		return
+	}
+	if err := n.syncLedger(ctx, o); err != nil && ctx.Err() == nil {
+		n.log.Warn("ledger_not_kept", "error", err)
+		k.nextAt = n.clock.Now() + ledgerRetry
+	}
+}
+
+// keepsLedger reports whether this entry VM writes what is missing in the ledger.
+func (n *Node) keepsLedger(now clock.Millis) bool {
+	k := &n.ledger
+	placer, kept := n.ownPlacer().ledgerKeeper()
+	switch {
+	case placer == n.settings.ID:
+		k.unkeptSince = 0
+		return true
+	case kept:
+		k.unkeptSince = 0
+		return false
+	case k.unkeptSince == 0:
+		k.unkeptSince = now
+	}
+	share := float64(hashID(units.RequestID(n.settings.ID))>>11) / (1 << 53)
+	others := clock.Millis(len(n.peers.keepers(now)))
+	return now >= k.unkeptSince+ledgerDelay+clock.Millis(share*float64(others*ledgerSpacing))
+}
+
+// syncLedger writes what is missing in the ledger. It decides by the content of the store, which others change,
+// too.
+func (n *Node) syncLedger(ctx context.Context, o origin.Observed) error {
+	k := &n.ledger
+	if n.clock.Now() < k.readAt+ledgerReadPeriod && n.serversFeed.newestEra() <= k.era && k.readAt > 0 && len(k.ledger.Changes(o)) == 0 {
+		return nil
+	}
+	k.readAt = 0
+	at := n.clock.Now()
+	got, err := n.readLedger(ctx)
+	if err != nil {
+		return err
+	}
+	k.ledger.Load(got.Entries)
+	k.next, k.era = got.Next, got.Era
+	changes := k.ledger.Changes(o)
+	if len(changes) > 0 {
+		switch result, err := n.system.AppendLedger(ctx, k.era, k.next, changes); result {
+		case claim.Accepted:
+			k.ledger.Apply(changes)
+			k.next += units.Offset(len(changes))
+			n.log.Info("ledger_changed", "changes", len(changes), "next", k.next)
+		case claim.Conflict, claim.Restored:
+			// Another entry VM has changed it: the next step reads it again.
+			return nil
+		default:
+			return errors.WithStack(err)
+		}
+	}
+	k.readAt = at
+	return nil
+}
+
+// readLedger reads the ledger.
+func (n *Node) readLedger(ctx context.Context) (*LedgerEntries, error) {
+	got, err := n.system.ReadLedger(ctx)
+	n.meter.StoreRead(topicLedger, err == nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if got.Skipped > 0 {
+		n.log.Warn("entries_passed_over", "feed", topicLedger, "count", got.Skipped)
+	}
+	return got, nil
+}
+
+// topicLedger names the ledger in logs and metrics.
+const topicLedger = "ledger"
+
+// observed returns what may have begun streams that can still be taken up, as far as this entry VM has seen it.
+// known is false before the first list of backend servers.
+func (n *Node) observed(ctx context.Context) (o origin.Observed, known bool) {
+	cfg := n.config.Load()
+	if cfg == nil {
+		return o, false
+	}
+	var list []topo.ServiceSoftware
+	var whole bool
+	n.withCore(func(core *choose.Core) {
+		now := n.clock.Now()
+		list, whole = core.SoftwareListed(now, now-longestResumeWindow(cfg)-ledgerMargin)
+		known = core.SoftwareSince() > 0
+	})
+	if !known {
+		return o, false
+	}
+	if !whole {
+		// The history of a new deployment has no holes yet.
+		history, err := n.readHistory(ctx)
+		whole = err == nil && history.whole
+	}
+	o = origin.Observed{Members: map[origin.Group][]origin.Name{}, Whole: whole}
+	for _, v := range list {
+		group := origin.VersionsOf(v.Service)
+		o.Members[group] = append(o.Members[group], origin.Name(v.Software))
+	}
+	return o, true
+}
--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -83,6 +83,7 @@
 	quarantine quarantine
 	origins    origins
 	starts     startKeeper
+	ledger     ledgerKeeper
 	credits    credits
 
 	doors    doors
@@ -211,6 +212,7 @@
 	group.Go(func() error { return n.keepCredits(ctx) })
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	group.Go(func() error { return n.keepStarts(ctx) })
+	group.Go(func() error { return n.keepLedger(ctx) })
 	for _, p := range n.placers {
 		group.Go(func() error { return p.run(ctx) })
 		group.Go(func() error { return p.followLease(ctx) })
--- a/internal/node/fleet/observed_test.go
+++ b/internal/node/fleet/observed_test.go
@@ -26,6 +26,9 @@
 	hidden int
 	kept   int
 	err    error
+	// ledger and starts are what the store has besides the list.
+	ledger []origin.Entry
+	starts []origin.Batch
 }
 
 func (l *listLog) put(id units.BackendServerID, version topo.Software) {
@@ -77,9 +80,19 @@
 }
 
 // ReadKeptSoftware implements Store.
-func (l *listLog) ReadKeptSoftware(context.Context) ([]topo.ServiceSoftware, error) {
+func (l *listLog) ReadKeptSoftware(context.Context) ([]topo.ServiceSoftware, bool, error) {
 	l.kept++
-	return l.merge(l.records[l.oldest:], &FeedUpdate{}).Software, l.err
+	return l.merge(l.records[l.oldest:], &FeedUpdate{}).Software, l.oldest == 0, l.err
+}
+
+// ReadLedger implements Store.
+func (l *listLog) ReadLedger(context.Context) (*LedgerEntries, error) {
+	return &LedgerEntries{Entries: l.ledger}, l.err
+}
+
+// ReadStarts implements Store.
+func (l *listLog) ReadStarts(_ context.Context, from units.Offset) (*StartRecords, error) {
+	return &StartRecords{Batches: l.starts[from:], Next: units.Offset(len(l.starts))}, l.err
 }
 
 // DecodeUpdate implements Store.
@@ -227,6 +240,59 @@
 	}
 }
 
+// TestDeletedRecordsOfTheList guards against a stream with events of two software versions: an entry VM that
+// had just started took the records of the list that the store had not deleted for all of them, although the
+// store also had the start of the stream.
+func TestDeletedRecordsOfTheList(t *testing.T) {
+	const key = "first"
+	v1 := origin.Entry{Group: origin.VersionsOf("plain"), Member: "v1", Whole: true}
+	v2 := origin.Entry{Group: origin.VersionsOf("plain"), Member: "v2", Whole: true}
+	other := origin.Entry{Group: origin.VersionsOf("other"), Member: "v1", Whole: true}
+	written := v2
+	written.Whole = false
+	started := []origin.Batch{{Software: "v1", Remaining: clock.Minute, Keys: []origin.Key{origin.KeyOf(key)}}}
+	for _, tc := range []struct {
+		name   string
+		kept   bool
+		ledger []origin.Entry
+		starts []origin.Batch
+		err    error
+		// want is the version, empty if the stream is refused.
+		want   topo.Software
+		source string
+	}{
+		{name: "nothing but the records that are left"},
+		{name: "the start is in the store", starts: started, want: "v1", source: "store"},
+		{name: "the start is in the store, and the list is whole", kept: true, starts: started, want: "v1", source: "store"},
+		{name: "the list is whole", kept: true},
+		{name: "the ledger has the old version", ledger: []origin.Entry{v1}},
+		{name: "the ledger has both versions", ledger: []origin.Entry{v1, v2}},
+		{name: "the ledger has the new version alone", ledger: []origin.Entry{v2}, want: "v2", source: "only_version_in_store"},
+		{name: "the ledger has the new version, and may lack others", ledger: []origin.Entry{written}},
+		{name: "the ledger has the versions of another service", ledger: []origin.Entry{other}},
+		{name: "the store is away", ledger: []origin.Entry{v2}, starts: started, err: errors.New("store is away")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			log := &listLog{ledger: tc.ledger, starts: tc.starts}
+			log.put("s1", "v1")
+			log.put("s2", "v2")
+			log.put("s1", "")
+			if !tc.kept {
+				log.oldest = len(log.records)
+			}
+			r := newListReader(log, clock.NewManual(clock.Hour))
+			r.read(t)
+			r.run(t, clock.Second)
+			log.err = tc.err
+			c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
+			c.head.Resumes = key
+			software, source := c.findOrigin(t.Context())
+			must.Eq(t, tc.want, software)
+			must.Eq(t, tc.source, source)
+		})
+	}
+}
+
 // TestRelayCarriesVersionsOfRemovedServers guards against a version that only the entry VM which
 // reads the store has seen: it came and went within one of its reads.
 func TestRelayCarriesVersionsOfRemovedServers(t *testing.T) {
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -13,6 +13,7 @@
 	"mangostile/internal/core/topo"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -27,17 +28,32 @@
 type origins struct {
 	mu     sync.Mutex
 	starts origin.Starts
-	// reading makes requests that need the versions that the store has kept share one read.
+	// reading makes requests that need the history in the store share one read.
 	reading singleflight.Group
-	// historyOf is the begin of the own software history for which they were read last, 0 before the
-	// first read.
-	historyOf clock.Millis
+	// history is the result of the last read, nil before the first one.
+	history *history
 	// questions holds the questions to other entry VMs that wait for replies, by their number;
 	// asked is the number of the last one.
 	questions map[uint64]*question
 	asked     uint64
 }
 
+// history is what the store had of the time that an entry VM has not seen. It is immutable.
+type history struct {
+	// until is the begin of the time that the entry VM has seen.
+	until clock.Millis
+	// whole is true if no record of the list of backend servers had been deleted.
+	whole  bool
+	ledger origin.Ledger
+}
+
+// rulesOut reports whether no version of a service can have begun a stream but those that the records of the
+// list and the ledger name.
+func (h *history) rulesOut(service units.ServiceName) bool {
+	_, whole := h.ledger.Members(origin.VersionsOf(service))
+	return h.whole || whole
+}
+
 // question asks other entry VMs which version began a stream. The fields below done are set once it
 // is closed.
 type question struct {
@@ -169,104 +185,126 @@
 const maxListAge = 1500 * clock.Millis(1)
 
 // findOrigin returns the version that began the stream which the request goes on with, and how it
-// is known; source is empty if it is not. The store is asked last, since a read of it costs more.
-func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
-	software, source = c.findRunningOrigin(ctx)
-	if source == "" && c.head.Resumes != "" && ctx.Err() == nil {
-		if began, known := c.node.findKeptStart(ctx, c.streamKey()); known {
-			return began, "store"
-		}
-	}
-	return software, source
-}
-
-// findRunningOrigin is findOrigin by what this entry VM and others that run know.
+// is known; source is empty if it is not.
 //
 // Records of the stream come first: a list shows a new version only some time after other entry VMs
 // may use it. With none, all versions that were listed since the stream may have begun must be the
-// same, and the list current, or the other entry VMs must rule out that they began the stream.
-func (c *exchange) findRunningOrigin(ctx context.Context) (software topo.Software, source string) {
+// same, and none may have been missed. Reads of the store come last, since they cost more.
+func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
 	n := c.node
-	window := c.resumeWindow()
 	inStep := !n.peers.knewAny()
 	if c.head.Resumes != "" {
 		key := c.streamKey()
 		if began, known := n.origins.find(n.clock.BootNow(), key); known {
 			return began, "own_record"
 		}
-		began, known, unknownToAll := n.askOrigin(ctx, key, window)
+		began, known, unknownToAll := n.askOrigin(ctx, key, c.resumeWindow())
 		if known {
 			return began, "entry_vm"
 		}
 		inStep = inStep || unknownToAll
 	}
-	since := c.req.Arrived - window
-	var only, observed bool
-	n.withCore(func(core *choose.Core) {
-		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
-	})
 	inStep = inStep || n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge, n.noteRunning())
-	switch {
-	case !only || !inStep:
-		return "", ""
-	case observed:
+	software, only, observed := c.onlySoftware()
+	if only && observed && inStep {
 		return software, "only_version"
-	case !n.readHistory(ctx):
+	}
+	if c.head.Resumes != "" && ctx.Err() == nil {
+		if began, known := n.findKeptStart(ctx, c.streamKey()); known {
+			return began, "store"
+		}
+	}
+	if !only || observed || !inStep {
 		return "", ""
 	}
 	// This entry VM started too late, or missed too much, to rule out that the stream began at
-	// another version that has left, and no entry VM knows of one, as after all of them were killed.
-	// The store does.
-	n.withCore(func(core *choose.Core) {
-		software, only, _ = core.OnlySoftware(n.clock.Now(), c.req.Service, since)
-	})
-	if !only {
+	// another version that has left, and no record of it is left, as after all entry VMs were killed.
+	// The store knows all versions of that time.
+	past, err := n.readHistory(ctx)
+	if err != nil || !past.rulesOut(c.req.Service) {
+		return "", ""
+	}
+	if software, only, _ = c.onlySoftware(); !only {
 		return "", ""
 	}
 	return software, "only_version_in_store"
 }
 
-// historyTimeout bounds the read of the versions that the store has kept.
+// onlySoftware is Core.OnlySoftware for the time in which the stream may have begun.
+func (c *exchange) onlySoftware() (software topo.Software, only, observed bool) {
+	n := c.node
+	n.withCore(func(core *choose.Core) {
+		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, c.req.Arrived-c.resumeWindow())
+	})
+	return software, only, observed
+}
+
+// historyTimeout bounds the reads of what the store has of the time before an entry VM started.
 const historyTimeout = 500 * time.Millisecond
 
-// readHistory reads the versions of backend servers that the store has kept, unless that was done
-// since this entry VM may have missed some, and reports whether they are known.
-func (n *Node) readHistory(ctx context.Context) bool {
+// readHistory reads the versions that the store knows, unless that was done since this entry VM may have missed
+// some.
+func (n *Node) readHistory(ctx context.Context) (*history, error) {
 	done := n.origins.reading.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 		defer cancel()
+		var past *history
 		err := errPanic
-		n.guard("read of kept versions", func() { err = n.readKeptSoftware(ctx) })
-		return nil, err
+		n.guard("read of kept versions", func() { past, err = n.readKeptSoftware(ctx) })
+		return past, err
 	})
 	select {
 	case <-ctx.Done():
-		return false
+		return nil, errors.WithStack(ctx.Err())
 	case r := <-done:
-		return r.Err == nil
+		past, _ := r.Val.(*history)
+		return past, r.Err
 	}
 }
 
-func (n *Node) readKeptSoftware(ctx context.Context) error {
+func (n *Node) readKeptSoftware(ctx context.Context) (*history, error) {
 	o := &n.origins
-	var since clock.Millis
-	n.withCore(func(core *choose.Core) { since = core.SoftwareSince() })
+	past := &history{}
+	n.withCore(func(core *choose.Core) { past.until = core.SoftwareSince() })
 	o.mu.Lock()
-	read := since > 0 && o.historyOf == since
+	last := o.history
 	o.mu.Unlock()
-	if read {
-		return nil
+	if last != nil && past.until > 0 && last.until == past.until {
+		return last, nil
 	}
-	list, err := n.system.ReadKeptSoftware(ctx)
-	if err != nil {
-		n.log.Warn("software_history_not_read", "error", err)
+	var list []topo.ServiceSoftware
+	var reads errgroup.Group
+	reads.Go(func() (err error) {
+		list, past.whole, err = n.system.ReadKeptSoftware(ctx)
 		return errors.WithStack(err)
+	})
+	reads.Go(func() error {
+		got, err := n.readLedger(ctx)
+		if err == nil {
+			past.ledger.Load(got.Entries)
+		}
+		return err
+	})
+	if err := reads.Wait(); err != nil {
+		n.log.Warn("software_history_not_read", "error", err)
+		return nil, errors.WithStack(err)
 	}
-	n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), list) })
+	recorded := past.ledger.Versions()
+	n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), append(list, recorded...)) })
+	n.log.Info("software_history_read", "whole", past.whole, "versions", len(list), "recorded", len(recorded))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.historyOf = since
-	return nil
+	o.history = past
+	return past, nil
+}
+
+// longestResumeWindow returns the longest time after the begin of a stream in which its caller may take it up.
+func longestResumeWindow(cfg *topo.Config) clock.Millis {
+	longest := defaultTimeout
+	for i := range cfg.Routes {
+		longest = max(longest, cfg.Routes[i].Timeout)
+	}
+	return min(longest, origin.MaxLifetime)
 }
 
 // askOrigin asks other entry VMs which version began a stream. unknownToAll reports whether all that
--- a/internal/node/fleet/placing.go
+++ b/internal/node/fleet/placing.go
@@ -65,6 +65,8 @@
 type holderInfo struct {
 	id      units.EntryVMID
 	address string
+	// keepsLedger reports that it keeps the ledger.
+	keepsLedger bool
 }
 
 // holder returns the last known leaseholder and its peer address, empty if unknown.
@@ -86,6 +88,13 @@
 	return r.id, r.address, true
 }
 
+// ledgerKeeper returns the leaseholder, and reports whether it keeps the ledger.
+func (p *placerWorker) ledgerKeeper() (id units.EntryVMID, keeps bool) {
+	last, _ := p.holder()
+	r := p.recorder.Load()
+	return last, last != "" && r != nil && r.id == last && r.keepsLedger
+}
+
 func (p *placerWorker) storeHolder() {
 	id, address := p.lease.Holder()
 	if last := p.lastHolder.Load(); last == nil || last.id != id || last.address != address {
--- a/internal/node/fleet/publish.go
+++ b/internal/node/fleet/publish.go
@@ -74,7 +74,7 @@
 
 // addLease adds what the receivers need to know of the lease.
 func (p *placerWorker) addLease(update *peer.PlacementUpdate) {
-	update.Address, update.KeepsStarts = p.node.settings.PeerAddress, true
+	update.Address, update.KeepsStarts, update.KeepsLedger = p.node.settings.PeerAddress, true, true
 	update.LeaseNext, update.Remaining = p.lease.Next(), max(0, p.lease.ValidUntil()-p.node.clock.BootNow())
 }
 
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -164,6 +164,16 @@
 	Skipped int
 }
 
+// LedgerEntries is what was read of the ledger.
+type LedgerEntries struct {
+	Entries []origin.Entry
+	// Next is the offset after the last change, Era that of Next.
+	Next units.Offset
+	Era  units.Era
+	// Skipped counts entries that could not be read.
+	Skipped int
+}
+
 // ExpiredError is returned by a read from an offset whose records have expired, or that the store does
 // not have since it was restored. Oldest is the first offset that can still be read, Era that of Oldest.
 type ExpiredError struct {
@@ -188,8 +198,14 @@
 	// offset on, before the offset to. The error is an ExpiredError if some of them have expired.
 	ReadSoftware(ctx context.Context, from, to units.Offset) ([]topo.ServiceSoftware, error)
 	// ReadKeptSoftware returns the versions of the backend servers in the records of FeedServers that
-	// the store still has, those of removed backend servers included.
-	ReadKeptSoftware(ctx context.Context) ([]topo.ServiceSoftware, error)
+	// the store still has, those of removed backend servers included. whole reports whether it has
+	// deleted none of these records.
+	ReadKeptSoftware(ctx context.Context) (list []topo.ServiceSoftware, whole bool, err error)
+	// ReadLedger returns the entries of the ledger.
+	ReadLedger(ctx context.Context) (*LedgerEntries, error)
+	// AppendLedger changes the ledger if it still ends at the offset at of an era. Its results are those
+	// of AppendLease.
+	AppendLedger(ctx context.Context, era units.Era, at units.Offset, changes []origin.Change) (claim.Result, error)
 	// ReadStarts returns the starts of streams in the store from an offset on. The error is an
 	// ExpiredError if some of them have expired.
 	ReadStarts(ctx context.Context, from units.Offset) (*StartRecords, error)
