Bind take-ups to the service that began their stream

Cause: the service of a take-up was drawn by a hash of the id of its own attempt, and what was kept of the start of a stream did not name the service.

Change: a take-up draws its service by the id of the attempt that began the stream. Starts name their service, in messages and in the store, and the take-up is bound to it, or to another service of the route that has the version. Entry VMs of the release before ignore the new field; a start without it is bound by its version alone.

--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -21,6 +21,11 @@
 	return false
 }
 
+// Runs reports whether a service has a backend server of a version that isn't leaving.
+func (c *Core) Runs(service units.ServiceName, software topo.Software) bool {
+	return c.canGoOn(&Request{Service: service, Software: software, Started: true})
+}
+
 // startedElsewhere reports whether r has begun at another version than that of v.
 func (r *Request) startedElsewhere(v *view) bool { return r.Started && v.software() != r.Software }
 
--- a/internal/core/origin/backlog.go
+++ b/internal/core/origin/backlog.go
@@ -25,6 +25,8 @@
 // Batch lists streams that began at one version.
 type Batch struct {
 	Software topo.Software `msgpack:"v"`
+	// Service is as in Start.
+	Service units.ServiceName `msgpack:"sv,omitempty"`
 	// Remaining is the longest time in ms for which a caller may still take up one of the streams; it
 	// is positive.
 	Remaining clock.Millis `msgpack:"r"`
@@ -36,7 +38,7 @@
 	if b.Remaining <= 0 || len(b.Keys) > MaxBatchKeys {
 		return errors.Errorf("a batch of %d starts that are kept for %d ms", len(b.Keys), b.Remaining)
 	}
-	return CheckSoftware(b.Software)
+	return CheckOrigin(b.Service, b.Software)
 }
 
 // HandoffNumber identifies a handoff among those of its sender, those of its previous processes included.
@@ -225,7 +227,7 @@
 		if now >= s.until {
 			continue
 		}
-		list = addBatch(list, Batch{Software: s.Software, Remaining: s.until - now, Keys: []Key{s.Key}})
+		list = addBatch(list, Batch{Software: s.Software, Service: s.Service, Remaining: s.until - now, Keys: []Key{s.Key}})
 	}
 	return list
 }
@@ -233,7 +235,7 @@
 // addBatch adds a batch to a list, as a part of one for the same version if that has room.
 func addBatch(list []Batch, added Batch) []Batch {
 	for i := range list {
-		if b := &list[i]; b.Software == added.Software && len(b.Keys)+len(added.Keys) <= MaxBatchKeys {
+		if b := &list[i]; b.Software == added.Software && b.Service == added.Service && len(b.Keys)+len(added.Keys) <= MaxBatchKeys {
 			b.Keys = append(b.Keys, added.Keys...)
 			b.Remaining = max(b.Remaining, added.Remaining)
 			return list
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -20,16 +20,19 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var s Starts
 		now := clock.Hour
-		first, until := map[Key]topo.Software{}, map[Key]clock.Millis{}
+		first, until := map[Key]topo.ServiceSoftware{}, map[Key]clock.Millis{}
 		for range rapid.IntRange(1, 60).Draw(t, "starts") {
 			now += clock.Millis(rapid.IntRange(0, 300).Draw(t, "pause"))
 			start := Start{
 				Key: Key(rapid.IntRange(1, 20).Draw(t, "key")), Software: topo.Software(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")),
-				Remaining: clock.Millis(rapid.IntRange(1, 1000).Draw(t, "remaining")),
+				Service: units.ServiceName(rapid.SampledFrom([]string{"", "llm"}).Draw(t, "service")), Remaining: clock.Millis(rapid.IntRange(1, 1000).Draw(t, "remaining")),
 			}
 			s.Add(now, start)
-			if now >= until[start.Key] {
-				first[start.Key] = start.Software
+			switch began := first[start.Key]; {
+			case now >= until[start.Key]:
+				first[start.Key] = topo.ServiceSoftware{Service: start.Service, Software: start.Software}
+			case began.Service == "" && began.Software == start.Software:
+				first[start.Key] = topo.ServiceSoftware{Service: start.Service, Software: start.Software}
 			}
 			until[start.Key] = max(until[start.Key], now+start.Remaining)
 			for key := range until {
--- a/internal/core/origin/starts.go
+++ b/internal/core/origin/starts.go
@@ -26,14 +26,18 @@
 	MaxStarts = 16384
 	// MaxLifetime is the longest time for which a start is kept.
 	MaxLifetime = 10 * clock.Minute
-	// maxSoftwareBytes bounds the text of a version.
+	// maxSoftwareBytes bounds the text of a version, maxServiceBytes the name of a service.
 	maxSoftwareBytes = 256
+	maxServiceBytes  = 256
 )
 
 // Start is the begin of a stream.
 type Start struct {
 	Key      Key           `msgpack:"k"`
 	Software topo.Software `msgpack:"v"`
+	// Service is the service that began the stream, empty if an entry VM of an earlier release told
+	// the start.
+	Service units.ServiceName `msgpack:"sv,omitempty"`
 	// Remaining is the time in ms for which the caller may still take up the stream; it is
 	// positive.
 	Remaining clock.Millis `msgpack:"r"`
@@ -44,7 +48,15 @@
 	if s.Remaining <= 0 {
 		return errors.New("a start that has expired")
 	}
-	return CheckSoftware(s.Software)
+	return CheckOrigin(s.Service, s.Software)
+}
+
+// CheckOrigin returns an error if a service or a version that another entry VM sent is too long.
+func CheckOrigin(service units.ServiceName, v topo.Software) error {
+	if len(service) > maxServiceBytes {
+		return errors.Errorf("a service whose name has %d bytes", len(service))
+	}
+	return CheckSoftware(v)
 }
 
 // CheckSoftware returns an error if a version that another entry VM sent is too long.
@@ -67,11 +79,12 @@
 }
 
 type record struct {
-	software topo.Software
-	until    clock.Millis
+	began topo.ServiceSoftware
+	until clock.Millis
 }
 
-// Add records a start. The version of a stream that is known already stays.
+// Add records a start. The version of a stream that is known already stays; its service is added if
+// it was not told before.
 func (s *Starts) Add(now clock.Millis, start Start) {
 	if s.byKey == nil {
 		s.byKey = map[Key]record{}
@@ -82,8 +95,11 @@
 		s.forget(now)
 		s.order = append(s.order, start.Key)
 	}
-	if now >= known.until {
-		known.software = start.Software
+	switch {
+	case now >= known.until:
+		known.began = topo.ServiceSoftware{Service: start.Service, Software: start.Software}
+	case known.began.Service == "" && known.began.Software == start.Software:
+		known.began.Service = start.Service
 	}
 	known.until = max(known.until, until)
 	s.byKey[start.Key] = known
@@ -100,13 +116,13 @@
 	s.order = s.order[n:]
 }
 
-// Find returns the version that began a stream.
-func (s *Starts) Find(now clock.Millis, key Key) (topo.Software, bool) {
+// Find returns the version that began a stream, and its service if that was told.
+func (s *Starts) Find(now clock.Millis, key Key) (topo.ServiceSoftware, bool) {
 	r, ok := s.byKey[key]
 	if !ok || now >= r.until {
-		return "", false
+		return topo.ServiceSoftware{}, false
 	}
-	return r.software, true
+	return r.began, true
 }
 
 // Overflowed reports whether a start was dropped before its time that would still be kept now.
--- a/internal/core/peer/origin.go
+++ b/internal/core/peer/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/topo"
 )
@@ -45,6 +46,8 @@
 	// request.
 	Covers   bool          `msgpack:"c,omitempty"`
 	Software topo.Software `msgpack:"v,omitempty"`
+	// Service is the service that began the stream; empty if the sender does not know it.
+	Service units.ServiceName `msgpack:"sv,omitempty"`
 }
 
 func (*StreamStart) peerMessage()      {}
@@ -87,7 +90,7 @@
 
 // Check implements Message.
 func (m *OriginReply) Check() error {
-	if err := origin.CheckSoftware(m.Software); err != nil {
+	if err := origin.CheckOrigin(m.Service, m.Software); err != nil {
 		return invalid("origin_reply", err.Error())
 	}
 	return nil
--- a/internal/core/topo/config.go
+++ b/internal/core/topo/config.go
@@ -3,6 +3,7 @@
 package topo
 
 import (
+	"slices"
 	"strings"
 
 	"mangostile/internal/base/clock"
@@ -88,6 +89,11 @@
 	return r.Shares[0].Service
 }
 
+// Uses reports whether requests of the route go to a service.
+func (r *Route) Uses(service units.ServiceName) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // Repeatable reports whether a request may be sent to a second backend server although the
 // first may have executed it, if no part of an answer was passed on.
 func (r *Route) Repeatable() bool {
--- a/internal/node/fleet/forward.go
+++ b/internal/node/fleet/forward.go
@@ -29,7 +29,6 @@
 // is left, and answers the caller.
 func (c *exchange) serve() {
 	n := c.node
-	n.withCore(func(core *choose.Core) { core.Arrived(c.arrived, c.req.Service) })
 	remaining := (c.req.Deadline - n.clock.Now()).Duration()
 	parent := c.r.Context()
 	if c.route.Kind == topo.KindOnce {
@@ -46,6 +45,7 @@
 	if !c.bindToOrigin(ctx) {
 		return
 	}
+	n.withCore(func(core *choose.Core) { core.Arrived(c.arrived, c.req.Service) })
 	for len(c.req.Tried) <= maxSends {
 		if c.endIfQuarantined() || c.endIfStopping() {
 			return
--- a/internal/node/fleet/front.go
+++ b/internal/node/fleet/front.go
@@ -192,7 +192,7 @@
 // always reports true.
 func (c *exchange) fillRequest(cfg *topo.Config) bool {
 	c.req = choose.Request{
-		ID: c.head.ID, Route: c.route, Service: c.route.Service(hashID(c.head.ID)), Rank: c.route.Rank, Adapter: c.head.Adapter,
+		ID: c.head.ID, Route: c.route, Service: c.route.Service(hashID(c.streamID())), Rank: c.route.Rank, Adapter: c.head.Adapter,
 		PromptTokens: c.head.PromptTokens, MaxTokens: c.head.MaxTokens, Parts: c.head.Parts,
 		Arrived: c.arrived, Deadline: c.arrived + c.timeLimit(),
 	}
--- a/internal/node/fleet/observed_test.go
+++ b/internal/node/fleet/observed_test.go
@@ -129,7 +129,8 @@
 func (r *listReader) origin(t *testing.T) (topo.Software, string) {
 	t.Helper()
 	c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
-	return c.findOrigin(t.Context())
+	began, source := c.findOrigin(t.Context())
+	return began.Software, source
 }
 
 // run lets the process run for a time.
@@ -285,9 +286,9 @@
 			r.run(t, clock.Second)
 			log.err = tc.err
 			c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
-			c.head.Resumes = key
-			software, source := c.findOrigin(t.Context())
-			must.Eq(t, tc.want, software)
+			c.head.Resumes, c.head.LastEvent = key, "4"
+			began, source := c.findOrigin(t.Context())
+			must.Eq(t, tc.want, began.Software)
 			must.Eq(t, tc.source, source)
 		})
 	}
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -63,8 +63,8 @@
 	partial bool
 	done    chan struct{}
 
-	software topo.Software
-	known    bool
+	began topo.ServiceSoftware
+	known bool
 }
 
 func (o *origins) add(now clock.Millis, start origin.Start) {
@@ -73,7 +73,7 @@
 	o.starts.Add(now, start)
 }
 
-func (o *origins) find(now clock.Millis, key origin.Key) (topo.Software, bool) {
+func (o *origins) find(now clock.Millis, key origin.Key) (topo.ServiceSoftware, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.starts.Find(now, key)
@@ -112,7 +112,7 @@
 	if q.missing--; !m.Known && q.missing > 0 {
 		return
 	}
-	q.software, q.known = m.Software, m.Known
+	q.began, q.known = topo.ServiceSoftware{Service: m.Service, Software: m.Software}, m.Known
 	delete(o.questions, m.Question)
 	close(q.done)
 }
@@ -126,8 +126,8 @@
 
 // answerOrigin replies to a question of another entry VM.
 func (n *Node) answerOrigin(from units.EntryVMID, m *peer.OriginRequest) {
-	software, known := n.origins.find(n.clock.BootNow(), m.Key)
-	n.links.Send(from, m.Address, &peer.OriginReply{Question: m.Question, Known: known, Covers: n.coversStarts(m.Window), Software: software})
+	began, known := n.origins.find(n.clock.BootNow(), m.Key)
+	n.links.Send(from, m.Address, &peer.OriginReply{Question: m.Question, Known: known, Covers: n.coversStarts(m.Window), Service: began.Service, Software: began.Software})
 }
 
 // coversStarts reports whether this entry VM has kept all starts that it was told in the last window.
@@ -138,14 +138,17 @@
 // resumeWindow returns the time after the begin of a stream in which its caller may take it up.
 func (c *exchange) resumeWindow() clock.Millis { return max(c.route.Timeout, defaultTimeout) }
 
-// streamKey returns the key of the stream that the request begins or goes on with.
-func (c *exchange) streamKey() origin.Key {
-	if c.head.Resumes != "" {
-		return origin.KeyOf(c.head.Resumes)
+// streamID returns the id of the attempt that began the stream which the request goes on with, or its own id.
+func (c *exchange) streamID() units.RequestID {
+	if c.head.LastEvent != "" && c.head.Resumes != "" {
+		return c.head.Resumes
 	}
-	return origin.KeyOf(c.head.ID)
+	return c.head.ID
 }
 
+// streamKey returns the key of the stream that the request begins or goes on with.
+func (c *exchange) streamKey() origin.Key { return origin.KeyOf(c.streamID()) }
+
 // recordOrigin records which version began the stream, here and at other entry VMs, before its
 // first event is passed on: the caller may take up the stream at any of them.
 func (a *attempt) recordOrigin() {
@@ -153,7 +156,7 @@
 		return
 	}
 	n := a.node
-	start := origin.Start{Key: a.streamKey(), Software: a.to.Software, Remaining: a.resumeWindow()}
+	start := origin.Start{Key: a.streamKey(), Software: a.to.Software, Service: a.req.Service, Remaining: a.resumeWindow()}
 	n.origins.add(n.clock.BootNow(), start)
 	n.starts.add(n.clock.BootNow(), a.req.Service, start)
 	self := origin.Member{ID: n.settings.ID, Domain: n.settings.Domain, Region: n.settings.Region}
@@ -168,7 +171,7 @@
 	if c.head.LastEvent == "" || c.route.Kind != topo.KindStream {
 		return true
 	}
-	software, source := c.findOrigin(ctx)
+	began, source := c.findOrigin(ctx)
 	if c.endIfDone(ctx) {
 		return false
 	}
@@ -176,11 +179,36 @@
 		c.giveUp(originUnknownReason, 0)
 		return false
 	}
-	c.resumed, c.req.Software = true, software
-	c.log("stream_taken_up", "resumes", c.head.Resumes, "last_event", c.head.LastEvent, "software", string(software), "source", source)
+	c.resumed, c.req.Software = true, began.Software
+	c.bindToService(began)
+	c.log("stream_taken_up", "resumes", c.head.Resumes, "last_event", c.head.LastEvent, "service", c.req.Service, "software", string(began.Software), "source", source)
 	return true
 }
 
+// bindToService binds the request to the service that began its stream. If that is not known, the route has left
+// it or the version has, the request is bound to another service of the route that has the version: the one
+// that the id of the stream selects, if possible.
+func (c *exchange) bindToService(began topo.ServiceSoftware) {
+	n := c.node
+	services := []units.ServiceName{began.Service, c.req.Service}
+	for _, share := range c.route.Shares {
+		services = append(services, share.Service)
+	}
+	bound := c.req.Service
+	n.withCore(func(core *choose.Core) {
+		for _, service := range services {
+			if c.route.Uses(service) && core.Runs(service, began.Software) {
+				bound = service
+				return
+			}
+		}
+	})
+	if bound != c.req.Service {
+		c.req.Service = bound
+		c.identify(n.config.Load())
+	}
+}
+
 // maxListAge is the age of the list of backend servers up to which it counts as current.
 const maxListAge = 1500 * clock.Millis(1)
 
@@ -190,7 +218,7 @@
 // Records of the stream come first: a list shows a new version only some time after other entry VMs
 // may use it. With none, all versions that were listed since the stream may have begun must be the
 // same, and none may have been missed. Reads of the store come last, since they cost more.
-func (c *exchange) findOrigin(ctx context.Context) (software topo.Software, source string) {
+func (c *exchange) findOrigin(ctx context.Context) (began topo.ServiceSoftware, source string) {
 	n := c.node
 	inStep := !n.peers.knewAny()
 	if c.head.Resumes != "" {
@@ -207,7 +235,7 @@
 	inStep = inStep || n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge, n.noteRunning())
 	software, only, observed := c.onlySoftware()
 	if only && observed && inStep {
-		return software, "only_version"
+		return topo.ServiceSoftware{Software: software}, "only_version"
 	}
 	if c.head.Resumes != "" && ctx.Err() == nil {
 		if began, known := n.findKeptStart(ctx, c.streamKey()); known {
@@ -215,19 +243,19 @@
 		}
 	}
 	if !only || observed || !inStep {
-		return "", ""
+		return began, ""
 	}
 	// This entry VM started too late, or missed too much, to rule out that the stream began at
 	// another version that has left, and no record of it is left, as after all entry VMs were killed.
 	// The store knows all versions of that time.
 	past, err := n.readHistory(ctx)
 	if err != nil || !past.rulesOut(c.req.Service) {
-		return "", ""
+		return began, ""
 	}
 	if software, only, _ = c.onlySoftware(); !only {
-		return "", ""
+		return began, ""
 	}
-	return software, "only_version_in_store"
+	return topo.ServiceSoftware{Software: software}, "only_version_in_store"
 }
 
 // onlySoftware is Core.OnlySoftware for the time in which the stream may have begun.
@@ -309,10 +337,10 @@
 
 // askOrigin asks other entry VMs which version began a stream. unknownToAll reports whether all that
 // could know it have replied that they don't, and have missed no start in the last window.
-func (n *Node) askOrigin(ctx context.Context, key origin.Key, window clock.Millis) (software topo.Software, known, unknownToAll bool) {
+func (n *Node) askOrigin(ctx context.Context, key origin.Key, window clock.Millis) (began topo.ServiceSoftware, known, unknownToAll bool) {
 	sources := origin.Sources(n.peers.keepers(n.clock.Now()), key)
 	if len(sources) == 0 {
-		return "", false, false
+		return began, false, false
 	}
 	q, number := n.origins.ask(len(sources))
 	for _, m := range sources {
@@ -323,9 +351,9 @@
 	defer n.origins.drop(number)
 	select {
 	case <-q.done:
-		return q.software, q.known, !q.known && !q.partial
+		return q.began, q.known, !q.known && !q.partial
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return "", false, false
+	return began, false, false
 }
--- a/internal/node/fleet/quarantine.go
+++ b/internal/node/fleet/quarantine.go
@@ -61,7 +61,7 @@
 	if service := cfg.Services[c.req.Service]; service != nil && service.Engine != nil && c.head.Adapter != "" {
 		parts = c.head.Parts
 	}
-	c.content = c.contentKey(parts)
+	c.content, c.subject = c.contentKey(parts), blame.Request{}
 	for i := 0; i+1 < len(parts) && i < blame.MaxParts; i++ {
 		c.subject.Parts = append(c.subject.Parts, blame.Key(parts[i].ID))
 	}
--- a/internal/node/fleet/starts.go
+++ b/internal/node/fleet/starts.go
@@ -129,11 +129,11 @@
 }
 
 // findKeptStart returns the version that began a stream if the store has its start.
-func (n *Node) findKeptStart(ctx context.Context, key origin.Key) (software topo.Software, known bool) {
+func (n *Node) findKeptStart(ctx context.Context, key origin.Key) (began topo.ServiceSoftware, known bool) {
 	k := &n.starts
-	software, known, fresh := k.find(n.clock.BootNow(), key)
+	began, known, fresh := k.find(n.clock.BootNow(), key)
 	if known || fresh {
-		return software, known
+		return began, known
 	}
 	done := k.reading.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startsReadTimeout)
@@ -150,19 +150,19 @@
 	case <-ctx.Done():
 	case <-done:
 	}
-	software, known, _ = k.find(n.clock.BootNow(), key)
-	return software, known
+	began, known, _ = k.find(n.clock.BootNow(), key)
+	return began, known
 }
 
 // topicStarts names the starts of streams in the store in metrics.
 const topicStarts = "starts"
 
 // find looks a start up among those read. fresh reports whether they were read just now.
-func (k *startKeeper) find(now clock.Millis, key origin.Key) (software topo.Software, known, fresh bool) {
+func (k *startKeeper) find(now clock.Millis, key origin.Key) (began topo.ServiceSoftware, known, fresh bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	software, known = k.kept.Find(now, key)
-	return software, known, k.readAt > 0 && now < k.readAt+startsReadInterval
+	began, known = k.kept.Find(now, key)
+	return began, known, k.readAt > 0 && now < k.readAt+startsReadInterval
 }
 
 // readStarts reads the starts that were put into the store since the last read. Starts that the store has
@@ -205,7 +205,7 @@
 	k.next, k.era = got.Next, got.Era
 	for _, b := range got.Batches {
 		for _, key := range b.Keys {
-			k.kept.Add(now, origin.Start{Key: key, Software: b.Software, Remaining: b.Remaining})
+			k.kept.Add(now, origin.Start{Key: key, Software: b.Software, Service: b.Service, Remaining: b.Remaining})
 		}
 	}
 }
--- a/internal/node/fleet/starts_test.go
+++ b/internal/node/fleet/starts_test.go
@@ -87,8 +87,8 @@
 		log.batches = append(log.batches, origin.Batch{Software: "1", Remaining: clock.Minute, Keys: []origin.Key{origin.Key(key)}})
 	}
 	find := func(key origin.Key) bool {
-		software, known := n.findKeptStart(t.Context(), key)
-		must.Eq(t, known, software == "1")
+		began, known := n.findKeptStart(t.Context(), key)
+		must.Eq(t, known, began.Software == "1")
 		return known
 	}
 	must.True(t, find(8))
