Rule out versions over all services of a route

Callers could get a stream of two services, at two software versions: after the weights of a split route were changed right after a start, or after all entry VMs were killed around a change of a route.

Cause: the list of backend servers was asked for the one service to which the take-up was bound, but a stream may have begun at any service that its route has used since. Whether starts go into the store was decided for each service, too, and a process that had just started did not know former configurations.

Change: origin.Routes remembers the services of routes, those of the route that had a path before included; configurations that may have been missed are a gap. Starts go into the store while a route has several versions over its services, and the ledger has the services of routes. OnlySoftware of choose, now without a user, lives on in the tests that check it.

--- a/internal/core/choose/software.go
+++ b/internal/core/choose/software.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"maps"
+
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/topo"
@@ -105,29 +107,10 @@
 // first list.
 func (c *Core) SoftwareSince() clock.Millis { return c.software.since }
 
-// SoftwareListed returns the versions that were listed since a time, and reports whether none was listed
-// unseen in all that time.
-func (c *Core) SoftwareListed(now, since clock.Millis) (list []topo.ServiceSoftware, observed bool) {
+// SoftwareSeen returns when each version was last listed, and the begin of the time in which none was listed
+// unseen, 0 before the first list.
+func (c *Core) SoftwareSeen(now clock.Millis) (seenAt map[topo.ServiceSoftware]clock.Millis, since clock.Millis) {
 	c.now = max(c.now, now)
 	c.software.observe(c.now, c.servers)
-	for key, at := range c.software.seenAt {
-		if at >= since {
-			list = append(list, key)
-		}
-	}
-	return list, c.software.since > 0 && c.software.since <= since
-}
-
-// OnlySoftware returns a version of a service's backend servers, and reports whether no other one
-// was seen since a time, and whether none was listed unseen in all that time.
-func (c *Core) OnlySoftware(now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
-	list, observed := c.SoftwareListed(now, since)
-	count := 0
-	for _, key := range list {
-		if key.Service == service {
-			software = key.Software
-			count++
-		}
-	}
-	return software, count == 1, observed
+	return maps.Clone(c.software.seenAt), c.software.since
 }
--- a/internal/core/choose/software_test.go
+++ b/internal/core/choose/software_test.go
@@ -105,7 +105,7 @@
 	begun.Started, begun.Software = true, "v1"
 	_, sent := c.Choose(1000, begun).(Send)
 	must.False(t, sent)
-	_, only, _ := c.OnlySoftware(1000, "llm", 900)
+	_, only, _ := onlySoftware(c, 1000, "llm", 900)
 	must.False(t, only)
 	fresh, sent := c.Choose(1000, testRequest("s", "m/a", 1000)).(Send)
 	must.True(t, sent)
@@ -123,10 +123,10 @@
 	_, sent = c.Choose(1100, early).(Send)
 	must.True(t, sent)
 	must.Eq(t, "v2", early.Software)
-	software, only, _ := c.OnlySoftware(60000, "llm", 30000)
+	software, only, _ := onlySoftware(c, 60000, "llm", 30000)
 	must.True(t, only)
 	must.Eq(t, "v2", software)
-	_, only, _ = c.OnlySoftware(1200, "llm", 850)
+	_, only, _ = onlySoftware(c, 1200, "llm", 850)
 	must.False(t, only, must.Sprint("v1 was there until the report"))
 }
 
@@ -157,9 +157,23 @@
 			for i, list := range tc.lists {
 				c.SetServers(start+clock.Millis(i)*clock.Second, list)
 			}
-			_, only, observed := c.OnlySoftware(tc.now, "plain", tc.since)
+			_, only, observed := onlySoftware(c, tc.now, "plain", tc.since)
 			must.Eq(t, tc.only, only)
 			must.Eq(t, tc.observed, observed)
 		})
 	}
 }
+
+// onlySoftware returns a version of a service's backend servers, and reports whether no other one was
+// seen since a time, and whether none was listed unseen in all that time.
+func onlySoftware(c *Core, now clock.Millis, service units.ServiceName, since clock.Millis) (software topo.Software, only, observed bool) {
+	seenAt, observedSince := c.SoftwareSeen(now)
+	count := 0
+	for key, at := range seenAt {
+		if key.Service == service && at >= since {
+			software = key.Software
+			count++
+		}
+	}
+	return software, count == 1, observedSince > 0 && observedSince <= since
+}
--- a/internal/core/origin/backlog.go
+++ b/internal/core/origin/backlog.go
@@ -63,9 +63,9 @@
 
 // Recording is what a Backlog needs to know to decide who appends.
 type Recording struct {
-	// Several reports whether backend servers of a service were seen with more than one version in the
-	// last window.
-	Several func(service units.ServiceName, window clock.Millis) bool
+	// Several reports whether streams of a route may have begun at more than one version in the last
+	// window.
+	Several func(route RouteKey, window clock.Millis) bool
 	// HasRecorder reports that another entry VM appends for this one, HandoffInterval is the least time
 	// between two handoffs to it.
 	HasRecorder     bool
@@ -75,12 +75,12 @@
 }
 
 // Backlog decides how the starts of streams get into the store, where every entry VM finds them whichever
-// others are lost. Only starts of services with several versions are needed there. A recorder
+// others are lost. Only starts of routes with several versions are needed there. A recorder
 // appends those of many entry VMs in one call; what it doesn't confirm, each appends itself. The zero
 // value is empty.
 type Backlog struct {
-	// waiting holds the own starts that are not on their way to the store, by service, oldest first.
-	waiting map[units.ServiceName][]waitingStart
+	// waiting holds the own starts that are not on their way to the store, by route, oldest first.
+	waiting map[RouteKey][]waitingStart
 	// handed holds the own starts whose confirmation is awaited, by the number of the handoff.
 	handed     map[HandoffNumber]handedStarts
 	lastNumber HandoffNumber
@@ -105,13 +105,13 @@
 	confirmBy clock.Millis
 }
 
-// Add records the start of a stream of a service at this entry VM.
-func (b *Backlog) Add(now clock.Millis, service units.ServiceName, start Start) {
+// Add records the start of a stream of a route at this entry VM.
+func (b *Backlog) Add(now clock.Millis, route RouteKey, start Start) {
 	if b.waiting == nil {
-		b.waiting = map[units.ServiceName][]waitingStart{}
+		b.waiting = map[RouteKey][]waitingStart{}
 	}
-	list := append(b.waiting[service], waitingStart{Start: start, until: now + min(start.Remaining, MaxLifetime)})
-	b.waiting[service] = list[max(0, len(list)-MaxStarts):]
+	list := append(b.waiting[route], waitingStart{Start: start, until: now + min(start.Remaining, MaxLifetime)})
+	b.waiting[route] = list[max(0, len(list)-MaxStarts):]
 }
 
 // Receive records a handoff of another entry VM.
@@ -183,10 +183,10 @@
 // maxAppendKeys is the number of starts in one append from which no further handoffs are added to it.
 const maxAppendKeys = 8 * MaxBatchKeys
 
-// take removes and returns the waiting starts of services with several versions.
-func (b *Backlog) take(now clock.Millis, several func(service units.ServiceName, window clock.Millis) bool) (ready []waitingStart) {
-	for _, service := range slices.Sorted(maps.Keys(b.waiting)) {
-		list := b.waiting[service]
+// take removes and returns the waiting starts of routes with several versions.
+func (b *Backlog) take(now clock.Millis, several func(route RouteKey, window clock.Millis) bool) (ready []waitingStart) {
+	for _, route := range slices.Sorted(maps.Keys(b.waiting)) {
+		list := b.waiting[route]
 		for len(list) > 0 && now >= list[0].until {
 			list = list[1:]
 		}
@@ -194,14 +194,14 @@
 		for i := range list {
 			window = max(window, list[i].Remaining)
 		}
-		if len(list) > 0 && several(service, window) {
+		if len(list) > 0 && several(route, window) {
 			n := min(len(list), MaxBatchKeys-len(ready))
 			ready = append(ready, list[:n]...)
 			list = list[n:]
 		}
-		b.waiting[service] = list
+		b.waiting[route] = list
 		if len(list) == 0 {
-			delete(b.waiting, service)
+			delete(b.waiting, route)
 		}
 	}
 	return ready
--- a/internal/core/origin/backlog_test.go
+++ b/internal/core/origin/backlog_test.go
@@ -36,7 +36,7 @@
 	return f
 }
 
-func (f *testFleet) step(now clock.Millis, several func(units.ServiceName, clock.Millis) bool) {
+func (f *testFleet) step(now clock.Millis, several func(RouteKey, clock.Millis) bool) {
 	for i, b := range f.backlogs {
 		if f.lost[i] {
 			continue
@@ -68,7 +68,7 @@
 	}
 }
 
-func always(units.ServiceName, clock.Millis) bool { return true }
+func always(RouteKey, clock.Millis) bool { return true }
 
 // TestStartsReachTheStore guards against streams that nobody can go on with: recorders are lost one after
 // the other, and the store is down for times, while streams begin. The start of each entry VM that runs
@@ -123,8 +123,8 @@
 		now += stepPeriod
 		f.backlogs[1].Add(now, "llm", Start{Key: Key(i + 1), Software: "1", Remaining: 4 * clock.Second})
 		several = i >= 30
-		f.step(now, func(service units.ServiceName, window clock.Millis) bool {
-			must.Eq(t, "llm", service)
+		f.step(now, func(route RouteKey, window clock.Millis) bool {
+			must.Eq(t, "llm", route)
 			must.LessEq(t, 4*clock.Second, window)
 			return several
 		})
--- a/internal/core/origin/ledger.go
+++ b/internal/core/origin/ledger.go
@@ -14,13 +14,19 @@
 // Group names a set whose members may have begun streams.
 type Group string
 
-// versionsPrefix begins the names of groups of versions.
-const versionsPrefix = "service "
+// Prefixes of the names of groups.
+const (
+	versionsPrefix = "service "
+	servicesPrefix = "route "
+)
 
 // VersionsOf is the group of the software versions of a service.
 func VersionsOf(service units.ServiceName) Group { return Group(versionsPrefix + string(service)) }
 
-// Name names a member of a group, such as a software version.
+// ServicesOf is the group of the services of a route.
+func ServicesOf(route RouteKey) Group { return Group(servicesPrefix + string(route)) }
+
+// Name names a member of a group: a software version or a service.
 type Name string
 
 // Entry is a record of a Ledger.
@@ -56,6 +62,14 @@
 	Whole bool
 }
 
+// Add adds a member.
+func (o *Observed) Add(group Group, member Name) {
+	if o.Members == nil {
+		o.Members = map[Group][]Name{}
+	}
+	o.Members[group] = append(o.Members[group], member)
+}
+
 // Ledger is the list, in the store, of all that may have begun a stream which can still be taken up. Unlike
 // the history of the list of backend servers, the store never deletes it, so that it rules out what it doesn't
 // name, also for an entry VM that has just started. The zero value is empty.
@@ -111,6 +125,17 @@
 	return list
 }
 
+// RouteServices returns the services of all routes.
+func (l *Ledger) RouteServices() []RouteService {
+	var list []RouteService
+	for key := range l.entries {
+		if route, ok := strings.CutPrefix(string(key.group), servicesPrefix); ok {
+			list = append(list, RouteService{RouteKey(route), units.ServiceName(key.member)})
+		}
+	}
+	return list
+}
+
 // Changes returns what to write to the store. Members are dropped only by an entry VM that has missed none, and
 // after others were added.
 func (l *Ledger) Changes(o Observed) []Change {
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -290,15 +290,18 @@
 }
 
 // readSkipped adds to a full read of the backend servers the versions that only records before it
-// name: those of servers that were listed and removed since the last update.
+// name: those of servers that were listed and removed since the last update. Full reads of the
+// configuration miss others that were in force before the one that they bring.
 func (n *Node) readSkipped(ctx context.Context, f *feed, synced bool, r *storeRead) error {
-	if f.name != FeedServers {
-		return nil
-	}
 	if !synced || r.update.Restored || r.update.Next < r.from {
 		r.update.Gap = true
 		return nil
 	}
+	if f.name != FeedServers {
+		cfg := n.config.Load()
+		r.update.Gap = cfg != nil && r.update.Config != nil && r.update.Config.Version > cfg.Version
+		return nil
+	}
 	list, err := n.system.ReadSoftware(ctx, r.from, r.update.Next)
 	var expired *ExpiredError
 	if errors.As(err, &expired) {
@@ -363,6 +366,7 @@
 // records to relay.
 func (n *Node) applyConfig(update *FeedUpdate) *peer.FeedUpdate {
 	changed := false
+	n.origins.applyConfigs(n.clock.Now(), update)
 	n.withCore(func(core *choose.Core) {
 		changed = update.Config != nil && core.SetConfig(update.Config)
 		for _, v := range update.Versions {
@@ -387,7 +391,8 @@
 		n.log.Warn("entries_passed_over", "feed", FeedConfig, "count", update.Skipped)
 	}
 	n.propagateUpdate()
-	return &peer.FeedUpdate{Records: feedRecords(update, nil)}
+	// Relayed records lack the configurations that others have replaced.
+	return &peer.FeedUpdate{Records: feedRecords(update, nil), Gap: update.Gap || len(update.Replaced) > 0}
 }
 
 // feedRecords returns the records of an update sorted by key. If changed is not nil,
--- a/internal/node/fleet/ledger.go
+++ b/internal/node/fleet/ledger.go
@@ -6,10 +6,8 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
-	"mangostile/internal/core/choose"
 	"mangostile/internal/core/claim"
 	"mangostile/internal/core/origin"
-	"mangostile/internal/core/topo"
 
 	"github.com/pkg/errors"
 )
@@ -19,7 +17,7 @@
 	// ledgerPeriod is the time between two looks at what has to change in the ledger.
 	ledgerPeriod = 200 * time.Millisecond
 	// ledgerReadPeriod is the time between two reads by the entry VM that keeps the ledger.
-	ledgerReadPeriod = 15 * clock.Second
+	ledgerReadPeriod = clock.Minute
 	// ledgerDelay is how long the ledger has to be without a keeper until an entry VM changes it that
 	// is not the placer; ledgerSpacing is added for each other entry VM, times a share that depends on
 	// the id: all together make at most 100 calls a second.
@@ -151,31 +149,21 @@
 const topicLedger = "ledger"
 
 // observed returns what may have begun streams that can still be taken up, as far as this entry VM has seen it.
-// known is false before the first list of backend servers.
+// known is false before the first list of backend servers and the first configuration.
 func (n *Node) observed(ctx context.Context) (o origin.Observed, known bool) {
 	cfg := n.config.Load()
-	if cfg == nil {
+	seen := n.seen()
+	if cfg == nil || seen.softwareSince == 0 || seen.routesSince == 0 {
 		return o, false
 	}
-	var list []topo.ServiceSoftware
-	var whole bool
-	n.withCore(func(core *choose.Core) {
-		now := n.clock.Now()
-		list, whole = core.SoftwareListed(now, now-longestResumeWindow(cfg)-ledgerMargin)
-		known = core.SoftwareSince() > 0
-	})
-	if !known {
-		return o, false
-	}
-	if !whole {
-		// The history of a new deployment has no holes yet.
-		history, err := n.readHistory(ctx)
-		whole = err == nil && history.whole
-	}
-	o = origin.Observed{Members: map[origin.Group][]origin.Name{}, Whole: whole}
-	for _, v := range list {
-		group := origin.VersionsOf(v.Service)
-		o.Members[group] = append(o.Members[group], origin.Name(v.Software))
+	window := longestResumeWindow(cfg) + ledgerMargin
+	if o = seen.all(seen.now - window); o.Whole {
+		return o, true
 	}
+	// The history of a new deployment has no holes yet.
+	past, err := n.readHistory(ctx)
+	seen = n.seen()
+	o = seen.all(seen.now - window)
+	o.Whole = o.Whole || err == nil && past.whole && past.configsWhole
 	return o, true
 }
--- a/internal/node/fleet/observed_test.go
+++ b/internal/node/fleet/observed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 
 	"mangostile/internal/base/clock"
@@ -85,6 +86,11 @@
 	return l.merge(l.records[l.oldest:], &FeedUpdate{}).Software, l.oldest == 0, l.err
 }
 
+// ReadKeptConfigs implements Store.
+func (l *listLog) ReadKeptConfigs(context.Context) ([]*topo.Config, bool, error) {
+	return []*topo.Config{listConfig}, l.oldest == 0, l.err
+}
+
 // ReadLedger implements Store.
 func (l *listLog) ReadLedger(context.Context) (*LedgerEntries, error) {
 	return &LedgerEntries{Entries: l.ledger}, l.err
@@ -110,9 +116,15 @@
 	log *listLog
 }
 
+// listConfig is the configuration of a listReader, with one route.
+var listConfig = &topo.Config{Version: 1, Routes: []topo.Route{{
+	Host: "h.example", PathPrefix: "/", Kind: topo.KindStream, Resumable: true, Shares: []topo.Share{{Service: "plain", Weight: 1}},
+}}}
+
 func newListReader(log *listLog, time clock.Clock) *listReader {
 	n := New(Options{Settings: Settings{ID: "vm0", Region: "r", Regions: map[units.FailureDomain]units.Region{"z": "r"}}, System: log, Clock: time})
 	n.noteRunning()
+	n.applyConfig(&FeedUpdate{Config: listConfig, Gap: true})
 	return &listReader{Node: n, log: log}
 }
 
@@ -128,7 +140,7 @@
 // origin returns how the version of a stream that has just broken is known.
 func (r *listReader) origin(t *testing.T) (topo.Software, string) {
 	t.Helper()
-	c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
+	c := &exchange{node: r.Node, route: &listConfig.Routes[0], req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
 	began, source := c.findOrigin(t.Context())
 	return began.Software, source
 }
@@ -249,6 +261,9 @@
 	v1 := origin.Entry{Group: origin.VersionsOf("plain"), Member: "v1", Whole: true}
 	v2 := origin.Entry{Group: origin.VersionsOf("plain"), Member: "v2", Whole: true}
 	other := origin.Entry{Group: origin.VersionsOf("other"), Member: "v1", Whole: true}
+	route := origin.ServicesOf(origin.RouteKeyOf(&listConfig.Routes[0]))
+	plain := origin.Entry{Group: route, Member: "plain", Whole: true}
+	moved := origin.Entry{Group: route, Member: "other", Whole: true}
 	written := v2
 	written.Whole = false
 	started := []origin.Batch{{Software: "v1", Remaining: clock.Minute, Keys: []origin.Key{origin.KeyOf(key)}}}
@@ -266,12 +281,15 @@
 		{name: "the start is in the store", starts: started, want: "v1", source: "store"},
 		{name: "the start is in the store, and the list is whole", kept: true, starts: started, want: "v1", source: "store"},
 		{name: "the list is whole", kept: true},
-		{name: "the ledger has the old version", ledger: []origin.Entry{v1}},
-		{name: "the ledger has both versions", ledger: []origin.Entry{v1, v2}},
-		{name: "the ledger has the new version alone", ledger: []origin.Entry{v2}, want: "v2", source: "only_version_in_store"},
-		{name: "the ledger has the new version, and may lack others", ledger: []origin.Entry{written}},
-		{name: "the ledger has the versions of another service", ledger: []origin.Entry{other}},
-		{name: "the store is away", ledger: []origin.Entry{v2}, starts: started, err: errors.New("store is away")},
+		{name: "the ledger has the old version", ledger: []origin.Entry{plain, v1}},
+		{name: "the ledger has both versions", ledger: []origin.Entry{plain, v1, v2}},
+		{name: "the ledger has the new version alone", ledger: []origin.Entry{plain, v2}, want: "v2", source: "only_version_in_store"},
+		{name: "the ledger has the new version alone, but not the services of the route", ledger: []origin.Entry{v2}},
+		{name: "the ledger has another service of the route with the old version", ledger: []origin.Entry{plain, moved, v2, other}},
+		{name: "the ledger has another service of the route whose versions are not known", ledger: []origin.Entry{plain, moved, v2}},
+		{name: "the ledger has the new version, and may lack others", ledger: []origin.Entry{plain, written}},
+		{name: "the ledger has the versions of another service", ledger: []origin.Entry{plain, other}},
+		{name: "the store is away", ledger: []origin.Entry{plain, v2}, starts: started, err: errors.New("store is away")},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			log := &listLog{ledger: tc.ledger, starts: tc.starts}
@@ -285,7 +303,7 @@
 			r.read(t)
 			r.run(t, clock.Second)
 			log.err = tc.err
-			c := &exchange{node: r.Node, route: &topo.Route{Kind: topo.KindStream}, req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
+			c := &exchange{node: r.Node, route: &listConfig.Routes[0], req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
 			c.head.Resumes, c.head.LastEvent = key, "4"
 			began, source := c.findOrigin(t.Context())
 			must.Eq(t, tc.want, began.Software)
@@ -356,3 +374,45 @@
 		})
 	}
 }
+
+// TestConfigurationsInForceUnseen guards against streams that are joined with those of another service: a
+// configuration that was in force for a moment counted as one that had never been.
+func TestConfigurationsInForceUnseen(t *testing.T) {
+	config := func(version int64, service units.ServiceName) *topo.Config {
+		cfg := &topo.Config{Version: version, Routes: slices.Clone(listConfig.Routes)}
+		cfg.Routes[0].Shares = []topo.Share{{Service: service, Weight: 1}}
+		return cfg
+	}
+	for _, tc := range []struct {
+		name   string
+		update *FeedUpdate
+		// software are versions listed for other services.
+		software []topo.ServiceSoftware
+		want     string
+		// gap reports whether those that this entry VM relays to are told of a gap.
+		gap bool
+	}{
+		{"none", &FeedUpdate{}, nil, "only_version", false},
+		{"one that leaves the route as it is", &FeedUpdate{Config: config(2, "plain")}, nil, "only_version", false},
+		{"another service of another version", &FeedUpdate{Config: config(2, "other")}, []topo.ServiceSoftware{{Service: "other", Software: "v2"}}, "", false},
+		{"another service of the same version", &FeedUpdate{Config: config(2, "other")}, []topo.ServiceSoftware{{Service: "other", Software: "v1"}}, "only_version", false},
+		{
+			"another service, and back, in one read", &FeedUpdate{Replaced: []*topo.Config{config(2, "other")}, Config: config(3, "plain")},
+			[]topo.ServiceSoftware{{Service: "other", Software: "v2"}}, "", true,
+		},
+		{"a full read", &FeedUpdate{Config: config(3, "plain"), Full: true, Gap: true}, nil, "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			log := &listLog{}
+			log.put("s1", "v1")
+			r := newListReader(log, clock.NewManual(clock.Hour))
+			r.read(t)
+			r.run(t, 40*clock.Second)
+			log.err = errors.New("store is away")
+			must.Eq(t, tc.gap, r.applyConfig(tc.update).Gap)
+			r.withCore(func(core *choose.Core) { core.AddSoftware(r.clock.Now(), tc.software) })
+			_, source := r.origin(t)
+			must.Eq(t, tc.want, source)
+		})
+	}
+}
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -28,6 +28,7 @@
 type origins struct {
 	mu     sync.Mutex
 	starts origin.Starts
+	routes origin.Routes
 	// reading makes requests that need the history in the store share one read.
 	reading singleflight.Group
 	// history is the result of the last read, nil before the first one.
@@ -40,18 +41,28 @@
 
 // history is what the store had of the time that an entry VM has not seen. It is immutable.
 type history struct {
-	// until is the begin of the time that the entry VM has seen.
-	until clock.Millis
-	// whole is true if no record of the list of backend servers had been deleted.
-	whole  bool
-	ledger origin.Ledger
+	// until is the begin of the time in which the entry VM has seen all versions, configUntil that in
+	// which it has seen all configurations.
+	until, configUntil clock.Millis
+	// whole is true if no record of the list of backend servers had been deleted, configsWhole if none
+	// of the operator's.
+	whole, configsWhole bool
+	ledger              origin.Ledger
 }
 
-// rulesOut reports whether no version of a service can have begun a stream but those that the records of the
-// list and the ledger name.
-func (h *history) rulesOut(service units.ServiceName) bool {
-	_, whole := h.ledger.Members(origin.VersionsOf(service))
-	return h.whole || whole
+// rulesOut reports whether no version can have begun a stream of a route but those that the store's records
+// and the ledger name for the services of the route.
+func (h *history) rulesOut(route origin.RouteKey, services []units.ServiceName) bool {
+	_, whole := h.ledger.Members(origin.ServicesOf(route))
+	if !whole && !h.configsWhole {
+		return false
+	}
+	for _, service := range services {
+		if _, whole := h.ledger.Members(origin.VersionsOf(service)); !whole && !h.whole {
+			return false
+		}
+	}
+	return true
 }
 
 // question asks other entry VMs which version began a stream. The fields below done are set once it
@@ -86,6 +97,19 @@
 	return o.starts.Overflowed(now)
 }
 
+// applyConfigs records the configurations of an update.
+func (o *origins) applyConfigs(now clock.Millis, update *FeedUpdate) {
+	if update.Config == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, cfg := range update.Replaced {
+		o.routes.Set(now, cfg, update.Gap)
+	}
+	o.routes.Set(now, update.Config, update.Gap)
+}
+
 // ask returns a new question to some entry VMs and its number.
 func (o *origins) ask(replies int) (*question, uint64) {
 	o.mu.Lock()
@@ -158,7 +182,7 @@
 	n := a.node
 	start := origin.Start{Key: a.streamKey(), Software: a.to.Software, Service: a.req.Service, Remaining: a.resumeWindow()}
 	n.origins.add(n.clock.BootNow(), start)
-	n.starts.add(n.clock.BootNow(), a.req.Service, start)
+	n.starts.add(n.clock.BootNow(), origin.RouteKeyOf(a.route), start)
 	self := origin.Member{ID: n.settings.ID, Domain: n.settings.Domain, Region: n.settings.Region}
 	for _, keeper := range origin.Keepers(self, n.peers.keepers(n.clock.Now()), start.Key) {
 		n.links.Send(keeper.ID, keeper.Address, &peer.StreamStart{Start: start})
@@ -216,8 +240,9 @@
 // is known; source is empty if it is not.
 //
 // Records of the stream come first: a list shows a new version only some time after other entry VMs
-// may use it. With none, all versions that were listed since the stream may have begun must be the
-// same, and none may have been missed. Reads of the store come last, since they cost more.
+// may use it. With none, all versions that were listed for the services of the route since the stream may
+// have begun must be the same, and none may have been missed. Reads of the store come last, since they cost
+// more.
 func (c *exchange) findOrigin(ctx context.Context) (began topo.ServiceSoftware, source string) {
 	n := c.node
 	inStep := !n.peers.knewAny()
@@ -233,7 +258,10 @@
 		inStep = inStep || unknownToAll
 	}
 	inStep = inStep || n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge, n.noteRunning())
-	software, only, observed := c.onlySoftware()
+	since, route := c.req.Arrived-c.resumeWindow(), origin.RouteKeyOf(c.route)
+	seen := n.seen()
+	software, only := seen.onlyVersion(route, since)
+	observed := seen.observed(since)
 	if only && observed && inStep {
 		return topo.ServiceSoftware{Software: software}, "only_version"
 	}
@@ -249,36 +277,31 @@
 	// another version that has left, and no record of it is left, as after all entry VMs were killed.
 	// The store knows all versions of that time.
 	past, err := n.readHistory(ctx)
-	if err != nil || !past.rulesOut(c.req.Service) {
+	if err != nil {
 		return began, ""
 	}
-	if software, only, _ = c.onlySoftware(); !only {
+	seen = n.seen()
+	if !past.rulesOut(route, seen.services(route, since)) {
+		return began, ""
+	}
+	if software, only = seen.onlyVersion(route, since); !only {
 		return began, ""
 	}
 	return topo.ServiceSoftware{Software: software}, "only_version_in_store"
 }
 
-// onlySoftware is Core.OnlySoftware for the time in which the stream may have begun.
-func (c *exchange) onlySoftware() (software topo.Software, only, observed bool) {
-	n := c.node
-	n.withCore(func(core *choose.Core) {
-		software, only, observed = core.OnlySoftware(n.clock.Now(), c.req.Service, c.req.Arrived-c.resumeWindow())
-	})
-	return software, only, observed
-}
-
 // historyTimeout bounds the reads of what the store has of the time before an entry VM started.
 const historyTimeout = 500 * time.Millisecond
 
-// readHistory reads the versions that the store knows, unless that was done since this entry VM may have missed
-// some.
+// readHistory reads what the store has of the time that this entry VM has not seen, unless that was done since
+// it may have missed something.
 func (n *Node) readHistory(ctx context.Context) (*history, error) {
 	done := n.origins.reading.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 		defer cancel()
 		var past *history
 		err := errPanic
-		n.guard("read of kept versions", func() { past, err = n.readKeptSoftware(ctx) })
+		n.guard("read of the history", func() { past, err = n.readKeptHistory(ctx) })
 		return past, err
 	})
 	select {
@@ -290,22 +313,28 @@
 	}
 }
 
-func (n *Node) readKeptSoftware(ctx context.Context) (*history, error) {
+func (n *Node) readKeptHistory(ctx context.Context) (*history, error) {
 	o := &n.origins
 	past := &history{}
-	n.withCore(func(core *choose.Core) { past.until = core.SoftwareSince() })
+	seen := n.seen()
+	past.until, past.configUntil = seen.softwareSince, seen.routesSince
 	o.mu.Lock()
 	last := o.history
 	o.mu.Unlock()
-	if last != nil && past.until > 0 && last.until == past.until {
+	if last != nil && past.until > 0 && last.until == past.until && last.configUntil == past.configUntil {
 		return last, nil
 	}
 	var list []topo.ServiceSoftware
+	var configs []*topo.Config
 	var reads errgroup.Group
 	reads.Go(func() (err error) {
 		list, past.whole, err = n.system.ReadKeptSoftware(ctx)
 		return errors.WithStack(err)
 	})
+	reads.Go(func() (err error) {
+		configs, past.configsWhole, err = n.system.ReadKeptConfigs(ctx)
+		return errors.WithStack(err)
+	})
 	reads.Go(func() error {
 		got, err := n.readLedger(ctx)
 		if err == nil {
@@ -317,12 +346,17 @@
 		n.log.Warn("software_history_not_read", "error", err)
 		return nil, errors.WithStack(err)
 	}
-	recorded := past.ledger.Versions()
-	n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), append(list, recorded...)) })
-	n.log.Info("software_history_read", "whole", past.whole, "versions", len(list), "recorded", len(recorded))
+	now := n.clock.Now()
+	n.withCore(func(core *choose.Core) { core.AddSoftware(now, append(list, past.ledger.Versions()...)) })
+	var kept origin.Routes
+	for _, cfg := range configs {
+		kept.Set(now, cfg, false)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.routes.Add(now, append(kept.Used(now, 0), past.ledger.RouteServices()...))
 	o.history = past
+	n.log.Info("software_history_read", "whole", past.whole, "versions", len(list), "configs_whole", past.configsWhole, "configs", len(configs))
 	return past, nil
 }
 
--- a/internal/node/fleet/starts.go
+++ b/internal/node/fleet/starts.go
@@ -7,7 +7,6 @@
 
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
-	"mangostile/internal/core/choose"
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
@@ -51,10 +50,10 @@
 	reading singleflight.Group
 }
 
-func (k *startKeeper) add(now clock.Millis, service units.ServiceName, start origin.Start) {
+func (k *startKeeper) add(now clock.Millis, route origin.RouteKey, start origin.Start) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.backlog.Add(now, service, start)
+	k.backlog.Add(now, route, start)
 }
 
 // receive handles starts of another entry VM, which sends them to the placer of its region.
@@ -90,7 +89,7 @@
 	k := &n.starts
 	placer, address, records := n.ownPlacer().startRecorder()
 	others := clock.Millis(len(n.peers.keepers(n.clock.Now())))
-	recording := origin.Recording{Several: n.severalSoftware}
+	recording := origin.Recording{Several: n.seen().several}
 	if placer != n.settings.ID {
 		recording.HasRecorder, recording.HandoffInterval = records, handoffSpacing*others
 		recording.AppendInterval = appendSpacing * others
@@ -117,17 +116,6 @@
 	}
 }
 
-// severalSoftware reports whether backend servers of a service were seen with more than one version in the
-// last window.
-func (n *Node) severalSoftware(service units.ServiceName, window clock.Millis) (several bool) {
-	n.withCore(func(core *choose.Core) {
-		now := n.clock.Now()
-		_, only, _ := core.OnlySoftware(now, service, now-window)
-		several = !only
-	})
-	return several
-}
-
 // findKeptStart returns the version that began a stream if the store has its start.
 func (n *Node) findKeptStart(ctx context.Context, key origin.Key) (began topo.ServiceSoftware, known bool) {
 	k := &n.starts
--- a/internal/node/fleet/starts_test.go
+++ b/internal/node/fleet/starts_test.go
@@ -66,11 +66,13 @@
 				list = append(list, topo.ServiceSoftware{Service: "llm", Software: v})
 			}
 			n.withCore(func(core *choose.Core) { core.AddSoftware(n.clock.Now(), list) })
+			cfg := &topo.Config{Version: 1, Routes: []topo.Route{{Host: "h", PathPrefix: "/", Kind: topo.KindStream, Resumable: true, Shares: []topo.Share{{Service: "llm", Weight: 1}}}}}
+			n.origins.applyConfigs(n.clock.Now(), &FeedUpdate{Config: cfg})
 			if tc.placer != nil {
 				n.ownPlacer().handlePlacement(placementInput{from: "vm1", update: tc.placer})
 				n.ownPlacer().storeHolder()
 			}
-			n.starts.add(n.clock.BootNow(), "llm", origin.Start{Key: 7, Software: "1", Remaining: clock.Minute})
+			n.starts.add(n.clock.BootNow(), origin.RouteKeyOf(&cfg.Routes[0]), origin.Start{Key: 7, Software: "1", Remaining: clock.Minute})
 			n.stepStarts(t.Context())
 			must.Len(t, tc.appended, log.batches)
 		})
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -76,6 +76,8 @@
 	// Full is true if all current entries are listed, not only those that changed.
 	Full     bool
 	Config   *topo.Config
+	// Replaced lists the other configurations that the records hold.
+	Replaced []*topo.Config
 	Versions []NamedVersion
 	Servers  []*topo.Server
 	Removed  []units.BackendServerID
@@ -86,8 +88,8 @@
 	Since clock.Millis
 	// Behind is true if the store had records from Next on, or had lost some before it.
 	Behind bool
-	// Gap is true if records since the last update were not read: versions of backend servers
-	// that were listed and removed meanwhile are not known.
+	// Gap is true if records since the last update were not read: configurations that were in force,
+	// or versions of backend servers that were listed and removed meanwhile, are not known.
 	Gap bool
 	// Software lists the versions that the records name, also those that were replaced by later
 	// records.
@@ -201,6 +203,9 @@
 	// the store still has, those of removed backend servers included. whole reports whether it has
 	// deleted none of these records.
 	ReadKeptSoftware(ctx context.Context) (list []topo.ServiceSoftware, whole bool, err error)
+	// ReadKeptConfigs returns the configurations that the store still has, oldest first. whole is as for
+	// ReadKeptSoftware.
+	ReadKeptConfigs(ctx context.Context) (list []*topo.Config, whole bool, err error)
 	// ReadLedger returns the entries of the ledger.
 	ReadLedger(ctx context.Context) (*LedgerEntries, error)
 	// AppendLedger changes the ledger if it still ends at the offset at of an era. Its results are those
