Read the lists anew if an entry VM does not say what it knows of a stream

A take-up could go on at the wrong software version if the entry VM that knew the stream did not reply within 250 ms: the list of backend servers then counted as complete if it was up to 1.5 s old, and an entry VM that had just started counted as the only one.

Evidence: the rows "listed since the last read" and "listed and removed since the last read" of TestVersionsListedUnseen failed on the commit before.

An entry VM counts as the only one 12 s after its start. Two rows that check that an old list is not believed let the store be away, since the list would be read now.

Result: the tests pass.

--- a/internal/node/fleet/observed_test.go
+++ b/internal/node/fleet/observed_test.go
@@ -23,8 +23,10 @@
 	records []*topo.Server
 	// oldest is the offset of the first record that has not expired.
 	oldest int
-	// hidden is the number of the last records that reads of updates don't show yet.
+	// hidden is the number of the last records that reads of updates don't show yet; away makes all
+	// reads of the feeds fail.
 	hidden int
+	away   bool
 	kept   int
 	err    error
 	// ledger and starts are what the store has besides the list.
@@ -57,14 +59,26 @@
 }
 
 // ReadFull implements Store.
-func (l *listLog) ReadFull(context.Context, Feed) (*FeedUpdate, error) {
+func (l *listLog) ReadFull(_ context.Context, f Feed) (*FeedUpdate, error) {
+	if l.away {
+		return nil, errors.New("store is away")
+	}
+	if f == FeedConfig {
+		return &FeedUpdate{Full: true, Config: listConfig}, nil
+	}
 	update := l.merge(l.records, &FeedUpdate{Full: true, Next: units.Offset(len(l.records))})
 	update.Software, update.Removed = nil, nil
 	return update, nil
 }
 
 // ReadUpdates implements Store.
-func (l *listLog) ReadUpdates(_ context.Context, _ Feed, from units.Offset, _ clock.Millis) (*FeedUpdate, error) {
+func (l *listLog) ReadUpdates(_ context.Context, f Feed, from units.Offset, _ clock.Millis) (*FeedUpdate, error) {
+	if l.away {
+		return nil, errors.New("store is away")
+	}
+	if f == FeedConfig {
+		return &FeedUpdate{Next: from}, nil
+	}
 	if int(from) < l.oldest {
 		return nil, &ExpiredError{Oldest: units.Offset(l.oldest)}
 	}
@@ -124,15 +138,17 @@
 func newListReader(log *listLog, time clock.Clock) *listReader {
 	n := New(Options{Settings: Settings{ID: "vm0", Region: "r", Regions: map[units.FailureDomain]units.Region{"z": "r"}}, System: log, Clock: time})
 	n.noteRunning()
-	n.applyConfig(&FeedUpdate{Config: listConfig, Gap: true})
+	n.config.Store(listConfig)
 	return &listReader{Node: n, log: log}
 }
 
-// read reads the list once.
+// read reads the list and the configuration once.
 func (r *listReader) read(t *testing.T) {
 	t.Helper()
-	got, err := r.readFeed(t.Context(), &r.serversFeed, 0)
-	if err == nil {
+	if got, err := r.readFeed(t.Context(), &r.configFeed, 0); err == nil {
+		r.applyRead(&r.configFeed, got, r.applyConfig)
+	}
+	if got, err := r.readFeed(t.Context(), &r.serversFeed, 0); err == nil {
 		r.applyRead(&r.serversFeed, got, r.applyServers)
 	}
 }
@@ -140,6 +156,7 @@
 // origin returns how the version of a stream that has just broken is known.
 func (r *listReader) origin(t *testing.T) (topo.Software, string) {
 	t.Helper()
+	r.clock.Advance(1)
 	c := &exchange{node: r.Node, route: &listConfig.Routes[0], req: choose.Request{Service: "plain", Arrived: r.clock.Now()}}
 	began, source := c.findOrigin(t.Context())
 	return began.Software, source
@@ -177,7 +194,17 @@
 			r.clock.Advance(7500)
 			r.read(t)
 		}, "only_version"},
-		{"frozen, and the list not read since", func(_ *testing.T, r *listReader) { r.clock.Advance(7500) }, ""},
+		{"frozen, and the list can't be read since", func(_ *testing.T, r *listReader) {
+			r.clock.Advance(7500)
+			r.log.away = true
+		}, ""},
+		{"listed since the last read", func(_ *testing.T, r *listReader) { r.log.put("s2", "v2") }, ""},
+		{"listed and removed since the last read", func(_ *testing.T, r *listReader) { comeAndGo(r.log) }, ""},
+		{"nothing listed since the last read, which is old", func(_ *testing.T, r *listReader) {
+			r.clock.Advance(900)
+			r.noteRunning()
+			r.clock.Advance(900)
+		}, "only_version"},
 		{"one read of coming and going", func(t *testing.T, r *listReader) {
 			comeAndGo(r.log)
 			r.read(t)
@@ -229,6 +256,7 @@
 			r.clock.Advance(900)
 			r.noteRunning()
 			r.clock.Advance(900)
+			r.log.away = true
 			relayed(r, peer.FeedUpdate{From: 2, Next: 3, Behind: true})
 		}, ""},
 		{"relayed updates that waited while it was frozen", func(_ *testing.T, r *listReader) {
@@ -398,7 +426,8 @@
 		{"another service of the same version", &FeedUpdate{Config: config(2, "other")}, []topo.ServiceSoftware{{Service: "other", Software: "v1"}}, "only_version", false},
 		{
 			"another service, and back, in one read", &FeedUpdate{Replaced: []*topo.Config{config(2, "other")}, Config: config(3, "plain")},
-			[]topo.ServiceSoftware{{Service: "other", Software: "v2"}}, "", true,
+			[]topo.ServiceSoftware{{Service: "other", Software: "v2"}},
+			"", true,
 		},
 		{"a full read", &FeedUpdate{Config: config(3, "plain"), Full: true, Gap: true}, nil, "", true},
 	} {
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -233,19 +233,17 @@
 	}
 }
 
-// maxListAge is the age of the list of backend servers up to which it counts as current.
-const maxListAge = 1500 * clock.Millis(1)
-
 // findOrigin returns the version that began the stream which the request goes on with, and how it
 // is known; source is empty if it is not.
 //
 // Records of the stream come first: a list shows a new version only some time after other entry VMs
 // may use it. With none, all versions that were listed for the services of the route since the stream may
-// have begun must be the same, and none may have been missed. Reads of the store come last, since they cost
-// more.
+// have begun must be the same, and none may have been missed: all other entry VMs have replied that they don't
+// know the stream, or the lists were read since. Reads of the store come last, since they cost more.
 func (c *exchange) findOrigin(ctx context.Context) (began topo.ServiceSoftware, source string) {
 	n := c.node
-	inStep := !n.peers.knewAny()
+	asked := n.clock.BootNow()
+	inStep := n.isAlone()
 	if c.head.Resumes != "" {
 		key := c.streamKey()
 		if began, known := n.origins.find(n.clock.BootNow(), key); known {
@@ -257,7 +255,7 @@
 		}
 		inStep = inStep || unknownToAll
 	}
-	inStep = inStep || n.serversFeed.isCurrent(n.clock.BootNow(), maxListAge, n.noteRunning())
+	inStep = inStep || n.confirmFeeds(ctx, asked)
 	since, route := c.req.Arrived-c.resumeWindow(), origin.RouteKeyOf(c.route)
 	seen := n.seen()
 	software, only := seen.onlyVersion(route, since)
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -109,5 +109,11 @@
 	}
 }
 
+// isAlone reports whether there is no other entry VM: none was ever heard of, and one that runs would have
+// been.
+func (n *Node) isAlone() bool {
+	return !n.peers.knewAny() && n.clock.BootNow() >= n.noteRunning()+livePeerTTL
+}
+
 // KnownEntryVMs returns the number of other entry VMs that can tell which version began a stream.
 func (n *Node) KnownEntryVMs() int { return len(n.peers.keepers(n.clock.Now())) }
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -74,8 +74,8 @@
 	// be older than known ones, or missing. The Store does not set it.
 	Restored bool
 	// Full is true if all current entries are listed, not only those that changed.
-	Full     bool
-	Config   *topo.Config
+	Full   bool
+	Config *topo.Config
 	// Replaced lists the other configurations that the records hold.
 	Replaced []*topo.Config
 	Versions []NamedVersion
