--- a/internal/oper/soak/deployment_test.go
+++ b/internal/oper/soak/deployment_test.go
@@ -148,6 +148,11 @@
 	for range p.engines {
 		d.startServer("llm")
 	}
+	if p.split {
+		for range p.engines {
+			d.startServer(nextEngines)
+		}
+	}
 	for i := range 2 * p.plainServers {
 		d.startServer([]string{"plain", "other"}[i%2])
 	}
@@ -174,6 +179,9 @@
 func (d *deployment) startServer(service string) {
 	d.mu.Lock()
 	version := fmt.Sprint((d.serversStarted + 1) / 2 % max(1, d.plan.versions))
+	if service == nextEngines {
+		version = nextEngines
+	}
 	d.mu.Unlock()
 	d.startServerOf(service, version)
 }
@@ -187,7 +195,7 @@
 		Version: version,
 	}
 	d.mu.Unlock()
-	if service == "llm" {
+	if isEngine(service) {
 		r.Model, r.AdapterSlots, r.Load, r.Events, r.Pace = "m", d.plan.adapterSlots, 100*time.Millisecond, streamEvents, eventInterval
 	}
 	s := &server{Replica: r}
@@ -207,14 +215,19 @@
 	d.servers = append(d.servers, s)
 }
 
-// countVersion returns the number of running servers of a service at the software version of a
-// replica that has run a request of it.
-func (d *deployment) countVersion(service, replica string) (n int) {
+// nextEngines is the service that shares the route of streams with llm in plans with a split.
+const nextEngines = "next"
+
+func isEngine(service string) bool { return service == "llm" || service == nextEngines }
+
+// countVersion returns the number of running engines at the software version of a replica that has
+// run a request.
+func (d *deployment) countVersion(replica string) (n int) {
 	version := d.history.softwareOf(replica)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.servers {
-		if s.Service == service && s.Version == version {
+		if isEngine(s.Service) && s.Version == version {
 			n++
 		}
 	}
@@ -267,21 +280,27 @@
 			"timeoutMs": routeTimeout.Milliseconds(), "targetLatencyMs": 900, "maxAttempts": attempts, "resumable": resumable, "gapAimMs": 400,
 		}
 	}
+	streams := route("/stream/", "stream", "llm", 2, true)
+	engine := map[string]any{
+		"slots": d.plan.slots, "kvCapacityTokens": 100000, "weightsMb": 35000, "adapterSlots": d.plan.adapterSlots, "loadsPerS": 4,
+		"models": []any{map[string]any{"name": "m", "weightsMb": 34000, "adapterMb": 40, "loadS": 0.6, "adapters": 100}},
+	}
+	services := []any{map[string]any{"name": "plain"}, map[string]any{"name": "other"}, map[string]any{"name": "llm", "engine": engine}}
+	if d.plan.split {
+		delete(streams, "service")
+		streams["split"] = []any{
+			map[string]any{"service": "llm", "weight": 10 + 80*(version%2)}, map[string]any{"service": nextEngines, "weight": 90 - 80*(version%2)},
+		}
+		services = append(services, map[string]any{"name": nextEngines, "engine": engine})
+	}
 	must.NoError(d.t, d.Configure(map[string]any{
 		"version": version,
 		"routes": []any{
-			route("/stream/", "stream", "llm", 2, true), route("/once/", "non_idempotent", "plain", 1, false),
+			streams, route("/once/", "non_idempotent", "plain", 1, false),
 			route("/look/", "idempotent", lookupService(version), 2, false),
 		},
-		"services": []any{
-			map[string]any{"name": "plain"},
-			map[string]any{"name": "other"},
-			map[string]any{"name": "llm", "engine": map[string]any{
-				"slots": d.plan.slots, "kvCapacityTokens": 100000, "weightsMb": 35000, "adapterSlots": d.plan.adapterSlots, "loadsPerS": 4,
-				"models": []any{map[string]any{"name": "m", "weightsMb": 34000, "adapterMb": 40, "loadS": 0.6, "adapters": 100}},
-			}},
-		},
-		"limits": map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+		"services": services,
+		"limits":   map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
 	}))
 	d.history.recordVersion(version)
 }
--- a/internal/oper/soak/faults_test.go
+++ b/internal/oper/soak/faults_test.go
@@ -42,6 +42,12 @@
 		for _, v := range d.vms {
 			d.restart(v)
 		}
+	case vmsInTurn:
+		for _, v := range d.vms {
+			d.stop(v)
+			d.restart(v)
+			time.Sleep(f.duration / time.Duration(len(d.vms)))
+		}
 	case storeDown, storeSlow, storeLosesAnswers, storeLate, storeForgets, storeGarbage:
 		d.injectStoreFault(f)
 	case linkSilent, linkOneWay, linkRefuses, linkDelays:
--- a/internal/oper/soak/plan_test.go
+++ b/internal/oper/soak/plan_test.go
@@ -44,6 +44,7 @@
 	serverBackoff     kind = "server_asks_for_backoff"
 	serverRelease     kind = "server_release"
 	serverLimit       kind = "server_names_limit"
+	vmsInTurn         kind = "vms_in_turn"
 )
 
 // kinds lists the kinds that newPlan draws first. Another order, or a new kind, gives seeds other
@@ -86,6 +87,9 @@
 	versions int
 	// deadly is nil if no part of a prompt crashes engines.
 	deadly *deadly
+	// split reports whether the route of streams is split between two services, whose weights each
+	// configuration changes.
+	split bool
 }
 
 // deadly describes a part of a prompt that crashes engines.
@@ -122,6 +126,13 @@
 // limitOneIn is the number of seeds of which one has a server that names a limit.
 const limitOneIn = 3
 
+// splitOneIn is the number of seeds of which one has a split route, restartsOneIn that of which one has
+// restarts in turn, during a release and while the store deletes old records.
+const (
+	splitOneIn    = 3
+	restartsOneIn = 3
+)
+
 // maxBackoffs is the largest number of times at which a server asks for a back-off.
 const maxBackoffs = 3
 
@@ -183,5 +194,21 @@
 			duration: (2*limitWindow + time.Duration(r.Int64N(int64(maxFaultDuration)))).Round(time.Millisecond), target: r.IntN(1 << 20),
 		})
 	}
+	draw := func(k kind, least time.Duration) {
+		p.faults = append(p.faults, fault{
+			kind: k, at: faultDelay + time.Duration(r.Int64N(int64(faultWindow/2))).Round(time.Millisecond),
+			duration: (least + time.Duration(r.Int64N(int64(maxFaultDuration)))).Round(time.Millisecond), target: r.IntN(1 << 20),
+		})
+	}
+	if p.split = r.IntN(splitOneIn) == 0; p.split {
+		for range 1 + r.IntN(3) {
+			draw(newConfig, 0)
+		}
+	}
+	if r.IntN(restartsOneIn) == 0 {
+		for _, k := range []kind{vmsInTurn, serverRelease, storeForgets, storeForgets} {
+			draw(k, time.Second)
+		}
+	}
 	return p
 }
--- a/internal/oper/soak/takeup_test.go
+++ b/internal/oper/soak/takeup_test.go
@@ -46,7 +46,7 @@
 	if next.began == "" {
 		next.began = q.server()
 	}
-	next.siblings = c.d.countVersion("llm", next.began)
+	next.siblings = c.d.countVersion(next.began)
 	return next
 }
 
