--- a/internal/core/origin/routes.go
+++ b/internal/core/origin/routes.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"mangostile/internal/base/clock"
@@ -23,8 +25,10 @@
 // Routes is to which services the streams of each route went of late. The zero value has seen no configuration.
 type Routes struct {
 	config *topo.Config
-	// seenAt is until when each route used a service, apart from those that config has.
-	seenAt map[RouteService]clock.Millis
+	// inForce holds the routes of config for streams that can be taken up.
+	inForce map[RouteKey]*topo.Route
+	// usedUntil is until when each route used a service under former configurations.
+	usedUntil map[RouteKey]map[units.ServiceName]clock.Millis
 	// since is the begin of the time in which no configuration was in force unseen, 0 before the first.
 	since clock.Millis
 }
@@ -35,66 +39,69 @@
 	if r.since == 0 || missed {
 		r.since = now
 	}
-	old := r.config
+	old, before := r.config, r.inForce
 	if old != nil && cfg.Version <= old.Version {
 		return
 	}
-	r.observe(now)
-	r.config = cfg
-	r.observe(now)
-	if old == nil {
-		return
+	r.forget(now)
+	r.config, r.inForce = cfg, map[RouteKey]*topo.Route{}
+	for i := range cfg.Routes {
+		if route := &cfg.Routes[i]; route.Kind == topo.KindStream && route.Resumable {
+			r.inForce[RouteKeyOf(route)] = route
+		}
+	}
+	for key, route := range before {
+		for _, share := range route.Shares {
+			r.use(key, share.Service, now)
+		}
+		if r.inForce[key] == nil {
+			r.inherit(key, cfg.Match(route.Host, route.PathPrefix))
+		}
 	}
-	// The streams of a path stay what they are if another route matches it from now on.
-	for _, list := range [][]topo.Route{old.Routes, cfg.Routes} {
-		for i := range list {
-			before, after := old.Match(list[i].Host, list[i].PathPrefix), cfg.Match(list[i].Host, list[i].PathPrefix)
-			if before != nil && after != nil && RouteKeyOf(before) != RouteKeyOf(after) {
-				r.inherit(RouteKeyOf(before), RouteKeyOf(after))
+	for key, route := range r.inForce {
+		if old != nil && before[key] == nil {
+			if former := old.Match(route.Host, route.PathPrefix); former != nil {
+				r.inherit(RouteKeyOf(former), route)
 			}
 		}
 	}
 }
 
-// inherit records the services of a route as those of another one.
-func (r *Routes) inherit(from, to RouteKey) {
-	for key, at := range r.seenAt {
-		if key.Route == from {
-			key.Route = to
-			r.seenAt[key] = max(r.seenAt[key], at)
-		}
+// inherit records the former services of a route as those of another one, which has its paths now; nil for
+// none.
+func (r *Routes) inherit(from RouteKey, to *topo.Route) {
+	if to == nil || RouteKeyOf(to) == from {
+		return
+	}
+	for service, until := range r.usedUntil[from] {
+		r.use(RouteKeyOf(to), service, until)
 	}
 }
 
-// observe records that the configuration is in force until now.
-func (r *Routes) observe(now clock.Millis) {
-	if r.seenAt == nil {
-		r.seenAt = map[RouteService]clock.Millis{}
-	}
-	for key, at := range r.seenAt {
-		if now > at+MaxLifetime {
-			delete(r.seenAt, key)
-		}
+func (r *Routes) use(route RouteKey, service units.ServiceName, until clock.Millis) {
+	if r.usedUntil == nil {
+		r.usedUntil = map[RouteKey]map[units.ServiceName]clock.Millis{}
 	}
-	if r.config == nil {
-		return
+	if r.usedUntil[route] == nil {
+		r.usedUntil[route] = map[units.ServiceName]clock.Millis{}
 	}
-	for i := range r.config.Routes {
-		route := &r.config.Routes[i]
-		if route.Kind != topo.KindStream || !route.Resumable {
-			continue
-		}
-		for _, share := range route.Shares {
-			r.seenAt[RouteService{RouteKeyOf(route), share.Service}] = now
+	r.usedUntil[route][service] = max(r.usedUntil[route][service], until)
+}
+
+// forget drops what no stream that can still be taken up has used.
+func (r *Routes) forget(now clock.Millis) {
+	for route, services := range r.usedUntil {
+		maps.DeleteFunc(services, func(_ units.ServiceName, until clock.Millis) bool { return now > until+MaxLifetime })
+		if len(services) == 0 {
+			delete(r.usedUntil, route)
 		}
 	}
 }
 
 // Add records services that routes used until now.
 func (r *Routes) Add(now clock.Millis, list []RouteService) {
-	r.observe(now)
-	for _, key := range list {
-		r.seenAt[key] = now
+	for _, used := range list {
+		r.use(used.Route, used.Service, now)
 	}
 }
 
@@ -102,24 +109,34 @@
 func (r *Routes) Since() clock.Millis { return r.since }
 
 // Used returns what routes have used since a time.
-func (r *Routes) Used(now, since clock.Millis) []RouteService {
-	r.observe(now)
+func (r *Routes) Used(since clock.Millis) []RouteService {
+	keys := map[RouteKey]bool{}
+	for key := range r.inForce {
+		keys[key] = true
+	}
+	for key := range r.usedUntil {
+		keys[key] = true
+	}
 	var list []RouteService
-	for key, at := range r.seenAt {
-		if at >= since {
-			list = append(list, key)
+	for key := range keys {
+		for _, service := range r.Services(key, since) {
+			list = append(list, RouteService{key, service})
 		}
 	}
 	return list
 }
 
 // Services returns the services that a route has used since a time.
-func (r *Routes) Services(now clock.Millis, route RouteKey, since clock.Millis) []units.ServiceName {
-	r.observe(now)
+func (r *Routes) Services(route RouteKey, since clock.Millis) []units.ServiceName {
 	var list []units.ServiceName
-	for key, at := range r.seenAt {
-		if key.Route == route && at >= since {
-			list = append(list, key.Service)
+	if current := r.inForce[route]; current != nil {
+		for _, share := range current.Shares {
+			list = append(list, share.Service)
+		}
+	}
+	for service, until := range r.usedUntil[route] {
+		if until >= since && !slices.Contains(list, service) {
+			list = append(list, service)
 		}
 	}
 	return list
--- a/internal/core/origin/routes_test.go
+++ b/internal/core/origin/routes_test.go
@@ -47,6 +47,7 @@
 		{"split", []*topo.Config{testRoutes(1, "/a/ x"), testRoutes(2, "/a/ x y")}, 0, "x y"},
 		{"a longer prefix is removed", []*topo.Config{testRoutes(1, "/ y", "/a/ x"), testRoutes(2, "/ y")}, 0, "x y"},
 		{"a longer prefix is added", []*topo.Config{testRoutes(1, "/ x"), testRoutes(2, "/ x", "/a/ y")}, 0, "x y"},
+		{"a longer prefix is removed and another one added", []*topo.Config{testRoutes(1, "/ y", "/a/ x"), testRoutes(2, "/ y"), testRoutes(3, "/ y", "/a/x z")}, 0, "x y z"},
 		{"removed and added again", []*topo.Config{testRoutes(1, "/a/ x"), testRoutes(2, "/b/ z"), testRoutes(3, "/a/ y")}, 0, "x y"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -61,7 +62,7 @@
 			if r.config != tc.configs[len(tc.configs)-1] {
 				route = r.config.Match("h", "/a/x")
 			}
-			services := r.Services(now, RouteKeyOf(route), now-window)
+			services := r.Services(RouteKeyOf(route), now-window)
 			slices.Sort(services)
 			must.Eq(t, "["+tc.want+"]", fmt.Sprint(services))
 			must.Eq(t, clock.Hour+clock.Second, r.Since())
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -16,7 +16,6 @@
 	"mangostile/internal/core/topo"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/singleflight"
 )
 
 // Timing of feed reads from the store.
@@ -65,11 +64,8 @@
 	// was last known to be read to its end. Both are by the clock that counts suspended time.
 	readAt, confirmedAt clock.Millis
 	// readToEndAt is when the last read from the store that reached the end began, by the same clock.
-	readToEndAt clock.Millis
-	// confirming makes requests that need the feed read to its end share one read; confirmAt is the
-	// earliest time of the next one.
-	confirming singleflight.Group
-	confirmAt  clock.Millis
+	readToEndAt  clock.Millis
+	confirmation confirmation
 	// failures counts the last reads in a row that failed. Only the goroutine that follows
 	// the feed changes it, and uses source, that of the last update.
 	failures atomic.Int32
@@ -220,56 +216,6 @@
 	n.passOn(m, r.update.Full)
 }
 
-// confirmFeeds reports whether the configuration and the list of backend servers were read from the store to
-// their ends since a time, and reads them if not.
-func (n *Node) confirmFeeds(ctx context.Context, bootTime clock.Millis) bool {
-	var config, servers bool
-	var both sync.WaitGroup
-	both.Go(func() { config = n.confirmFeed(ctx, &n.configFeed, n.applyConfig, bootTime) })
-	both.Go(func() { servers = n.confirmFeed(ctx, &n.serversFeed, n.applyServers, bootTime) })
-	both.Wait()
-	return config && servers
-}
-
-// Limits of the reads of confirmFeeds.
-const (
-	// confirmTimeout bounds a read.
-	confirmTimeout = 500 * time.Millisecond
-	// confirmSpacing is the time, for each other entry VM, between the begins of two reads of a feed: all
-	// together make at most 100 a second.
-	confirmSpacing = 10 * clock.Millis(1)
-)
-
-func (n *Node) confirmFeed(ctx context.Context, f *feed, apply func(*FeedUpdate) *peer.FeedUpdate, bootTime clock.Millis) bool {
-	// The first read may have begun before.
-	for range 2 {
-		if f.readToEndSince(bootTime) {
-			return true
-		}
-		done := f.confirming.DoChan("", func() (any, error) {
-			ctx := context.WithoutCancel(ctx)
-			sleep(ctx, (f.confirmAt - n.clock.BootNow()).Duration())
-			f.confirmAt = n.clock.BootNow() + confirmSpacing*clock.Millis(len(n.peers.keepers(n.clock.Now())))
-			ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-			defer cancel()
-			n.guard("read of feed "+string(f.name), func() {
-				r, err := n.readFeed(ctx, f, 0)
-				n.meter.StoreRead(string(f.name), err == nil)
-				if err == nil {
-					n.applyRead(f, r, apply)
-				}
-			})
-			return nil, nil
-		})
-		select {
-		case <-ctx.Done():
-			return false
-		case <-done:
-		}
-	}
-	return f.readToEndSince(bootTime)
-}
-
 // retryDelay returns the time to wait after the failed read of a feed.
 func (n *Node) retryDelay(f *feed) time.Duration {
 	longest := maxReadRetryDelay
--- a/internal/node/fleet/guard.go
+++ b/internal/node/fleet/guard.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"context"
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"mangostile/internal/core/choose"
 
@@ -52,3 +54,17 @@
 func (n *Node) logPanic(where string, cause any) {
 	n.log.Error("panic_recovered", "where", where, "cause", cause, "stack", string(debug.Stack()), "remedy", "report this line; the process goes on")
 }
+
+// every calls a guarded step each period until ctx is done. The error is always nil.
+func (n *Node) every(ctx context.Context, period time.Duration, what string, step func(ctx context.Context)) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.guard(what, func() { step(ctx) })
+		}
+	}
+}
--- a/internal/node/fleet/ledger.go
+++ b/internal/node/fleet/ledger.go
@@ -48,16 +48,7 @@
 
 // keepLedger keeps the ledger current until ctx is done. The error is always nil.
 func (n *Node) keepLedger(ctx context.Context) error {
-	ticker := time.NewTicker(ledgerPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.guard("ledger", func() { n.stepLedger(ctx) })
-		}
-	}
+	return n.every(ctx, ledgerPeriod, "ledger", n.stepLedger)
 }
 
 // stepLedger writes what is missing in the ledger, if this entry VM is the placer of its region or there is no
@@ -70,13 +61,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
-	o, known := n.observed(ctx)
-	if !known {
-		return
+	// Without the history, what was seen is written nonetheless.
+	o, err := n.observed(ctx)
+	if syncErr := n.syncLedger(ctx, o); syncErr != nil {
+		err = syncErr
 	}
-	if err := n.syncLedger(ctx, o); err != nil && ctx.Err() == nil {
-		n.log.Warn("ledger_not_kept", "error", err)
+	if err != nil {
 		k.nextAt = n.clock.Now() + ledgerRetry
+		n.log.Warn("ledger_not_kept", "error", err)
 	}
 }
 
@@ -148,22 +140,23 @@
 // topicLedger names the ledger in logs and metrics.
 const topicLedger = "ledger"
 
-// observed returns what may have begun streams that can still be taken up, as far as this entry VM has seen it.
-// known is false before the first list of backend servers and the first configuration.
-func (n *Node) observed(ctx context.Context) (o origin.Observed, known bool) {
+// observed returns what may have begun streams that can still be taken up, as far as this entry VM has seen it:
+// nothing before the first list of backend servers and the first configuration. The error is that of the read of
+// what the store has of the time before.
+func (n *Node) observed(ctx context.Context) (origin.Observed, error) {
 	cfg := n.config.Load()
 	seen := n.seen()
 	if cfg == nil || seen.softwareSince == 0 || seen.routesSince == 0 {
-		return o, false
+		return origin.Observed{}, nil
 	}
 	window := longestResumeWindow(cfg) + ledgerMargin
-	if o = seen.all(seen.now - window); o.Whole {
-		return o, true
+	if o := seen.all(seen.now - window); o.Whole {
+		return o, nil
 	}
 	// The history of a new deployment has no holes yet.
 	past, err := n.readHistory(ctx)
 	seen = n.seen()
-	o = seen.all(seen.now - window)
+	o := seen.all(seen.now - window)
 	o.Whole = o.Whole || err == nil && past.whole && past.configsWhole
-	return o, true
+	return o, err
 }
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -242,25 +242,21 @@
 // know the stream, or the lists were read since. Reads of the store come last, since they cost more.
 func (c *exchange) findOrigin(ctx context.Context) (began topo.ServiceSoftware, source string) {
 	n := c.node
-	asked := n.clock.BootNow()
-	inStep := n.isAlone()
-	if c.head.Resumes != "" {
-		key := c.streamKey()
-		if began, known := n.origins.find(n.clock.BootNow(), key); known {
-			return began, "own_record"
-		}
-		began, known, unknownToAll := n.askOrigin(ctx, key, c.resumeWindow())
-		if known {
-			return began, "entry_vm"
-		}
-		inStep = inStep || unknownToAll
+	now := n.clock.BootNow()
+	began, source, unknownToAll := c.findRecord(ctx)
+	if source != "" {
+		return began, source
 	}
-	inStep = inStep || n.confirmFeeds(ctx, asked)
 	since, route := c.req.Arrived-c.resumeWindow(), origin.RouteKeyOf(c.route)
 	seen := n.seen()
 	software, only := seen.onlyVersion(route, since)
-	observed := seen.observed(since)
-	if only && observed && inStep {
+	current := unknownToAll
+	if only && !current {
+		current = n.confirmFeeds(ctx, now)
+		seen = n.seen()
+		software, only = seen.onlyVersion(route, since)
+	}
+	if only && current && seen.observed(since) {
 		return topo.ServiceSoftware{Software: software}, "only_version"
 	}
 	if c.head.Resumes != "" && ctx.Err() == nil {
@@ -268,26 +264,41 @@
 			return began, "store"
 		}
 	}
-	if !only || observed || !inStep {
-		return began, ""
+	if !only || !current || seen.observed(since) {
+		return topo.ServiceSoftware{}, ""
 	}
 	// This entry VM started too late, or missed too much, to rule out that the stream began at
 	// another version that has left, and no record of it is left, as after all entry VMs were killed.
 	// The store knows all versions of that time.
 	past, err := n.readHistory(ctx)
 	if err != nil {
-		return began, ""
+		return topo.ServiceSoftware{}, ""
 	}
 	seen = n.seen()
-	if !past.rulesOut(route, seen.services(route, since)) {
-		return began, ""
-	}
-	if software, only = seen.onlyVersion(route, since); !only {
-		return began, ""
+	software, only = seen.onlyVersion(route, since)
+	if !only || !past.rulesOut(route, seen.services(route, since)) {
+		return topo.ServiceSoftware{}, ""
 	}
 	return topo.ServiceSoftware{Software: software}, "only_version_in_store"
 }
 
+// findRecord is findOrigin by the records of this entry VM and of others that run. unknownToAll reports whether
+// all that could have one have replied that they don't.
+func (c *exchange) findRecord(ctx context.Context) (began topo.ServiceSoftware, source string, unknownToAll bool) {
+	n := c.node
+	if c.head.Resumes == "" {
+		return began, "", n.isAlone()
+	}
+	if began, known := n.origins.find(n.clock.BootNow(), c.streamKey()); known {
+		return began, "own_record", false
+	}
+	began, known, unknownToAll := n.askOrigin(ctx, c.streamKey(), c.resumeWindow())
+	if known {
+		return began, "entry_vm", false
+	}
+	return began, "", unknownToAll || n.isAlone()
+}
+
 // historyTimeout bounds the reads of what the store has of the time before an entry VM started.
 const historyTimeout = 500 * time.Millisecond
 
@@ -325,15 +336,22 @@
 	var list []topo.ServiceSoftware
 	var configs []*topo.Config
 	var reads errgroup.Group
-	reads.Go(func() (err error) {
+	read := func(f func() error) {
+		reads.Go(func() error {
+			err := errPanic
+			n.guard("read of the history", func() { err = f() })
+			return err
+		})
+	}
+	read(func() (err error) {
 		list, past.whole, err = n.system.ReadKeptSoftware(ctx)
 		return errors.WithStack(err)
 	})
-	reads.Go(func() (err error) {
+	read(func() (err error) {
 		configs, past.configsWhole, err = n.system.ReadKeptConfigs(ctx)
 		return errors.WithStack(err)
 	})
-	reads.Go(func() error {
+	read(func() error {
 		got, err := n.readLedger(ctx)
 		if err == nil {
 			past.ledger.Load(got.Entries)
@@ -352,7 +370,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.routes.Add(now, append(kept.Used(now, 0), past.ledger.RouteServices()...))
+	o.routes.Add(now, append(kept.Used(0), past.ledger.RouteServices()...))
 	o.history = past
 	n.log.Info("software_history_read", "whole", past.whole, "versions", len(list), "configs_whole", past.configsWhole, "configs", len(configs))
 	return past, nil
--- a/internal/node/fleet/seen.go
+++ b/internal/node/fleet/seen.go
@@ -40,7 +40,7 @@
 func (s *seen) services(route origin.RouteKey, since clock.Millis) []units.ServiceName {
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
-	return s.origins.routes.Services(s.now, route, since)
+	return s.origins.routes.Services(route, since)
 }
 
 // versions returns the versions at which streams of a route may have begun since a time.
@@ -80,7 +80,7 @@
 	}
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
-	for _, key := range s.origins.routes.Used(s.now, since) {
+	for _, key := range s.origins.routes.Used(since) {
 		o.Add(origin.ServicesOf(key.Route), origin.Name(key.Service))
 	}
 	return o
--- a/internal/node/fleet/starts.go
+++ b/internal/node/fleet/starts.go
@@ -71,16 +71,7 @@
 
 // keepStarts puts starts of streams into the store until ctx is done. The error is always nil.
 func (n *Node) keepStarts(ctx context.Context) error {
-	ticker := time.NewTicker(keepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.guard("starts of streams", func() { n.stepStarts(ctx) })
-		}
-	}
+	return n.every(ctx, keepPeriod, "starts of streams", n.stepStarts)
 }
 
 // stepStarts sends starts to the placer of the region, which appends those of all its entry VMs, or appends
@@ -89,7 +80,8 @@
 	k := &n.starts
 	placer, address, records := n.ownPlacer().startRecorder()
 	others := clock.Millis(len(n.peers.keepers(n.clock.Now())))
-	recording := origin.Recording{Several: n.seen().several}
+	seen := sync.OnceValue(n.seen)
+	recording := origin.Recording{Several: func(route origin.RouteKey, window clock.Millis) bool { return seen().several(route, window) }}
 	if placer != n.settings.ID {
 		recording.HasRecorder, recording.HandoffInterval = records, handoffSpacing*others
 		recording.AppendInterval = appendSpacing * others
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -201,7 +201,7 @@
 	ReadSoftware(ctx context.Context, from, to units.Offset) ([]topo.ServiceSoftware, error)
 	// ReadKeptSoftware returns the versions of the backend servers in the records of FeedServers that
 	// the store still has, those of removed backend servers included. whole reports whether it has
-	// deleted none of these records.
+	// deleted none of these records, and all were read.
 	ReadKeptSoftware(ctx context.Context) (list []topo.ServiceSoftware, whole bool, err error)
 	// ReadKeptConfigs returns the configurations that the store still has, oldest first. whole is as for
 	// ReadKeptSoftware.
