Keep what others have seen in the ledger

An entry VM that had stood still dropped a version from the ledger that others had added meanwhile: its own list was old, but without a gap. An entry VM that started later could have ruled that version out and joined a stream of it with one of another version. No caller was seen to meet it.

Change: before the ledger is changed, the lists are read by reads that begin after it was read; without them, nothing is dropped and no entry counts as whole.

--- a/internal/core/origin/ledger.go
+++ b/internal/core/origin/ledger.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// Entries returns the content.
+func (l *Ledger) Entries() []Entry {
+	list := make([]Entry, 0, len(l.entries))
+	for key, whole := range l.entries {
+		list = append(list, Entry{Group: key.group, Member: key.member, Whole: whole})
+	}
+	return list
+}
+
 // Apply records changes that were written to the store.
 func (l *Ledger) Apply(changes []Change) {
 	for _, c := range changes {
--- a/internal/core/origin/ledger_test.go
+++ b/internal/core/origin/ledger_test.go
@@ -92,10 +92,7 @@
 				var l Ledger
 				l.Load(store)
 				l.Apply(l.Changes(Observed{Members: map[Group][]Name{g: members}, Whole: k.since <= now-window}))
-				store = nil
-				for key, whole := range l.entries {
-					store = append(store, Entry{Group: key.group, Member: key.member, Whole: whole})
-				}
+				store = l.Entries()
 			}
 			var l Ledger
 			l.Load(store)
--- a/internal/core/peer/release_test.go
+++ b/internal/core/peer/release_test.go
@@ -31,6 +31,11 @@
 		Address string               `msgpack:"a"`
 		Batches []earlierBatch       `msgpack:"b"`
 	}
+	earlierPlacement struct {
+		Shard       string       `msgpack:"s"`
+		Remaining   clock.Millis `msgpack:"l,omitempty"`
+		KeepsStarts bool         `msgpack:"t,omitempty"`
+	}
 	earlierOriginReply struct {
 		Question uint64        `msgpack:"q"`
 		Known    bool          `msgpack:"y,omitempty"`
@@ -66,6 +71,10 @@
 			"record of the store", &origin.Batch{Software: "v1", Service: "llm", Remaining: 9, Keys: []origin.Key{7}}, &batch,
 			func() (any, any) { return &origin.Batch{}, &earlierBatch{} }, &origin.Batch{Software: "v1", Remaining: 9, Keys: []origin.Key{7}},
 		},
+		{
+			"placement_update", &PlacementUpdate{Shard: "r", Remaining: 9, KeepsStarts: true, KeepsLedger: true}, &earlierPlacement{Shard: "r", Remaining: 9, KeepsStarts: true},
+			func() (any, any) { return &PlacementUpdate{}, &earlierPlacement{} }, &PlacementUpdate{Shard: "r", Remaining: 9, KeepsStarts: true},
+		},
 		{
 			"origin_reply", &OriginReply{Question: 5, Known: true, Covers: true, Service: "llm", Software: "v1"}, &earlierOriginReply{Question: 5, Known: true, Covers: true, Software: "v1"},
 			func() (any, any) { return &OriginReply{}, &earlierOriginReply{} }, &OriginReply{Question: 5, Known: true, Covers: true, Software: "v1"},
--- a/internal/node/fleet/ledger.go
+++ b/internal/node/fleet/ledger.go
@@ -92,14 +92,15 @@
 }
 
 // syncLedger writes what is missing in the ledger. It decides by the content of the store, which others change,
-// too.
+// too, and by lists that were read after that: an entry VM that stood still must not drop what others have seen
+// meanwhile.
 func (n *Node) syncLedger(ctx context.Context, o origin.Observed) error {
 	k := &n.ledger
 	if n.clock.Now() < k.readAt+ledgerReadPeriod && n.serversFeed.newestEra() <= k.era && k.readAt > 0 && len(k.ledger.Changes(o)) == 0 {
 		return nil
 	}
 	k.readAt = 0
-	at := n.clock.Now()
+	at, bootAt := n.clock.Now(), n.clock.BootNow()
 	got, err := n.readLedger(ctx)
 	if err != nil {
 		return err
@@ -107,6 +108,14 @@
 	k.ledger.Load(got.Entries)
 	k.next, k.era = got.Next, got.Era
 	changes := k.ledger.Changes(o)
+	if len(changes) > 0 {
+		current := n.confirmFeeds(ctx, bootAt)
+		if o, err = n.observed(ctx); err != nil {
+			return err
+		}
+		o.Whole = o.Whole && current
+		changes = k.ledger.Changes(o)
+	}
 	if len(changes) > 0 {
 		switch result, err := n.system.AppendLedger(ctx, k.era, k.next, changes); result {
 		case claim.Accepted:
--- a/internal/node/fleet/observed_test.go
+++ b/internal/node/fleet/observed_test.go
@@ -9,6 +9,7 @@
 	"mangostile/internal/base/clock"
 	"mangostile/internal/base/units"
 	"mangostile/internal/core/choose"
+	"mangostile/internal/core/claim"
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/peer"
 	"mangostile/internal/core/topo"
@@ -110,6 +111,15 @@
 	return &LedgerEntries{Entries: l.ledger}, l.err
 }
 
+// AppendLedger implements Store.
+func (l *listLog) AppendLedger(_ context.Context, _ units.Era, _ units.Offset, changes []origin.Change) (claim.Result, error) {
+	var ledger origin.Ledger
+	ledger.Load(l.ledger)
+	ledger.Apply(changes)
+	l.ledger = ledger.Entries()
+	return claim.Accepted, nil
+}
+
 // ReadStarts implements Store.
 func (l *listLog) ReadStarts(_ context.Context, from units.Offset) (*StartRecords, error) {
 	return &StartRecords{Batches: l.starts[from:], Next: units.Offset(len(l.starts))}, l.err
