--- a/internal/core/origin/ledger.go
+++ b/internal/core/origin/ledger.go
@@ -33,8 +33,7 @@
 type Entry struct {
 	Group  Group `msgpack:"g"`
 	Member Name  `msgpack:"m"`
-	// Whole is true if, when the entry was written, the ledger had all members of the group that
-	// may have begun a stream which can still be taken up.
+	// Whole is true if the ledger was whole when the entry was written.
 	Whole bool `msgpack:"w,omitempty"`
 }
 
@@ -111,16 +110,15 @@
 	}
 }
 
-// Members returns the members of a group, and whether these are all that may have begun a stream.
-func (l *Ledger) Members(group Group) (members []Name, whole bool) {
-	for key, w := range l.entries {
-		if key.group == group {
-			members = append(members, key.member)
-			whole = whole || w
+// Whole reports whether the ledger has all that may have begun a stream which can still be taken up. Once it
+// has, those who keep it add what comes.
+func (l *Ledger) Whole() bool {
+	for _, whole := range l.entries {
+		if whole {
+			return true
 		}
 	}
-	slices.Sort(members)
-	return members, whole
+	return false
 }
 
 // Versions returns the versions of all services.
@@ -149,18 +147,17 @@
 // after others were added.
 func (l *Ledger) Changes(o Observed) []Change {
 	var list []Change
+	whole := o.Whole || l.Whole()
 	for group, members := range o.Members {
-		_, whole := l.Members(group)
-		whole = whole || o.Whole
 		for _, m := range members {
 			if was, ok := l.entries[membership{group, m}]; !ok || whole && !was {
 				list = append(list, Change{Entry: Entry{Group: group, Member: m, Whole: whole}})
 			}
 		}
 	}
-	for key, whole := range l.entries {
+	for key, was := range l.entries {
 		if o.Whole && !slices.Contains(o.Members[key.group], key.member) {
-			list = append(list, Change{Entry: Entry{Group: key.group, Member: key.member, Whole: whole}, Drop: true})
+			list = append(list, Change{Entry: Entry{Group: key.group, Member: key.member, Whole: was}, Drop: true})
 		}
 	}
 	slices.SortFunc(list, func(a, b Change) int {
--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -65,7 +65,7 @@
 	f.confirmation.nextAt = n.clock.BootNow() + confirmSpacing*clock.Millis(len(n.peers.keepers(n.clock.Now())))
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	r, err := n.readFeed(ctx, f, 0)
+	r, err := n.readNext(ctx, f, 0, false)
 	n.meter.StoreRead(string(f.name), err == nil)
 	if err == nil {
 		n.applyRead(f, r, apply)
--- a/internal/node/fleet/feeds.go
+++ b/internal/node/fleet/feeds.go
@@ -271,11 +271,19 @@
 // is a full one.
 func (n *Node) readFeed(ctx context.Context, f *feed, wait clock.Millis) (*storeRead, error) {
 	f.mu.Lock()
-	synced, fullReadAt := f.synced, f.fullReadAt
+	full := n.clock.Now() >= f.fullReadAt+fullReadPeriod
+	f.mu.Unlock()
+	return n.readNext(ctx, f, wait, full)
+}
+
+// readNext is readFeed with a full read if full is true or an update may have been missed.
+func (n *Node) readNext(ctx context.Context, f *feed, wait clock.Millis, full bool) (*storeRead, error) {
+	f.mu.Lock()
+	synced := f.synced
 	r := &storeRead{from: f.next, fromEra: f.era, at: n.clock.Now(), bootAt: n.clock.BootNow()}
 	f.mu.Unlock()
 	var err error
-	if !synced || r.at >= fullReadAt+fullReadPeriod {
+	if !synced || full {
 		return r, n.readAll(ctx, f, synced, r)
 	}
 	r.update, err = n.system.ReadUpdates(ctx, f.name, r.from, wait)
--- a/internal/node/fleet/ledger.go
+++ b/internal/node/fleet/ledger.go
@@ -166,6 +166,6 @@
 	past, err := n.readHistory(ctx)
 	seen = n.seen()
 	o := seen.all(seen.now - window)
-	o.Whole = o.Whole || err == nil && past.whole && past.configsWhole
+	o.Whole = o.Whole || err == nil && past.whole
 	return o, err
 }
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -13,7 +14,6 @@
 	"mangostile/internal/core/topo"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -44,25 +44,8 @@
 	// until is the begin of the time in which the entry VM has seen all versions, configUntil that in
 	// which it has seen all configurations.
 	until, configUntil clock.Millis
-	// whole is true if no record of the list of backend servers had been deleted, configsWhole if none
-	// of the operator's.
-	whole, configsWhole bool
-	ledger              origin.Ledger
-}
-
-// rulesOut reports whether no version can have begun a stream of a route but those that the store's records
-// and the ledger name for the services of the route.
-func (h *history) rulesOut(route origin.RouteKey, services []units.ServiceName) bool {
-	_, whole := h.ledger.Members(origin.ServicesOf(route))
-	if !whole && !h.configsWhole {
-		return false
-	}
-	for _, service := range services {
-		if _, whole := h.ledger.Members(origin.VersionsOf(service)); !whole && !h.whole {
-			return false
-		}
-	}
-	return true
+	// whole is true if it has all versions and services of that time.
+	whole bool
 }
 
 // question asks other entry VMs which version began a stream. The fields below done are set once it
@@ -276,7 +259,7 @@
 	}
 	seen = n.seen()
 	software, only = seen.onlyVersion(route, since)
-	if !only || !past.rulesOut(route, seen.services(route, since)) {
+	if !only || !past.whole {
 		return topo.ServiceSoftware{}, ""
 	}
 	return topo.ServiceSoftware{Software: software}, "only_version_in_store"
@@ -333,46 +316,37 @@
 	if last != nil && past.until > 0 && last.until == past.until && last.configUntil == past.configUntil {
 		return last, nil
 	}
-	var list []topo.ServiceSoftware
-	var configs []*topo.Config
-	var reads errgroup.Group
-	read := func(f func() error) {
-		reads.Go(func() error {
-			err := errPanic
-			n.guard("read of the history", func() { err = f() })
-			return err
-		})
-	}
-	read(func() (err error) {
-		list, past.whole, err = n.system.ReadKeptSoftware(ctx)
-		return errors.WithStack(err)
-	})
-	read(func() (err error) {
-		configs, past.configsWhole, err = n.system.ReadKeptConfigs(ctx)
-		return errors.WithStack(err)
-	})
-	read(func() error {
-		got, err := n.readLedger(ctx)
-		if err == nil {
-			past.ledger.Load(got.Entries)
-		}
-		return err
-	})
-	if err := reads.Wait(); err != nil {
+	got, err := n.readLedger(ctx)
+	if err != nil {
 		n.log.Warn("software_history_not_read", "error", err)
-		return nil, errors.WithStack(err)
+		return nil, err
+	}
+	var ledger origin.Ledger
+	ledger.Load(got.Entries)
+	software, services := ledger.Versions(), ledger.RouteServices()
+	recorded := len(got.Entries)
+	if past.whole = ledger.Whole(); !past.whole {
+		// A new deployment: the store may still have all records.
+		var kept origin.Routes
+		list, listWhole, err := n.system.ReadKeptSoftware(ctx)
+		configs, configsWhole, configErr := n.system.ReadKeptConfigs(ctx)
+		if err = cmp.Or(err, configErr); err != nil {
+			n.log.Warn("software_history_not_read", "error", err)
+			return nil, errors.WithStack(err)
+		}
+		for _, cfg := range configs {
+			kept.Set(n.clock.Now(), cfg, false)
+		}
+		software, services = append(software, list...), append(services, kept.Used(0)...)
+		past.whole = listWhole && configsWhole
 	}
 	now := n.clock.Now()
-	n.withCore(func(core *choose.Core) { core.AddSoftware(now, append(list, past.ledger.Versions()...)) })
-	var kept origin.Routes
-	for _, cfg := range configs {
-		kept.Set(now, cfg, false)
-	}
+	n.withCore(func(core *choose.Core) { core.AddSoftware(now, software) })
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.routes.Add(now, append(kept.Used(0), past.ledger.RouteServices()...))
+	o.routes.Add(now, services)
 	o.history = past
-	n.log.Info("software_history_read", "whole", past.whole, "versions", len(list), "configs_whole", past.configsWhole, "configs", len(configs))
+	n.log.Info("software_history_read", "whole", past.whole, "versions", len(software), "services", len(services), "recorded", recorded)
 	return past, nil
 }
 
--- a/internal/node/fleet/system.go
+++ b/internal/node/fleet/system.go
@@ -199,12 +199,12 @@
 	// ReadSoftware returns the versions of the backend servers in the records of FeedServers from an
 	// offset on, before the offset to. The error is an ExpiredError if some of them have expired.
 	ReadSoftware(ctx context.Context, from, to units.Offset) ([]topo.ServiceSoftware, error)
-	// ReadKeptSoftware returns the versions of the backend servers in the records of FeedServers that
-	// the store still has, those of removed backend servers included. whole reports whether it has
-	// deleted none of these records, and all were read.
+	// ReadKeptSoftware returns the versions of the backend servers in all records of FeedServers, those of
+	// removed backend servers included. whole is false if the store has deleted some of these records, or
+	// has too many to read; the list may then lack versions.
 	ReadKeptSoftware(ctx context.Context) (list []topo.ServiceSoftware, whole bool, err error)
-	// ReadKeptConfigs returns the configurations that the store still has, oldest first. whole is as for
-	// ReadKeptSoftware.
+	// ReadKeptConfigs returns the configurations in all records of FeedConfig, oldest first. whole is as
+	// for ReadKeptSoftware.
 	ReadKeptConfigs(ctx context.Context) (list []*topo.Config, whole bool, err error)
 	// ReadLedger returns the entries of the ledger.
 	ReadLedger(ctx context.Context) (*LedgerEntries, error)
