--- a/internal/node/fleet/quarantine_store_test.go
+++ b/internal/node/fleet/quarantine_store_test.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// list makes Verdicts return the verdicts from now on.
+func (s *verdicts) list() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = true
+}
+
 // Verdicts implements verdictSink.
 func (s *verdicts) Verdicts() []blame.Verdict {
 	s.mu.Lock()
@@ -189,7 +196,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				log := &verdictLog{era: 1}
 				q, sink := startQuarantineStore(t, "vm0", log)
-				sink.lists = true
+				sink.list()
 				sink.ApplyVerdicts([]blame.Verdict{verdictOf(7, 1, true), verdictOf(8, 2, false)})
 				let(quarantineReadPeriod)
 				must.Len(t, 2, log.records)
