Publish placements only once their servers were heard of

Callers were refused with "no backend server holds the model" in the milliseconds after an entry VM had claimed the placement of a shard.

Cause: a new placer published all backend servers in the step in which it requested their reports, without models and copies, and entry VMs took that in place of what they had from the last placer or from the list. One that claimed again published what it knew when it lost the lease.

Change: models and copies of a backend server are published once its report has arrived, the request for it has failed, or another process has taken the place of a known one; until then only its load is. Updates have the same fields, so that releases understand each other.

--- a/internal/core/homes/orders.go
+++ b/internal/core/homes/orders.go
@@ -217,7 +217,7 @@
 // noteRestart forgets the state of the process before the one that started at some time, and the order
 // whose answer was awaited from it.
 func (s *server) noteRestart(startedAt int64) {
-	s.reportedStart = startedAt
+	s.reportedStart, s.heard = startedAt, true
 	s.markChanged()
 	s.synced, s.orders, s.pending, s.orderedAt = false, 0, nil, 0
 	s.copies, s.models = map[units.AdapterName]*heldCopy{}, map[units.ModelName]bool{}
@@ -233,7 +233,7 @@
 			s.markChanged()
 		}
 	}()
-	s.synced, s.orders = true, r.Orders
+	s.synced, s.heard, s.orders = true, true, r.Orders
 	s.onDisk, s.inMemory = r.OnDisk, r.InMemory
 	s.models = map[units.ModelName]bool{}
 	for _, m := range r.Models {
@@ -271,7 +271,7 @@
 		if !s.down {
 			s.markChanged()
 		}
-		s.reportPending, s.down = false, true
+		s.reportPending, s.down, s.heard = false, true, true
 		s.nextReportAt = now + reportDelay
 	}
 }
@@ -282,7 +282,7 @@
 func (p *Placer) Resync(now clock.Millis) {
 	p.now = max(p.now, now)
 	for _, s := range p.servers {
-		s.synced, s.reportPending, s.nextReportAt = false, false, p.now
+		s.synced, s.heard, s.reportPending, s.nextReportAt = false, false, false, p.now
 		s.markChanged()
 	}
 }
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -155,6 +155,10 @@
 	engine       *topo.Engine
 	// synced reports that orders and copies are known; no order is sent before.
 	synced bool
+	// heard reports that copies and models may be published: since this entry VM has become the
+	// placer, a report has arrived, the request for one has failed, or the process has been
+	// replaced. Before, those that entry VMs have from the last placer or from the list are newer.
+	heard bool
 	// down reports that the backend server does not answer. It may still hold its copies,
 	// but they are not published.
 	down bool
@@ -346,6 +350,8 @@
 		s = &server{
 			copies: map[units.AdapterName]*heldCopy{}, models: map[units.ModelName]bool{},
 			cached: map[units.AdapterName]clock.Millis{}, nextReportAt: p.now,
+			// What the process before held is gone.
+			heard: s != nil,
 		}
 		s.markChanged()
 		p.noteStart(s, p.servers[entry.ID] == nil, entry)
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -50,18 +50,16 @@
 			break
 		}
 		switch {
-		case s.changed[scope]:
+		case s.mustSend(scope):
 			m.Servers = append(m.Servers, p.placementOf(s))
+			s.hidden[scope], s.changed[scope] = p.now < s.modelReadyAt, false
 		case p.includeLoads[scope] && s.lastSent[scope] != s.load():
-			m.Servers = append(m.Servers, peer.ServerPlacement{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens, Pace: s.pace.Step, Window: s.pace.Window.Limit()})
+			m.Servers = append(m.Servers, s.placedLoad())
 		default:
 			continue
 		}
 		listed++
-		if s.changed[scope] {
-			s.hidden[scope] = p.now < s.modelReadyAt
-		}
-		s.changed[scope], s.lastSent[scope] = false, s.load()
+		s.lastSent[scope] = s.load()
 	}
 	if listed < limit {
 		p.includeLoads[scope] = false
@@ -73,13 +71,26 @@
 	return m
 }
 
-// FullUpdate returns a placement update with all backend servers. It has the number of the last
+// mustSend reports whether the next update for a scope includes the copies and models of s.
+func (s *server) mustSend(scope Scope) bool { return s.heard && s.changed[scope] }
+
+// placedLoad returns the load of s to publish without copies and models.
+func (s *server) placedLoad() peer.ServerPlacement {
+	return peer.ServerPlacement{Server: s.ID, LoadOnly: true, Active: s.active, Prefill: s.prefill, Tokens: s.tokens, Pace: s.pace.Step, Window: s.pace.Window.Limit()}
+}
+
+// FullUpdate returns a placement update with all backend servers, those not heard of yet with their load
+// alone. It has the number of the last
 // update and leaves the changes and removed backend servers for the next one.
 func (p *Placer) FullUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
 	m := p.newUpdate(now, scope, shard, fence)
 	m.Full = true
 	for _, id := range p.order {
 		s := p.servers[id]
+		if !s.heard {
+			m.Servers = append(m.Servers, s.placedLoad())
+			continue
+		}
 		m.Servers = append(m.Servers, p.placementOf(s))
 		s.hidden[scope] = s.hidden[scope] || p.now < s.modelReadyAt
 	}
@@ -107,7 +118,7 @@
 		return true
 	}
 	for _, s := range p.servers {
-		if s.changed[scope] {
+		if s.mustSend(scope) {
 			return true
 		}
 	}
@@ -120,7 +131,8 @@
 // placementOf returns the placement of s to publish; while s is down it has no models and
 // copies.
 func (p *Placer) placementOf(s *server) peer.ServerPlacement {
-	h := peer.ServerPlacement{Server: s.ID, Active: s.active, Prefill: s.prefill, Tokens: s.tokens, Pace: s.pace.Step, Window: s.pace.Window.Limit()}
+	h := s.placedLoad()
+	h.LoadOnly = false
 	if s.down {
 		return h
 	}
--- a/internal/core/homes/update_test.go
+++ b/internal/core/homes/update_test.go
@@ -70,6 +70,47 @@
 	must.SliceLen(t, 1, f.Update(f.now, SameRegion, "r", 1, math.MaxInt).Servers)
 }
 
+// TestPlacementsWaitForReports guards against a new placer that publishes backend servers whose reports
+// have not arrived as if they held nothing: requests were refused with "no backend server holds the model".
+func TestPlacementsWaitForReports(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// begin makes f the placer of the two listed backend servers.
+		begin func(f *testPlacer)
+	}{
+		{"the first placer", func(*testPlacer) {}},
+		{"a later placer", func(f *testPlacer) { f.Resync(1000) }},
+		{"a placer for the second time", func(f *testPlacer) {
+			f.run(1000, 1100)
+			f.Update(1100, SameRegion, "r", 1, math.MaxInt)
+			f.Resync(9000)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &testPlacer{Placer: New(Policy{}), backends: newFakeBackends(8, "s1", "s2")}
+			f.SetServers(1000, []*topo.Server{testServer("s1"), testServer("s2")}, testServices(8))
+			tc.begin(f)
+			f.HandleUsage(f.now, "vm", &peer.UsageReport{Shard: "r", Address: "a", Servers: []peer.ServerUsage{{Server: "s1", Active: 1}}})
+			f.Step(f.now, true)
+			f.IncludeLoads(SameRegion)
+			must.False(t, f.Changed(SameRegion))
+			for _, list := range [][]peer.ServerPlacement{f.Update(f.now, SameRegion, "r", 1, math.MaxInt).Servers, f.FullUpdate(f.now, SameRegion, "r", 1).Servers} {
+				for _, placed := range list {
+					must.True(t, placed.LoadOnly, must.Sprint(placed))
+				}
+			}
+			f.HandleReport(f.now+5, "s1", f.backends.report("s1"))
+			f.ReportFailed(f.now, "s2")
+			must.True(t, f.Changed(SameRegion))
+			placed := f.Update(f.now, SameRegion, "r", 1, math.MaxInt).Servers
+			must.SliceLen(t, 2, placed)
+			must.SliceNotEmpty(t, placed[0].Models)
+			must.SliceEmpty(t, placed[1].Models)
+			must.False(t, f.Changed(SameRegion))
+		})
+	}
+}
+
 // TestExpiredUsageIsIgnored lets the usage report of an entry VM expire.
 func TestExpiredUsageIsIgnored(t *testing.T) {
 	f := newTestPlacer(8, "s1")
