Give the last answers of a stop the time that is left

Callers whose requests the end of the grace period ended got a closed connection in place of an answer when the process was short of processor time.

Cause: the process ended 100 ms after it had ended the requests, also while answers were missing, although 350 ms of the grace period were left. Most of that was reserved for the release of leases.

The row "an answer is missing" of TestAnswersHaveTimeAfterALateEnd doesn't hold for the rule before.

Change: while answers are missing, they have until 150 ms before the end of the grace period; leases are released meanwhile. The test's rows from before have the same times and results.

--- a/internal/node/fleet/node.go
+++ b/internal/node/fleet/node.go
@@ -213,9 +213,12 @@
 	group.Go(func() error { return n.quarantine.stored.follow(ctx) })
 	group.Go(func() error { return n.keepStarts(ctx) })
 	group.Go(func() error { return n.keepLedger(ctx) })
+	// Leases are released while the last answers are written.
+	placing, endPlacing := context.WithCancel(ctx)
+	defer context.AfterFunc(n.graceOver, endPlacing)()
 	for _, p := range n.placers {
-		group.Go(func() error { return p.run(ctx) })
-		group.Go(func() error { return p.followLease(ctx) })
+		group.Go(func() error { return p.run(placing) })
+		group.Go(func() error { return p.followLease(placing) })
 	}
 	group.Go(func() error { return n.awaitStop(ctx, cancel, front) })
 	n.log.Info("entry_vm_started", "entry_vm", n.settings.ID, "domain", n.settings.Domain, "region", n.settings.Region, "run", n.incarnation)
--- a/internal/node/fleet/stop.go
+++ b/internal/node/fleet/stop.go
@@ -23,12 +23,14 @@
 	// in time.
 	stopSendWindow = 2900 * clock.Millis(1)
 	// stopReserve is subtracted from the grace period: requests end at the latest this
-	// long before the period ends. It covers stopPollPeriod, stopAnswerTime and
-	// releaseTimeout, and leaves a little for a busy machine.
+	// long before the period ends. It covers stopPollPeriod, the answers and releaseTimeout, at
+	// the same time, and stopExitReserve.
 	stopReserve = 450 * clock.Millis(1)
-	// stopAnswerTime is the time for the answers to requests that the end of the grace
-	// period has ended.
+	// stopAnswerTime is the least time for the answers to requests that the end of the grace
+	// period has ended. While some are missing, it lasts until stopExitReserve before the end.
 	stopAnswerTime = 100 * clock.Millis(1)
+	// stopExitReserve is the time for the process to end.
+	stopExitReserve = 150 * clock.Millis(1)
 	// stopAnswerPolls is the least number of polls in that time.
 	stopAnswerPolls = 6
 	stopPollPeriod  = 50 * time.Millisecond
@@ -65,13 +67,14 @@
 	polls int
 }
 
-// poll counts a poll after the end of the grace period and reports whether the period is over.
-func (a *answerPeriod) poll(now clock.Millis) bool {
+// poll counts a poll after the end of the grace period and reports whether the period is over. remaining is
+// the time until stopExitReserve begins, missing the number of connections that await an answer.
+func (a *answerPeriod) poll(now, remaining clock.Millis, missing int) bool {
 	if !a.begun {
 		a.begun, a.until = true, now+stopAnswerTime
 	}
 	a.polls++
-	return now >= a.until && a.polls > stopAnswerPolls
+	return now >= a.until && a.polls > stopAnswerPolls && (missing == 0 || remaining <= 0)
 }
 
 // Stop makes the entry VM finish its open requests and exit. It does not wait.
@@ -173,8 +176,8 @@
 			// No connection is new enough to be kept.
 			now += firstRequestTimeout
 		}
-		n.callers.closeIdle(now)
-		if remaining <= 0 && answers.poll(n.clock.Now()) || front.ended.Load() && n.callers.count() == 0 {
+		missing := n.callers.closeIdle(now)
+		if remaining <= 0 && answers.poll(n.clock.Now(), remaining+stopReserve-stopExitReserve, missing) || front.ended.Load() && n.callers.count() == 0 {
 			return
 		}
 		select {
--- a/internal/node/fleet/stop_test.go
+++ b/internal/node/fleet/stop_test.go
@@ -45,21 +45,26 @@
 func TestAnswersHaveTimeAfterALateEnd(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		// polls are the times of the polls after the end of the grace period.
-		polls []clock.Millis
-		want  bool
+		// polls are the times of the polls after the end of the grace period, missing the answers
+		// that are missing at the last one.
+		polls   []clock.Millis
+		missing int
+		want    bool
 	}{
-		{"the end is seen late", []clock.Millis{300}, false},
-		{"the next poll is late, too", []clock.Millis{300, 450}, false},
-		{"time is left", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 95}, false},
-		{"the time is over", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 100}, true},
-		{"the time is over after a late end", []clock.Millis{300, 305, 310, 315, 320, 325, 330, 400}, true},
+		{"the end is seen late", []clock.Millis{300}, 0, false},
+		{"the next poll is late, too", []clock.Millis{300, 450}, 0, false},
+		{"time is left", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 95}, 0, false},
+		{"the time is over", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 100}, 0, true},
+		{"the time is over after a late end", []clock.Millis{300, 305, 310, 315, 320, 325, 330, 400}, 0, true},
+		{"an answer is missing", []clock.Millis{0, 5, 10, 15, 20, 25, 30, 100}, 1, false},
+		{"an answer is missing, and the process must end", []clock.Millis{0, 5, 10, 15, 20, 25, 30, stopReserve - stopExitReserve}, 1, true},
+		{"an answer is missing after a late end", []clock.Millis{300, 305, 310, 315, 320, 325, 330, 400}, 1, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var a answerPeriod
 			got := false
 			for _, at := range tc.polls {
-				got = a.poll(at)
+				got = a.poll(at, stopReserve-stopExitReserve-at, tc.missing)
 			}
 			must.Eq(t, tc.want, got)
 		})
