Load adapters at the service that asks for them

Cause: load requests named the adapter and the version of the software, but no service. A copy at one service counted for requests at the other.

Change: load requests name the service if several services hold the model; the placer counts, makes ready and loads copies for it, and an entry VM wakes the requests that a copy serves. Where each model has one service, load requests are as before. The release before neither sends nor reads the new field.

--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -110,8 +110,9 @@
 	time attemptTime
 	// turn is its place in the queue for a backend server with a limit.
 	turn turn
-	// waiting reports that the request counts in the load request for its adapter.
-	waiting bool
+	// waiting reports that the request counts in the load request waitsFor.
+	waiting  bool
+	waitsFor loadKey
 }
 
 func (r *Request) tried(id units.BackendServerID) bool {
@@ -195,6 +196,8 @@
 	// unreached holds backend servers to which no connection could be opened, until this
 	// is reported to the placer.
 	unreached map[units.BackendServerID]bool
+	// sharedModels holds the models that several services may hold.
+	sharedModels map[units.ModelName]bool
 	// otherRegion counts, by adapter, the requests sent to a copy in another region since
 	// the last usage report.
 	otherRegion map[units.AdapterName]int32
@@ -248,18 +251,44 @@
 // loadRank returns the rank of a load for r.
 func (r *Request) loadRank() int8 { return peer.LoadRank(r.Rank, r.Route.Rank) }
 
-// loadKey identifies a loadRequest: by an adapter and, for streams that have begun, the version
-// at which they can go on.
+// loadKey identifies a loadRequest: by an adapter, for streams that have begun by the version at
+// which they can go on and, if several services hold the model, by the service.
 type loadKey struct {
 	adapter  units.AdapterName
 	software topo.Software
+	service  units.ServiceName
 }
 
-func (r *Request) loadKey() loadKey {
+func (c *Core) loadKey(r *Request) loadKey {
+	key := loadKey{adapter: r.Adapter}
 	if r.Started {
-		return loadKey{r.Adapter, r.Software}
+		key.software = r.Software
 	}
-	return loadKey{adapter: r.Adapter}
+	if c.sharedModels[topo.ModelOf(r.Adapter)] {
+		key.service = r.Service
+	}
+	return key
+}
+
+// allows reports whether a copy at v serves the requests for k.
+func (k loadKey) allows(v *view) bool {
+	return (k.software == "" || v.software() == k.software) && (k.service == "" || v.Service == k.service)
+}
+
+// sharedModels returns the models that several services of cfg may hold.
+func sharedModels(cfg *topo.Config) map[units.ModelName]bool {
+	shared := map[units.ModelName]bool{}
+	for _, service := range cfg.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for i := range service.Engine.Models {
+			name := service.Engine.Models[i].Name
+			_, seen := shared[name]
+			shared[name] = seen
+		}
+	}
+	return shared
 }
 
 // loadRequest asks a placer to load an adapter for which requests wait.
@@ -306,7 +335,7 @@
 	if c.config != nil && cfg.Version <= c.config.Version {
 		return false
 	}
-	c.config = cfg
+	c.config, c.sharedModels = cfg, sharedModels(cfg)
 	c.index()
 	c.gapTargets = gapTargets(cfg)
 	return true
--- a/internal/core/choose/count.go
+++ b/internal/core/choose/count.go
@@ -192,10 +192,14 @@
 
 // requestLoad counts r in the load request for its adapter.
 func (c *Core) requestLoad(r *Request, shard string) *loadRequest {
-	w := c.loadRequests[r.loadKey()]
+	if key := c.loadKey(r); r.waitsFor != key {
+		c.withdrawLoad(r)
+		r.waitsFor = key
+	}
+	w := c.loadRequests[r.waitsFor]
 	if w == nil {
 		w = &loadRequest{shard: shard, since: c.now, changed: make(chan struct{}), rank: r.loadRank()}
-		c.loadRequests[r.loadKey()] = w
+		c.loadRequests[r.waitsFor] = w
 	}
 	if w.shard != shard {
 		// The placer that had the load request is down, or the own region's is up again.
@@ -218,9 +222,9 @@
 		return
 	}
 	r.waiting = false
-	if w := c.loadRequests[r.loadKey()]; w != nil {
+	if w := c.loadRequests[r.waitsFor]; w != nil {
 		if w.count--; w.count <= 0 {
-			delete(c.loadRequests, r.loadKey())
+			delete(c.loadRequests, r.waitsFor)
 		}
 	}
 }
@@ -286,7 +290,7 @@
 		if w.shard != shard {
 			continue
 		}
-		u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{Adapter: key.adapter, Software: key.software, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, LoadDeadline: w.loadDeadline - c.now})
+		u.LoadRequests = append(u.LoadRequests, peer.LoadRequest{Adapter: key.adapter, Software: key.software, Service: key.service, Count: w.count, Arrived: w.arrived, Rank: w.rank, Waited: c.now - w.since, LoadDeadline: w.loadDeadline - c.now})
 		w.arrived = 0
 	}
 	if shard != string(c.cfg.Region) {
@@ -299,7 +303,7 @@
 	}
 	clear(c.otherRegion)
 	slices.SortFunc(u.LoadRequests, func(a, b peer.LoadRequest) int {
-		return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software))
+		return cmp.Or(cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software), cmp.Compare(a.Service, b.Service))
 	})
 }
 
@@ -418,7 +422,7 @@
 func (c *Core) wakeWaiters() {
 	for key, w := range c.loadRequests {
 		for _, v := range c.servers {
-			if _, ok := c.holds(v, key.adapter); ok && !v.Draining && (key.software == "" || v.software() == key.software) {
+			if _, ok := c.holds(v, key.adapter); ok && !v.Draining && key.allows(v) {
 				close(w.changed)
 				w.changed = make(chan struct{})
 				break
--- a/internal/core/choose/software_test.go
+++ b/internal/core/choose/software_test.go
@@ -177,3 +177,59 @@
 	}
 	return software, count == 1, observedSince > 0 && observedSince <= since
 }
+
+// TestLoadRequestsNameTheService guards against requests of a split route that wait for an adapter at one of its
+// services while the placer counts the copy at the other.
+func TestLoadRequestsNameTheService(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// shared reports that two services hold the model.
+		shared bool
+		want   []peer.LoadRequest
+	}{
+		{"the model of one service", false, []peer.LoadRequest{{Adapter: "m/a", Count: 2, Arrived: 2}}},
+		{"a model of two services", true, []peer.LoadRequest{{Adapter: "m/a", Service: "llm", Count: 1, Arrived: 1}, {Adapter: "m/a", Service: "next", Count: 1, Arrived: 1}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTestCore()
+			cfg := testConfig()
+			cfg.Version = 2
+			services := []units.ServiceName{"llm", "llm"}
+			if tc.shared {
+				cfg.Services["next"] = &topo.Service{Name: "next", Engine: cfg.Services["llm"].Engine}
+				services[1] = "next"
+			}
+			c.SetConfig(cfg)
+			c.SetServers(0, []*topo.Server{testServer("n1", "llm", "near", "d1"), testServer("n2", "next", "near", "d1")})
+			applyPlacement(c, 1000, "near", 1, peer.ServerPlacement{Server: "n1"})
+			var waits []Wait
+			var requests []*Request
+			for i, service := range services {
+				r := testRequest(fmt.Sprint("r", i), "m/a", 1000)
+				r.Service = service
+				wait, ok := c.Choose(1000, r).(Wait)
+				must.True(t, ok)
+				waits, requests = append(waits, wait), append(requests, r)
+			}
+			got := c.UsageReport(1000, "near", "a").LoadRequests
+			for i := range got {
+				got[i].Waited, got[i].LoadDeadline = 0, 0
+			}
+			must.Eq(t, tc.want, got)
+			// A copy at the first service wakes only those that it serves.
+			applyPlacement(c, 1010, "near", 2, peer.ServerPlacement{Server: "n1", Copies: []peer.PlacedCopy{placedCopy("m/a", 0)}})
+			for i, wait := range waits {
+				select {
+				case <-wait.Changed:
+					must.Eq(t, "llm", services[i])
+				default:
+					must.Eq(t, "next", services[i])
+				}
+			}
+			for _, r := range requests {
+				c.Abandoned(r)
+			}
+			must.MapEmpty(t, c.loadRequests)
+		})
+	}
+}
--- a/internal/core/homes/placer.go
+++ b/internal/core/homes/placer.go
@@ -279,17 +279,20 @@
 }
 
 // loadKey is what a load is requested for: an adapter, and the version of the backend server's
-// software, empty for any.
+// software and its service, each empty for any.
 type loadKey struct {
 	adapter  units.AdapterName
 	software topo.Software
+	service  units.ServiceName
 }
 
 // allows reports whether a copy at s serves the requests for key.
-func (k loadKey) allows(s *server) bool { return k.software == "" || s.software() == k.software }
+func (k loadKey) allows(s *server) bool {
+	return (k.software == "" || s.software() == k.software) && (k.service == "" || s.Service == k.service)
+}
 
 // loadRequest sums up the load requests of all entry VMs for one loadKey. Of the embedded
-// LoadRequest only Adapter, Software, Rank and Count are set, and Count only by sortedLoadRequests.
+// LoadRequest only Adapter, Software, Service, Rank and Count are set, and Count only by sortedLoadRequests.
 type loadRequest struct {
 	peer.LoadRequest
 	// since is when the oldest request began to wait, receivedAt when the last usage
@@ -415,7 +418,7 @@
 }
 
 func (p *Placer) addLoadRequest(from units.EntryVMID, r *peer.LoadRequest) {
-	key := loadKey{r.Adapter, r.Software}
+	key := loadKey{r.Adapter, r.Software, r.Service}
 	w := p.loadRequests[key]
 	if w == nil {
 		w = &loadRequest{since: p.now, countByVM: map[units.EntryVMID]int32{}}
@@ -425,7 +428,7 @@
 	w.receivedAt = p.now
 	w.loadDeadline = max(w.loadDeadline, p.now+r.LoadDeadline)
 	w.countByVM[from] = r.Count
-	w.Adapter, w.Software = r.Adapter, r.Software
+	w.Adapter, w.Software, w.Service = r.Adapter, r.Software, r.Service
 	if len(w.countByVM) == 1 || r.Rank < w.Rank {
 		w.Rank = r.Rank
 	}
--- a/internal/core/homes/plan.go
+++ b/internal/core/homes/plan.go
@@ -112,7 +112,7 @@
 		if w.Count == 0 && (p.queue.len() > 0 || p.demand.get(p.now, w.Adapter) < minDemandToLoad) {
 			continue
 		}
-		key := loadKey{w.Adapter, w.Software}
+		key := loadKey{w.Adapter, w.Software, w.Service}
 		if p.hasUsableCopy(key) || p.revive(key) {
 			continue
 		}
@@ -148,7 +148,7 @@
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *loadRequest) int {
-		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.since, b.since), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software))
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.since, b.since), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Software, b.Software), cmp.Compare(a.Service, b.Service))
 	})
 	return list
 }
--- a/internal/core/homes/step_index.go
+++ b/internal/core/homes/step_index.go
@@ -1,15 +1,19 @@
 package homes
 
-import "mangostile/internal/base/units"
+import (
+	"iter"
+
+	"mangostile/internal/base/units"
+)
 
 // stepIndex holds what one step looks up for each of many load requests, so that its cost does
 // not grow with requests times backend servers. It is built at most once in a step; orders
 // that the step adds make single entries outdated, which their users check.
 type stepIndex struct {
 	built bool
-	// versioned reports that served and retired have entries for versions of the software, since
-	// a load is requested for one.
-	versioned bool
+	// versioned and byService report that served and retired have entries for versions of the software
+	// and for services, since a load is requested for one.
+	versioned, byService bool
 	// served holds that for which there is a copy that can be used now or once loaded.
 	served map[loadKey]bool
 	// retired holds the first backend server with a retired copy that can be made ready again.
@@ -37,6 +41,7 @@
 	p.step.reset()
 	for key := range p.loadRequests {
 		p.step.versioned = p.step.versioned || key.software != ""
+		p.step.byService = p.step.byService || key.service != ""
 	}
 	for _, s := range p.servers {
 		for adapter, c := range s.copies {
@@ -72,7 +77,7 @@
 	clear(x.served)
 	clear(x.retired)
 	clear(x.ready)
-	x.built, x.versioned, x.slots = true, false, x.slots[:0]
+	x.built, x.versioned, x.byService, x.slots = true, false, false, x.slots[:0]
 }
 
 func (p *Placer) indexCopy(s *server, adapter units.AdapterName, c *heldCopy) {
@@ -84,29 +89,31 @@
 	case c.state == copyReady || c.state == copyLoading:
 		p.step.addServed(s, adapter)
 	case c.state == copyRetired && s.usable(p.now):
-		p.step.addRetired(s, loadKey{adapter: adapter})
-		if p.step.isVersioned(s) {
-			p.step.addRetired(s, loadKey{adapter, s.software()})
+		for key := range p.step.keys(s, adapter) {
+			if p.step.retired[key] == nil {
+				p.step.retired[key] = s
+			}
 		}
 	}
 }
 
-func (x *stepIndex) addRetired(s *server, key loadKey) {
-	if x.retired[key] == nil {
-		x.retired[key] = s
-	}
-}
-
 // addServed records that s has a copy of an adapter that can be used now or once loaded.
 func (x *stepIndex) addServed(s *server, adapter units.AdapterName) {
-	x.served[loadKey{adapter: adapter}] = true
-	if x.isVersioned(s) {
-		x.served[loadKey{adapter, s.software()}] = true
+	for key := range x.keys(s, adapter) {
+		x.served[key] = true
 	}
 }
 
-// isVersioned reports whether a copy at s also serves requests for its version of the software.
-func (x *stepIndex) isVersioned(s *server) bool { return x.versioned && s.software() != "" }
+// keys returns the keys of the loads that a copy of an adapter at s serves.
+func (x *stepIndex) keys(s *server, adapter units.AdapterName) iter.Seq[loadKey] {
+	return func(yield func(loadKey) bool) {
+		versioned := x.versioned && s.software() != ""
+		_ = yield(loadKey{adapter: adapter}) &&
+			(!versioned || yield(loadKey{adapter: adapter, software: s.software()})) &&
+			(!x.byService || yield(loadKey{adapter: adapter, service: s.Service})) &&
+			(!versioned || !x.byService || yield(loadKey{adapter, s.software(), s.Service}))
+	}
+}
 
 // victim returns the retired copy with the least demand at s that may be unloaded, and that
 // demand. Copies in use or retired less than unloadDelay ago are excluded.
--- a/internal/core/peer/placing.go
+++ b/internal/core/peer/placing.go
@@ -92,6 +92,9 @@
 	// Software is the version of the backend servers at which the streams of these requests can
 	// go on; empty if they may run at any.
 	Software topo.Software `msgpack:"v,omitempty"`
+	// Service is that of the requests if several services hold the adapter's model; else it is empty.
+	// Releases that don't know it send and read none.
+	Service units.ServiceName `msgpack:"sv,omitempty"`
 	// Count is the number of requests that wait for the adapter.
 	Count int32 `msgpack:"c"`
 	// Arrived counts requests for it since the last report.
--- a/internal/core/peer/release_test.go
+++ b/internal/core/peer/release_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"mangostile/internal/base/clock"
+	"mangostile/internal/base/units"
 	"mangostile/internal/core/origin"
 	"mangostile/internal/core/topo"
 
@@ -11,7 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Earlier forms of messages and records, from before starts named their service.
+// Earlier forms of messages and records, from before starts and load requests named their service.
 type (
 	EarlierStart struct {
 		Key       origin.Key    `msgpack:"k"`
@@ -36,6 +37,11 @@
 		Remaining   clock.Millis `msgpack:"l,omitempty"`
 		KeepsStarts bool         `msgpack:"t,omitempty"`
 	}
+	earlierLoadRequest struct {
+		Adapter      units.AdapterName `msgpack:"n"`
+		Count        int32             `msgpack:"c"`
+		LoadDeadline clock.Millis      `msgpack:"i,omitempty"`
+	}
 	earlierOriginReply struct {
 		Question uint64        `msgpack:"q"`
 		Known    bool          `msgpack:"y,omitempty"`
@@ -45,7 +51,7 @@
 )
 
 // TestEarlierReleaseUnderstandsStarts guards against entry VMs of the release before that lose the starts of
-// streams, or close the connection, during an upgrade.
+// streams or load requests, or close the connection, during an upgrade.
 func TestEarlierReleaseUnderstandsStarts(t *testing.T) {
 	start := EarlierStart{Key: 7, Software: "v1", Remaining: 9}
 	batch := earlierBatch{Software: "v1", Remaining: 9, Keys: []origin.Key{7}}
@@ -75,6 +81,10 @@
 			"placement_update", &PlacementUpdate{Shard: "r", Remaining: 9, KeepsStarts: true, KeepsLedger: true}, &earlierPlacement{Shard: "r", Remaining: 9, KeepsStarts: true},
 			func() (any, any) { return &PlacementUpdate{}, &earlierPlacement{} }, &PlacementUpdate{Shard: "r", Remaining: 9, KeepsStarts: true},
 		},
+		{
+			"load request", &LoadRequest{Adapter: "m/a", Service: "llm", Count: 2, LoadDeadline: 9}, &earlierLoadRequest{Adapter: "m/a", Count: 2, LoadDeadline: 9},
+			func() (any, any) { return &LoadRequest{}, &earlierLoadRequest{} }, &LoadRequest{Adapter: "m/a", Count: 2, LoadDeadline: 9},
+		},
 		{
 			"origin_reply", &OriginReply{Question: 5, Known: true, Covers: true, Service: "llm", Software: "v1"}, &earlierOriginReply{Question: 5, Known: true, Covers: true, Software: "v1"},
 			func() (any, any) { return &OriginReply{}, &earlierOriginReply{} }, &OriginReply{Question: 5, Known: true, Covers: true, Software: "v1"},
