--- a/internal/core/choose/core.go
+++ b/internal/core/choose/core.go
@@ -259,6 +259,7 @@
 	service  units.ServiceName
 }
 
+// loadKey returns the key of the load request that r counts in while it waits.
 func (c *Core) loadKey(r *Request) loadKey {
 	key := loadKey{adapter: r.Adapter}
 	if r.Started {
--- a/internal/core/homes/update.go
+++ b/internal/core/homes/update.go
@@ -80,8 +80,8 @@
 }
 
 // FullUpdate returns a placement update with all backend servers, those not heard of yet with their load
-// alone. It has the number of the last
-// update and leaves the changes and removed backend servers for the next one.
+// alone. It has the number of the last update and leaves the changes and removed backend servers for the
+// next one.
 func (p *Placer) FullUpdate(now clock.Millis, scope Scope, shard string, fence units.Fence) *peer.PlacementUpdate {
 	m := p.newUpdate(now, scope, shard, fence)
 	m.Full = true
--- a/internal/node/fleet/origins.go
+++ b/internal/node/fleet/origins.go
@@ -305,6 +305,9 @@
 	}
 }
 
+// readKeptHistory reads what the store has of the time before this entry VM has seen the lists: the ledger and,
+// without a whole one, the records that it has kept. It returns the last history if that is still of the same
+// time.
 func (n *Node) readKeptHistory(ctx context.Context) (*history, error) {
 	o := &n.origins
 	past := &history{}
